--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,16 @@
+Feature: An inventory is checked whole before anything is applied
+
+  Scenario: Every problem is reported at once, each with its path
+    Given an inventory with a misspelt key, a duplicate VM, an unknown VM and a VM that is too small
+    When the inventory is checked
+    Then these problems are reported
+      | problem                                                                                              |
+      | $.vms[0].coers: unknown key; known are accelerators, cores, memory_mb, name, rack, zone               |
+      | $.vms[0].cores: missing                                                                              |
+    When the misspelt key is mended
+    Then these problems are reported
+      | problem                                                                                              |
+      | vms: 'vm-1' stands 2 times                                                                           |
+      | services[0].vms[1]: no VM 'vm-9' in the inventory                                                    |
+      | vms[0]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
+      | vms[1]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks of behave: each scenario has its own cleanups."""
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,52 @@
+"""Steps on checking an inventory."""
+
+from behave import given, then, when
+
+from wagtailcleat.checked import convert
+from wagtailcleat.configuration.check import inventory_problems
+from wagtailcleat.configuration.models import Inventory
+from wagtailcleat.errors import SettingsError
+
+
+def _check(raw):
+    try:
+        return inventory_problems(convert(raw, Inventory))
+    except SettingsError as error:
+        return error.problems
+
+
+@given(
+    "an inventory with a misspelt key, a duplicate VM, an unknown VM"
+    " and a VM that is too small"
+)
+def step_inventory(context):
+    vm = {"name": "vm-1", "zone": "zilina-a", "rack": "r-1", "memory_mb": 2000}
+    context.raw = {
+        "zones": [{"name": "zilina-a", "region": "zilina"}],
+        "vms": [vm | {"coers": 4}, vm | {"cores": 4}],
+        "services": [
+            {
+                "name": "booking-core",
+                "vms": ["vm-1", "vm-9"],
+                "cores": 8,
+                "memory_mb": 1000,
+            }
+        ],
+    }
+
+
+@when("the inventory is checked")
+def step_check(context):
+    context.problems = _check(context.raw)
+
+
+@when("the misspelt key is mended")
+def step_mend(context):
+    vm = context.raw["vms"][0]
+    vm["cores"] = vm.pop("coers")
+    context.problems = _check(context.raw)
+
+
+@then("these problems are reported")
+def step_problems(context):
+    assert context.problems == [row["problem"] for row in context.table]
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts around the package: the CI verdict and the demonstration."""
--- /dev/null
+++ b/wagtailcleat/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/wagtailcleat/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The program beside each endpoint VM."""
--- /dev/null
+++ b/wagtailcleat/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on batch jobs."""
--- /dev/null
+++ b/wagtailcleat/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' inventory and rules, and their spread."""
--- /dev/null
+++ b/wagtailcleat/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program on entry VMs: HTTP for callers and operators."""
--- /dev/null
+++ b/wagtailcleat/ids.py
@@ -0,0 +1,20 @@
+"""Identifiers as distinct types, so that one can't stand in for another."""
+
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+Incarnation = NewType("Incarnation", int)
+"""Grows with each start of a node: milliseconds of the wall clock at start."""
+ZoneName = NewType("ZoneName", str)
+VmName = NewType("VmName", str)
+ServiceName = NewType("ServiceName", str)
+TeamName = NewType("TeamName", str)
+RequestId = NewType("RequestId", str)
+JobId = NewType("JobId", str)
+TaskId = NewType("TaskId", str)
+"""`JOB/INDEX`: one task of a job."""
+AttemptId = NewType("AttemptId", str)
+"""`JOB/INDEX/ATTEMPT`: one run of a task, on one VM."""
+ShardId = NewType("ShardId", int)
+Epoch = NewType("Epoch", int)
+Revision = NewType("Revision", int)
--- /dev/null
+++ b/wagtailcleat/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: gossip, a hint only."""
--- /dev/null
+++ b/wagtailcleat/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
--- /dev/null
+++ b/wagtailcleat/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's store and worker."""
--- /dev/null
+++ b/wagtailcleat/resources.py
@@ -0,0 +1,46 @@
+"""An amount of processors, memory and accelerators."""
+
+from typing import Annotated
+
+import msgspec
+
+Cores = Annotated[float, msgspec.Meta(ge=0, le=100_000)]
+MemoryMb = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+Accelerators = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+
+ROUNDING_CORES = 1e-9
+
+
+class Resources(msgspec.Struct, frozen=True, array_like=True):
+    """Processors in cores, memory in megabytes, accelerators by count."""
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        """Return the sum, dimension by dimension."""
+        return Resources(
+            self.cores + other.cores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        """Return the difference, which may be negative in a dimension."""
+        return Resources(
+            self.cores - other.cores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, free: "Resources") -> bool:
+        """Tell whether this amount fits into `free` in every dimension."""
+        return (
+            self.cores <= free.cores + ROUNDING_CORES
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/wagtailcleat/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on service requests."""
--- /dev/null
+++ b/wagtailcleat/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and streams between the project's processes."""
