--- /dev/null
+++ b/standins/link.py
@@ -0,0 +1,172 @@
+"""A TCP link between a listening port and a target that can fail as networks do."""
+
+import asyncio
+from typing import Any
+
+import cyclopts
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from standins.serving import (
+    HOST,
+    CommonFaults,
+    FaultsHandler,
+    RecordHandler,
+    Switches,
+    listen,
+    run,
+)
+
+CHUNK_BYTES = 65_536
+CHUNKS_WAITING = 64
+
+
+class Faults(CommonFaults):
+    """Fault switches of the link.
+
+    `silent` swallows the bytes of the connections open at that moment, for good;
+    `silent_new` those of every connection. `cut` closes the connections open at
+    that moment. `hold` keeps bytes back and delivers them on release.
+    """
+
+    silent: bool = False
+    silent_new: bool = False
+    cut: bool = False
+    delay_seconds: float = 0.0
+    hold: bool = False
+
+
+class Connection:
+    """One relayed connection: its two streams, and whether it has gone silent."""
+
+    def __init__(self, client: IOStream, server: IOStream) -> None:
+        """Take both streams."""
+        self.client = client
+        self.server = server
+        self.silent = False
+
+    def close(self) -> None:
+        """Close both sides."""
+        self.client.close()
+        self.server.close()
+
+
+class Link(TCPServer):
+    """All state of the link."""
+
+    def __init__(self, target_port: int) -> None:
+        """Relay to a port on loopback."""
+        super().__init__()
+        self.target_port = target_port
+        self.switches = Switches(Faults)
+        self.switches.on_change = self._switched
+        self.connections: set[Connection] = set()
+        self.opened = 0
+        self.relayed_bytes = 0
+        self.swallowed_bytes = 0
+        self._released = asyncio.Event()
+        self._released.set()
+
+    def show(self) -> dict[str, Any]:
+        """Return what happened so far."""
+        return {
+            "open": len(self.connections),
+            "opened": self.opened,
+            "relayed_bytes": self.relayed_bytes,
+            "swallowed_bytes": self.swallowed_bytes,
+        }
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Relay one connection until both its directions have ended."""
+        try:
+            server = await TCPClient().connect(HOST, self.target_port)
+        except OSError:
+            stream.close()
+            return
+        connection = Connection(stream, server)
+        connection.silent = self.switches.now.silent_new
+        self.connections.add(connection)
+        self.opened += 1
+        try:
+            await asyncio.gather(
+                self._relay(connection, stream, server),
+                self._relay(connection, server, stream),
+            )
+        finally:
+            connection.close()
+            self.connections.discard(connection)
+
+    async def _relay(
+        self, connection: Connection, source: IOStream, target: IOStream
+    ) -> None:
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(CHUNKS_WAITING)
+        delivery = asyncio.create_task(self._deliver(connection, queue, target))
+        try:
+            while True:
+                chunk = await source.read_bytes(CHUNK_BYTES, partial=True)
+                await queue.put((self._due(), chunk))
+        except StreamClosedError:
+            await queue.put((self._due(), b""))
+        await delivery
+
+    def _due(self) -> float:
+        delay = self.switches.now.delay_seconds
+        return asyncio.get_running_loop().time() + delay
+
+    async def _deliver(
+        self,
+        connection: Connection,
+        queue: asyncio.Queue[tuple[float, bytes]],
+        target: IOStream,
+    ) -> None:
+        while True:
+            due, chunk = await queue.get()
+            await asyncio.sleep(max(due - asyncio.get_running_loop().time(), 0))
+            await self._released.wait()
+            if connection.silent:
+                self.swallowed_bytes += len(chunk)
+            elif chunk:
+                await self._write(target, chunk)
+            else:
+                target.close()
+            if not chunk:
+                return
+
+    async def _write(self, target: IOStream, chunk: bytes) -> None:
+        try:
+            await target.write(chunk)
+            self.relayed_bytes += len(chunk)
+        except StreamClosedError:
+            return
+
+    def _switched(self, before: Faults, after: Faults) -> None:
+        for connection in list(self.connections):
+            if after.cut and not before.cut:
+                connection.close()
+            if after.silent and not before.silent or after.silent_new:
+                connection.silent = True
+        if after.hold:
+            self._released.clear()
+        else:
+            self._released.set()
+
+
+def main(*, target_port: int, port: int = 0, control_port: int = 0) -> None:
+    """Relay from a loopback port to a loopback port."""
+
+    async def start() -> dict[str, Any]:
+        link = Link(target_port)
+        link.listen(port, HOST)
+        routes = [
+            ("/faults", FaultsHandler, {"switches": link.switches}),
+            ("/record", RecordHandler, {"show": link.show}),
+        ]
+        relayed = next(iter(link._sockets.values())).getsockname()[1]
+        return {"port": relayed, "control_port": listen(routes, control_port)}
+
+    run(start)
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,280 @@
+"""Processes under test: started, watched, frozen and ended, each by its own pid."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Sequence
+from io import BytesIO
+from pathlib import Path
+from typing import Any, TypeVar
+
+import pycurl
+
+T = TypeVar("T")
+
+ROOT = Path(__file__).resolve().parent.parent
+POLL_SECONDS = 0.01
+READY_SECONDS = 15.0
+STOP_SECONDS = 10.0
+READY = "ready "
+
+
+def wait_for(condition: Callable[[], T], timeout: float, what: str) -> T:
+    """Poll `condition` until it holds, and return its value.
+
+    Raises:
+        AssertionError: it did not hold in time; names `what` and the last value.
+
+    """
+    end = time.monotonic() + timeout
+    while True:
+        last = condition()
+        if last:
+            return last
+        if time.monotonic() >= end:
+            raise AssertionError(f"{what}: not within {timeout} s, last seen {last!r}")
+        time.sleep(POLL_SECONDS)
+
+
+class HttpError(Exception):
+    """A request that got no whole answer; `code` is curl's."""
+
+    def __init__(self, code: int, message: str) -> None:
+        """Take curl's code and message."""
+        super().__init__(message)
+        self.code = code
+
+
+class Response:
+    """A whole HTTP answer; header names are in lower case."""
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Take the answer's parts."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> Any:
+        """Return the body read as JSON."""
+        return json.loads(self.body)
+
+    def __repr__(self) -> str:
+        """Show the status and the start of the body."""
+        return f"Response({self.status}, {self.body[:200]!r})"
+
+
+def http(
+    method: str,
+    url: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 10.0,
+) -> Response:
+    """Make one request; a body that is not bytes is sent as JSON.
+
+    Raises:
+        HttpError: no whole answer came.
+
+    """
+    received = BytesIO()
+    header_by_name: dict[str, str] = {}
+    curl = _curl(method, url, body, headers)
+    curl.setopt(pycurl.TIMEOUT_MS, int(timeout * 1000))
+    curl.setopt(pycurl.WRITEDATA, received)
+    curl.setopt(pycurl.HEADERFUNCTION, _header_reader(header_by_name))
+    try:
+        curl.perform()
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+    except pycurl.error as error:
+        raise HttpError(*error.args) from None
+    finally:
+        curl.close()
+    return Response(status, header_by_name, received.getvalue())
+
+
+def _curl(
+    method: str, url: str, body: Any, headers: dict[str, str] | None
+) -> pycurl.Curl:
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.CUSTOMREQUEST, method)
+    curl.setopt(pycurl.NOBODY, method == "HEAD")
+    curl.setopt(pycurl.PROXY, "")
+    lines = [f"{name}: {value}" for name, value in (headers or {}).items()]
+    curl.setopt(pycurl.HTTPHEADER, ["Expect:", *lines])
+    if body is not None:
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        curl.setopt(pycurl.POSTFIELDS, raw)
+    return curl
+
+
+def _header_reader(header_by_name: dict[str, str]) -> Callable[[bytes], None]:
+    def read(line: bytes) -> None:
+        name, colon, value = line.decode("latin-1").partition(":")
+        if colon:
+            header_by_name[name.strip().lower()] = value.strip()
+
+    return read
+
+
+class Stream:
+    """A streamed answer, read in a thread: a watch or an event stream."""
+
+    def __init__(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Open the stream."""
+        self.lines: list[str] = []
+        self.ended = False
+        self._rest = b""
+        self._closed = False
+        self._curl = _curl(method, url, body, headers)
+        self._curl.setopt(pycurl.WRITEFUNCTION, self._read)
+        self._curl.setopt(pycurl.NOPROGRESS, 0)
+        self._curl.setopt(pycurl.XFERINFOFUNCTION, lambda *sizes: self._closed)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Close the connection and wait for the thread."""
+        self._closed = True
+        self._thread.join()
+
+    def _read(self, chunk: bytes) -> None:
+        *whole, self._rest = (self._rest + chunk).split(b"\n")
+        self.lines.extend(line.decode() for line in whole)
+
+    def _run(self) -> None:
+        try:
+            self._curl.perform()
+        except pycurl.error:
+            pass
+        finally:
+            self._curl.close()
+            self.ended = True
+
+
+class Process:
+    """One child process that prints a ready line; its output goes to files."""
+
+    def __init__(
+        self, name: str, folder: Path, module: str, arguments: Sequence[str] = ()
+    ) -> None:
+        """Start `python -m module arguments` and wait until it is ready."""
+        self.name = name
+        self.folder = folder
+        self.module = module
+        self.arguments = list(arguments)
+        self.ready: dict[str, Any] = {}
+        self.stderr = folder / f"{name}.stderr"
+        self._stdout = folder / f"{name}.stdout"
+        self._frozen = False
+        self.start()
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._child.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process has not ended."""
+        return self._child.poll() is None
+
+    @property
+    def url(self) -> str:
+        """The URL of its (first) HTTP port."""
+        port = self.ready.get("http_port") or self.ready["port"]
+        return f"http://127.0.0.1:{port}"
+
+    def start(self) -> None:
+        """Start the program and wait until it is ready."""
+        command = [sys.executable, "-m", self.module, *self.arguments]
+        paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
+        environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
+        with self._stdout.open("wb") as out, self.stderr.open("ab") as err:
+            self._child = subprocess.Popen(
+                command, stdout=out, stderr=err, cwd=self.folder, env=environment
+            )
+        try:
+            self.ready = wait_for(
+                self._ready_line, READY_SECONDS, f"{self.name} is ready"
+            )
+        except AssertionError as error:
+            self.kill()
+            raise AssertionError(f"{error}\n{self.stderr.read_text()}") from None
+
+    def kill(self) -> None:
+        """End the process at once, without goodbye."""
+        self._child.kill()
+        self._child.wait()
+        self._frozen = False
+
+    def terminate(self, timeout: float = STOP_SECONDS) -> int:
+        """Ask the process to stop, and return its exit code."""
+        self.thaw()
+        self._child.terminate()
+        return self._child.wait(timeout)
+
+    def close(self) -> None:
+        """Stop the process, by force where it does not stop when asked."""
+        try:
+            self.terminate()
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def freeze(self) -> None:
+        """Pause the process as a paused VM would."""
+        self._child.send_signal(signal.SIGSTOP)
+        self._frozen = True
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        if self._frozen:
+            self._child.send_signal(signal.SIGCONT)
+            self._frozen = False
+
+    def rss_mb(self) -> float:
+        """Return the resident memory in megabytes."""
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far."""
+        text = Path(f"/proc/{self.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def faults(self, **switches: Any) -> None:
+        """Set fault switches of a stand-in; none given resets them all."""
+        method = "PUT" if switches else "DELETE"
+        response = http(method, self._control_url("faults"), switches or None)
+        assert response.status == 200, response
+
+    def record(self) -> dict[str, Any]:
+        """Return the record of a stand-in."""
+        shown: dict[str, Any] = http("GET", self._control_url("record")).json()
+        return shown
+
+    def _control_url(self, name: str) -> str:
+        port = self.ready.get("control_port") or self.ready["port"]
+        prefix = "/_standin" if self.module == "standins.endpoint" else ""
+        return f"http://127.0.0.1:{port}{prefix}/{name}"
+
+    def _ready_line(self) -> dict[str, Any] | None:
+        line, newline, _ = self._stdout.read_text().partition("\n")
+        if newline and line.startswith(READY):
+            ready: dict[str, Any] = json.loads(line.removeprefix(READY))
+            return ready
+        if not self.alive:
+            raise AssertionError(f"{self.name} ended with {self._child.returncode}")
+        return None
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,176 @@
+"""What every stand-in shares: its start, fault switches, record and handlers."""
+
+import asyncio
+import json
+import signal
+from collections import deque
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, Generic, TypeVar
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+HOST = "127.0.0.1"
+RECORD_LIMIT = 200_000
+BODY_LIMIT = 256 * 1024 * 1024
+
+F = TypeVar("F", bound="CommonFaults")
+
+
+class CommonFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Fault switches of every stand-in that speaks HTTP."""
+
+    hang: bool = False
+    slow_seconds: float = 0.0
+    lose_answers: int = 0
+
+
+class Switches(Generic[F]):
+    """The fault switches as they stand, and who wants to hear of a change."""
+
+    def __init__(self, kind: type[F]) -> None:
+        """Start with no fault."""
+        self.kind = kind
+        self.now = kind()
+        self.on_change: Callable[[F, F], None] = lambda before, after: None
+
+    def update(self, patch: dict[str, Any]) -> None:
+        """Set the switches in `patch` and leave the others."""
+        self._set(msgspec.convert(msgspec.to_builtins(self.now) | patch, self.kind))
+
+    def reset(self) -> None:
+        """Return to no fault."""
+        self._set(self.kind())
+
+    def _set(self, after: F) -> None:
+        before, self.now = self.now, after
+        self.on_change(before, after)
+
+
+class Record:
+    """A bounded list of what happened, also kept in a file that outlives a kill."""
+
+    def __init__(self, path: Path | None = None) -> None:
+        """Keep rows in memory, and append them to `path` where one is given."""
+        self.rows: deque[list[Any]] = deque(maxlen=RECORD_LIMIT)
+        self._file = path.open("a", buffering=1) if path else None
+
+    def add(self, *row: Any) -> None:
+        """Append one row."""
+        self.rows.append(list(row))
+        if self._file:
+            self._file.write(json.dumps(row) + "\n")
+
+
+class FaultsHandler(RequestHandler):
+    """`GET` shows the fault switches, `PUT` sets some, `DELETE` resets them all."""
+
+    def initialize(self, switches: Switches[Any]) -> None:
+        """Take the switches."""
+        self.switches = switches
+
+    def get(self) -> None:
+        """Show the switches."""
+        self.finish(msgspec.json.encode(self.switches.now))
+
+    def put(self) -> None:
+        """Set the switches given."""
+        try:
+            self.switches.update(json.loads(self.request.body))
+        except (ValueError, TypeError, msgspec.ValidationError) as error:
+            self.set_status(400)
+            self.finish({"message": str(error)})
+            return
+        self.get()
+
+    def delete(self) -> None:
+        """Reset every switch."""
+        self.switches.reset()
+        self.get()
+
+
+class RecordHandler(RequestHandler):
+    """`GET` shows what happened."""
+
+    def initialize(self, show: Callable[[], dict[str, Any]]) -> None:
+        """Take the function that builds the answer."""
+        self.show = show
+
+    def get(self) -> None:
+        """Show the record."""
+        self.finish(self.show())
+
+
+class FaultyHandler(RequestHandler):
+    """A handler that first suffers the faults switched on."""
+
+    def initialize(self, switches: Switches[Any], **state: Any) -> None:
+        """Take the switches, and the state as attributes."""
+        self.switches = switches
+        self.gone = asyncio.Event()
+        for name, value in state.items():
+            setattr(self, name, value)
+
+    def on_connection_close(self) -> None:
+        """Note that the client closed the connection."""
+        self.gone.set()
+
+    async def prepare(self) -> None:
+        """Wait as the switches say."""
+        if self.switches.now.hang:
+            await self.gone.wait()
+            self.drop()
+            return
+        if self.switches.now.slow_seconds:
+            await asyncio.sleep(self.switches.now.slow_seconds)
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        stream = self.detach()
+        if stream is not None:
+            stream.close()
+
+    def loses_answer(self) -> bool:
+        """Tell whether this answer is to be lost, and count it."""
+        if self.switches.now.lose_answers <= 0:
+            return False
+        self.switches.now.lose_answers -= 1
+        return True
+
+    def answer(self, body: Any, status: int = 200) -> None:
+        """Answer with JSON."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+def log_nothing(handler: RequestHandler) -> None:
+    """Keep requests out of stderr."""
+
+
+def listen(routes: list[Any], port: int) -> int:
+    """Serve `routes` on loopback and return the port."""
+    sockets = bind_sockets(port, HOST)
+    server = HTTPServer(
+        Application(routes, log_function=log_nothing), max_buffer_size=BODY_LIMIT
+    )
+    server.add_sockets(sockets)
+    return int(sockets[0].getsockname()[1])
+
+
+def run(start: Callable[[], Awaitable[dict[str, Any]]]) -> None:
+    """Start a stand-in, print its ready line and serve until SIGTERM."""
+
+    async def serve() -> None:
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, stop.set)
+        ready = await start()
+        print("ready " + json.dumps(ready), flush=True)
+        await stop.wait()
+
+    asyncio.run(serve())
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,370 @@
+"""The platform's key-value service: the JSON calls listed on the platform page.
+
+Rate limits count a transaction that may write, and each lease call, as a write;
+the rest, and opening a watch, as a read.
+"""
+
+import asyncio
+import time
+from collections import Counter, deque
+from typing import Any
+
+import cyclopts
+import msgspec
+from tornado.iostream import StreamClosedError
+
+from standins.keyspace import Event, Keyspace, in_range
+from standins.serving import (
+    CommonFaults,
+    FaultsHandler,
+    FaultyHandler,
+    Record,
+    RecordHandler,
+    Switches,
+    listen,
+    run,
+)
+from standins.store_messages import (
+    CreateWatch,
+    GrantRequest,
+    LeaseRequest,
+    RangeRequest,
+    TxnRequest,
+    WatchRequest,
+    WatchResult,
+    event_answer,
+)
+from standins.transactions import (
+    INVALID_ARGUMENT,
+    NOT_FOUND,
+    RefusedError,
+    header,
+    is_write,
+    read_range,
+    run_txn,
+)
+from wagtailcleat.clock import boot_time
+
+TICK_SECONDS = 0.02
+SECONDS_KEPT = 7200
+TOO_MANY_REQUESTS = 8
+UNAVAILABLE = 14
+
+
+class Faults(CommonFaults):
+    """Fault switches of the store."""
+
+    down: bool = False
+    lose_answers_matching: str = ""
+    writes_per_second: float = 0.0
+    reads_per_second: float = 0.0
+    leases_run_while_down: bool = True
+
+
+class Bucket:
+    """A token bucket that holds one second's worth."""
+
+    def __init__(self) -> None:
+        """Start full."""
+        self._tokens = float("inf")
+        self._filled_at = 0.0
+
+    def take(self, rate: float, now: float) -> bool:
+        """Take one token at `rate` a second; a rate of 0 means no limit."""
+        if not rate:
+            return True
+        refilled = self._tokens + (now - self._filled_at) * rate
+        self._tokens = min(max(rate, 1.0), refilled)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Calls:
+    """Counts of calls, by path and by second."""
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.count_by_path: Counter[str] = Counter()
+        self.by_second: deque[list[int]] = deque(maxlen=SECONDS_KEPT)
+
+    def add(self, path: str, write: bool, now: float) -> None:
+        """Count one call."""
+        self.count_by_path[path] += 1
+        second = int(now)
+        if not self.by_second or self.by_second[-1][0] != second:
+            self.by_second.append([second, 0, 0])
+        self.by_second[-1][2 if write else 1] += 1
+
+
+class Store:
+    """All state of the store stand-in."""
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        self.keyspace = Keyspace()
+        self.switches = Switches(Faults)
+        self.calls = Calls()
+        self.writes = Record()
+        self.watches: set[WatchHandler] = set()
+        self.read_bucket = Bucket()
+        self.write_bucket = Bucket()
+        self.answering = asyncio.Event()
+        self.answering.set()
+        self.background: asyncio.Task[None] | None = None
+        self.keyspace.on_commit = self._committed
+        self.switches.on_change = self._switched
+
+    def show(self) -> dict[str, Any]:
+        """Return what happened so far."""
+        return {
+            "calls_by_path": self.calls.count_by_path,
+            "calls_by_second": list(self.calls.by_second),
+            "writes": list(self.writes.rows),
+            "watches": len(self.watches),
+            "revision": self.keyspace.revision,
+        }
+
+    async def expire_leases(self) -> None:
+        """Expire leases for as long as the store runs."""
+        while True:
+            faults = self.switches.now
+            if faults.leases_run_while_down or not faults.down:
+                self.keyspace.expire(time.monotonic())
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _committed(self, events: list[Event], cause: str) -> None:
+        now = boot_time()
+        for event in events:
+            kv = event.kv
+            key = kv.key.decode("utf-8", "replace")
+            self.writes.add(now, key, kv.version, kv.mod_revision, cause)
+        for watch in self.watches:
+            watch.offer(events)
+
+    def _switched(self, before: Faults, after: Faults) -> None:
+        if after.hang:
+            self.answering.clear()
+        else:
+            self.answering.set()
+        if after.down:
+            for watch in list(self.watches):
+                watch.cut()
+        elif before.down and not before.leases_run_while_down:
+            self.keyspace.refresh_leases(time.monotonic())
+
+
+class StoreHandler(FaultyHandler):
+    """A call of the store."""
+
+    store: Store
+    kind: type[Any]
+    always_write = False
+
+    async def prepare(self) -> None:
+        """Count the call, and refuse it as the switches say."""
+        faults = self.store.switches.now
+        now = time.monotonic()
+        try:
+            self.call = msgspec.json.decode(
+                self.request.body, type=self.kind, strict=False
+            )
+        except msgspec.MsgspecError as error:
+            self.refuse(RefusedError(400, INVALID_ARGUMENT, str(error)))
+            return
+        write = self.always_write or (self.kind is TxnRequest and is_write(self.call))
+        self.store.calls.add(self.request.path, write, boot_time())
+        await super().prepare()
+        if self._finished:
+            return
+        bucket = self.store.write_bucket if write else self.store.read_bucket
+        rate = faults.writes_per_second if write else faults.reads_per_second
+        if self.store.switches.now.down:
+            self.refuse(RefusedError(503, UNAVAILABLE, "store is unavailable"))
+        elif not bucket.take(rate, now):
+            self.refuse(RefusedError(429, TOO_MANY_REQUESTS, "too many requests"))
+
+    def refuse(self, refusal: RefusedError) -> None:
+        """Answer with the refusal's code."""
+        body = {"code": refusal.code, "message": str(refusal)}
+        self.answer(body, refusal.status)
+
+    def answer_write(self, body: Any, keys: set[str]) -> None:
+        """Answer a write that took effect, or lose that answer."""
+        wanted = self.switches.now.lose_answers_matching
+        touched = not wanted or any(wanted in key for key in keys)
+        if touched and self.loses_answer():
+            self.drop()
+        else:
+            self.answer(body)
+
+
+class RangeHandler(StoreHandler):
+    """Read a range."""
+
+    kind = RangeRequest
+
+    def post(self) -> None:
+        """Answer the keys."""
+        self.answer(read_range(self.store.keyspace, self.call))
+
+
+class TxnHandler(StoreHandler):
+    """Run a transaction."""
+
+    kind = TxnRequest
+
+    def post(self) -> None:
+        """Answer what came of it; only a transaction that wrote can be lost."""
+        try:
+            body, keys = run_txn(self.store.keyspace, self.call)
+        except RefusedError as refusal:
+            self.refuse(refusal)
+            return
+        if keys:
+            self.answer_write(body, keys)
+        else:
+            self.answer(body)
+
+
+class GrantHandler(StoreHandler):
+    """Grant a lease."""
+
+    kind = GrantRequest
+    always_write = True
+
+    def post(self) -> None:
+        """Answer the lease's id."""
+        lease_id = self.store.keyspace.grant(self.call.TTL, time.monotonic())
+        self.answer_write({"ID": str(lease_id), "TTL": str(self.call.TTL)}, set())
+
+
+class KeepAliveHandler(StoreHandler):
+    """Renew a lease."""
+
+    kind = LeaseRequest
+    always_write = True
+
+    def post(self) -> None:
+        """Answer the TTL, left out where the lease is gone."""
+        ttl = self.store.keyspace.keep_alive(self.call.ID, time.monotonic())
+        result = {"ID": str(self.call.ID)} | ({"TTL": str(ttl)} if ttl else {})
+        self.answer({"result": result})
+
+
+class RevokeHandler(StoreHandler):
+    """Revoke a lease."""
+
+    kind = LeaseRequest
+    always_write = True
+
+    def post(self) -> None:
+        """Delete the lease's keys."""
+        lease = self.store.keyspace.lease_by_id.get(self.call.ID)
+        if lease is None:
+            self.refuse(RefusedError(404, NOT_FOUND, "requested lease not found"))
+            return
+        keys = {key.decode("utf-8", "replace") for key in lease.keys}
+        self.store.keyspace.revoke(self.call.ID, "revoke")
+        self.answer_write({}, keys)
+
+
+class WatchHandler(StoreHandler):
+    """A waiting watch: one JSON line for each revision that touches its keys."""
+
+    kind = WatchRequest
+
+    def offer(self, events: list[Event]) -> None:
+        """Take one revision's events."""
+        self.queue.put_nowait(events)
+
+    def cut(self) -> None:
+        """Close the connection."""
+        self.gone.set()
+        self.queue.put_nowait([])
+
+    def on_connection_close(self) -> None:
+        """End the watch when its client has gone."""
+        super().on_connection_close()
+        if hasattr(self, "queue"):
+            self.queue.put_nowait([])
+
+    async def post(self) -> None:
+        """Write events until the client goes or the watch is cut."""
+        self.queue: asyncio.Queue[list[Event]] = asyncio.Queue()
+        create: CreateWatch = self.call.create_request
+        keyspace = self.store.keyspace
+        if 0 < create.start_revision <= keyspace.compacted:
+            await self._cancel()
+            return
+        if create.start_revision:
+            self.queue.put_nowait(keyspace.since(create.start_revision))
+        self.store.watches.add(self)
+        try:
+            await self._send(WatchResult(header(keyspace), created=True))
+            while not self.gone.is_set():
+                await self._send_events(create, await self.queue.get())
+        except StreamClosedError:
+            return
+        finally:
+            self.store.watches.discard(self)
+        self.drop()
+
+    async def _cancel(self) -> None:
+        compacted = str(self.store.keyspace.compacted)
+        await self._send(
+            WatchResult(
+                header(self.store.keyspace), canceled=True, compact_revision=compacted
+            )
+        )
+        self.finish()
+
+    async def _send_events(self, create: CreateWatch, events: list[Event]) -> None:
+        wanted = [
+            event_answer(event)
+            for event in events
+            if in_range(event.kv.key, create.key, create.range_end)
+            and event.kv.mod_revision >= create.start_revision
+        ]
+        await self.store.answering.wait()
+        if wanted and not self.gone.is_set():
+            result = WatchResult(header(self.store.keyspace), events=wanted)
+            await self._send(result)
+
+    async def _send(self, result: WatchResult) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.write(msgspec.json.encode({"result": result}) + b"\n")
+        await self.flush()
+
+
+HANDLER_BY_PATH = {
+    "/v3/kv/range": RangeHandler,
+    "/v3/kv/txn": TxnHandler,
+    "/v3/lease/grant": GrantHandler,
+    "/v3/lease/keepalive": KeepAliveHandler,
+    "/v3/lease/revoke": RevokeHandler,
+    "/v3/watch": WatchHandler,
+}
+
+
+def main(*, port: int = 0) -> None:
+    """Serve the store on loopback."""
+
+    async def start() -> dict[str, Any]:
+        store = Store()
+        state = {"switches": store.switches, "store": store}
+        routes: list[Any] = [
+            (path, handler, state) for path, handler in HANDLER_BY_PATH.items()
+        ]
+        routes.append(("/faults", FaultsHandler, {"switches": store.switches}))
+        routes.append(("/record", RecordHandler, {"show": store.show}))
+        store.background = asyncio.create_task(store.expire_leases())
+        return {"port": listen(routes, port)}
+
+    run(start)
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
