Stand-ins: a cluster of processes, and restarts on the same ports

Cause: tests, demo and bench need a whole deployment at once, and a VM that failed must come back where the others look for it. Ruled out: ports picked beforehand, because another process may take one in between; a free port of the kernel's is fixed after the first start instead. Not run: the cluster with the real programs, which are not yet there.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -95,3 +95,9 @@
     When it is frozen
     Then a request gets no answer until it is thawed
     And it exits with 0 when asked to stop
+
+  Scenario: A killed worker starts again on its port and its record outlives it
+    Given a worker that keeps its record in a file
+    When task "t-1" takes all cores
+    And the worker is killed and started again
+    Then it answers on the same port without tasks and its file still shows "t-1"
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -245,6 +245,27 @@
     context.worker.faults(lose_answers=1)
 
 
+@given("a worker that keeps its record in a file")
+def step_recording_worker(context):
+    context.file = _folder(context) / "worker.record"
+    arguments = ["--cores", "4", "--record", str(context.file)]
+    context.worker = _start(context, "standins.worker", *arguments)
+
+
+@when("the worker is killed and started again")
+def step_restart(context):
+    context.url = context.worker.url
+    context.worker.kill()
+    context.worker.start()
+
+
+@then('it answers on the same port without tasks and its file still shows "{task_id}"')
+def step_restarted(context, task_id):
+    assert http("GET", f"{context.url}/tasks").json() == {"tasks": []}
+    rows = [json.loads(line) for line in context.file.read_text().splitlines()]
+    assert [row[1:3] for row in rows] == [["start", task_id]], rows
+
+
 @when(
     'task "{task_id}" is started with command "{command}"'
     " under a lease of {seconds:g} seconds"
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,305 @@
+"""A whole small deployment as processes: stand-ins, agents and entries.
+
+with Cluster() as cluster:
+    cluster.apply()
+    cluster.entry.record()
+"""
+
+import json
+import tempfile
+import uuid
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from standins.processes import Process, Response, http
+from wagtailcleat.clock import boot_time
+
+STARTS_AT_ONCE = 4
+SECRET = "a secret of the tests only"
+ADMIN_TOKEN = "an admin token of the tests only"
+
+
+@dataclass(frozen=True)
+class VmOptions:
+    """A VM: what it holds and which services are placed on it."""
+
+    name: str
+    zone: str
+    rack: str
+    cores: float = 30
+    memory_mb: int = 125_000
+    accelerators: int = 0
+    services: tuple[str, ...] = ("booking-core",)
+    usage_lag: float = 1.0
+
+
+@dataclass(frozen=True)
+class ServiceOptions:
+    """A service: what each of its endpoints takes and offers."""
+
+    name: str = "booking-core"
+    cores: float = 4
+    memory_mb: int = 8_000
+    accelerators: int = 0
+    slots: int = 8
+    connections: int = 64
+    queue: int = 16
+    deadline_seconds: float = 2.0
+    latency_target_seconds: float = 0.5
+
+
+DEFAULT_VMS = (
+    VmOptions("vm-1", "zilina-a", "rack-a1"),
+    VmOptions("vm-2", "zilina-b", "rack-b1"),
+    VmOptions("vm-3", "zilina-a", "rack-a2"),
+)
+
+
+class Cluster:
+    """Processes of one deployment, in a folder that goes when it is closed.
+
+    `timing` overrides stand in the settings of every program; `agent_settings` and
+    `entry_settings` are added to those of the agents and the entries.
+    """
+
+    def __init__(
+        self,
+        vms: Iterable[VmOptions] = DEFAULT_VMS,
+        services: Iterable[ServiceOptions] = (ServiceOptions(),),
+        entries: int = 2,
+        *,
+        timing: dict[str, float] | None = None,
+        agent_settings: dict[str, Any] | None = None,
+        entry_settings: dict[str, Any] | None = None,
+        link_store: bool = False,
+    ) -> None:
+        """Start everything; `link_store` puts a link between programs and store."""
+        self.vm_by_name = {vm.name: vm for vm in vms}
+        self.services = list(services)
+        self.worker_by_vm: dict[str, Process] = {}
+        self.endpoint_by_vm_and_service: dict[tuple[str, str], Process] = {}
+        self.agent_by_vm: dict[str, Process] = {}
+        self.entry_by_node: dict[str, Process] = {}
+        self.store_link: Process | None = None
+        self._processes: list[Process] = []
+        self._folder = tempfile.TemporaryDirectory(prefix="wagtailcleat-")
+        self.folder = Path(self._folder.name)
+        self._timing = timing or {}
+        self._agent_settings = agent_settings or {}
+        self._entry_settings = entry_settings or {}
+        try:
+            self._start(entries, link_store)
+        except BaseException:
+            self.close()
+            raise
+
+    def __enter__(self) -> "Cluster":
+        """Return the cluster, already started."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        self.close()
+
+    @property
+    def entry(self) -> Process:
+        """The first entry."""
+        return next(iter(self.entry_by_node.values()))
+
+    def close(self) -> None:
+        """Stop every process, the programs first, and remove the folder."""
+        for process in reversed(self._processes):
+            process.close()
+        self._folder.cleanup()
+
+    def inventory(self) -> dict[str, Any]:
+        """Return the inventory that lists what was started."""
+        vms = list(self.vm_by_name.values())
+        regions = {vm.zone: vm.zone.rpartition("-")[0] or vm.zone for vm in vms}
+        fields = ("name", "zone", "rack", "cores", "memory_mb", "accelerators")
+        return {
+            "zones": [{"name": z, "region": r} for z, r in sorted(regions.items())],
+            "vms": [{field: getattr(vm, field) for field in fields} for vm in vms],
+            "services": [
+                asdict(s) | {"vms": [vm.name for vm in vms if s.name in vm.services]}
+                for s in self.services
+            ],
+        }
+
+    def admin(
+        self, method: str, path: str, body: Any = None, entry: Process | None = None
+    ) -> Response:
+        """Call the administration API of an entry, by default the first."""
+        port = (entry or self.entry).ready["admin_port"]
+        headers = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
+        return http(method, f"http://127.0.0.1:{port}{path}", body, headers)
+
+    def apply(
+        self,
+        inventory: dict[str, Any] | None = None,
+        rules: dict[str, Any] | None = None,
+        *,
+        base_revision: int = 0,
+        change_id: str = "",
+        entry: Process | None = None,
+    ) -> Response:
+        """Apply an inventory, by default the one that lists what was started."""
+        body = {
+            "base_revision": base_revision,
+            "change_id": change_id or uuid.uuid4().hex,
+            "inventory": inventory or self.inventory(),
+            "rules": rules or {},
+        }
+        return self.admin("PUT", "/admin/configuration", body, entry)
+
+    def of_vm(self, vm: str) -> list[Process]:
+        """Return the processes on a VM, its agent first."""
+        endpoints = self.endpoint_by_vm_and_service.items()
+        found = [self.agent_by_vm[vm], self.worker_by_vm[vm]]
+        return found + [process for (on, _), process in endpoints if on == vm]
+
+    def kill_vm(self, vm: str) -> None:
+        """Let a VM fail: everything on it ends at once."""
+        for process in self.of_vm(vm):
+            process.kill()
+        self._record_killed(vm)
+
+    def restart_vm(self, vm: str) -> None:
+        """Start everything on a VM again, on the same ports; its tasks are gone."""
+        for process in reversed(self.of_vm(vm)):
+            process.start()
+
+    def freeze_vm(self, vm: str) -> None:
+        """Pause a VM."""
+        for process in self.of_vm(vm):
+            process.freeze()
+
+    def thaw_vm(self, vm: str) -> None:
+        """Let a paused VM go on."""
+        for process in self.of_vm(vm):
+            process.thaw()
+
+    def starts_and_ends(self, vm: str) -> list[list[Any]]:
+        """Return each start and end on a VM, also those before its worker died."""
+        return _rows(self.folder / f"worker-{vm}.record")
+
+    def runs(self, vm: str, service: str = "booking-core") -> list[list[Any]]:
+        """Return each request run by an endpoint, also those before it died."""
+        return _rows(self.folder / f"endpoint-{vm}-{service}.record")
+
+    def link(self, name: str, target_port: int) -> Process:
+        """Start a link to a port."""
+        return self._add(name, "standins.link", "--target-port", str(target_port))
+
+    def _start(self, entries: int, link_store: bool) -> None:
+        self.store = self._add("store", "standins.store")
+        if link_store:
+            self.store_link = self.link("store-link", self.store.ready["port"])
+        self._store_urls = [(self.store_link or self.store).url]
+        _at_once(self._start_standins, self.vm_by_name.values())
+        zones = list(dict.fromkeys(vm.zone for vm in self.vm_by_name.values()))
+        first, *others = range(1, entries + 1)
+        self._seeds: list[str] = []
+        self._start_entry(first, zones)
+        self._seeds = [f"127.0.0.1:{self.entry.ready['peer_port']}"]
+        _at_once(lambda number: self._start_entry(number, zones), others)
+        _at_once(self._start_agent, self.vm_by_name.values())
+
+    def _add(self, name: str, module: str, *arguments: str) -> Process:
+        process = Process(name, self.folder, module, arguments)
+        self._processes.append(process)
+        return process
+
+    def _start_standins(self, vm: VmOptions) -> None:
+        options = {
+            "--cores": vm.cores,
+            "--memory-mb": vm.memory_mb,
+            "--accelerators": vm.accelerators,
+            "--usage-lag": vm.usage_lag,
+            "--record": self.folder / f"worker-{vm.name}.record",
+        }
+        arguments = [str(part) for option in options.items() for part in option]
+        name = f"worker-{vm.name}"
+        self.worker_by_vm[vm.name] = self._add(name, "standins.worker", *arguments)
+        for service in vm.services:
+            name = f"endpoint-{vm.name}-{service}"
+            record = str(self.folder / f"{name}.record")
+            arguments = ["--service", service, "--record", record]
+            self.endpoint_by_vm_and_service[vm.name, service] = self._add(
+                name, "standins.endpoint", *arguments
+            )
+
+    def _start_agent(self, vm: VmOptions) -> None:
+        settings = {
+            "node": f"agent-{vm.name}",
+            "vm": vm.name,
+            "zone": vm.zone,
+            "worker": self.worker_by_vm[vm.name].url,
+            "endpoints_by_service": {
+                service: self.endpoint_by_vm_and_service[vm.name, service].url
+                for service in vm.services
+            },
+        }
+        self.agent_by_vm[vm.name] = self._start_program(
+            "wagtailcleat.agent.app", settings | self._agent_settings
+        )
+
+    def _start_entry(self, number: int, zones: list[str]) -> None:
+        settings = {
+            "node": f"entry-{number}",
+            "zone": zones[(number - 1) % len(zones)],
+            "admin_port": 0,
+            "admin_token": ADMIN_TOKEN,
+        }
+        process = self._start_program(
+            "wagtailcleat.entry.app", settings | self._entry_settings
+        )
+        self.entry_by_node[process.name] = process
+
+    def _start_program(self, module: str, settings: dict[str, Any]) -> Process:
+        shared = {
+            "host": "127.0.0.1",
+            "peer_port": 0,
+            "http_port": 0,
+            "secret": SECRET,
+            "store": self._store_urls,
+            "seeds": self._seeds,
+            "timing": self._timing,
+        }
+        whole = shared | settings
+        path = self.folder / f"{whole['node']}.json"
+        path.write_text(json.dumps(whole))
+        process = self._add(str(whole["node"]), module, "--settings", str(path))
+        # A restart must come back on the ports that others hold as seeds.
+        ports = {name: process.ready[name] for name in whole if name.endswith("_port")}
+        path.write_text(json.dumps(whole | ports))
+        return process
+
+    def _record_killed(self, vm: str) -> None:
+        path = self.folder / f"worker-{vm}.record"
+        running = {}
+        for _, kind, task_id, _ in _rows(path):
+            running[task_id] = kind == "start"
+        now = boot_time()
+        with path.open("a") as file:
+            for task_id in (task_id for task_id, runs in running.items() if runs):
+                file.write(json.dumps([now, "end", task_id, "killed"]) + "\n")
+
+
+def _at_once(start: Callable[[Any], None], items: Iterable[Any]) -> None:
+    with ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
+        list(pool.map(start, items))
+
+
+def _rows(path: Path) -> list[list[Any]]:
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [json.loads(line) for line in lines]
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -74,9 +74,8 @@
         if request.path == "/events":
             await self._stream_events()
             return
-        self.set_status(
-            faults.fail_status or int(self.get_query_argument("status", 200))
-        )
+        wanted = int(self.get_query_argument("status", "200"))
+        self.set_status(faults.fail_status or wanted)
         if self.loses_answer():
             self.drop()
         elif faults.cut_body:
--- a/standins/link.py
+++ b/standins/link.py
@@ -5,6 +5,7 @@
 
 import cyclopts
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
@@ -157,13 +158,16 @@
 
     async def start() -> dict[str, Any]:
         link = Link(target_port)
-        link.listen(port, HOST)
+        sockets = bind_sockets(port, HOST)
+        link.add_sockets(sockets)
         routes = [
             ("/faults", FaultsHandler, {"switches": link.switches}),
             ("/record", RecordHandler, {"show": link.show}),
         ]
-        relayed = next(iter(link._sockets.values())).getsockname()[1]
-        return {"port": relayed, "control_port": listen(routes, control_port)}
+        return {
+            "port": sockets[0].getsockname()[1],
+            "control_port": listen(routes, control_port),
+        }
 
     run(start)
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -23,7 +23,7 @@
 READY = "ready "
 
 
-def wait_for(condition: Callable[[], T], timeout: float, what: str) -> T:
+def wait_for(condition: Callable[[], T | None], timeout: float, what: str) -> T:
     """Poll `condition` until it holds, and return its value.
 
     Raises:
@@ -197,8 +197,9 @@
         return f"http://127.0.0.1:{port}"
 
     def start(self) -> None:
-        """Start the program and wait until it is ready."""
+        """Start the program and wait until it is ready; again on the same ports."""
         command = [sys.executable, "-m", self.module, *self.arguments]
+        command += self._port_arguments()
         paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
         with self._stdout.open("wb") as out, self.stderr.open("ab") as err:
@@ -265,6 +266,13 @@
         shown: dict[str, Any] = http("GET", self._control_url("record")).json()
         return shown
 
+    def _port_arguments(self) -> list[str]:
+        if not self.module.startswith("standins."):
+            return []
+        names = [name for name in ("port", "control_port") if name in self.ready]
+        pairs = [(f"--{n.replace('_', '-')}", str(self.ready[n])) for n in names]
+        return [argument for pair in pairs for argument in pair]
+
     def _control_url(self, name: str) -> str:
         port = self.ready.get("control_port") or self.ready["port"]
         prefix = "/_standin" if self.module == "standins.endpoint" else ""
--- a/standins/transactions.py
+++ b/standins/transactions.py
@@ -3,7 +3,7 @@
 import operator
 from typing import Any
 
-from standins.keyspace import Event, Keyspace
+from standins.keyspace import Event, Keyspace, in_range
 from standins.store_messages import (
     Compare,
     Header,
@@ -90,6 +90,9 @@
     puts = [op.request_put for op in branch if op.request_put]
     if len({put.key for put in puts}) < len(puts):
         raise RefusedError(400, INVALID_ARGUMENT, "duplicate key given in txn")
+    deletes = [op.request_delete_range for op in branch if op.request_delete_range]
+    if any(in_range(put.key, d.key, d.range_end) for put in puts for d in deletes):
+        raise RefusedError(400, INVALID_ARGUMENT, "duplicate key given in txn")
     if any(len(put.value) > VALUE_LIMIT for put in puts):
         raise RefusedError(400, INVALID_ARGUMENT, "request is too large")
     if any(put.lease and put.lease not in keyspace.lease_by_id for put in puts):
