Stand-ins: quiet stops, link switches that act once, worker state apart

Cause: a stop with streams open logged an error for each; a link could be made silent only once; the worker's module did two jobs; a watch took up to a second to close, since curl calls its progress hook that seldom. Ruled out: silencing tornado's logger, because real errors would go too.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,7 +2,7 @@
 
 with Cluster() as cluster:
     cluster.apply()
-    cluster.entry.record()
+    cluster.kill_vm("vm-1")
 """
 
 import json
@@ -117,8 +117,9 @@
 
     def close(self) -> None:
         """Stop every process, the programs first, and remove the folder."""
-        for process in reversed(self._processes):
-            process.close()
+        standins = [p for p in self._processes if p.is_standin]
+        _at_once(Process.close, [p for p in self._processes if not p.is_standin])
+        _at_once(Process.close, standins)
         self._folder.cleanup()
 
     def inventory(self) -> dict[str, Any]:
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -10,6 +10,7 @@
 from tornado.iostream import StreamClosedError
 
 from standins.serving import (
+    RECORD_LIMIT,
     CommonFaults,
     FaultsHandler,
     FaultyHandler,
@@ -21,6 +22,7 @@
 )
 from wagtailcleat.clock import boot_time
 
+BODILESS = (204, 304)
 REQUEST_ID = "Wagtailcleat-Request-Id"
 
 
@@ -47,6 +49,8 @@
         self.count_by_path[path] += 1
         if request_id:
             self.count_by_request_id[request_id] += 1
+        if len(self.count_by_request_id) > RECORD_LIMIT:
+            del self.count_by_request_id[next(iter(self.count_by_request_id))]
 
     def show(self) -> dict[str, Any]:
         """Return what ran so far."""
@@ -78,6 +82,8 @@
         self.set_status(faults.fail_status or wanted)
         if self.loses_answer():
             self.drop()
+        elif self.get_status() in BODILESS:
+            self.finish()
         elif faults.cut_body:
             await self._answer_half(self._body())
         else:
@@ -96,7 +102,9 @@
     def _echo(self) -> bytes:
         request = self.request
         self.set_header("Content-Type", "application/json")
-        query = {name: self.get_query_arguments(name) for name in request.arguments}
+        query = {
+            name: self.get_query_arguments(name) for name in request.query_arguments
+        }
         echoed = {
             "method": request.method,
             "path": request.path,
--- a/standins/link.py
+++ b/standins/link.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import cyclopts
+import msgspec
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.tcpclient import TCPClient
@@ -11,7 +12,6 @@
 
 from standins.serving import (
     HOST,
-    CommonFaults,
     FaultsHandler,
     RecordHandler,
     Switches,
@@ -23,12 +23,12 @@
 CHUNKS_WAITING = 64
 
 
-class Faults(CommonFaults):
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """Fault switches of the link.
 
-    `silent` swallows the bytes of the connections open at that moment, for good;
-    `silent_new` those of every connection. `cut` closes the connections open at
-    that moment. `hold` keeps bytes back and delivers them on release.
+    `silent` and `cut` act once, on the connections open at that moment: the first
+    swallows their bytes for good, the second closes them. `silent_new` swallows
+    those of every connection. `hold` keeps bytes back and delivers them on release.
     """
 
     silent: bool = False
@@ -85,6 +85,8 @@
         except OSError:
             stream.close()
             return
+        stream.set_nodelay(True)
+        server.set_nodelay(True)
         connection = Connection(stream, server)
         connection.silent = self.switches.now.silent_new
         self.connections.add(connection)
@@ -143,10 +145,11 @@
 
     def _switched(self, before: Faults, after: Faults) -> None:
         for connection in list(self.connections):
-            if after.cut and not before.cut:
+            if after.cut:
                 connection.close()
-            if after.silent and not before.silent or after.silent_new:
+            if after.silent or after.silent_new:
                 connection.silent = True
+        after.cut = after.silent = False
         if after.hold:
             self._released.clear()
         else:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -3,11 +3,13 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
 import time
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from io import BytesIO
 from pathlib import Path
 from typing import Any, TypeVar
@@ -105,14 +107,19 @@
     curl.setopt(pycurl.CUSTOMREQUEST, method)
     curl.setopt(pycurl.NOBODY, method == "HEAD")
     curl.setopt(pycurl.PROXY, "")
-    lines = [f"{name}: {value}" for name, value in (headers or {}).items()]
-    curl.setopt(pycurl.HTTPHEADER, ["Expect:", *lines])
-    if body is not None:
-        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    sent = {"Expect": "", "Content-Type": "application/json"} | (headers or {})
+    lines = [f"{name}: {value}".rstrip() for name, value in sent.items()]
+    curl.setopt(pycurl.HTTPHEADER, lines)
+    if body is not None or method in ("POST", "PUT"):
+        raw = body if isinstance(body, bytes) else _json(body)
         curl.setopt(pycurl.POSTFIELDS, raw)
     return curl
 
 
+def _json(body: Any) -> bytes:
+    return b"" if body is None else json.dumps(body).encode()
+
+
 def _header_reader(header_by_name: dict[str, str]) -> Callable[[bytes], None]:
     def read(line: bytes) -> None:
         name, colon, value = line.decode("latin-1").partition(":")
@@ -136,19 +143,24 @@
         self.lines: list[str] = []
         self.ended = False
         self._rest = b""
-        self._closed = False
+        self._socket: socket.socket | None = None
         self._curl = _curl(method, url, body, headers)
         self._curl.setopt(pycurl.WRITEFUNCTION, self._read)
-        self._curl.setopt(pycurl.NOPROGRESS, 0)
-        self._curl.setopt(pycurl.XFERINFOFUNCTION, lambda *sizes: self._closed)
+        self._curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
     def close(self) -> None:
         """Close the connection and wait for the thread."""
-        self._closed = True
+        if self._socket:
+            with suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
         self._thread.join()
 
+    def _open_socket(self, purpose: int, address: Any) -> socket.socket:
+        self._socket = socket.socket(address[0], address[1], address[2])
+        return self._socket
+
     def _read(self, chunk: bytes) -> None:
         *whole, self._rest = (self._rest + chunk).split(b"\n")
         self.lines.extend(line.decode() for line in whole)
@@ -185,6 +197,11 @@
         """The process id."""
         return self._child.pid
 
+    @property
+    def is_standin(self) -> bool:
+        """Whether it stands in for the platform, and so has fault switches."""
+        return self.module.startswith("standins.")
+
     @property
     def alive(self) -> bool:
         """Whether the process has not ended."""
@@ -267,7 +284,7 @@
         return shown
 
     def _port_arguments(self) -> list[str]:
-        if not self.module.startswith("standins."):
+        if not self.is_standin:
             return []
         names = [name for name in ("port", "control_port") if name in self.ready]
         pairs = [(f"--{n.replace('_', '-')}", str(self.ready[n])) for n in names]
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -17,7 +18,7 @@
 RECORD_LIMIT = 200_000
 BODY_LIMIT = 256 * 1024 * 1024
 
-F = TypeVar("F", bound="CommonFaults")
+F = TypeVar("F", bound=msgspec.Struct)
 
 
 class CommonFaults(msgspec.Struct, forbid_unknown_fields=True):
@@ -172,5 +173,8 @@
         ready = await start()
         print("ready " + json.dumps(ready), flush=True)
         await stop.wait()
+        # A normal return would cancel the streams still open, and tornado logs an
+        # error for each; records are flushed line by line, so nothing is lost.
+        os._exit(0)
 
     asyncio.run(serve())
--- a/standins/store.py
+++ b/standins/store.py
@@ -165,8 +165,6 @@
 
     async def prepare(self) -> None:
         """Count the call, and refuse it as the switches say."""
-        faults = self.store.switches.now
-        now = time.monotonic()
         try:
             self.call = msgspec.json.decode(
                 self.request.body, type=self.kind, strict=False
@@ -180,10 +178,11 @@
         if self._finished:
             return
         bucket = self.store.write_bucket if write else self.store.read_bucket
+        faults = self.store.switches.now
         rate = faults.writes_per_second if write else faults.reads_per_second
-        if self.store.switches.now.down:
+        if faults.down:
             self.refuse(RefusedError(503, UNAVAILABLE, "store is unavailable"))
-        elif not bucket.take(rate, now):
+        elif not bucket.take(rate, time.monotonic()):
             self.refuse(RefusedError(429, TOO_MANY_REQUESTS, "too many requests"))
 
     def refuse(self, refusal: RefusedError) -> None:
@@ -251,7 +250,7 @@
         """Answer the TTL, left out where the lease is gone."""
         ttl = self.store.keyspace.keep_alive(self.call.ID, time.monotonic())
         result = {"ID": str(self.call.ID)} | ({"TTL": str(ttl)} if ttl else {})
-        self.answer({"result": result})
+        self.answer_write({"result": result}, set())
 
 
 class RevokeHandler(StoreHandler):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,14 +1,8 @@
-"""The platform's worker: tasks under leases, as timers in place of processes.
-
-Tasks go on by the clock while the worker process is frozen, as real tasks would,
-so an end is recorded at the instant it fell due and not when it was noticed.
-"""
+"""The platform's worker: the calls listed on the platform page."""
 
 import asyncio
 import math
 import re
-from collections import deque
-from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -16,60 +10,21 @@
 import msgspec
 
 from standins.serving import (
-    CommonFaults,
     FaultsHandler,
     FaultyHandler,
     Record,
     RecordHandler,
-    Switches,
     listen,
     run,
 )
+from standins.worker_tasks import StartRequest, State, Task, Worker
 from wagtailcleat.clock import boot_time
-from wagtailcleat.resources import Accelerators, Cores, MemoryMb, Resources
+from wagtailcleat.resources import Resources
 
-TICK_SECONDS = 0.02
-SAMPLE_SECONDS = 0.1
 CHECKPOINT_BYTES = 1024
 ID_PATTERN = re.compile(r"[A-Za-z0-9._~-]{1,200}")
 
 
-class State(Enum):
-    """The states of a task."""
-
-    RUNNING = "running"
-    SUCCEEDED = "succeeded"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LAPSED = "lapsed"
-
-
-class Size(msgspec.Struct):
-    """What a task or a service uses."""
-
-    cores: float
-    memory_mb: float
-
-
-class Faults(CommonFaults):
-    """Fault switches of the worker, and what its VM's services use."""
-
-    fail_everything: bool = False
-    noisy: float = 1.0
-    services_by_name: dict[str, Size] = {}
-
-
-class StartRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Start a task."""
-
-    command: str
-    cores: Cores
-    memory_mb: MemoryMb
-    lease_until: float
-    accelerators: Accelerators = 0
-    checkpoint: str = ""
-
-
 class LeasesRequest(msgspec.Struct, forbid_unknown_fields=True):
     """Lengthen leases."""
 
@@ -88,158 +43,6 @@
     checkpoint: bool = False
 
 
-class Task:
-    """One task as a timer."""
-
-    def __init__(self, task_id: str, request: StartRequest, now: float) -> None:
-        """Start to run, from the checkpoint where there is one."""
-        self.id = task_id
-        self.request = request
-        self.size = Resources(request.cores, request.memory_mb, request.accelerators)
-        self.lease_until = request.lease_until
-        self.state = State.RUNNING
-        self.exit_code: int | None = None
-        self.checkpoint = request.checkpoint
-        self.throttle = 1.0
-        self._progress = float(request.checkpoint or 0)
-        self._progress_at = now
-
-    @property
-    def finish_at(self) -> float:
-        """The instant at which the command ends by itself."""
-        name, _, argument = self.request.command.partition(":")
-        if name == "hold":
-            return math.inf
-        if name != "sleep":
-            return self._progress_at
-        rest = max(float(argument) - self._progress, 0.0)
-        return self._progress_at + rest / self.throttle
-
-    def set_throttle(self, share: float, now: float) -> None:
-        """Go on at another speed."""
-        self._advance(now)
-        self.throttle = share
-
-    def take_checkpoint(self, now: float) -> str:
-        """Take a checkpoint: the progress made."""
-        self._advance(now)
-        self.checkpoint = f"{self._progress:.3f}"
-        return self.checkpoint
-
-    def end(self, state: State, exit_code: int | None = None) -> None:
-        """End the task."""
-        self.state = state
-        self.exit_code = exit_code
-
-    def shown(self) -> dict[str, Any]:
-        """Return the task's JSON form."""
-        shown = {
-            "id": self.id,
-            "state": self.state.value,
-            "checkpoint": self.checkpoint,
-            "cores": self.size.cores,
-            "memory_mb": self.size.memory_mb,
-            "accelerators": self.size.accelerators,
-            "lease_until": self.lease_until,
-            "throttle": self.throttle,
-        }
-        if self.exit_code is not None:
-            shown["exit_code"] = self.exit_code
-        return shown
-
-    def _advance(self, now: float) -> None:
-        self._progress += (now - self._progress_at) * self.throttle
-        self._progress_at = now
-
-
-class Worker:
-    """All state of the worker stand-in."""
-
-    def __init__(self, capacity: Resources, usage_lag: float, record: Record) -> None:
-        """Start without tasks."""
-        self.capacity = capacity
-        self.usage_lag = usage_lag
-        self.record = record
-        self.switches = Switches(Faults)
-        self.task_by_id: dict[str, Task] = {}
-        self.background: asyncio.Task[None] | None = None
-        self._samples: deque[tuple[float, dict[str, Size], dict[str, Size]]] = deque()
-
-    def start(self, task_id: str, request: StartRequest, now: float) -> Task:
-        """Start a task."""
-        task = Task(task_id, request, now)
-        self.task_by_id[task_id] = task
-        self.record.add(now, "start", task_id, State.RUNNING.value)
-        if self.switches.now.fail_everything:
-            self.end(task, State.FAILED, now, exit_code=1)
-        self.settle(now)
-        return task
-
-    def end(
-        self, task: Task, state: State, at: float, exit_code: int | None = None
-    ) -> None:
-        """End a task and record it."""
-        task.end(state, exit_code)
-        self.record.add(at, "end", task.id, state.value)
-
-    def running(self) -> list[Task]:
-        """Return the tasks that run."""
-        tasks = self.task_by_id.values()
-        return [task for task in tasks if task.state is State.RUNNING]
-
-    def has_room(self, size: Resources) -> bool:
-        """Tell whether a task of that size fits beside those that run."""
-        taken = sum((task.size for task in self.running()), Resources())
-        return size.fits(self.capacity - taken)
-
-    def settle(self, now: float) -> None:
-        """End the tasks that have finished or whose lease has lapsed by `now`."""
-        for task in self.running():
-            finish_at = task.finish_at
-            if finish_at <= min(now, task.lease_until):
-                failed = task.request.command == "fail"
-                state = State.FAILED if failed else State.SUCCEEDED
-                self.end(task, state, finish_at, exit_code=int(failed))
-            elif task.lease_until <= now:
-                self.end(task, State.LAPSED, task.lease_until)
-
-    def usage(self, now: float) -> dict[str, Any]:
-        """Return the usage as of the lag ago."""
-        then = now - self.usage_lag
-        while len(self._samples) > 1 and self._samples[1][0] <= then:
-            self._samples.popleft()
-        known = bool(self._samples) and self._samples[0][0] <= then
-        measured_at, tasks, services = self._samples[0] if known else (then, {}, {})
-        return {
-            "measured_at": measured_at,
-            "lag_seconds": self.usage_lag,
-            "tasks_by_id": tasks,
-            "services_by_name": services,
-        }
-
-    async def tick(self) -> None:
-        """End tasks and sample their usage for as long as the worker runs."""
-        while True:
-            now = boot_time()
-            self.settle(now)
-            if not self._samples or now - self._samples[-1][0] >= SAMPLE_SECONDS:
-                self._sample(now)
-            await asyncio.sleep(TICK_SECONDS)
-
-    def _sample(self, now: float) -> None:
-        faults = self.switches.now
-        tasks = {
-            task.id: Size(
-                task.size.cores * task.throttle * faults.noisy,
-                task.size.memory_mb * faults.noisy,
-            )
-            for task in self.running()
-        }
-        self._samples.append((now, tasks, faults.services_by_name))
-        while self._samples[0][0] < now - self.usage_lag - 1:
-            self._samples.popleft()
-
-
 class WorkerHandler(FaultyHandler):
     """A call of the worker."""
 
