The thin path whole: entry, agent, batch owner, gossip, configuration

Now a request goes from an entry over a msgpack stream to an agent and its endpoint; a job is accepted after the store's commit, reserved, committed, started under a lease and accounted for; an inventory is applied by compare-and-swap and is in force everywhere by push and pull. Weighed: an assignment's commit compares the store's key of zones out, and a start must follow within the reservation's length by the VM's own clock. This bounds a start in a zone taken out without any proof of recency carried by gossip.

--- /dev/null
+++ b/wagtailcleat/agent/app.py
@@ -0,0 +1,331 @@
+"""`wagtailcleat-agent`: the composition root of the program beside an endpoint."""
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+from prometheus_client import generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from wagtailcleat.agent.attempts import Attempts
+from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.services import Services
+from wagtailcleat.batch.journal import Journal
+from wagtailcleat.batch.owner import Owner
+from wagtailcleat.batch.ownership import Ownership
+from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.configuration.models import placed, zone_is_out
+from wagtailcleat.errors import SettingsError
+from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.node import Node, make_node
+from wagtailcleat.platform.worker import Worker, WorkerUnreachable
+from wagtailcleat.process import (
+    Introspection,
+    bind,
+    bound_port,
+    dump_on_signal,
+    report_problems,
+    say_ready,
+    until_told_to_stop,
+)
+from wagtailcleat.resources import NOTHING, Resources
+from wagtailcleat.settings import AgentSettings, load
+from wagtailcleat.wire.messages import (
+    AnyMessage,
+    CancelJob,
+    ListJobs,
+    MemberState,
+    NotOwner,
+    RenewGrants,
+    Role,
+    ShowJob,
+    StepDown,
+    SubmitJob,
+)
+
+log = part_logger("agent")
+
+CAPACITY_RETRY_SECONDS = 1.0
+OWNERS_ORDERS = (SubmitJob, ShowJob, ListJobs, CancelJob, RenewGrants)
+
+app = cyclopts.App(name="wagtailcleat-agent", help=__doc__)
+
+
+class Agent:
+    """One running agent: its VM's services and attempts, and a share of shards."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        *,
+        clock: Clock = boot_time,
+        wall_clock: Clock = wall_time,
+    ) -> None:
+        """Wire everything; nothing runs yet."""
+        self._wall_clock = wall_clock
+        self.commitments = Commitments()
+        self.leaving = False
+        self.node: Node = make_node(
+            settings,
+            Role.AGENT,
+            vm=settings.vm,
+            free=self._free,
+            clock=clock,
+            wall_clock=wall_clock,
+        )
+        node = self.node
+        self._settings = settings
+        self._worker_capacity: Resources | None = None
+        self.worker = Worker(settings.worker)
+        self.services = Services(
+            settings.endpoints_by_service,
+            incarnation=node.view.me.incarnation,
+            clock=node.clock,
+            timing=settings.timing,
+            closed=self.closed,
+            max_answer_bytes=settings.max_answer_bytes,
+            kept_answer_bytes=settings.kept_answer_bytes,
+        )
+        self.attempts = Attempts(
+            self.worker,
+            self.commitments,
+            node.view,
+            node.peers,
+            vm=VmName(settings.vm),
+            incarnation=node.view.me.incarnation,
+            clock=node.clock,
+            timing=settings.timing,
+            closed=self.closed,
+        )
+        self.ownership = Ownership(
+            node.store,
+            node.view,
+            node.peers,
+            node.supervisor.supervisor("ownership"),
+            shards=settings.shards,
+            clock=node.clock,
+            timing=settings.timing,
+            rng=node.rng("ownership"),
+            make_owner=self._make_owner,
+            announce=self._announce_shards,
+            closed=self.closed,
+        )
+        node.dispatch.add(self.services.handlers())
+        node.dispatch.add(self.attempts.handlers())
+        node.dispatch.add_plain(dict.fromkeys(OWNERS_ORDERS, self._owners_order))
+        node.dispatch.add_plain({StepDown: self._step_down})
+        node.gossiper.on_configuration(self._configured)
+        self._add_sections()
+
+    def closed(self) -> str:
+        """Return why nothing new starts here now; empty where it may."""
+        zone = ZoneName(self._settings.zone)
+        if self.leaving:
+            return "the agent leaves"
+        if zone_is_out(self.node.in_force.configuration, zone):
+            return f"availability zone '{zone}' is out of service"
+        return ""
+
+    def start(self) -> dict[str, int]:
+        """Serve; return the ports."""
+        node = self.node
+        server = HTTPServer(_state_application(node.introspection))
+        sockets = bind(self._settings.host, self._settings.http_port)
+        server.add_sockets(sockets)  # type: ignore[arg-type]
+        node.start()
+        spawn = node.supervisor.spawn
+        spawn("capacity", self._read_capacity)
+        spawn("services", self._check_services)
+        spawn("attempts", self._run_attempts)
+        if self._settings.owns_shards:
+            spawn("ownership", self.ownership.run)
+        return {"peer_port": node.view.me.port, "http_port": bound_port(sockets)}
+
+    async def stop(self) -> None:
+        """Announce the leave, finish requests, hand tasks and shards on, then end."""
+        self.leaving = True
+        log.info("Leaving")
+        await self.node.change_me(state=MemberState.LEAVING)
+        try:
+            async with asyncio.timeout(self._settings.timing.drain):
+                await self.services.drained()
+                await self.attempts.hand_on("its VM is being replaced")
+        except TimeoutError:
+            log.warning("Not everything was drained in time")
+        await self.ownership.give_up()
+        await self.node.leave()
+        self.services.close()
+        self.worker.close()
+
+    # ---- what runs
+
+    async def _read_capacity(self) -> None:
+        while True:
+            capacity = await self.worker.capacity()
+            if not isinstance(capacity, WorkerUnreachable):
+                self._worker_capacity = capacity
+                self._configured()
+                return
+            await asyncio.sleep(CAPACITY_RETRY_SECONDS)
+
+    async def _check_services(self) -> None:
+        while True:
+            await self.services.check()
+            serving = sorted(self.services.answering)
+            if serving != sorted(self.node.view.me.services):
+                await self.node.change_me(services=serving)
+            await asyncio.sleep(self._settings.timing.endpoint_check)
+
+    async def _run_attempts(self) -> None:
+        await self.attempts.rebuild()
+        await asyncio.gather(self.attempts.watch(), self.attempts.renew())
+
+    def _configured(self) -> None:
+        on_vm = placed(self.node.in_force.configuration, VmName(self._settings.vm))
+        if on_vm is None:
+            self.services.configure([])
+            self.commitments.capacity = NOTHING
+            self.commitments.for_services = NOTHING
+            return
+        self.services.configure(on_vm.services)
+        self.commitments.for_services = on_vm.for_services
+        if self._worker_capacity is not None:
+            self.commitments.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
+
+    def _free(self) -> Resources:
+        return self.commitments.free(self.node.clock())
+
+    # ---- shards
+
+    def _make_owner(self, shard: ShardId, journal: Journal) -> Owner:
+        node = self.node
+        return Owner(
+            shard,
+            self._settings.shards,
+            journal,
+            node.view,
+            node.in_force,
+            node.peers,
+            node.clock,
+            self._wall_clock,
+            self._settings.timing,
+            node.rng(f"shard/{shard}"),
+            self.ownership.may_grant_until,
+        )
+
+    def _announce_shards(self) -> None:
+        shards = sorted(self.ownership.owner_by_shard)
+        change = self.node.change_me
+        self.node.supervisor.once("announce", lambda: change(shards=shards))
+
+    async def _owners_order(self, message: AnyMessage) -> AnyMessage:
+        shard = message.spec.shard if isinstance(message, SubmitJob) else message.shard  # type: ignore[union-attr]
+        owner = self.ownership.owner_by_shard.get(shard)
+        if owner is None:
+            known = self.node.view.owner(shard)
+            return NotOwner(known.node if known else "")
+        if isinstance(message, SubmitJob):
+            return await owner.submit(message)
+        if isinstance(message, ShowJob):
+            return await owner.show(message)
+        if isinstance(message, ListJobs):
+            return await owner.list_jobs(message)
+        if isinstance(message, CancelJob):
+            return await owner.cancel(message)
+        assert isinstance(message, RenewGrants)
+        return await owner.renew(message)
+
+    async def _step_down(self, message: AnyMessage) -> AnyMessage:
+        assert isinstance(message, StepDown)
+        return self.ownership.step_down(message)
+
+    def _add_sections(self) -> None:
+        add = self.node.introspection.add
+        add("vm", lambda: self._settings.vm)
+        add("closed", self.closed)
+        add("requests_in_flight", lambda: self.services.in_flight)
+        add("tasks_running", lambda: len(self.attempts.running()))
+        add("free", lambda: _resources(self._free()))
+        add("services", self.services.dump)
+        add("ledger", lambda: len(self.services.ledger))
+        add("attempts", self.attempts.dump)
+        add("shards", self._shards)
+
+    def _shards(self) -> dict[str, object]:
+        owners = self.ownership.owner_by_shard
+        return {str(shard): owner.dump() for shard, owner in owners.items()}
+
+
+def _resources(amount: Resources) -> dict[str, object]:
+    return {
+        "cores": amount.cores,
+        "memory_mb": amount.memory_mb,
+        "accelerators": amount.accelerators,
+    }
+
+
+class _StateHandler(RequestHandler):
+    def initialize(self, introspection: Introspection) -> None:
+        self._introspection = introspection
+
+    def get(self) -> None:
+        """Answer with the state dump."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(self._introspection.text() + "\n")
+
+
+class _MetricsHandler(_StateHandler):
+    def get(self) -> None:
+        """Answer with all metrics of this process."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(generate_latest(self._introspection.registry))
+
+
+def _state_application(introspection: Introspection) -> Application:
+    own = {"introspection": introspection}
+    return Application(
+        [(r"/state", _StateHandler, own), (r"/metrics", _MetricsHandler, own)],
+        log_function=lambda _: None,
+    )
+
+
+async def serve(settings: AgentSettings) -> int:
+    """Run one agent until it is told to stop; return the exit code."""
+    agent = Agent(settings)
+    ports = agent.start()
+    dump_on_signal(agent.node.introspection)
+    say_ready(ports)
+    code = await until_told_to_stop(agent.node.supervisor.broken)
+    await agent.stop()
+    return code
+
+
+@app.default
+def run(
+    *,
+    settings: Annotated[Path, cyclopts.Parameter(help="Settings file, JSON.")],
+    check: Annotated[bool, cyclopts.Parameter(help="Only check the settings.")] = False,
+) -> int:
+    """Serve beside an endpoint: its requests, its VM's tasks, a share of shards."""
+    try:
+        checked = load(settings, AgentSettings)
+    except SettingsError as error:
+        return report_problems(settings, error)
+    if check:
+        print(f"{settings}: no problems")
+        return 0
+    start_logging(NodeId(checked.node), level=checked.log_level)
+    return asyncio.run(serve(checked))
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailcleat/batch/accounts.py
@@ -0,0 +1,44 @@
+"""A job's account for its caller."""
+
+import json
+
+from wagtailcleat.batch.record import JobRecord, TaskState
+
+
+def state_of(job: JobRecord) -> str:
+    """Return one word for how the job stands."""
+    if job.open():
+        if job.cancelled or job.stopped:
+            return "stopping"
+        started = any(task.attempt for task in job.tasks)
+        return "running" if started else "waiting"
+    if job.cancelled:
+        return "cancelled"
+    if job.count(TaskState.SUCCEEDED) == len(job.tasks):
+        return "finished"
+    return "failed"
+
+
+def account(job: JobRecord, name: str) -> str:
+    """Return the account as JSON text."""
+    spec = job.spec
+    body: dict[str, object] = {
+        "id": name,
+        "team": spec.team,
+        "state": state_of(job),
+        "tasks": len(job.tasks),
+        "urgent": spec.urgent,
+        "accepted_at": round(job.accepted_at, 3),
+        "deadline": spec.deadline,
+        "attempts": sum(task.attempt for task in job.tasks),
+        "evictions": sum(task.evictions for task in job.tasks),
+        "failures": sum(task.failures for task in job.tasks),
+    }
+    for state in TaskState:
+        body[state.value] = job.count(state)
+    if job.ended_at:
+        body["ended_at"] = round(job.ended_at, 3)
+        body["in_time"] = job.ended_at <= spec.deadline
+    if job.reason:
+        body["reason"] = job.reason
+    return json.dumps(body)
--- /dev/null
+++ b/wagtailcleat/batch/journal.py
@@ -0,0 +1,259 @@
+"""A shard's log in the platform's store: many events to a write, fenced by epoch.
+
+Every write compares the shard's epoch, so that an owner that was paused past its
+lease can't commit once another has taken over; and the key of zones out, so that
+no task is placed in a zone after operators took it out.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wagtailcleat.batch.record import (
+    AnyEvent,
+    Assigned,
+    ShardRecord,
+    decode_events,
+    encode_events,
+    restore,
+)
+from wagtailcleat.configuration.keys import (
+    ZONES_OUT,
+    shard_epoch,
+    shard_log,
+    shard_log_entry,
+    shard_snapshot,
+)
+from wagtailcleat.ids import Epoch, ShardId
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.store import (
+    Absent,
+    Compare,
+    Conflict,
+    Found,
+    Listing,
+    Store,
+    Txn,
+    Unavailable,
+    Unknown,
+    Written,
+)
+
+log = part_logger("journal")
+
+ENTRIES_A_SNAPSHOT = 100
+MAX_EVENTS_A_WRITE = 500
+RETRY_PAUSE_SECONDS = 0.1
+
+
+class Commit(Enum):
+    """What became of events handed to the journal."""
+
+    COMMITTED = "committed"
+    ZONES_CHANGED = "zones_changed"
+    """Not written: a zone's state changed since the placement was decided."""
+    FAILED = "failed"
+    """Not written: the store does not answer."""
+    DEPOSED = "deposed"
+    """Not written, nor ever will be: another owner has the shard."""
+
+
+@dataclass
+class _Batch:
+    events: list[AnyEvent]
+    done: asyncio.Future[Commit]
+    give_up_at: float = 0.0
+
+
+@dataclass
+class Journal:
+    """One owner's hold on one shard's log; `record` is what is committed."""
+
+    store: Store
+    shard: ShardId
+    epoch: Epoch
+    epoch_value: bytes
+    record: ShardRecord
+    zones_out: list[str]
+    zones_revision: int
+    interval: float
+    snapshot_revision: int = 0
+    snapshot_number: int = 0
+    on_commit: Callable[[list[AnyEvent]], None] = lambda _: None
+    deposed: asyncio.Event = field(default_factory=asyncio.Event)
+    _waiting: list[_Batch] = field(default_factory=list)
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def commit(self, events: list[AnyEvent]) -> Commit:
+        """Write events and return once they are in the store, or surely not."""
+        if self.deposed.is_set():
+            return Commit.DEPOSED
+        done: asyncio.Future[Commit] = asyncio.get_running_loop().create_future()
+        self._waiting.append(_Batch(events, done))
+        self._wake.set()
+        return await asyncio.shield(done)
+
+    async def run(self) -> None:
+        """Write what waits, at most once an interval, until deposed."""
+        while not self.deposed.is_set():
+            await self._wake.wait()
+            self._wake.clear()
+            batches = self._take()
+            if batches:
+                outcome = await self._write(batches)
+                for batch in batches:
+                    if not batch.done.done():
+                        batch.done.set_result(outcome)
+            if self.record.number - self.snapshot_number >= ENTRIES_A_SNAPSHOT:
+                await self._snapshot()
+            if self._waiting:
+                self._wake.set()
+            await asyncio.sleep(self.interval)
+        for batch in self._waiting:
+            batch.done.set_result(Commit.DEPOSED)
+
+    def _take(self) -> list[_Batch]:
+        taken: list[_Batch] = []
+        count = 0
+        while self._waiting and count < MAX_EVENTS_A_WRITE:
+            count += len(self._waiting[0].events)
+            taken.append(self._waiting.pop(0))
+        return taken
+
+    async def _write(self, batches: list[_Batch]) -> Commit:
+        events = [event for batch in batches for event in batch.events]
+        number = self.record.number + 1
+        places = any(isinstance(event, Assigned) for event in events)
+        txn = self._txn(number, events, places)
+        unknown = False
+        while True:
+            outcome = await self.store.write(txn)
+            if isinstance(outcome, Written):
+                return self._committed(number, events)
+            if isinstance(outcome, Conflict):
+                commit = await self._conflict(txn, number, events, places, unknown)
+                if commit is not None:
+                    return commit
+            elif isinstance(outcome, Unavailable) and not unknown:
+                return Commit.FAILED
+            elif isinstance(outcome, Unknown):
+                # The write may have taken effect, or may yet. Sending the same
+                # transaction again is safe: its log key is created once.
+                unknown = True
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+
+    def _txn(self, number: int, events: list[AnyEvent], places: bool) -> Txn:
+        entry = shard_log_entry(self.shard, number)
+        compares = [
+            Compare(shard_epoch(self.shard), value=self.epoch_value),
+            Compare(entry, absent=True),
+        ]
+        if places:
+            compares.append(Compare(ZONES_OUT, mod_revision=self.zones_revision))
+        return Txn(compares, {entry: encode_events(events)})
+
+    async def _conflict(
+        self,
+        txn: Txn,
+        number: int,
+        events: list[AnyEvent],
+        places: bool,
+        unknown: bool,
+    ) -> Commit | None:
+        entry = shard_log_entry(self.shard, number)
+        stored = await self.store.get(entry)
+        if isinstance(stored, Found):
+            if unknown and stored.value == txn.puts[entry]:
+                # Only this owner's epoch could have written these bytes here.
+                return self._committed(number, events)
+            self.deposed.set()
+            return Commit.DEPOSED
+        epoch = await self.store.get(shard_epoch(self.shard))
+        if isinstance(epoch, Unavailable) or isinstance(stored, Unavailable):
+            return None
+        if isinstance(epoch, Absent) or epoch.value != self.epoch_value:
+            self.deposed.set()
+            return Commit.DEPOSED
+        if places and await self._refresh_zones():
+            return Commit.ZONES_CHANGED
+        return None
+
+    async def _refresh_zones(self) -> bool:
+        zones = await read_zones_out(self.store)
+        if zones is None or zones[1] == self.zones_revision:
+            return False
+        self.zones_out, self.zones_revision = zones
+        return True
+
+    def _committed(self, number: int, events: list[AnyEvent]) -> Commit:
+        for event in events:
+            self.record.apply(event)
+        self.record.number = number
+        self.on_commit(events)
+        return Commit.COMMITTED
+
+    async def _snapshot(self) -> None:
+        # The answer may be lost and the write come late, after further entries:
+        # so it deletes no entry beyond its own number, and compares the snapshot
+        # it replaces, never to put an older one over a newer.
+        number = self.record.number
+        key = shard_snapshot(self.shard)
+        txn = Txn(
+            [
+                Compare(shard_epoch(self.shard), value=self.epoch_value),
+                Compare(key, mod_revision=self.snapshot_revision),
+            ],
+            {key: self.record.snapshot()},
+            delete_ranges=[
+                (shard_log(self.shard), shard_log_entry(self.shard, number + 1))
+            ],
+        )
+        outcome = await self.store.write(txn)
+        if isinstance(outcome, Written):
+            self.snapshot_revision = outcome.store_revision
+            self.snapshot_number = number
+            return
+        found = await self.store.get(key)
+        if isinstance(found, Found):
+            self.snapshot_revision = found.mod_revision
+
+
+async def read_zones_out(store: Store) -> tuple[list[str], int] | None:
+    """Return the zones out and the store's revision of that key."""
+    found = await store.get(ZONES_OUT)
+    if isinstance(found, Found):
+        return json.loads(found.value), found.mod_revision
+    return ([], 0) if isinstance(found, Absent) else None
+
+
+@dataclass(frozen=True)
+class Loaded:
+    """A shard's committed state, and the store's revision of its snapshot."""
+
+    record: ShardRecord
+    snapshot_revision: int
+    snapshot_number: int
+
+
+async def load(store: Store, shard: ShardId) -> Loaded | None:
+    """Return a shard's committed state, or nothing where the store fails."""
+    snapshot = await store.get(shard_snapshot(shard))
+    if isinstance(snapshot, Unavailable):
+        return None
+    found = isinstance(snapshot, Found)
+    record = restore(snapshot.value) if isinstance(snapshot, Found) else ShardRecord()
+    snapshot_revision = snapshot.mod_revision if isinstance(snapshot, Found) else 0
+    snapshot_number = record.number if found else 0
+    entries = await store.list(shard_log(shard))
+    if not isinstance(entries, Listing):
+        return None
+    for entry in entries.found:
+        number = int(entry.key.rsplit("/", 1)[1])
+        if number <= record.number:
+            continue
+        for event in decode_events(entry.value):
+            record.apply(event)
+        record.number = number
+    return Loaded(record, snapshot_revision, snapshot_number)
--- /dev/null
+++ b/wagtailcleat/batch/placement.py
@@ -0,0 +1,100 @@
+"""Which VM an attempt is asked for first, and in which order tasks are placed."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wagtailcleat.batch.record import TaskRecord
+from wagtailcleat.configuration.models import Configuration, placed, zone_is_out
+from wagtailcleat.ids import NodeId, VmName
+from wagtailcleat.membership.view import View
+from wagtailcleat.resources import Resources
+from wagtailcleat.wire.messages import JobSpec, Member, MemberState
+
+SAMPLE = 8
+HINT_SECONDS = 10.0
+UNKNOWN_FREE_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """An agent that may take an attempt, and what it likely has free."""
+
+    member: Member
+    free: Resources
+
+
+Order = Callable[[list[Candidate], Resources], list[Candidate]]
+
+
+def usable_agents(
+    view: View, configuration: Configuration, quarantined: set[VmName]
+) -> list[Member]:
+    """Return the agents that may take new tasks at all."""
+    vms = {vm.name for vm in configuration.inventory.vms}
+    return [
+        member
+        for member in view.agents()
+        if member.state is MemberState.ALIVE
+        and member.vm in vms
+        and member.vm not in quarantined
+        and not zone_is_out(configuration, member.zone)
+    ]
+
+
+def candidates(
+    agents: list[Member],
+    task: TaskRecord,
+    size: Resources,
+    *,
+    view: View,
+    tried: set[NodeId],
+    rng: random.Random,
+    now: float,
+) -> list[Candidate]:
+    """Return a sample of agents that may have room, not the ones it failed on."""
+    open_to = [m for m in agents if m.node not in tried]
+    fresh = [m for m in open_to if m.vm not in task.failed_on] or open_to
+    found = []
+    for member in rng.sample(fresh, len(fresh)):
+        free = _free(view, member.node, now)
+        if free is None or size.fits(free):
+            found.append(Candidate(member, free or Resources()))
+        if len(found) >= SAMPLE:
+            break
+    return found
+
+
+def best_fit(found: list[Candidate], size: Resources) -> list[Candidate]:
+    """Order by what would be left, the least first; unknown ones last.
+
+    Tight VMs fill up first, so that room for large tasks stays whole.
+    """
+    return sorted(found, key=lambda c: _left(c, size))
+
+
+def _left(candidate: Candidate, size: Resources) -> tuple[bool, float]:
+    left = candidate.free - size
+    unknown = candidate.free == Resources()
+    return unknown, left.accelerators * 1000 + left.cores + left.memory_mb / 4096
+
+
+def _free(view: View, node: NodeId, now: float) -> Resources | None:
+    hint = view.free_by_node.get(node)
+    if hint is None or now - hint[1] > HINT_SECONDS:
+        return None
+    return hint[0]
+
+
+def feasible(configuration: Configuration, spec: JobSpec) -> str:
+    """Return why no VM of the inventory could ever hold a task; empty if one could."""
+    size = spec.task.size
+    for vm in configuration.inventory.vms:
+        on_vm = placed(configuration, VmName(vm.name))
+        if on_vm is not None and size.fits(vm.capacity - on_vm.for_services):
+            return ""
+    return (
+        f"no VM in the inventory could hold a task of {size.cores:g} cores,"
+        f" {size.memory_mb} MB and {size.accelerators} accelerators"
+        " beside its services"
+    )
--- /dev/null
+++ b/wagtailcleat/batch/shards.py
@@ -0,0 +1,45 @@
+"""Which shard a job belongs to, and which agent should own a shard."""
+
+import hashlib
+
+from wagtailcleat.configuration.models import Team
+from wagtailcleat.ids import JobId, NodeId, ShardId, TeamName
+
+
+def _number(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def make_job_id(shard: ShardId, team: TeamName, name: str) -> JobId:
+    """Return the id of the job that `team` calls `name`."""
+    return JobId(f"{shard}.{team}.{name}")
+
+
+def name_of(job: JobId) -> str:
+    """Return what the team calls the job."""
+    return job.split(".", 2)[2]
+
+
+def find_shard(team: Team, name: str, shards: int) -> ShardId:
+    """Return the shard of the job that `team` calls `name`.
+
+    A team's jobs share a few shards, so that its quota is kept by those shards'
+    owners alone, each holding an equal part of it.
+    """
+    lane = _number(f"{team.name}.{name}") % team.shards
+    return team_shards(team, shards)[lane]
+
+
+def team_shards(team: Team, shards: int) -> list[ShardId]:
+    """Return the shards that hold a team's jobs; one may stand twice."""
+    first = _number(team.name)
+    return [ShardId((first + lane) % shards) for lane in range(team.shards)]
+
+
+def preference(shard: ShardId, nodes: list[NodeId]) -> list[NodeId]:
+    """Return `nodes`, the one that should own `shard` first.
+
+    By highest hash of the pair: when a node goes, only its own shards move.
+    """
+    return sorted(nodes, key=lambda node: _number(f"{shard}|{node}"), reverse=True)
--- a/wagtailcleat/clock.py
+++ b/wagtailcleat/clock.py
@@ -14,3 +14,8 @@
     after the pause although everyone else saw it lapse.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def wall_time() -> float:
+    """Seconds since 1970, for deadlines that callers name; decides no lease."""
+    return time.time()
--- a/wagtailcleat/configuration/models.py
+++ b/wagtailcleat/configuration/models.py
@@ -71,6 +71,8 @@
     cores: Cores
     memory_mb: MemoryMb
     accelerators: Accelerators = 0
+    shards: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 1
+    """Over how many shards the team's jobs and quota are spread."""
 
     @property
     def quota(self) -> Resources:
--- /dev/null
+++ b/wagtailcleat/entry/app.py
@@ -0,0 +1,214 @@
+"""`wagtailcleat-entry`: the composition root of the program on entry VMs."""
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.configuration.follow import Follower
+from wagtailcleat.entry.admin import Admin, admin_application
+from wagtailcleat.entry.callers import callers_application
+from wagtailcleat.entry.context import Callers, CallersState
+from wagtailcleat.entry.jobs import Jobs
+from wagtailcleat.entry.relay import Relay
+from wagtailcleat.errors import SettingsError
+from wagtailcleat.ids import NodeId
+from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.node import Node, make_node
+from wagtailcleat.process import (
+    bind,
+    bound_port,
+    dump_on_signal,
+    report_problems,
+    say_ready,
+    until_told_to_stop,
+)
+from wagtailcleat.routing.choose import Policy, chooser
+from wagtailcleat.settings import EntrySettings, load
+from wagtailcleat.wire.messages import MemberState, Role
+
+log = part_logger("entry")
+
+MAX_HEADER_BYTES = 32 * 1024
+IDLE_CONNECTION_SECONDS = 300.0
+BODY_SECONDS = 10.0
+MAX_INVENTORY_BYTES = 1_000_000
+FORGET_SECONDS = 10.0
+
+app = cyclopts.App(name="wagtailcleat-entry", help=__doc__)
+
+
+class Entry:
+    """One running entry: two HTTP servers around a relay."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        clock: Clock = boot_time,
+        wall_clock: Clock = wall_time,
+    ) -> None:
+        """Wire everything; nothing is served yet but the peer port."""
+        self.node: Node = make_node(
+            settings, Role.ENTRY, clock=clock, wall_clock=wall_clock
+        )
+        node = self.node
+        self.state = CallersState()
+        self.relay = Relay(
+            node.view,
+            node.in_force,
+            node.peers,
+            clock=node.clock,
+            choose=chooser(Policy(settings.routing), node.rng("routing")),
+            rng=node.rng("relay"),
+        )
+        callers = Callers(
+            self.relay,
+            node.in_force,
+            node.view,
+            node.clock,
+            self.state,
+            settings.max_in_flight,
+        )
+        jobs = Jobs(node.view, node.in_force, node.peers, settings.shards, node.clock)
+        admin = Admin(
+            settings.admin_token,
+            node.store,
+            node.view,
+            node.in_force,
+            node.peers,
+            node.gossiper,
+            node.introspection,
+            node.clock,
+        )
+        self.callers_server = _server(
+            callers_application(callers, jobs), settings.max_body_bytes
+        )
+        self.admin_server = _server(admin_application(admin), MAX_INVENTORY_BYTES)
+        self._settings = settings
+        self._add_sections()
+
+    def start(self) -> dict[str, int]:
+        """Serve; return the ports."""
+        node, settings = self.node, self._settings
+        follower = Follower(
+            node.store,
+            node.in_force,
+            node.gossiper,
+            clock=node.clock,
+            rng=node.rng("follower"),
+        )
+        node.supervisor.spawn("configuration", follower.run)
+        node.supervisor.spawn("forget", self._forget)
+        node.start()
+        callers = bind(settings.host, settings.http_port)
+        self.callers_server.add_sockets(callers)  # type: ignore[arg-type]
+        admin = bind(settings.host, settings.admin_port)
+        self.admin_server.add_sockets(admin)  # type: ignore[arg-type]
+        return {
+            "peer_port": node.view.me.port,
+            "http_port": bound_port(callers),
+            "admin_port": bound_port(admin),
+        }
+
+    async def stop(self) -> None:
+        """Turn the health check red, finish what is in flight, then end."""
+        timing = self._settings.timing
+        self.state.draining = True
+        log.info("Leaving")
+        await self.node.change_me(state=MemberState.LEAVING)
+        # The balancer goes on sending until it has seen the health check fail.
+        await asyncio.sleep(timing.balancer_notice)
+        self.callers_server.stop()
+        try:
+            async with asyncio.timeout(timing.drain):
+                await self.state.idle.wait()
+        except TimeoutError:
+            log.warning("Not every request was finished in time")
+        await self.callers_server.close_all_connections()
+        self.admin_server.stop()
+        await self.admin_server.close_all_connections()
+        await self.node.leave()
+
+    async def _forget(self) -> None:
+        while True:
+            nodes = {m.node for m in self.node.view.live()}
+            self.relay.endpoints.keep_only(nodes)
+            await asyncio.sleep(FORGET_SECONDS)
+
+    def _add_sections(self) -> None:
+        add = self.node.introspection.add
+        state, relay = self.state, self.relay
+        add("requests_in_flight", lambda: state.in_flight)
+        add("draining", lambda: state.draining)
+        add("refused", lambda: state.refused)
+        add("requests", lambda: relay.requests)
+        add("retries", lambda: relay.retries)
+        add("p50_ms", lambda: state.latencies.get_value_at_percentile(50) / 1000)
+        add("p99_ms", lambda: state.latencies.get_value_at_percentile(99) / 1000)
+        add("endpoints", self._endpoints)
+
+    def _endpoints(self) -> dict[str, object]:
+        now = self.node.clock()
+        records = self.relay.endpoints.record_by_node
+        return {
+            node: {
+                "latency_ms": round(record.latency * 1000, 3),
+                "in_flight": record.in_flight,
+                "ejected": record.ejected(now),
+            }
+            for node, record in records.items()
+        }
+
+
+def _server(application: Application, max_body_bytes: int) -> HTTPServer:
+    return HTTPServer(
+        application,
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=max_body_bytes,
+        idle_connection_timeout=IDLE_CONNECTION_SECONDS,
+        body_timeout=BODY_SECONDS,
+    )
+
+
+async def serve(settings: EntrySettings) -> int:
+    """Run one entry until it is told to stop; return the exit code."""
+    entry = Entry(settings)
+    ports = entry.start()
+    dump_on_signal(entry.node.introspection)
+    say_ready(ports)
+    code = await until_told_to_stop(entry.node.supervisor.broken)
+    await entry.stop()
+    return code
+
+
+@app.default
+def run(
+    *,
+    settings: Annotated[Path, cyclopts.Parameter(help="Settings file, JSON.")],
+    check: Annotated[bool, cyclopts.Parameter(help="Only check the settings.")] = False,
+) -> int:
+    """Serve callers and operators on an entry VM."""
+    try:
+        checked = load(settings, EntrySettings)
+    except SettingsError as error:
+        return report_problems(settings, error)
+    if check:
+        print(f"{settings}: no problems")
+        return 0
+    start_logging(NodeId(checked.node), level=checked.log_level)
+    return asyncio.run(serve(checked))
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailcleat/headers.py
@@ -0,0 +1,40 @@
+"""Headers of callers' requests and answers."""
+
+from collections.abc import Iterable
+
+REQUEST_ID = "Wagtailcleat-Request-Id"
+DEADLINE_MS = "Wagtailcleat-Deadline-Ms"
+IDEMPOTENT = "Wagtailcleat-Idempotent"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+LAST_EVENT_ID = "Last-Event-ID"
+EVENT_STREAM = "text/event-stream"
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+REFRAMED = frozenset({"content-length", "host"})
+
+
+def forwarded(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers to pass on: less hop-by-hop and connection's own ones."""
+    pairs = list(headers)
+    named = {
+        name.strip().lower()
+        for key, value in pairs
+        if key.lower() == "connection"
+        for name in value.split(",")
+    }
+    dropped = HOP_BY_HOP | REFRAMED | named
+    return [(key, value) for key, value in pairs if key.lower() not in dropped]
--- /dev/null
+++ b/wagtailcleat/node.py
@@ -0,0 +1,178 @@
+"""What every daemon is made of: view, gossip, streams, store, dump."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.configuration.parts import InForce
+from wagtailcleat.ids import NodeId, VmName, ZoneName
+from wagtailcleat.membership.gossip import Gossiper, parse_seeds
+from wagtailcleat.membership.view import View
+from wagtailcleat.platform.store import Store
+from wagtailcleat.process import (
+    Dispatch,
+    Introspection,
+    bind,
+    bound_port,
+    make_incarnation,
+    stream_timing,
+)
+from wagtailcleat.resources import NOTHING, Resources
+from wagtailcleat.settings import AgentSettings, EntrySettings
+from wagtailcleat.supervise import Supervisor
+from wagtailcleat.wire.messages import Member, MemberState, Role
+from wagtailcleat.wire.streams import Identity, Listener, Peers
+
+LEAVE_SECONDS = 2.0
+
+
+@dataclass
+class Node:
+    """The parts that entry and agent share, wired but not running."""
+
+    clock: Clock
+    supervisor: Supervisor
+    introspection: Introspection
+    dispatch: Dispatch
+    listener: Listener
+    peers: Peers
+    view: View
+    in_force: InForce
+    gossiper: Gossiper
+    store: Store
+
+    def start(self) -> None:
+        """Start gossip under the supervisor."""
+        self.supervisor.spawn("gossip", self.gossiper.run)
+
+    def rng(self, purpose: str) -> random.Random:
+        """Return a generator of its own for one purpose."""
+        return _rng(self.view.me, purpose)
+
+    async def change_me(self, **changes: object) -> None:
+        """Change this node's own record and push it at once."""
+        self.view.change_me(self.clock(), **changes)
+        await self.gossiper.announce()
+
+    async def leave(self) -> None:
+        """Say that this node is gone, then close every stream."""
+        try:
+            async with asyncio.timeout(LEAVE_SECONDS):
+                await self.change_me(state=MemberState.LEFT)
+        except TimeoutError:
+            pass
+        await self.supervisor.stop()
+        self.listener.stop()
+        self.peers.close()
+        for stream in list(self.listener.streams):
+            stream.close("this process ends")
+        self.store.close()
+
+
+def make_node(
+    settings: AgentSettings | EntrySettings,
+    role: Role,
+    *,
+    vm: str = "",
+    http_port: int = 0,
+    free: Callable[[], Resources] = lambda: NOTHING,
+    clock: Clock = boot_time,
+    wall_clock: Clock = wall_time,
+) -> Node:
+    """Wire the parts that entry and agent share, and bind the peer port."""
+    node = NodeId(settings.node)
+    identity = Identity(node, role, make_incarnation(wall_clock()), settings.secret)
+    introspection = Introspection()
+    dispatch = Dispatch(introspection)
+    timing = stream_timing(settings.timing)
+    listener = Listener(identity, dispatch, timing)
+    sockets = bind(settings.host, settings.peer_port)
+    listener.add_sockets(sockets)  # type: ignore[arg-type]
+    me = Member(
+        node,
+        role,
+        settings.host,
+        bound_port(sockets),
+        ZoneName(settings.zone),
+        VmName(vm),
+        identity.incarnation,
+        1,
+        MemberState.ALIVE,
+        [],
+        [],
+        http_port,
+    )
+    peers = Peers(identity, dispatch, timing)
+    view = View(me, _rng(me, "view"))
+    in_force = InForce()
+    gossiper = Gossiper(
+        view,
+        in_force,
+        peers,
+        clock=clock,
+        timing=settings.timing,
+        seeds=parse_seeds(settings.seeds),
+        rng=_rng(me, "gossip"),
+        free=free,
+    )
+    dispatch.add_plain(gossiper.handlers())
+    store = Store(
+        settings.store,
+        clock=clock,
+        call_seconds=settings.timing.store_call,
+        seed=settings.node,
+    )
+    made = Node(
+        clock,
+        Supervisor(settings.node),
+        introspection,
+        dispatch,
+        listener,
+        peers,
+        view,
+        in_force,
+        gossiper,
+        store,
+    )
+    _add_sections(made)
+    return made
+
+
+def _rng(me: Member, purpose: str) -> random.Random:
+    return random.Random(f"{me.node}/{me.incarnation}/{purpose}")
+
+
+def _add_sections(node: Node) -> None:
+    add = node.introspection.add
+    add("node", lambda: node.view.me.node)
+    add("role", lambda: node.view.me.role.value)
+    add("zone", lambda: node.view.me.zone)
+    add("incarnation", lambda: node.view.me.incarnation)
+    add("state", lambda: node.view.me.state.value)
+    add("revision", lambda: node.in_force.revision)
+    add("zones_out", lambda: node.in_force.configuration.zones_out)
+    add("members", lambda: _members(node.view))
+    add("streams", lambda: _streams(node))
+    add("store", node.store.dump)
+    add("supervisor", node.supervisor.dump)
+
+
+def _members(view: View) -> dict[str, object]:
+    count_by_state: dict[str, object] = {}
+    for state in MemberState:
+        members = view.member_by_node.values()
+        count_by_state[state.value] = sum(1 for m in members if m.state is state)
+    return count_by_state
+
+
+def _streams(node: Node) -> dict[str, object]:
+    streams = [*node.peers.streams, *node.listener.streams]
+    return {
+        "opened": len(node.peers.streams),
+        "accepted": len(node.listener.streams),
+        "bytes_in": sum(stream.bytes_in for stream in streams),
+        "bytes_out": sum(stream.bytes_out for stream in streams),
+        "bytes_of_closed": node.peers.closed_bytes,
+    }
--- a/wagtailcleat/platform/store.py
+++ b/wagtailcleat/platform/store.py
@@ -110,7 +110,8 @@
     leased_puts: dict[str, bytes] = field(default_factory=dict)
     lease: str = ""
     deletes: list[str] = field(default_factory=list)
-    delete_prefixes: list[str] = field(default_factory=list)
+    delete_ranges: list[tuple[str, str]] = field(default_factory=list)
+    """From the first key on, up to but without the second."""
 
 
 @dataclass(frozen=True)
@@ -336,8 +337,8 @@
     success: list[dict[str, Any]] = []
     for key in txn.deletes:
         success.append({"request_delete_range": {"key": _b64(key)}})
-    for prefix in txn.delete_prefixes:
-        span = {"key": _b64(prefix), "range_end": _b64(_after(prefix))}
+    for first, end in txn.delete_ranges:
+        span = {"key": _b64(first), "range_end": _b64(end)}
         success.append({"request_delete_range": span})
     for key, value in txn.puts.items():
         success.append({"request_put": {"key": _b64(key), "value": _b64(value)}})
--- a/wagtailcleat/resources.py
+++ b/wagtailcleat/resources.py
@@ -34,6 +34,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def smaller(self, other: "Resources") -> "Resources":
+        """Return the smaller amount in each dimension."""
+        return Resources(
+            min(self.cores, other.cores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def fits(self, free: "Resources") -> bool:
         """Tell whether this amount fits into `free` in every dimension."""
         return (
--- /dev/null
+++ b/wagtailcleat/routing/latency.py
@@ -0,0 +1,89 @@
+"""How endpoints have done lately, as one entry saw it."""
+
+import math
+from dataclasses import dataclass
+
+from wagtailcleat.ids import NodeId
+from wagtailcleat.wire.messages import Load
+
+EWMA_SECONDS = 5.0
+FIRST_LATENCY_SECONDS = 0.01
+ERROR_COUNTS_AS_SECONDS = 2.0
+EJECT_AFTER_FAILURES = 5
+FIRST_EJECTION_SECONDS = 2.0
+MAX_EJECTION_SECONDS = 60.0
+SLOW_START_SECONDS = 5.0
+
+
+@dataclass
+class EndpointRecord:
+    """What one entry knows of one endpoint's speed and failures.
+
+    An endpoint that fails at once looks idle and quick, and would draw all the
+    load; so a failure counts as a slow answer.
+    """
+
+    latency: float = FIRST_LATENCY_SECONDS
+    updated_at: float = 0.0
+    in_flight: int = 0
+    load: Load | None = None
+    load_at: float = 0.0
+    failures_in_a_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+    def succeeded(self, seconds: float, now: float) -> None:
+        """Note an answer that took `seconds`."""
+        self._average(seconds, now)
+        self.failures_in_a_row = 0
+        if self.ejections and now > self.ejected_until + MAX_EJECTION_SECONDS:
+            self.ejections = 0
+
+    def failed(self, now: float) -> None:
+        """Note a failure; several in a row eject the endpoint for a while."""
+        self._average(ERROR_COUNTS_AS_SECONDS, now)
+        self.failures_in_a_row += 1
+        if self.failures_in_a_row >= EJECT_AFTER_FAILURES:
+            pause = FIRST_EJECTION_SECONDS * 2.0**self.ejections
+            self.ejected_until = now + min(pause, MAX_EJECTION_SECONDS)
+            self.ejections = min(self.ejections + 1, 10)
+            self.failures_in_a_row = 0
+
+    def ejected(self, now: float) -> bool:
+        """Tell whether the endpoint is ejected now."""
+        return now < self.ejected_until
+
+    def cost(self, now: float) -> float:
+        """Return the expected seconds of one more request, to compare by."""
+        waiting = self.in_flight
+        if self.load is not None and now - self.load_at < EWMA_SECONDS:
+            others = self.load.in_flight + self.load.queued
+            waiting = max(waiting, others)
+        cost = self.latency * (waiting + 1)
+        back_for = now - self.ejected_until
+        if self.ejections and 0 <= back_for < SLOW_START_SECONDS:
+            cost *= SLOW_START_SECONDS / (back_for + 0.1)
+        return cost
+
+    def _average(self, seconds: float, now: float) -> None:
+        weight = 1 - math.exp(-max(now - self.updated_at, 0.05) / EWMA_SECONDS)
+        self.latency += weight * (seconds - self.latency)
+        self.updated_at = now
+
+
+class Endpoints:
+    """The records of all endpoints that one entry has used."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self.record_by_node: dict[NodeId, EndpointRecord] = {}
+
+    def record(self, node: NodeId) -> EndpointRecord:
+        """Return the record of a node, a new one where there is none."""
+        return self.record_by_node.setdefault(node, EndpointRecord())
+
+    def keep_only(self, nodes: set[NodeId]) -> None:
+        """Forget all but `nodes`, so that memory stays bounded as VMs change."""
+        for node in [n for n in self.record_by_node if n not in nodes]:
+            if self.record_by_node[node].in_flight == 0:
+                del self.record_by_node[node]
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -25,9 +25,9 @@
     an owner counts on an agent's reservation lasting no longer than `reservation`.
     """
 
-    ping: Positive = 0.5
-    silence: Positive = 1.5
-    idle_ping: Positive = 30.0
+    ping: Positive = 0.25
+    silence: Positive = 0.75
+    idle_close: Positive = 20.0
     connect: Positive = 1.0
     gossip: Positive = 1.0
     suspicion: Positive = 3.0
@@ -43,6 +43,7 @@
     answers_kept: Positive = 60.0
     keyed_answers_kept: Positive = 600.0
     drain: Positive = 30.0
+    balancer_notice: Positive = 2.0
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -194,8 +194,26 @@
     digest: int
     """Sum over all members known; equal digests mean equal views."""
     free: Resources
-    whole: bool = False
-    """Whether `members` is the sender's whole view."""
+
+
+class CompareViews(Message, frozen=True, tag="compare_views"):
+    """Asks for the members in each bucket whose sum differs from the sender's."""
+
+    sums: list[int]
+
+
+class Members(Message, frozen=True, tag="members"):
+    """Members of the buckets that differ, and the numbers of those buckets."""
+
+    buckets: list[int]
+    members: list[Member]
+
+
+class Probe(Message, frozen=True, tag="probe"):
+    """Asks a third node to reach a member that the sender can't."""
+
+    host: str
+    port: int
 
 
 class PullConfiguration(Message, frozen=True, tag="pull_configuration"):
@@ -210,6 +228,8 @@
     revision: Revision
     change_id: str
     parts: list["ConfigurationPart"]
+    whole: bool
+    """Whether `parts` is everything, so that what it lacks is removed."""
 
 
 class ConfigurationPart(Message, frozen=True, tag="configuration_part"):
@@ -232,15 +252,20 @@
 
 
 class JobSpec(Message, frozen=True, tag="job_spec"):
-    """A job as submitted; `deadline` is wall-clock seconds since 1970."""
+    """A job as submitted; `deadline` is wall-clock seconds since 1970.
+
+    Where it is 0, the owner fixes it to `deadline_seconds` after accepting.
+    """
 
     id: JobId
     team: TeamName
+    shard: ShardId
     tasks: int
     task: TaskSpec
     deadline: float
     urgent: bool = False
     job_class: str = ""
+    deadline_seconds: float = 0.0
 
 
 class SubmitJob(Message, frozen=True, tag="submit_job"):
@@ -253,18 +278,28 @@
     """Asks for a job's account."""
 
     id: JobId
+    shard: ShardId
 
 
 class ListJobs(Message, frozen=True, tag="list_jobs"):
-    """Asks for the accounts of a shard's jobs."""
+    """Asks for the accounts of a team's jobs in one shard."""
 
     shard: ShardId
+    team: TeamName
 
 
 class CancelJob(Message, frozen=True, tag="cancel_job"):
     """Asks that a job's tasks be stopped; idempotent."""
 
     id: JobId
+    shard: ShardId
+
+
+class StepDown(Message, frozen=True, tag="step_down"):
+    """Asks an earlier owner to hand out no more grants for a shard."""
+
+    shard: ShardId
+    epoch: Epoch
 
 
 class JobAccount(Message, frozen=True, tag="job_account"):
@@ -296,6 +331,7 @@
     epoch: Epoch
     size: Resources
     job_class: str
+    urgent: bool = False
 
 
 class Reserved(Message, frozen=True, tag="reserved"):
@@ -413,6 +449,9 @@
     | Running
     | Member
     | Gossip
+    | CompareViews
+    | Members
+    | Probe
     | PullConfiguration
     | ConfigurationDelta
     | ConfigurationPart
@@ -422,6 +461,7 @@
     | ShowJob
     | ListJobs
     | CancelJob
+    | StepDown
     | JobAccount
     | JobAccounts
     | NotOwner
@@ -454,6 +494,11 @@
     return JobId(attempt.split("/")[0])
 
 
+def shard_of(attempt: AttemptId) -> ShardId:
+    """Return the shard that an attempt's job belongs to."""
+    return ShardId(int(attempt.split(".")[0]))
+
+
 def task_of(attempt: AttemptId) -> TaskId:
     """Return the task that an attempt belongs to."""
     return TaskId(attempt.rsplit("/", 1)[0])
--- a/wagtailcleat/wire/streams.py
+++ b/wagtailcleat/wire/streams.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import BlockingResolver
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
@@ -37,6 +38,7 @@
 
 log = part_logger("wire")
 
+
 READ_BYTES = 65_536
 NONCE_BYTES = 16
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
@@ -57,11 +59,11 @@
 
 @dataclass(frozen=True)
 class StreamTiming:
-    """Seconds: when to ping, when silence ends a stream, how long to open one."""
+    """Seconds: when to ping, when silence or idleness ends a stream, to open one."""
 
-    ping: float = 0.5
-    silence: float = 1.5
-    idle_ping: float = 30.0
+    ping: float = 0.25
+    silence: float = 0.75
+    idle_close: float = 20.0
     connect: float = 1.0
 
 
@@ -129,12 +131,14 @@
         timing: StreamTiming,
         reader: FrameReader,
         early: list[Frame],
+        opened_here: bool,
     ) -> None:
         """Take over `connection` once both hellos are proved.
 
         Parameters: `early` are frames that came together with the peer's proof.
         """
         self._early = early
+        self._opened_here = opened_here
         self.peer = hello.node
         self.peer_role = hello.role
         self.peer_incarnation = hello.incarnation
@@ -346,10 +350,9 @@
                 self._heard_at = now
             quiet = now - self._heard_at
             if not self.waiting:
-                if quiet > timing.idle_ping:
-                    self._send(Frame(Kind.PING, 0))
-                if quiet > timing.idle_ping + timing.silence:
-                    self.close("silent while idle")
+                if self._opened_here and quiet > timing.idle_close:
+                    self.close("idle")
+                    return
                 continue
             if quiet > timing.silence:
                 log.warning("A stream went silent", extra={"peer": self.peer})
@@ -444,6 +447,7 @@
             timing=self._timing,
             reader=reader,
             early=early,
+            opened_here=False,
         )
         self.streams.add(opened)
         try:
@@ -516,7 +520,10 @@
         connection: IOStream | None = None
         try:
             async with asyncio.timeout(self._timing.connect):
-                connection = await TCPClient().connect(*address)
+                # Addresses are IP numbers: resolving blocks nothing, needs no thread.
+                connection = await TCPClient(resolver=BlockingResolver()).connect(
+                    *address
+                )
                 connection.set_nodelay(True)
                 hello, early = await _shake(
                     connection, self._identity, "opening", reader
@@ -532,6 +539,7 @@
             timing=self._timing,
             reader=reader,
             early=early,
+            opened_here=True,
         )
         self._stream_by_address[address] = stream
         task = asyncio.create_task(self._run(address, stream))
