A process that was paused hears a peer before it acts on its view

Cause: a thawed process goes on with a view from before the pause, in which a zone is still in and a leaving endpoint still takes work. Ruled out: an age bound on gossip alone; a handler may run before any timer does after a thaw, so the gap is also looked for at the moment of deciding.

--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -126,6 +126,8 @@
         zone = ZoneName(self._settings.zone)
         if self.leaving:
             return "the agent leaves"
+        if not self.node.fresh():
+            return "this process was paused and is hearing its peers anew"
         if zone_is_out(self.node.in_force.configuration, zone):
             return f"availability zone '{zone}' is out of service"
         return ""
--- a/wagtailcleat/membership/gossip.py
+++ b/wagtailcleat/membership/gossip.py
@@ -34,6 +34,7 @@
 
 FANOUT = 4
 INDIRECT_PROBES = 2
+REFRESH_ASKS = 3
 ROUNDS_A_LOST_PROBE = 10
 ROUNDS_A_SEED = 20
 DOUBTED = (MemberState.SUSPECT, MemberState.LOST)
@@ -104,6 +105,14 @@
         for member in others:
             await self._exchange_or_suspect(member)
 
+    async def refresh(self) -> bool:
+        """Hear one member anew; true where one answered or none is known."""
+        targets = self.view.pick(REFRESH_ASKS)
+        if not targets:
+            return True
+        asks = [self._exchange(m.host, m.port, about=m) for m in targets]
+        return any(await asyncio.gather(*asks))
+
     async def announce(self) -> None:
         """Push one's latest news to a few members at once."""
         targets = self.view.pick(FANOUT)
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -8,6 +8,7 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.configuration.parts import InForce
 from wagtailcleat.ids import NodeId, VmName, ZoneName
+from wagtailcleat.membership.freshness import Freshness
 from wagtailcleat.membership.gossip import Gossiper, parse_seeds
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
@@ -41,11 +42,17 @@
     view: View
     in_force: InForce
     gossiper: Gossiper
+    freshness: Freshness
     store: Store
 
     def start(self) -> None:
         """Start gossip under the supervisor."""
         self.supervisor.spawn("gossip", self.gossiper.run)
+        self.supervisor.spawn("freshness", self.freshness.run)
+
+    def fresh(self) -> bool:
+        """Tell whether the view may be acted on, or stems from before a pause."""
+        return self.freshness.fresh(self.clock())
 
     def rng(self, purpose: str) -> random.Random:
         """Return a generator of its own for one purpose."""
@@ -134,6 +141,7 @@
         view,
         in_force,
         gossiper,
+        Freshness(clock, gossiper.refresh),
         store,
     )
     _add_sections(made)
@@ -156,6 +164,7 @@
     add("members", lambda: _members(node.view))
     add("streams", lambda: _streams(node))
     add("store", node.store.dump)
+    add("pauses", lambda: node.freshness.pauses)
     add("supervisor", node.supervisor.dump)
 
 
