Stand-ins: scenarios that hold on a stalled machine

Cause: three scenarios assumed that two calls come within 0.2 to 1 s. Ruled out: longer lags and leases throughout, which only make the run longer.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -33,7 +33,7 @@
     And the watch has ended
 
   Scenario: The rate limit refuses the writes beyond it
-    Given a store that takes 5 writes a second
+    Given a store that takes 2 writes a second
     When 20 writes are made in a row
     Then some writes are refused with status 429 and code 8
     And every write that was not refused is in the record
@@ -45,7 +45,7 @@
 
   Scenario: A task whose lease is not renewed lapses by itself
     Given a worker
-    When task "t-1" is started with command "hold" under a lease of 0.3 seconds
+    When task "t-1" is started with command "hold" under a lease of 1 seconds
     Then task "t-1" becomes "lapsed" not before its lease and its end is recorded at it
     And lengthening the lease of "t-1" does not revive it
     And starting "t-2" under a lease that has passed is refused as "lapsed"
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -360,11 +360,13 @@
     def usage():
         return http("GET", f"{context.worker.url}/usage").json()
 
-    first = usage()
-    assert first["measured_at"] < started_at and task_id not in first["tasks_by_id"]
-    wait_for(lambda: task_id in usage()["tasks_by_id"], TIMEOUT, "usage of the task")
-    shown = usage()
-    assert shown["measured_at"] >= started_at
+    def shown_usage():
+        seen = usage()
+        if seen["measured_at"] < started_at:
+            assert task_id not in seen["tasks_by_id"], seen
+        return seen if task_id in seen["tasks_by_id"] else None
+
+    shown = wait_for(shown_usage, TIMEOUT, "usage of the task")
     assert boot_time() - shown["measured_at"] >= shown["lag_seconds"]
     assert shown["tasks_by_id"][task_id] == {"cores": 1, "memory_mb": 100}
 
