Stand-ins: no process outlives the run that started it

Cause: a trial that ended by an exception left its endpoint running. Ruled out: a signal on the parent's death, which needs a call into the C library in each child; an exit hook is enough for all but a killed parent. Result: in a trial that raised, the child was gone after the exit; features/standins.feature: 17 scenarios passed, 0 failed, 0 skipped.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,5 +1,6 @@
 """Processes under test: started, watched, frozen and ended, each by its own pid."""
 
+import atexit
 import json
 import os
 import signal
@@ -191,6 +192,8 @@
         self._stdout = folder / f"{name}.stdout"
         self._frozen = False
         self.start()
+        # A test run that dies of an exception must not leave its processes behind.
+        atexit.register(self.kill)
 
     @property
     def pid(self) -> int:
