A lost answer ran a POST twice: libcurl repeats on a reused connection

Cause: when a kept connection closes before the first byte of an answer, libcurl sends the request again on a new one, POST too. An endpoint ran a charge twice; a compare-and-swap whose answer was lost came back as a conflict with itself. Ruled out: the entry's retries (the two runs carried one request id, one agent). Change: writes to the store and requests other than GET, HEAD and OPTIONS go out on a connection of their own, never reused. Before: features/lost_answers.feature failed with the guard taken out (a request id with 2 runs). After: passes.

--- a/wagtailcleat/agent/endpoint.py
+++ b/wagtailcleat/agent/endpoint.py
@@ -12,6 +12,7 @@
 from tornado.netutil import BlockingResolver
 from tornado.tcpclient import TCPClient
 
+from wagtailcleat.curl import never_repeat
 from wagtailcleat.headers import REQUEST_ID, forwarded
 from wagtailcleat.wire.messages import Header, ServiceRequest
 
@@ -129,7 +130,7 @@
         for key, value in message.headers:
             headers.add(key, value)
         headers[REQUEST_ID] = message.id
-        return HTTPRequest(
+        request = HTTPRequest(
             self._url + message.path,
             method=message.method,
             headers=headers,
@@ -140,6 +141,9 @@
             follow_redirects=False,
             decompress_response=False,
         )
+        if message.method not in REPEATABLE:
+            request.prepare_curl_callback = never_repeat
+        return request
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse | EndpointFailed:
         try:
@@ -154,3 +158,4 @@
 
 
 WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+REPEATABLE = frozenset({"GET", "HEAD", "OPTIONS"})
--- a/wagtailcleat/platform/store.py
+++ b/wagtailcleat/platform/store.py
@@ -17,6 +17,7 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.curl import never_repeat
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.circuit import Circuit, TokenBucket
 
@@ -280,6 +281,7 @@
             headers={"Content-Type": "application/json"},
             connect_timeout=CONNECT_SECONDS,
             request_timeout=self._call_seconds,
+            prepare_curl_callback=never_repeat if bucket is self._writes else None,
         )
         return await self._fetch(request)
 
