--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,206 @@
+"""Callers on kept connections, a load of them, and a peer on the inner streams."""
+
+import http.client
+import itertools
+import json
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from standins.cluster import SECRET, Cluster
+from standins.processes import Process
+from wagtailcleat.ids import Incarnation, NodeId, RequestId, ServiceName
+from wagtailcleat.wire.messages import (
+    AnyMessage,
+    Refused,
+    Role,
+    ServiceRequest,
+    Settle,
+)
+from wagtailcleat.wire.streams import Identity, Outlet, Peers, Stream, StreamTiming
+
+CALL_SECONDS = 15.0
+PAUSE_SECONDS = 0.005
+SERVICE = "booking-core"
+_load_numbers = itertools.count()
+
+
+@dataclass
+class Seen:
+    """What a caller saw: a status with a code where refused, or a broken call."""
+
+    path: str
+    status: int = 0
+    body: bytes = b""
+    error: str = ""
+    entry: str = ""
+
+    @property
+    def code(self) -> str:
+        """The stable code of a refusal; empty for an endpoint's answer."""
+        found = json.loads(self.body) if self.body.startswith(b'{"code"') else {}
+        return str(found.get("code", ""))
+
+
+class Caller:
+    """Keeps one connection to an entry, and opens a new one when told to."""
+
+    def __init__(self, entry: Process) -> None:
+        """Call `entry`; nothing is opened yet."""
+        self.entry = entry
+        self._connection: http.client.HTTPConnection | None = None
+
+    def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> Seen:
+        """Make a call on the kept connection."""
+        seen = Seen(path, entry=self.entry.name)
+        try:
+            if self._connection is None:
+                port = self.entry.ready["http_port"]
+                self._connection = http.client.HTTPConnection(
+                    "127.0.0.1", port, timeout=CALL_SECONDS
+                )
+                self._connection.connect()
+        except OSError:
+            self._connection = None
+            seen.error = "not connected"
+            return seen
+        try:
+            names = {k.replace("_", "-"): v for k, v in headers.items()}
+            self._connection.request(method, path, body or None, names)
+            answer = self._connection.getresponse()
+            seen.status, seen.body = answer.status, answer.read()
+            if answer.getheader("Connection") == "close":
+                self.close()
+        except (OSError, http.client.HTTPException) as error:
+            seen.error = type(error).__name__
+            self.close()
+        return seen
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+class Load:
+    """Threads that post without pause, each to a path of its own each time.
+
+    A caller whose entry takes no connection goes on at another, as a balancer would.
+    """
+
+    def __init__(self, cluster: Cluster, threads: int, query: str = "") -> None:
+        """Start the threads."""
+        self.seen: list[Seen] = []
+        self._entries = list(cluster.entry_by_node.values())
+        self._query = query
+        self._number = next(_load_numbers)
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(threads)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> list[Seen]:
+        """End the load; return what all callers saw."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+        return self.seen
+
+    def _run(self, number: int) -> None:
+        callers = [Caller(entry) for entry in self._entries]
+        calls = 0
+        start = f"/services/{SERVICE}/load/{self._number}-{number}"
+        while not self._stopping.is_set():
+            calls += 1
+            caller = callers[number % len(callers)]
+            path = f"{start}-{calls}{self._query}"
+            seen = caller.call("POST", path, b"hold")
+            self.seen.append(seen)
+            if seen.error == "not connected":
+                number += 1
+            time.sleep(PAUSE_SECONDS)
+        for caller in callers:
+            caller.close()
+
+
+def count_runs(cluster: Cluster) -> Counter[str]:
+    """Return how often each path ran, by the endpoints' own records."""
+    rows = [row for vm in cluster.vm_by_name for row in cluster.runs(vm)]
+    return Counter(path for _, _, path, _ in rows)
+
+
+def problems(cluster: Cluster, seen: list[Seen]) -> list[str]:
+    """Return where callers were told what the endpoints' records do not bear out."""
+    runs = count_runs(cluster)
+    found = []
+    for call in seen:
+        path = call.path.partition("?")[0].removeprefix(f"/services/{SERVICE}")
+        count = runs[path]
+        if call.status == 200 and (
+            count != 1 or call.body not in (f"POST {path}\n".encode(), b"")
+        ):
+            found.append(f"{path}: answered {call.body[:50]!r}, ran {count} times")
+        elif call.code == "not_run" and count:
+            found.append(f"{path}: not_run, but ran {count} times")
+        elif count > 1:
+            found.append(f"{path}: {call.code or call.error}, ran {count} times")
+    return found
+
+
+class Peer:
+    """A process on the inner streams, as an entry is; each has one stream."""
+
+    def __init__(self, name: str, incarnation: int, port: int) -> None:
+        """Connect to the peer port `port` when first used."""
+        identity = Identity(NodeId(name), Role.ENTRY, Incarnation(incarnation), SECRET)
+        timing = StreamTiming(silence=5.0)
+        self._port = port
+        self._peers = Peers(identity, _refuse, timing)
+
+    async def stream(self) -> Stream:
+        """Return the open stream."""
+        stream = await self._peers.stream("127.0.0.1", self._port)
+        assert isinstance(stream, Stream), stream
+        return stream
+
+    async def call(self, message: AnyMessage, timeout: float = 5.0) -> Any:
+        """Call the peer."""
+        return await (await self.stream()).call(message, timeout=timeout)
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._peers.close()
+
+
+async def _refuse(stream: Stream, message: AnyMessage, outlet: Outlet) -> AnyMessage:
+    return Refused("invalid", "this is a caller only")
+
+
+def request(agent_incarnation: int, request_id: str, path: str) -> ServiceRequest:
+    """Return a post to `path` as an entry would send it."""
+    return ServiceRequest(
+        RequestId(request_id),
+        ServiceName(SERVICE),
+        "POST",
+        path,
+        [],
+        b"",
+        2.0,
+        Incarnation(agent_incarnation),
+    )
+
+
+def settle(agent_incarnation: int, request_id: str) -> Settle:
+    """Return the question what became of a request."""
+    return Settle(
+        RequestId(request_id),
+        ServiceName(SERVICE),
+        Incarnation(agent_incarnation),
+        1.0,
+    )
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -38,6 +38,7 @@
     AnyMessage,
     CancelJob,
     ListJobs,
+    Members,
     MemberState,
     NotOwner,
     RenewGrants,
@@ -50,6 +51,9 @@
 log = part_logger("agent")
 
 CAPACITY_RETRY_SECONDS = 1.0
+ANNOUNCE_SECONDS = 1.0
+ANSWERS_SENT_SECONDS = 2.0
+ANSWERS_POLL_SECONDS = 0.01
 OWNERS_ORDERS = (SubmitJob, ShowJob, ListJobs, CancelJob, RenewGrants)
 
 app = cyclopts.App(name="wagtailcleat-agent", help=__doc__)
@@ -87,6 +91,7 @@
             clock=node.clock,
             timing=settings.timing,
             closed=self.closed,
+            close_older=node.listener.close_older,
             max_answer_bytes=settings.max_answer_bytes,
             kept_answer_bytes=settings.kept_answer_bytes,
         )
@@ -150,8 +155,9 @@
     async def stop(self) -> None:
         """Announce the leave, finish requests, hand tasks and shards on, then end."""
         self.leaving = True
+        self.services.note_closed()
         log.info("Leaving")
-        await self.node.change_me(state=MemberState.LEAVING)
+        await self._announce_leave()
         try:
             async with asyncio.timeout(self._settings.timing.drain):
                 await self.services.drained()
@@ -159,10 +165,38 @@
         except TimeoutError:
             log.warning("Not everything was drained in time")
         await self.ownership.give_up()
+        await self._answers_sent()
         await self.node.leave()
         self.services.close()
         self.worker.close()
 
+    async def _announce_leave(self) -> None:
+        # Entries hear it over the streams they hold, at once: what they sent before
+        # they acknowledged it came before the acknowledgement, so after that none
+        # of them has a request on its way here.
+        node = self.node
+        node.view.change_me(node.clock(), state=MemberState.LEAVING)
+        news = Members([], [node.view.me])
+        entries = [s for s in node.listener.streams if s.peer_role is Role.ENTRY]
+        told = [stream.call(news, timeout=ANNOUNCE_SECONDS) for stream in entries]
+        try:
+            async with asyncio.timeout(ANNOUNCE_SECONDS):
+                await asyncio.gather(node.gossiper.announce(), *told)
+        except TimeoutError:
+            log.warning("Not every peer acknowledged that this agent leaves")
+
+    async def _answers_sent(self) -> None:
+        # An answer that has left the services may still be in a stream's buffer;
+        # closing the stream would lose it, and its caller be told nothing for sure.
+        try:
+            async with asyncio.timeout(ANSWERS_SENT_SECONDS):
+                while any(s.serving for s in self.node.listener.streams):  # noqa: ASYNC110
+                    await asyncio.sleep(ANSWERS_POLL_SECONDS)
+                for stream in list(self.node.listener.streams):
+                    await stream.flushed()
+        except TimeoutError:
+            log.warning("Not every answer has left this process")
+
     # ---- what runs
 
     async def _read_capacity(self) -> None:
--- a/wagtailcleat/agent/endpoint.py
+++ b/wagtailcleat/agent/endpoint.py
@@ -1,11 +1,15 @@
 """Calls the endpoint beside this agent, by HTTP."""
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 from urllib.parse import urlsplit
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
@@ -18,7 +22,8 @@
 
 CONNECT_SECONDS = 1.0
 CHECK_SECONDS = 1.0
-REFUSED_HINTS = ("connect to", "connection refused", "could not connect", "resolve")
+NO_LIMIT = 1 << 62
+NOT_REACHED = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 
 
 @dataclass(frozen=True)
@@ -45,6 +50,21 @@
     on_head: Callable[[int, list[Header]], None]
     on_data: Callable[[bytes], None]
     headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+    sockets: list[socket.socket] = field(default_factory=list)
+
+    def abort(self) -> None:
+        """End the answer; curl can't be told to, so its connection is shut down."""
+        for connection in self.sockets:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+            connection.close()
+        self.sockets.clear()
+
+    def open_socket(self, purpose: int, address: Any) -> socket.socket:
+        """Open the connection as curl asks, and keep hold of it."""
+        connection = socket.socket(*address[:3])
+        self.sockets.append(connection)
+        return connection
 
 
 class Endpoint:
@@ -54,7 +74,9 @@
         """Call the endpoint at `url` over at most `connections` at once."""
         self._url = url.rstrip("/")
         self._max_answer_bytes = max_answer_bytes
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=connections)
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=connections, max_body_size=NO_LIMIT
+        )
 
     def close(self) -> None:
         """Close the client's connections."""
@@ -93,7 +115,11 @@
             return response
         if size > self._max_answer_bytes:
             return EndpointFailed(True, "the answer is larger than this agent takes")
-        headers = forwarded(response.headers.get_all())
+        pairs = _own_headers(response.headers)
+        headers = forwarded(pairs)
+        if message.method == "HEAD":
+            # There is no body to measure: the length is what a GET would have.
+            headers += [(k, v) for k, v in pairs if k.lower() == "content-length"]
         return EndpointAnswer(response.code, headers, b"".join(chunks))
 
     async def watch(
@@ -112,14 +138,20 @@
                 watching.headers.clear()
                 watching.headers[":status"] = text.split(" ")[1]
             elif text:
-                watching.headers.parse_line(line)
+                watching.headers.parse_line(line.rstrip())
             elif not started:
                 started = True
                 status = int(watching.headers.pop(":status", "502"))
-                headers = forwarded(watching.headers.get_all())
+                headers = forwarded(_own_headers(watching.headers))
                 watching.on_head(status, headers)
 
+        def prepare(curl: pycurl.Curl) -> None:
+            never_repeat(curl)
+            curl.setopt(pycurl.PATH_AS_IS, 1)
+            curl.setopt(pycurl.OPENSOCKETFUNCTION, watching.open_socket)
+
         request = self._request(message, 0)
+        request.prepare_curl_callback = prepare
         request.header_callback = on_header
         request.streaming_callback = watching.on_data
         response = await self._fetch(request)
@@ -130,7 +162,13 @@
         for key, value in message.headers:
             headers.add(key, value)
         headers[REQUEST_ID] = message.id
-        request = HTTPRequest(
+
+        def prepare(curl: pycurl.Curl) -> None:
+            if not (message.idempotent and message.method in REPEATABLE):
+                never_repeat(curl)
+            curl.setopt(pycurl.PATH_AS_IS, 1)
+
+        return HTTPRequest(
             self._url + message.path,
             method=message.method,
             headers=headers,
@@ -140,22 +178,27 @@
             request_timeout=seconds,
             follow_redirects=False,
             decompress_response=False,
+            prepare_curl_callback=prepare,
         )
-        if message.method not in REPEATABLE:
-            request.prepare_curl_callback = never_repeat
-        return request
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse | EndpointFailed:
         try:
             response = await self._client.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, ValueError) as error:
             return EndpointFailed(True, str(error))
-        if response.code == 599:
-            reason = str(response.error)
-            reached = not any(hint in reason.lower() for hint in REFUSED_HINTS)
-            return EndpointFailed(reached, reason)
+        failure = response.error
+        if isinstance(failure, CurlError):
+            return EndpointFailed(failure.errno not in NOT_REACHED, str(failure))
+        if failure is not None and not isinstance(failure, HTTPClientError):
+            # curl was never started: it can't express the request.
+            return EndpointFailed(False, f"no request for curl: {failure}")
         return response
 
 
+def _own_headers(headers: HTTPHeaders) -> list[Header]:
+    # The client adds one of its own, with the reason phrase.
+    return [(k, v) for k, v in headers.get_all() if k != "X-Http-Reason"]
+
+
 WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 REPEATABLE = frozenset({"GET", "HEAD", "OPTIONS"})
--- a/wagtailcleat/agent/ledger.py
+++ b/wagtailcleat/agent/ledger.py
@@ -4,16 +4,24 @@
 ledger is why a non-idempotent request still runs at most once here: an id runs
 only if it was never seen, and an id that was settled as never seen is refused if
 it comes after all.
+
+What is forgotten must not look as if it had never been seen: a settle that comes
+late (its sender was paused) would be told `not_run` of a request that ran, and an
+original that comes later still would run. So a forgotten id leaves its number
+behind, and every id of its series up to that number counts as seen.
 """
 
 import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from wagtailcleat.errors import Code
 from wagtailcleat.ids import RequestId
 from wagtailcleat.wire.messages import Answer, Refused
+from wagtailcleat.wire.request_ids import series_and_number
 
 MAX_KEPT = 100_000
+MAX_SERIES = 10_000
 ENTRY_BYTES = 300
 
 Outcome = Answer | Refused
@@ -24,6 +32,8 @@
     """One request: running until `outcome` is done, then kept for a while."""
 
     outcome: asyncio.Future[Outcome]
+    digest: bytes = b""
+    """What the request asks for, to tell another use of its id apart."""
     keep_until: float = 0.0
     size: int = ENTRY_BYTES
     dropped: bool = False
@@ -33,23 +43,33 @@
 class Ledger:
     """All requests seen lately, the oldest first."""
 
-    def __init__(self, *, max_bytes: int) -> None:
-        """Keep answers of at most `max_bytes` in all."""
+    def __init__(self, *, max_bytes: int, max_kept: int = MAX_KEPT) -> None:
+        """Keep answers of at most `max_bytes` in all, and `max_kept` ids."""
         self.bytes = 0
         self._max_bytes = max_bytes
+        self._max_kept = max_kept
         self._entry_by_id: OrderedDict[RequestId, RequestEntry] = OrderedDict()
+        self._forgotten_by_series: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
         """Return how many requests are kept."""
         return len(self._entry_by_id)
 
     def find(self, request: RequestId) -> RequestEntry | None:
-        """Return the entry of a request, if it was seen."""
+        """Return the entry of a request, if it was seen and is kept."""
         return self._entry_by_id.get(request)
 
-    def open(self, request: RequestId) -> RequestEntry:
+    def may_be_forgotten(self, request: RequestId) -> bool:
+        """Tell whether a request that is not kept may have been seen before."""
+        found = series_and_number(request)
+        if found is None:
+            return False
+        series, number = found
+        return number <= self._forgotten_by_series.get(series, 0)
+
+    def open(self, request: RequestId, digest: bytes = b"") -> RequestEntry:
         """Note a request never seen before as running."""
-        entry = RequestEntry(asyncio.get_running_loop().create_future())
+        entry = RequestEntry(asyncio.get_running_loop().create_future(), digest)
         self._entry_by_id[request] = entry
         return entry
 
@@ -65,14 +85,27 @@
         self._shed()
 
     def expire(self, now: float) -> None:
-        """Forget entries whose time is up."""
-        expired = [
-            request
-            for request, entry in self._entry_by_id.items()
-            if entry.outcome.done() and entry.keep_until < now
-        ]
-        for request in expired:
-            self.bytes -= self._entry_by_id.pop(request).size
+        """Forget entries whose time is up, and the oldest where there are too many."""
+        over = len(self._entry_by_id) - self._max_kept
+        for request, entry in list(self._entry_by_id.items()):
+            if not entry.outcome.done():
+                continue
+            if entry.keep_until < now or over > 0:
+                self._forget(request)
+                over -= 1
+
+    def _forget(self, request: RequestId) -> None:
+        self.bytes -= self._entry_by_id.pop(request).size
+        found = series_and_number(request)
+        if found is None:
+            return
+        series, number = found
+        highest = max(number, self._forgotten_by_series.pop(series, 0))
+        self._forgotten_by_series[series] = highest
+        # One series for each incarnation of an entry: the ones let go are of
+        # entries that ended thousands of restarts ago.
+        if len(self._forgotten_by_series) > MAX_SERIES:
+            self._forgotten_by_series.popitem(last=False)
 
     def _shed(self) -> None:
         # Bodies go first, oldest first: the fact that a request ran must outlive
@@ -83,7 +116,9 @@
             if entry.outcome.done() and not entry.dropped:
                 entry.dropped = True
                 entry.outcome = _done(
-                    Refused("outcome_unknown", "it ran; its answer is not kept")
+                    Refused(
+                        Code.OUTCOME_UNKNOWN.value, "it ran; its answer is not kept"
+                    )
                 )
                 self.bytes -= entry.size - ENTRY_BYTES
                 entry.size = ENTRY_BYTES
--- a/wagtailcleat/agent/services.py
+++ b/wagtailcleat/agent/services.py
@@ -1,6 +1,7 @@
 """Service requests at an agent: admitted to slots, run once, settled on demand."""
 
 import asyncio
+import hashlib
 from collections.abc import Awaitable, Callable
 
 from hdrh.histogram import HdrHistogram
@@ -14,12 +15,13 @@
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.models import Service
 from wagtailcleat.errors import Code
-from wagtailcleat.headers import EVENT_STREAM
-from wagtailcleat.ids import Incarnation, RequestId, ServiceName
+from wagtailcleat.headers import is_watch
+from wagtailcleat.ids import Incarnation, ServiceName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.routing.admission import Refuse, Slots, Wait
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import (
+    WRONG_INCARNATION,
     Answer,
     AnyMessage,
     Header,
@@ -31,6 +33,7 @@
     ServiceRequest,
     Settle,
 )
+from wagtailcleat.wire.request_ids import is_keyed
 from wagtailcleat.wire.streams import Outlet, Stream
 
 log = part_logger("services")
@@ -38,15 +41,17 @@
 MICROSECONDS = 1_000_000
 HIGHEST_LATENCY_MICROSECONDS = 3_600 * MICROSECONDS
 SIGNIFICANT_DIGITS = 2
-WRONG_INCARNATION = "wrong_incarnation"
-PART_BYTES = 65_536
 SETTLE_WAIT_MAX_SECONDS = 5.0
-SWEEP_SECONDS = 1.0
+LEAVE_QUEUE_SECONDS = 2.0
+DRAIN_POLL_SECONDS = 0.02
 MAX_PARTS_QUEUED = 256
 
 Closed = Callable[[], str]
 """Tells why no new request is taken now; empty where they are."""
 
+CloseOlder = Callable[[Stream], None]
+"""Closes the older streams of a stream's peer."""
+
 
 class ServiceDesk:
     """One service at this agent: its endpoint, slots, queue and latencies."""
@@ -62,9 +67,18 @@
         )
         self.refused = 0
         self.failed = 0
-        self._freed: asyncio.Queue[None] = asyncio.Queue()
         self._waiters: list[asyncio.Future[None]] = []
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of the service runs or waits here."""
+        return not (self.slots.in_use or self.slots.queued or self.watchers)
+
+    @property
+    def max_watchers(self) -> int:
+        """How many of the endpoint's connections are not needed for its slots."""
+        return max(1, self.service.connections - self.service.slots)
+
     def load(self) -> Load:
         """Return how busy the service is here."""
         return Load(self.slots.in_use, self.slots.queued, self.slots.slots)
@@ -80,8 +94,12 @@
         return None
 
     def leave(self, seconds: float, now: float) -> None:
-        """Give a slot back after `seconds`; the oldest in the queue takes it."""
+        """Give a slot back after `seconds` of work; the oldest waiting takes it."""
         self.slots.finished(seconds, now)
+        self.give_back()
+
+    def give_back(self) -> None:
+        """Give a slot back in which nothing ran."""
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -103,7 +121,7 @@
             return Refuse(wait, "no slot came free in time")
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled():
-                self.leave(0.0, clock())
+                self.give_back()
             raise
         finally:
             self._waiters.remove(waiter)
@@ -122,6 +140,7 @@
         clock: Clock,
         timing: Timing,
         closed: Closed,
+        close_older: CloseOlder,
         max_answer_bytes: int,
         kept_answer_bytes: int,
     ) -> None:
@@ -139,6 +158,8 @@
         self._clock = clock
         self._timing = timing
         self._closed = closed
+        self._closed_at: float | None = None
+        self._close_older = close_older
         self._max_answer_bytes = max_answer_bytes
         self._running: set[asyncio.Task[None]] = set()
         self._ending = asyncio.Event()
@@ -156,12 +177,13 @@
             elif url is not None:
                 endpoint = Endpoint(
                     url,
-                    connections=service.connections,
+                    connections=max(service.connections, service.slots + 1),
                     max_answer_bytes=self._max_answer_bytes,
                 )
                 self.desk_by_service[name] = ServiceDesk(service, endpoint)
+        self.note_closed()
         for name in [n for n in self.desk_by_service if n not in by_name]:
-            if self.desk_by_service[name].slots.in_use == 0:
+            if self.desk_by_service[name].idle:
                 self.desk_by_service.pop(name).endpoint.close()
                 self.answering.discard(name)
 
@@ -205,21 +227,25 @@
         assert isinstance(message, ServiceRequest)
         if message.incarnation != self._incarnation:
             return Refused(WRONG_INCARNATION, "this agent was started anew")
+        if is_watch(message.method, message.headers):
+            return await self._watch(message, outlet)
+        digest = _digest(message)
         entry = self.ledger.find(message.id)
         if entry is not None:
+            if entry.digest not in (b"", digest):
+                reason = "the id was used before, for another request"
+                return Refused(Code.CONFLICT.value, reason)
             return await asyncio.shield(entry.outcome)
-        if _is_watch(message):
-            return await self._watch(message, outlet)
-        self.ledger.open(message.id)
+        if self.ledger.may_be_forgotten(message.id):
+            return _forgotten()
+        entry = self.ledger.open(message.id, digest)
         deadline = self._clock() + message.deadline
         # The run must not end with the stream that brought the request: its
         # outcome is what a settle over a new stream asks for.
         task = asyncio.create_task(self._run(message, deadline))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
-        found = self.ledger.find(message.id)
-        assert found is not None
-        return await asyncio.shield(found.outcome)
+        return await asyncio.shield(entry.outcome)
 
     async def _run(self, message: ServiceRequest, deadline: float) -> None:
         self.in_flight += 1
@@ -244,10 +270,13 @@
             desk.refused += 1
             return Refused(Code.NOT_RUN.value, refuse.reason, refuse.retry_after)
         started = self._clock()
+        refusal = self._refusal(message.service, queued=True)
+        if refusal is None and started >= deadline:
+            refusal = Refused(Code.NOT_RUN.value, "the deadline passed in the queue")
+        if refusal is not None:
+            desk.give_back()
+            return refusal
         try:
-            refusal = self._refusal(message.service)
-            if refusal is not None:
-                return refusal
             return await self._call(desk, message, deadline)
         finally:
             now = self._clock()
@@ -257,26 +286,36 @@
         self, desk: ServiceDesk, message: ServiceRequest, deadline: float
     ) -> Outcome:
         started = self._clock()
-        seconds = deadline - started
-        if seconds <= 0:
-            return Refused(Code.NOT_RUN.value, "the deadline passed in the queue")
-        answer = await desk.endpoint.run(message, seconds)
+        answer = await desk.endpoint.run(message, deadline - started)
         if isinstance(answer, EndpointFailed):
             desk.failed += 1
-            code = Code.OUTCOME_UNKNOWN if answer.reached else Code.NOT_RUN
-            return Refused(code.value, f"the endpoint: {answer.reason}", 1.0)
+            return _failed(answer)
         elapsed = int((self._clock() - started) * MICROSECONDS)
         desk.latencies.record_value(max(1, elapsed))
         return Answer(answer.status, answer.headers, answer.body, desk.load())
 
-    def _refusal(self, service: ServiceName) -> Refused | None:
+    def note_closed(self) -> None:
+        """Note since when no new request is taken, if so."""
+        if not self._closed():
+            self._closed_at = None
+        elif self._closed_at is None:
+            self._closed_at = self._clock()
+
+    def _refusal(self, service: ServiceName, *, queued: bool = False) -> Refused | None:
         why = self._closed()
-        if why:
+        self.note_closed()
+        if why and not (queued and self._may_still_start()):
             return Refused(Code.NOT_RUN.value, why, 1.0)
         if service not in self.desk_by_service:
             return Refused(Code.NOT_RUN.value, "no such service on this VM", 1.0)
         return None
 
+    def _may_still_start(self) -> bool:
+        # What was let in before is not turned away by a planned stop, but for no
+        # longer than a leaving endpoint may receive new work.
+        assert self._closed_at is not None
+        return self._clock() - self._closed_at < LEAVE_QUEUE_SECONDS
+
     # ---- watchers
 
     async def _watch(self, message: ServiceRequest, outlet: Outlet) -> AnyMessage:
@@ -284,7 +323,7 @@
         if refusal is not None:
             return refusal
         desk = self.desk_by_service[message.service]
-        if desk.watchers + desk.slots.in_use >= desk.service.connections:
+        if desk.watchers >= desk.max_watchers:
             return Refused(Code.NOT_RUN.value, "all connections are taken", 1.0)
         desk.watchers += 1
         try:
@@ -300,8 +339,15 @@
         def on_head(status: int, headers: list[Header]) -> None:
             items.put_nowait(Answer(status, headers, b"", desk.load(), parts=True))
 
+        def on_data(data: bytes) -> None:
+            if items.qsize() < MAX_PARTS_QUEUED:
+                items.put_nowait(Part(data))
+            else:
+                watching.abort()
+
+        watching = Watching(on_head, on_data)
+
         async def read() -> None:
-            watching = Watching(on_head, lambda data: items.put_nowait(Part(data)))
             items.put_nowait(await desk.endpoint.watch(message, watching))
 
         async def end() -> None:
@@ -318,15 +364,13 @@
                     headed = True
                     await outlet.head(item)
                 elif isinstance(item, Part):
-                    if items.qsize() > MAX_PARTS_QUEUED:
-                        return PartsEnd(whole=False)
                     await outlet.part(item)
                 elif headed:
                     return PartsEnd(whole=item is None)
                 else:
-                    reason = item.reason if item else "the endpoint gave no answer"
-                    return Refused(Code.OUTCOME_UNKNOWN.value, reason, 1.0)
+                    return _failed(item)
         finally:
+            watching.abort()
             reading.cancel()
             ending.cancel()
 
@@ -336,15 +380,22 @@
         self, stream: Stream, message: AnyMessage, outlet: Outlet
     ) -> AnyMessage:
         assert isinstance(message, Settle)
+        # The peer asks because an older stream of its failed it. What still lies
+        # in that one must never be read: not even after the ledger has forgotten.
+        self._close_older(stream)
         if message.incarnation != self._incarnation:
             return Refused(WRONG_INCARNATION, "this agent was started anew")
         entry = self.ledger.find(message.id)
+        if entry is None and self.ledger.may_be_forgotten(message.id):
+            return _forgotten()
         if entry is None:
             # The original may still be on its way in a connection gone silent:
             # the refusal kept here is what makes `not_run` true when it arrives.
             refusal = Refused(Code.NOT_RUN.value, "the request never arrived")
-            keep_until = self._clock() + self._timing.keyed_answers_kept
-            self.ledger.close(message.id, refusal, keep_until=keep_until)
+            timing = self._timing
+            keep = is_keyed(message.id)
+            kept = timing.keyed_answers_kept if keep else timing.answers_kept
+            self.ledger.close(message.id, refusal, keep_until=self._clock() + kept)
             return refusal
         wait = min(message.wait, SETTLE_WAIT_MAX_SECONDS)
         try:
@@ -359,9 +410,11 @@
 
     async def drained(self) -> None:
         """End the watchers, which resume elsewhere; wait for what is in flight."""
+        self.note_closed()
         self._ending.set()
-        while self._running:
-            await asyncio.wait(self._running)
+        # Only what holds or awaits a slot: requests that are refused come and go.
+        while not all(d.idle for d in self.desk_by_service.values()):  # noqa: ASYNC110
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def close(self) -> None:
         """Close every endpoint's connections."""
@@ -369,13 +422,20 @@
             desk.endpoint.close()
 
 
-def _is_watch(message: ServiceRequest) -> bool:
-    return message.method == "GET" and any(
-        key.lower() == "accept" and EVENT_STREAM in value.lower()
-        for key, value in message.headers
-    )
+def _failed(answer: EndpointFailed | None) -> Refused:
+    if answer is None:
+        return Refused(Code.OUTCOME_UNKNOWN.value, "the endpoint gave no answer", 1.0)
+    code = Code.OUTCOME_UNKNOWN if answer.reached else Code.NOT_RUN
+    return Refused(code.value, f"the endpoint: {answer.reason}", 1.0)
+
+
+def _digest(message: ServiceRequest) -> bytes:
+    # Only an id given out beforehand can come again with another request.
+    if not message.keep:
+        return b""
+    head = "\n".join((message.service, message.method, message.path))
+    return hashlib.blake2b(head.encode() + b"\n" + message.body).digest()
 
 
-def make_request_id(home: str, incarnation: Incarnation, nonce: str) -> RequestId:
-    """Return an id that names the agent incarnation where it may run."""
-    return RequestId(f"{home}.{incarnation}.{nonce}")
+def _forgotten() -> Refused:
+    return Refused(Code.OUTCOME_UNKNOWN.value, "it is too long ago to be known here")
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -3,7 +3,7 @@
 import asyncio
 import sys
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import cyclopts
 from tornado.httpserver import HTTPServer
@@ -16,6 +16,7 @@
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
 from wagtailcleat.entry.relay import Relay
+from wagtailcleat.entry.serving import CallersServer
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId
 from wagtailcleat.logs import part_logger, start_logging
@@ -31,6 +32,7 @@
 from wagtailcleat.routing.choose import Policy, chooser
 from wagtailcleat.settings import EntrySettings, load
 from wagtailcleat.wire.messages import MemberState, Role
+from wagtailcleat.wire.request_ids import RequestIds
 
 log = part_logger("entry")
 
@@ -40,6 +42,8 @@
 MAX_INVENTORY_BYTES = 1_000_000
 FORGET_SECONDS = 10.0
 
+S = TypeVar("S", bound=HTTPServer)
+
 app = cyclopts.App(name="wagtailcleat-entry", help=__doc__)
 
 
@@ -66,6 +70,10 @@
             clock=node.clock,
             choose=chooser(Policy(settings.routing), node.rng("routing")),
             rng=node.rng("relay"),
+            ids=RequestIds(
+                node.view.me.node, node.view.me.incarnation, settings.secret
+            ),
+            fresh=node.fresh,
         )
         callers = Callers(
             self.relay,
@@ -74,6 +82,7 @@
             node.clock,
             self.state,
             settings.max_in_flight,
+            settings.max_body_bytes,
         )
         jobs = Jobs(node.view, node.in_force, node.peers, settings.shards, node.clock)
         admin = Admin(
@@ -87,9 +96,12 @@
             node.clock,
         )
         self.callers_server = _server(
-            callers_application(callers, jobs), settings.max_body_bytes
+            CallersServer, callers_application(callers, jobs), settings.max_body_bytes
+        )
+        self.callers_server.serve_for(self.state, settings.max_connections)
+        self.admin_server = _server(
+            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES
         )
-        self.admin_server = _server(admin_application(admin), MAX_INVENTORY_BYTES)
         self._settings = settings
         self._add_sections()
 
@@ -124,13 +136,8 @@
         await self.node.change_me(state=MemberState.LEAVING)
         # The balancer goes on sending until it has seen the health check fail.
         await asyncio.sleep(timing.balancer_notice)
-        self.callers_server.stop()
-        try:
-            async with asyncio.timeout(timing.drain):
-                await self.state.idle.wait()
-        except TimeoutError:
-            log.warning("Not every request was finished in time")
-        await self.callers_server.close_all_connections()
+        self.state.watchers_end.set()
+        await self.callers_server.drain(timing.drain)
         self.admin_server.stop()
         await self.admin_server.close_all_connections()
         await self.node.leave()
@@ -147,6 +154,7 @@
         add("requests_in_flight", lambda: state.in_flight)
         add("draining", lambda: state.draining)
         add("refused", lambda: state.refused)
+        add("connections_turned_away", lambda: state.turned_away)
         add("requests", lambda: relay.requests)
         add("retries", lambda: relay.retries)
         add("p50_ms", lambda: state.latencies.get_value_at_percentile(50) / 1000)
@@ -166,8 +174,8 @@
         }
 
 
-def _server(application: Application, max_body_bytes: int) -> HTTPServer:
-    return HTTPServer(
+def _server(kind: type[S], application: Application, max_body_bytes: int) -> S:
+    return kind(
         application,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=max_body_bytes,
--- a/wagtailcleat/entry/context.py
+++ b/wagtailcleat/entry/context.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import math
+from asyncio import Future
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
@@ -30,6 +31,7 @@
     Code.QUOTA: 422,
     Code.INTERNAL: 500,
 }
+ERRORS_BY_STATUS = {400: "the request is not one of HTTP", 405: "no such method here"}
 
 
 @dataclass
@@ -39,9 +41,11 @@
     draining: bool = False
     in_flight: int = 0
     refused: int = 0
+    turned_away: int = 0
 
     def __post_init__(self) -> None:
         """Start idle, with an empty histogram."""
+        self.watchers_end = asyncio.Event()
         self.idle = asyncio.Event()
         self.idle.set()
         self.latencies = HdrHistogram(
@@ -70,6 +74,7 @@
     clock: Clock
     state: CallersState
     max_in_flight: int
+    max_body_bytes: int
 
 
 class CallersHandler(RequestHandler):
@@ -78,16 +83,26 @@
     def initialize(self, callers: Callers) -> None:
         """Keep what the handler works with."""
         self.callers = callers
+        self.gone = asyncio.Event()
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone."""
+        self.gone.set()
 
     def set_default_headers(self) -> None:
         """Leave the endpoint's own headers alone."""
         self.clear_header("Server")
         self.clear_header("Content-Type")
 
-    def prepare(self) -> None:
-        """Ask callers to connect anew elsewhere while this process ends."""
-        if self.callers.state.draining:
+    def flush(self, include_footers: bool = False) -> "Future[None]":
+        """Send what was written; a process that leaves ends the connection with it.
+
+        A caller that kept its connection would send its next request just as the
+        connection is closed, and never know what became of it.
+        """
+        if self.callers.state.draining and not self._headers_written:
             self.set_header("Connection", "close")
+        return super().flush(include_footers)
 
     def refuse(self, code: Code, message: str, retry_after: float = 0.0) -> None:
         """Answer with a refusal; `retry_after` in seconds where waiting helps."""
@@ -96,7 +111,8 @@
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answer an error of the server itself in the same form."""
         code = Code.INVALID if status_code < 500 else Code.INTERNAL
-        body = {"code": code.value, "message": self._reason}
+        message = ERRORS_BY_STATUS.get(status_code, self._reason)
+        body = {"code": code.value, "message": message}
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body) + "\n")
 
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -2,21 +2,31 @@
 
 import asyncio
 import random
-import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.models import Configuration
 from wagtailcleat.configuration.parts import InForce
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import NodeId, RequestId, ServiceName
 from wagtailcleat.membership.view import View
-from wagtailcleat.outcomes import Answered, NotRun, OutcomeUnknown, RequestOutcome
+from wagtailcleat.outcomes import (
+    Answered,
+    NotRun,
+    OutcomeUnknown,
+    Rejected,
+    RequestOutcome,
+)
 from wagtailcleat.routing.choose import Choose, candidates
-from wagtailcleat.routing.latency import Endpoints
+from wagtailcleat.routing.latency import EndpointRecord, Endpoints
 from wagtailcleat.routing.retries import MAX_TRIES, RetryBudget
 from wagtailcleat.wire.messages import (
+    WRONG_INCARNATION,
     Answer,
+    AnyMessage,
     Header,
     Member,
     Refused,
@@ -24,12 +34,14 @@
     ServiceRequest,
     Settle,
 )
-from wagtailcleat.wire.streams import Lost, Parts, Peers
+from wagtailcleat.wire.request_ids import Home, RequestIds
+from wagtailcleat.wire.streams import Lost, Parts, Peers, Stream
 
-ID_BYTES = 12
 FIRST_RETRY_AFTER_SECONDS = 0.5
 SETTLE_SECONDS = 3.0
 SETTLE_PAUSE_SECONDS = 0.1
+FRESH_WAIT_SECONDS = 0.5
+FRESH_POLL_SECONDS = 0.01
 SPREAD = (0.8, 1.6)
 FAILED_STATUS = 500
 
@@ -69,8 +81,13 @@
         clock: Clock,
         choose: Choose,
         rng: random.Random,
+        ids: RequestIds,
+        fresh: Callable[[], bool],
     ) -> None:
-        """Route by `choose` among the endpoints that `view` knows."""
+        """Route by `choose` among the endpoints that `view` knows.
+
+        Parameters: `fresh` tells whether the view may be acted on.
+        """
         self.endpoints = Endpoints()
         self.budget = RetryBudget()
         self.retries = 0
@@ -81,23 +98,24 @@
         self._clock = clock
         self._choose = choose
         self._random = rng
+        self._ids = ids
+        self._fresh = fresh
 
     async def send(self, request: CallerRequest) -> RequestOutcome:
         """Return the request's outcome, by its deadline at the latest."""
         self.requests += 1
         self.budget.request(self._configuration.rules.retry_share)
+        await self._until_fresh()
         if request.key is not None:
             return await self._send_keyed(request, request.key)
         tried: set[NodeId] = set()
-        outcome: RequestOutcome = NotRun(
-            "no endpoint serves it now", FIRST_RETRY_AFTER_SECONDS
-        )
+        outcome: RequestOutcome = _no_endpoint()
         for _ in range(MAX_TRIES):
             member = self._pick(request.service, tried)
             if member is None:
                 break
             tried.add(member.node)
-            outcome = await self._try(request, member, new_request_id(member))
+            outcome = await self._try(request, member, self._ids.plain())
             if not self._may_retry(request, outcome):
                 break
         return self._final(outcome)
@@ -106,22 +124,21 @@
         self, request: CallerRequest, tried: set[NodeId]
     ) -> WatchOpened | RequestOutcome:
         """Open a watcher's answer at an endpoint not in `tried`."""
-        outcome: RequestOutcome = NotRun(
-            "no endpoint serves it now", FIRST_RETRY_AFTER_SECONDS
-        )
+        await self._until_fresh()
+        outcome: RequestOutcome = _no_endpoint()
         for _ in range(MAX_TRIES):
             member = self._pick(request.service, tried)
             if member is None:
                 break
             tried.add(member.node)
             parts = Parts()
-            message = self._message(request, member, new_request_id(member))
+            message = self._message(request, member, self._ids.plain())
             reply = await self._call(member, message, request.deadline, parts)
             if isinstance(reply, Answer) and reply.parts:
                 return WatchOpened(reply, parts, member)
-            if isinstance(reply, Answer):
-                return Answered(reply)
-            outcome = _refusal(reply)
+            outcome = _outcome(reply)
+            if not self._may_retry(request, outcome):
+                break
         return self._final(outcome)
 
     def give_up(self, watch: WatchOpened) -> None:
@@ -130,9 +147,21 @@
             if stream.peer == watch.member.node:
                 stream.cancel_parts(watch.parts)
 
-    def home(self, service: ServiceName) -> Member | None:
-        """Return an endpoint to give out a request id for."""
-        return self._pick(service, set())
+    async def new_key(self, service: ServiceName) -> RequestId | None:
+        """Return an id to send a request with, repeatedly if need be."""
+        await self._until_fresh()
+        member = self._pick(service, set())
+        if member is None:
+            return None
+        return self._ids.keyed(Home(member.node, member.incarnation))
+
+    async def _until_fresh(self) -> None:
+        # After a pause the view may still have a zone in, or an endpoint alive,
+        # that has long left. A peer is heard within milliseconds; where none is,
+        # the agents' own refusals are what counts.
+        give_up_at = self._clock() + FRESH_WAIT_SECONDS
+        while not self._fresh() and self._clock() < give_up_at:  # noqa: ASYNC110
+            await asyncio.sleep(FRESH_POLL_SECONDS)
 
     @property
     def _configuration(self) -> Configuration:
@@ -147,11 +176,15 @@
     async def _send_keyed(
         self, request: CallerRequest, key: RequestId
     ) -> RequestOutcome:
-        node, _, rest = key.partition(".")
-        incarnation = rest.partition(".")[0]
-        member = self._view.member_by_node.get(NodeId(node))
-        if member is None or str(member.incarnation) != incarnation:
-            return OutcomeUnknown("the agent that the key names is gone")
+        home = self._ids.home(key)
+        if home is None:
+            reason = "the key is none that POST /services/NAME:request-id gave out"
+            return Rejected(Code.INVALID, reason)
+        member = self._view.member_by_node.get(home.node)
+        if member is None or member.incarnation < home.incarnation:
+            return _ask_again("the agent that the key names is not known here yet")
+        if member.incarnation > home.incarnation:
+            return OutcomeUnknown("the agent that the key names was started anew")
         return self._final(await self._try(request, member, key))
 
     async def _try(
@@ -167,6 +200,16 @@
                 reply = await self._settle(request, member, message)
         finally:
             record.in_flight -= 1
+        self._note(record, reply, started)
+        outcome = _outcome(reply)
+        if request.key is not None and not _is_agents_word(reply):
+            # An earlier use of the key may have run, whatever became of this one.
+            return _ask_again("the agent that the key names can't be asked now")
+        return outcome
+
+    def _note(
+        self, record: EndpointRecord, reply: Answer | Refused | Lost, started: float
+    ) -> None:
         now = self._clock()
         if isinstance(reply, Answer):
             record.load, record.load_at = reply.load, now
@@ -174,11 +217,10 @@
                 record.succeeded(now - started, now)
             else:
                 record.failed(now)
-            return Answered(reply)
-        outcome = _refusal(reply)
-        if isinstance(outcome, OutcomeUnknown) or isinstance(reply, Lost):
+        elif isinstance(reply, Refused) and reply.code == Code.NOT_RUN.value:
+            record.refused(reply.retry_after, now)
+        else:
             record.failed(now)
-        return outcome
 
     async def _call(
         self,
@@ -190,26 +232,24 @@
         seconds = deadline - self._clock()
         if seconds <= 0:
             return Lost(False, "the deadline passed")
-        stream = await self._peers.stream(member.host, member.port)
+        stream = await self._stream(member)
         if isinstance(stream, Lost):
             return stream
         left = max(0.001, deadline - self._clock())
-        message = ServiceRequest(
-            message.id,
-            message.service,
-            message.method,
-            message.path,
-            message.headers,
-            message.body,
-            left,
-            message.incarnation,
-            message.keep,
-        )
+        message = msgspec.structs.replace(message, deadline=left)
         reply = await stream.call(message, timeout=left, parts=parts)
+        if isinstance(reply, Refused) and reply.code == WRONG_INCARNATION:
+            return Lost(False, "the agent was started anew")
         if isinstance(reply, Answer | Refused | Lost):
             return reply
         return Lost(True, "the agent gave another kind of answer")
 
+    async def _stream(self, member: Member) -> Stream | Lost:
+        stream = await self._peers.stream(member.host, member.port)
+        if isinstance(stream, Stream) and stream.peer != member.node:
+            return Lost(False, "another process has the agent's address now")
+        return stream
+
     async def _settle(
         self, request: CallerRequest, member: Member, message: ServiceRequest
     ) -> Answer | Refused | Lost:
@@ -218,7 +258,12 @@
         give_up_at = min(request.deadline, self._clock() + SETTLE_SECONDS)
         while (left := give_up_at - self._clock()) > 0:
             ask = Settle(message.id, message.service, member.incarnation, left)
-            reply = await self._peers.call(member.host, member.port, ask, timeout=left)
+            stream = await self._stream(member)
+            reply: AnyMessage | Lost = (
+                stream
+                if isinstance(stream, Lost)
+                else (await stream.call(ask, timeout=left))
+            )
             if isinstance(reply, Answer | Refused):
                 return reply
             if not isinstance(reply, Running):
@@ -238,12 +283,17 @@
             0.0,
             member.incarnation,
             request.key is not None,
+            request.idempotent,
         )
 
     def _may_retry(self, request: CallerRequest, outcome: RequestOutcome) -> bool:
-        if isinstance(outcome, Answered) or self._clock() >= request.deadline:
+        if self._clock() >= request.deadline:
             return False
-        if isinstance(outcome, OutcomeUnknown) and not request.idempotent:
+        if isinstance(outcome, NotRun):
+            # It has loaded no endpoint, so it takes nothing from the budget.
+            self.retries += 1
+            return True
+        if not isinstance(outcome, OutcomeUnknown) or not request.idempotent:
             return False
         if not self.budget.spend():
             return False
@@ -252,24 +302,35 @@
 
     def _final(self, outcome: RequestOutcome) -> RequestOutcome:
         # Callers told the same second would all come back in it.
-        if isinstance(outcome, NotRun):
+        if isinstance(outcome, NotRun | Rejected):
             spread = self._random.uniform(*SPREAD)
             return replace(outcome, retry_after=outcome.retry_after * spread)
         return outcome
 
 
-def new_request_id(member: Member) -> RequestId:
-    """Return a fresh id that names the agent incarnation where it may run."""
-    nonce = secrets.token_urlsafe(ID_BYTES)
-    return RequestId(f"{member.node}.{member.incarnation}.{nonce}")
+def _no_endpoint() -> NotRun:
+    return NotRun("no endpoint serves it now", FIRST_RETRY_AFTER_SECONDS)
+
+
+def _ask_again(reason: str) -> Rejected:
+    return Rejected(Code.UNAVAILABLE, reason, FIRST_RETRY_AFTER_SECONDS)
+
+
+def _is_agents_word(reply: Answer | Refused | Lost) -> bool:
+    if isinstance(reply, Lost):
+        return reply.sent
+    return isinstance(reply, Answer) or reply.code != Code.UNAVAILABLE.value
 
 
-def _refusal(reply: Answer | Refused | Lost) -> NotRun | OutcomeUnknown:
+def _outcome(reply: Answer | Refused | Lost) -> RequestOutcome:
+    if isinstance(reply, Answer):
+        return Answered(reply)
     if isinstance(reply, Lost):
         if reply.sent:
             return OutcomeUnknown(reply.reason)
         return NotRun(reply.reason, FIRST_RETRY_AFTER_SECONDS)
-    if isinstance(reply, Refused) and reply.code == Code.NOT_RUN.value:
+    if reply.code in (Code.NOT_RUN.value, Code.UNAVAILABLE.value):
         return NotRun(reply.reason, reply.retry_after)
-    reason = reply.reason if isinstance(reply, Refused) else "an answer not expected"
-    return OutcomeUnknown(reason)
+    if reply.code in (Code.CONFLICT.value, Code.INVALID.value):
+        return Rejected(Code(reply.code), reply.reason)
+    return OutcomeUnknown(reply.reason)
--- a/wagtailcleat/headers.py
+++ b/wagtailcleat/headers.py
@@ -38,3 +38,11 @@
     }
     dropped = HOP_BY_HOP | REFRAMED | named
     return [(key, value) for key, value in pairs if key.lower() not in dropped]
+
+
+def is_watch(method: str, headers: Iterable[tuple[str, str]]) -> bool:
+    """Tell whether a request asks for an event stream."""
+    return method == "GET" and any(
+        key.lower() == "accept" and EVENT_STREAM in value.lower()
+        for key, value in headers
+    )
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -101,7 +101,7 @@
         node,
         role,
         settings.host,
-        bound_port(sockets),
+        settings.advertised_port or bound_port(sockets),
         ZoneName(settings.zone),
         VmName(vm),
         identity.incarnation,
--- a/wagtailcleat/outcomes.py
+++ b/wagtailcleat/outcomes.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from wagtailcleat.errors import Code
 from wagtailcleat.wire.messages import Answer
 
 
@@ -27,4 +28,13 @@
     reason: str
 
 
-RequestOutcome = Answered | NotRun | OutcomeUnknown
+@dataclass(frozen=True)
+class Rejected:
+    """The request is not one that can be carried out, or not as it came."""
+
+    code: Code
+    reason: str
+    retry_after: float = 0.0
+
+
+RequestOutcome = Answered | NotRun | OutcomeUnknown | Rejected
--- a/wagtailcleat/routing/latency.py
+++ b/wagtailcleat/routing/latency.py
@@ -7,12 +7,13 @@
 from wagtailcleat.wire.messages import Load
 
 EWMA_SECONDS = 5.0
-FIRST_LATENCY_SECONDS = 0.01
+LEAST_LATENCY_SECONDS = 0.001
 ERROR_COUNTS_AS_SECONDS = 2.0
 EJECT_AFTER_FAILURES = 5
 FIRST_EJECTION_SECONDS = 2.0
 MAX_EJECTION_SECONDS = 60.0
 SLOW_START_SECONDS = 5.0
+MAX_REFUSAL_SECONDS = 1.0
 
 
 @dataclass
@@ -23,7 +24,7 @@
     load; so a failure counts as a slow answer.
     """
 
-    latency: float = FIRST_LATENCY_SECONDS
+    latency: float = LEAST_LATENCY_SECONDS
     updated_at: float = 0.0
     in_flight: int = 0
     load: Load | None = None
@@ -31,6 +32,8 @@
     failures_in_a_row: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
+    refusal_seconds: float = 0.0
+    refuses_until: float = 0.0
 
     def succeeded(self, seconds: float, now: float) -> None:
         """Note an answer that took `seconds`."""
@@ -49,6 +52,14 @@
             self.ejections = min(self.ejections + 1, 10)
             self.failures_in_a_row = 0
 
+    def refused(self, retry_after: float, now: float) -> None:
+        """Note that the endpoint has no room for `retry_after` seconds.
+
+        That is no failure of the endpoint, but costs a request as much as the wait.
+        """
+        self.refusal_seconds = min(retry_after, MAX_REFUSAL_SECONDS)
+        self.refuses_until = now + self.refusal_seconds
+
     def ejected(self, now: float) -> bool:
         """Tell whether the endpoint is ejected now."""
         return now < self.ejected_until
@@ -59,7 +70,12 @@
         if self.load is not None and now - self.load_at < EWMA_SECONDS:
             others = self.load.in_flight + self.load.queued
             waiting = max(waiting, others)
-        cost = self.latency * (waiting + 1)
+        # An old estimate fades: an endpoint that was slow once, or is new, would
+        # otherwise never be asked again while another seems quicker.
+        faded = self.latency * math.exp(-max(now - self.updated_at, 0) / EWMA_SECONDS)
+        cost = max(faded, LEAST_LATENCY_SECONDS) * (waiting + 1)
+        if now < self.refuses_until:
+            cost += self.refusal_seconds
         back_for = now - self.ejected_until
         if self.ejections and 0 <= back_for < SLOW_START_SECONDS:
             cost *= SLOW_START_SECONDS / (back_for + 0.1)
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -63,6 +63,8 @@
     timing: Timing = Timing()
     shards: Count = 16
     owns_shards: bool = True
+    advertised_port: Port = 0
+    """The peer port that others connect to, where it is not `peer_port`."""
     max_answer_bytes: Count = 16 * 1024 * 1024
     kept_answer_bytes: Count = 32 * 1024 * 1024
     log_level: str = "INFO"
@@ -86,6 +88,8 @@
     routing: str = "two_choices"
     max_body_bytes: Count = 1024 * 1024
     max_connections: Count = 4096
+    advertised_port: Port = 0
+    """The peer port that others connect to, where it is not `peer_port`."""
     max_in_flight: Count = 2048
     log_level: str = "INFO"
 
--- a/wagtailcleat/wire/frames.py
+++ b/wagtailcleat/wire/frames.py
@@ -22,10 +22,15 @@
     CANCEL = 3
     PING = 4
     PONG = 5
+    MORE = 6
+    BODY = 7
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
-    """One frame; PING, PONG and CANCEL carry no message."""
+    """One frame; PING, PONG, CANCEL and MORE carry no message.
+
+    PART is a piece of an answer, BODY one of a call; MORE allows further parts.
+    """
 
     kind: Kind
     call: int
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -26,6 +26,7 @@
 from wagtailcleat.resources import Resources
 
 PROTOCOL_VERSION = 1
+WRONG_INCARNATION = "wrong_incarnation"
 
 Header = tuple[str, str]
 
@@ -111,6 +112,10 @@
     """The agent's incarnation that the sender means to reach."""
     keep: bool = False
     """Whether the id was given out beforehand, and may come again."""
+    idempotent: bool = False
+    """Whether running it twice does no harm."""
+    parts: bool = False
+    """Whether the body follows in parts."""
 
 
 class Answer(Message, frozen=True, tag="answer"):
--- a/wagtailcleat/wire/streams.py
+++ b/wagtailcleat/wire/streams.py
@@ -8,6 +8,9 @@
 ends lost track of it). It shows as no bytes at all while calls wait. So a stream
 with calls in flight is pinged, and one that stays silent is closed: its calls end
 as `Lost`, and the caller settles them over a new connection.
+
+Bodies larger than `PART_BYTES` travel in parts, so that no call waits behind
+another's whole body.
 """
 
 import asyncio
@@ -15,25 +18,29 @@
 import hmac
 import os
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+import msgspec
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import BlockingResolver
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
-from wagtailcleat.errors import FrameError, HelloError, StreamError
+from wagtailcleat.errors import Code, FrameError, HelloError, StreamError
 from wagtailcleat.ids import Incarnation, NodeId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.wire.frames import Frame, FrameReader, Kind, encode
 from wagtailcleat.wire.messages import (
     PROTOCOL_VERSION,
+    Answer,
     AnyMessage,
     Hello,
+    Part,
     PartsEnd,
     Proof,
     Refused,
     Role,
+    ServiceRequest,
 )
 
 log = part_logger("wire")
@@ -42,9 +49,14 @@
 READ_BYTES = 65_536
 NONCE_BYTES = 16
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
-DRAIN_ABOVE_BYTES = 1024 * 1024
+DRAIN_ABOVE_BYTES = 256 * 1024
 MAX_CALLS_PER_STREAM = 10_000
-MAX_PARTS_WAITING = 256
+PART_BYTES = 65_536
+PARTS_WINDOW = 32
+PARTS_GRANTED = PARTS_WINDOW // 2
+MAX_ARRIVING_BYTES = 64 * 1024 * 1024
+MAX_HELLO_BYTES = 65_536
+MAX_STREAMS = 4096
 
 
 @dataclass(frozen=True)
@@ -76,27 +88,49 @@
 
 
 class Parts:
-    """The rest of an answer that comes in parts."""
+    """The rest of an answer that comes in parts.
+
+    The peer sends no more than `PARTS_WINDOW` parts beyond those that were read,
+    so a slow reader holds up its own answer and no other.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
         self._queue: asyncio.Queue[AnyMessage | Lost] = asyncio.Queue()
+        self._read = 0
+        self._grant: Callable[[], None] = lambda: None
+
+    def on_room(self, grant: Callable[[], None]) -> None:
+        """Call `grant` each time `PARTS_GRANTED` more parts were read."""
+        self._grant = grant
 
     def add(self, item: AnyMessage | Lost) -> None:
-        """Append a part; one that arrives when too many wait ends the call."""
-        if self._queue.qsize() < MAX_PARTS_WAITING or isinstance(item, PartsEnd):
-            self._queue.put_nowait(item)
-        else:
-            self._queue.put_nowait(Lost(True, "the reader is too slow"))
+        """Append a part."""
+        self._queue.put_nowait(item)
 
     async def __aiter__(self) -> AsyncIterator[AnyMessage | Lost]:
         """Yield each part; the last one is `PartsEnd` or `Lost`."""
         while True:
             item = await self._queue.get()
+            self._read += 1
+            if self._read % PARTS_GRANTED == 0:
+                self._grant()
             yield item
             if isinstance(item, PartsEnd | Lost):
                 return
 
+    async def whole(self) -> bytes | Lost:
+        """Return the whole body, or `Lost` where it broke off."""
+        chunks: list[bytes] = []
+        async for item in self:
+            if isinstance(item, Part):
+                chunks.append(item.data)
+            elif isinstance(item, PartsEnd) and item.whole:
+                return b"".join(chunks)
+            elif isinstance(item, Lost):
+                return item
+        return Lost(True, "the answer broke off")
+
 
 class Outlet:
     """Where a handler sends an answer that comes in parts: first its head."""
@@ -105,6 +139,13 @@
         """Answer `call` of `stream`."""
         self._stream = stream
         self._call = call
+        self._room = PARTS_WINDOW
+        self._has_room = asyncio.Event()
+
+    def grant(self) -> None:
+        """Note that the peer has read some parts."""
+        self._room += PARTS_GRANTED
+        self._has_room.set()
 
     async def head(self, message: AnyMessage) -> None:
         """Send the answer's head; parts follow."""
@@ -112,8 +153,35 @@
 
     async def part(self, message: AnyMessage) -> None:
         """Send a part; waits while the peer reads slowly."""
+        while self._room <= 0:
+            self._has_room.clear()
+            await self._has_room.wait()
+        self._room -= 1
         await self._stream.send(Frame(Kind.PART, self._call, message))
 
+    async def answer(self, answer: Answer) -> AnyMessage:
+        """Send a large answer in parts; return what ends it."""
+        await self.head(msgspec.structs.replace(answer, body=b"", parts=True))
+        for piece in _pieces(answer.body):
+            await self.part(Part(piece))
+        return PartsEnd(whole=True)
+
+
+@dataclass
+class _Arriving:
+    """A call whose body is still arriving."""
+
+    message: ServiceRequest
+    pieces: list[bytes] = field(default_factory=list)
+
+
+@dataclass
+class _Served:
+    """A call that this side serves."""
+
+    task: asyncio.Task[None]
+    outlet: Outlet
+
 
 Handler = Callable[["Stream", AnyMessage, Outlet], Awaitable[AnyMessage]]
 """Serves one inbound call; returns its answer, or `PartsEnd` after `Outlet.head`."""
@@ -143,6 +211,7 @@
         self.peer_role = hello.role
         self.peer_incarnation = hello.incarnation
         self.closed = False
+        self.opened_at = asyncio.get_running_loop().time()
         self.bytes_in = 0
         self.bytes_out = 0
         self._connection = connection
@@ -152,7 +221,9 @@
         self._next_call = 0
         self._waiting_by_call: dict[int, asyncio.Future[AnyMessage | Lost]] = {}
         self._parts_by_call: dict[int, Parts] = {}
-        self._served_by_call: dict[int, asyncio.Task[None]] = {}
+        self._served_by_call: dict[int, _Served] = {}
+        self._arriving_by_call: dict[int, _Arriving] = {}
+        self._arriving_bytes = 0
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
         self._heard_at = 0.0
@@ -166,6 +237,18 @@
         """How many calls wait for their answers."""
         return len(self._waiting_by_call) + len(self._parts_by_call)
 
+    @property
+    def serving(self) -> int:
+        """How many calls of the peer are still being answered."""
+        return len(self._served_by_call) + len(self._arriving_by_call)
+
+    async def flushed(self) -> None:
+        """Wait until all that was sent has left this process."""
+        self._flush()
+        if not self.closed:
+            with contextlib.suppress(StreamClosedError):
+                await self._connection.write(b"")
+
     async def run(self) -> None:
         """Read until the connection ends; every call left ends as `Lost`."""
         self._heard_at = asyncio.get_running_loop().time()
@@ -193,10 +276,11 @@
                 future.set_result(Lost(True, reason))
         for parts in self._parts_by_call.values():
             parts.add(Lost(True, reason))
-        for task in self._served_by_call.values():
-            task.cancel()
+        for served in self._served_by_call.values():
+            served.task.cancel()
         self._waiting_by_call.clear()
         self._parts_by_call.clear()
+        self._arriving_by_call.clear()
 
     async def call(
         self, message: AnyMessage, *, timeout: float, parts: Parts | None = None
@@ -204,6 +288,7 @@
         """Send `message` and return the peer's answer, or `Lost`.
 
         Parameters: `timeout` in seconds; `parts` takes what follows the answer.
+        Without it an answer in parts is put together, and `Lost` if it breaks off.
         """
         if self.closed:
             return Lost(False, "the stream is closed")
@@ -211,15 +296,20 @@
             return Lost(False, "too many calls wait on the stream")
         self._next_call += 1
         call = self._next_call
-        future = asyncio.get_running_loop().create_future()
-        if not self._waiting_by_call and not self._parts_by_call:
+        if not self.waiting:
             self._heard_at = asyncio.get_running_loop().time()
+        future = asyncio.get_running_loop().create_future()
         self._waiting_by_call[call] = future
-        if parts is not None:
-            self._parts_by_call[call] = parts
-        self._send(Frame(Kind.CALL, call, message))
+        rest = parts or Parts()
+        rest.on_room(lambda: self._send(Frame(Kind.MORE, call)))
+        self._parts_by_call[call] = rest
+        reply: AnyMessage | Lost = Lost(True, "no answer in time")
         try:
-            return await asyncio.wait_for(future, timeout)
+            async with asyncio.timeout(timeout):
+                await self._send_call(call, message)
+                reply = await future
+                if parts is None:
+                    reply = await _put_together(reply, rest)
         except TimeoutError:
             self.cancel(call)
             return Lost(True, "no answer in time")
@@ -228,6 +318,19 @@
             raise
         finally:
             self._waiting_by_call.pop(call, None)
+            if parts is None or not _has_parts(reply):
+                self._parts_by_call.pop(call, None)
+        return reply
+
+    async def _send_call(self, call: int, message: AnyMessage) -> None:
+        if not isinstance(message, ServiceRequest) or len(message.body) <= PART_BYTES:
+            self._send(Frame(Kind.CALL, call, message))
+            return
+        head = msgspec.structs.replace(message, body=b"", parts=True)
+        self._send(Frame(Kind.CALL, call, head))
+        for piece in _pieces(message.body):
+            await self.send(Frame(Kind.BODY, call, Part(piece)))
+        self._send(Frame(Kind.BODY, call, PartsEnd(whole=True)))
 
     def cancel(self, call: int) -> None:
         """Tell the peer that the answer of `call` is no longer wanted."""
@@ -253,18 +356,65 @@
                 self._take(frame)
 
     def _take(self, frame: Frame) -> None:
+        # Frames read together with the one that closed the stream are not served:
+        # whoever closed it counts on nothing of it being run any more.
+        if self.closed:
+            return
+        if frame.message is None:
+            self._control(frame)
+        elif frame.kind is Kind.CALL:
+            self._arrive(frame.call, frame.message)
+        elif frame.kind is Kind.REPLY:
+            self._answered(frame.call, frame.message)
+        elif frame.kind is Kind.PART:
+            self._part(frame.call, frame.message)
+        elif frame.kind is Kind.BODY:
+            self._body(frame.call, frame.message)
+
+    def _control(self, frame: Frame) -> None:
         if frame.kind is Kind.PING:
             self._send(Frame(Kind.PONG, frame.call))
+            return
+        served = self._served_by_call.get(frame.call)
+        if frame.kind is Kind.MORE and served is not None:
+            served.outlet.grant()
         elif frame.kind is Kind.CANCEL:
-            task = self._served_by_call.pop(frame.call, None)
-            if task is not None:
-                task.cancel()
-        elif frame.kind is Kind.CALL and frame.message is not None:
-            self._serve(frame.call, frame.message)
-        elif frame.kind is Kind.REPLY and frame.message is not None:
-            self._answered(frame.call, frame.message)
-        elif frame.kind is Kind.PART and frame.message is not None:
-            self._part(frame.call, frame.message)
+            self._forget_arriving(frame.call)
+            if served is not None:
+                served.task.cancel()
+
+    def _arrive(self, call: int, message: AnyMessage) -> None:
+        if call in self._served_by_call or call in self._arriving_by_call:
+            raise FrameError("a call number used twice")
+        if isinstance(message, ServiceRequest) and message.parts:
+            self._arriving_by_call[call] = _Arriving(message)
+        else:
+            self._serve(call, message)
+
+    def _body(self, call: int, message: AnyMessage) -> None:
+        arriving = self._arriving_by_call.get(call)
+        if arriving is None:
+            return
+        if isinstance(message, Part):
+            arriving.pieces.append(message.data)
+            self._arriving_bytes += len(message.data)
+            if self._arriving_bytes > MAX_ARRIVING_BYTES:
+                self._forget_arriving(call)
+                refusal = Refused(
+                    Code.UNAVAILABLE.value, "too many large bodies at once"
+                )
+                self._send(Frame(Kind.REPLY, call, refusal))
+            return
+        self._forget_arriving(call)
+        if isinstance(message, PartsEnd) and message.whole:
+            body = b"".join(arriving.pieces)
+            whole = msgspec.structs.replace(arriving.message, body=body, parts=False)
+            self._serve(call, whole)
+
+    def _forget_arriving(self, call: int) -> None:
+        arriving = self._arriving_by_call.pop(call, None)
+        if arriving is not None:
+            self._arriving_bytes -= sum(len(piece) for piece in arriving.pieces)
 
     def _answered(self, call: int, message: AnyMessage) -> None:
         # A late answer finds no call of its number and is dropped: numbers are
@@ -283,28 +433,30 @@
 
     def _serve(self, call: int, message: AnyMessage) -> None:
         if len(self._served_by_call) >= MAX_CALLS_PER_STREAM:
-            refusal = Refused("unavailable", "too many calls on this stream")
+            refusal = Refused(Code.UNAVAILABLE.value, "too many calls on this stream")
             self._send(Frame(Kind.REPLY, call, refusal))
             return
-        task = asyncio.create_task(self._serve_one(call, message))
-        self._served_by_call[call] = task
+        outlet = Outlet(self, call)
+        task = asyncio.create_task(self._serve_one(call, message, outlet))
+        self._served_by_call[call] = _Served(task, outlet)
         task.add_done_callback(lambda _: self._served_by_call.pop(call, None))
 
-    async def _serve_one(self, call: int, message: AnyMessage) -> None:
+    async def _serve_one(self, call: int, message: AnyMessage, outlet: Outlet) -> None:
         try:
-            reply = await self._handler(self, message, Outlet(self, call))
+            reply = await self._handler(self, message, outlet)
+            if isinstance(reply, Answer) and len(reply.body) > PART_BYTES:
+                reply = await outlet.answer(reply)
         except Exception:
             log.exception("A call failed", extra={"call": type(message).__name__})
-            reply = Refused("internal", "the call failed here; see the log")
-        if isinstance(reply, PartsEnd):
-            self._send(Frame(Kind.PART, call, reply))
-        else:
-            self._send(Frame(Kind.REPLY, call, reply))
+            reply = Refused(Code.INTERNAL.value, "the call failed here; see the log")
+        kind = Kind.PART if isinstance(reply, PartsEnd) else Kind.REPLY
+        self._send(Frame(kind, call, reply))
 
     async def send(self, frame: Frame) -> None:
         """Send a frame; waits while the peer reads slowly."""
         self._send(frame)
-        if self._unwritten() > DRAIN_ABOVE_BYTES:
+        if self._unsent_bytes + self._unwritten() > DRAIN_ABOVE_BYTES:
+            self._flush()
             with contextlib.suppress(StreamClosedError):
                 await self._connection.write(b"")
 
@@ -362,6 +514,23 @@
                 self._send(Frame(Kind.PING, 0))
 
 
+def _pieces(body: bytes) -> list[bytes]:
+    return [body[at : at + PART_BYTES] for at in range(0, len(body), PART_BYTES)]
+
+
+def _has_parts(reply: AnyMessage | Lost) -> bool:
+    return isinstance(reply, Answer) and reply.parts
+
+
+async def _put_together(reply: AnyMessage | Lost, rest: Parts) -> AnyMessage | Lost:
+    if not isinstance(reply, Answer) or not reply.parts:
+        return reply
+    body = await rest.whole()
+    if isinstance(body, Lost):
+        return body
+    return msgspec.structs.replace(reply, body=body, parts=False)
+
+
 # ---- opening
 
 
@@ -383,8 +552,13 @@
 async def _read_message(
     connection: IOStream, reader: FrameReader, ready: list[Frame]
 ) -> AnyMessage | None:
+    received = 0
     while not ready:
         data = await connection.read_bytes(READ_BYTES, partial=True)
+        # Whoever has not shown the secret yet makes this process hold little.
+        received += len(data)
+        if received > MAX_HELLO_BYTES:
+            raise HelloError("the hello is too long")
         ready.extend(reader.feed(data))
     return ready.pop(0).message
 
@@ -423,14 +597,20 @@
         """Serve inbound calls with `handler`."""
         super().__init__()
         self.streams: set[Stream] = set()
+        self._shaking = 0
         self._identity = identity
         self._handler = handler
         self._timing = timing
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Prove the hello, then serve the connection until it ends."""
+        if self._shaking + len(self.streams) >= MAX_STREAMS:
+            log.warning("Too many streams", extra={"from": str(address)})
+            stream.close()
+            return
         stream.set_nodelay(True)
         reader = FrameReader()
+        self._shaking += 1
         try:
             shake = _shake(stream, self._identity, "accepting", reader)
             hello, early = await asyncio.wait_for(shake, self._timing.connect)
@@ -440,6 +620,8 @@
             )
             stream.close()
             return
+        finally:
+            self._shaking -= 1
         opened = Stream(
             stream,
             hello,
@@ -455,6 +637,16 @@
         finally:
             self.streams.discard(opened)
 
+    def close_older(self, stream: Stream) -> None:
+        """Close the streams that the peer of `stream` opened before it."""
+        for other in list(self.streams):
+            same_peer = (other.peer, other.peer_incarnation) == (
+                stream.peer,
+                stream.peer_incarnation,
+            )
+            if same_peer and other.opened_at < stream.opened_at:
+                other.close("the peer has opened a newer stream")
+
 
 class Peers:
     """Streams this process opened, one per address, opened when first needed."""
