--- a/wagtailcleat/agent/endpoint.py
+++ b/wagtailcleat/agent/endpoint.py
@@ -11,7 +11,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import StreamClosedError
 from tornado.netutil import BlockingResolver
 from tornado.tcpclient import TCPClient
@@ -108,7 +108,10 @@
             if size <= self._max_answer_bytes:
                 chunks.append(chunk)
 
-        request = self._request(message, seconds)
+        try:
+            request = self._request(message, seconds)
+        except HTTPInputError as error:
+            return EndpointFailed(False, f"no request of HTTP: {error}")
         request.streaming_callback = on_data
         response = await self._fetch(request)
         if isinstance(response, EndpointFailed):
@@ -150,7 +153,10 @@
             curl.setopt(pycurl.PATH_AS_IS, 1)
             curl.setopt(pycurl.OPENSOCKETFUNCTION, watching.open_socket)
 
-        request = self._request(message, 0)
+        try:
+            request = self._request(message, 0)
+        except HTTPInputError as error:
+            return EndpointFailed(False, f"no request of HTTP: {error}")
         request.prepare_curl_callback = prepare
         request.header_callback = on_header
         request.streaming_callback = watching.on_data
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -37,8 +37,6 @@
 log = part_logger("entry")
 
 MAX_HEADER_BYTES = 32 * 1024
-IDLE_CONNECTION_SECONDS = 300.0
-BODY_SECONDS = 10.0
 MAX_INVENTORY_BYTES = 1_000_000
 FORGET_SECONDS = 10.0
 
@@ -96,11 +94,14 @@
             node.clock,
         )
         self.callers_server = _server(
-            CallersServer, callers_application(callers, jobs), settings.max_body_bytes
+            CallersServer,
+            callers_application(callers, jobs),
+            settings.max_body_bytes,
+            settings,
         )
         self.callers_server.serve_for(self.state, settings.max_connections)
         self.admin_server = _server(
-            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES
+            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES, settings
         )
         self._settings = settings
         self._add_sections()
@@ -174,13 +175,18 @@
         }
 
 
-def _server(kind: type[S], application: Application, max_body_bytes: int) -> S:
+def _server(
+    kind: type[S],
+    application: Application,
+    max_body_bytes: int,
+    settings: EntrySettings,
+) -> S:
     return kind(
         application,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=max_body_bytes,
-        idle_connection_timeout=IDLE_CONNECTION_SECONDS,
-        body_timeout=BODY_SECONDS,
+        idle_connection_timeout=settings.idle_connection,
+        body_timeout=settings.slow_body,
     )
 
 
--- a/wagtailcleat/entry/callers.py
+++ b/wagtailcleat/entry/callers.py
@@ -209,6 +209,10 @@
             await self.finish()
         except StreamClosedError:
             return
+        finally:
+            # The caller may be gone before the first event: nobody else would tell
+            # the agent, and it would hold the endpoint's stream open for good.
+            self.callers.relay.give_up(opened)
 
     async def _whole(self, opened: WatchOpened, deadline: float) -> RequestOutcome:
         # Asked for events, the endpoint has answered with something else, an error
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -91,6 +91,10 @@
     advertised_port: Port = 0
     """The peer port that others connect to, where it is not `peer_port`."""
     max_in_flight: Count = 2048
+    idle_connection: Positive = 300.0
+    """Seconds until a connection without a whole request's headers is closed."""
+    slow_body: Positive = 10.0
+    """Seconds in which a body must have come."""
     log_level: str = "INFO"
 
 
--- a/wagtailcleat/wire/frames.py
+++ b/wagtailcleat/wire/frames.py
@@ -11,6 +11,7 @@
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_ITEMS = 100_000
+FIRST_BUFFER_BYTES = 16_384
 
 
 class Kind(IntEnum):
@@ -52,6 +53,9 @@
         """Refuse frames of more than `max_bytes`."""
         self._unpacker = msgpack.Unpacker(
             raw=False,
+            # The buffer starts with this size; msgpack's own start, 1 MB, would
+            # take a gigabyte from an entry with a thousand streams.
+            read_size=FIRST_BUFFER_BYTES,
             max_buffer_size=max_bytes,
             max_array_len=MAX_ITEMS,
             max_map_len=MAX_ITEMS,
--- a/wagtailcleat/wire/streams.py
+++ b/wagtailcleat/wire/streams.py
@@ -487,7 +487,9 @@
             self.close("the peer reads too slowly")
 
     def _unwritten(self) -> int:
-        return len(self._connection._write_buffer)
+        # A write that fails closes the connection, which drops its buffer.
+        buffer = self._connection._write_buffer
+        return len(buffer) if buffer is not None else 0
 
     async def _watch_silence(self) -> None:
         loop = asyncio.get_running_loop()
