--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -13,9 +13,11 @@
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
 from wagtailcleat.agent.services import Services
+from wagtailcleat.batch.holders import Holder, read_epoch
 from wagtailcleat.batch.journal import Journal
 from wagtailcleat.batch.owner import Owner
 from wagtailcleat.batch.ownership import Ownership
+from wagtailcleat.batch.shard import Shard
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.errors import SettingsError
@@ -100,11 +102,12 @@
             clock=node.clock,
             timing=settings.timing,
             closed=self.closed,
+            must_leave=self.must_leave,
+            read_epoch=lambda shard: read_epoch(node.store, shard),
         )
         self.ownership = Ownership(
             node.store,
             node.view,
-            node.peers,
             node.supervisor.supervisor("ownership"),
             shards=settings.shards,
             clock=node.clock,
@@ -123,11 +126,15 @@
 
     def closed(self) -> str:
         """Return why nothing new starts here now; empty where it may."""
-        zone = ZoneName(self._settings.zone)
         if self.leaving:
             return "the agent leaves"
         if not self.node.fresh():
             return "this process was paused and is hearing its peers anew"
+        return self.must_leave()
+
+    def must_leave(self) -> str:
+        """Return why tasks that run here may not stay; empty where they may."""
+        zone = ZoneName(self._settings.zone)
         if zone_is_out(self.node.in_force.configuration, zone):
             return f"availability zone '{zone}' is out of service"
         return ""
@@ -183,29 +190,36 @@
             await asyncio.sleep(self._settings.timing.endpoint_check)
 
     async def _run_attempts(self) -> None:
-        await self.attempts.rebuild()
-        await asyncio.gather(self.attempts.watch(), self.attempts.renew())
+        # What runs is watched and renewed from the start: its grants may be short.
+        attempts = self.attempts
+        await asyncio.gather(attempts.rebuild(), attempts.watch(), attempts.renew())
 
     def _configured(self) -> None:
-        on_vm = placed(self.node.in_force.configuration, VmName(self._settings.vm))
+        configuration = self.node.in_force.configuration
+        on_vm = placed(configuration, VmName(self._settings.vm))
+        held = self.commitments
         if on_vm is None:
             self.services.configure([])
-            self.commitments.capacity = NOTHING
-            self.commitments.for_services = NOTHING
-            return
-        self.services.configure(on_vm.services)
-        self.commitments.for_services = on_vm.for_services
-        if self._worker_capacity is not None:
-            self.commitments.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
+            held.capacity, held.for_services = NOTHING, NOTHING
+            held.known = configuration.revision > 0
+        else:
+            self.services.configure(on_vm.services)
+            held.for_services = on_vm.for_services
+            if self._worker_capacity is not None:
+                held.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
+                held.known = True
+        self.attempts.look_soon()
 
     def _free(self) -> Resources:
         return self.commitments.free(self.node.clock())
 
     # ---- shards
 
-    def _make_owner(self, shard: ShardId, journal: Journal) -> Owner:
+    def _make_owner(
+        self, shard: ShardId, journal: Journal, earlier: list[Holder]
+    ) -> Owner:
         node = self.node
-        return Owner(
+        held = Shard(
             shard,
             self._settings.shards,
             journal,
@@ -218,6 +232,7 @@
             node.rng(f"shard/{shard}"),
             self.ownership.may_grant_until,
         )
+        return Owner(held, earlier)
 
     def _announce_shards(self) -> None:
         shards = sorted(self.ownership.owner_by_shard)
@@ -230,16 +245,7 @@
         if owner is None:
             known = self.node.view.owner(shard)
             return NotOwner(known.node if known else "")
-        if isinstance(message, SubmitJob):
-            return await owner.submit(message)
-        if isinstance(message, ShowJob):
-            return await owner.show(message)
-        if isinstance(message, ListJobs):
-            return await owner.list_jobs(message)
-        if isinstance(message, CancelJob):
-            return await owner.cancel(message)
-        assert isinstance(message, RenewGrants)
-        return await owner.renew(message)
+        return await owner.order(message)
 
     async def _step_down(self, message: AnyMessage) -> AnyMessage:
         assert isinstance(message, StepDown)
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -11,11 +11,13 @@
 from enum import Enum
 
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.eviction import to_evict
+from wagtailcleat.agent.health import Health
 from wagtailcleat.clock import Clock
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import AttemptId, Epoch, Incarnation, ShardId, VmName
+from wagtailcleat.ids import AttemptId, Epoch, Incarnation, NodeId, ShardId, VmName
 from wagtailcleat.logs import part_logger
-from wagtailcleat.membership.view import View
+from wagtailcleat.membership.view import GONE, View
 from wagtailcleat.platform.worker import (
     TaskState,
     Worker,
@@ -23,6 +25,7 @@
     WorkerTask,
     WorkerUnreachable,
 )
+from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import (
     Adopt,
@@ -33,6 +36,7 @@
     Done,
     Evict,
     Grants,
+    Member,
     NoRoom,
     Refused,
     Release,
@@ -40,6 +44,7 @@
     Reserve,
     Reserved,
     Start,
+    job_of,
     shard_of,
 )
 from wagtailcleat.wire.streams import Outlet, Peers, Stream
@@ -64,6 +69,7 @@
 }
 
 Closed = Callable[[], str]
+ReadEpoch = Callable[[ShardId], Awaitable[Epoch | None]]
 
 
 class Phase(Enum):
@@ -82,6 +88,7 @@
     id: AttemptId
     shard: ShardId
     phase: Phase
+    since: float
     reserved_until: float = 0.0
     grant_until: float = 0.0
     report: AttemptReport | None = None
@@ -105,14 +112,19 @@
         clock: Clock,
         timing: Timing,
         closed: Closed,
+        must_leave: Closed,
+        read_epoch: ReadEpoch,
     ) -> None:
         """Run attempts through `worker` within `commitments`.
 
-        Parameters: `closed` tells why no task may start now, or is empty.
+        Parameters: `closed` tells why no task may start now, or is empty, and
+        `must_leave` why those that run may not stay; `read_epoch` reads a shard's
+        epoch from the store.
         """
         self.attempt_by_id: dict[AttemptId, Attempt] = {}
         self.epoch_by_shard: dict[ShardId, Epoch] = {}
         self.ready = False
+        self.health = Health()
         self._worker = worker
         self._commitments = commitments
         self._view = view
@@ -122,6 +134,11 @@
         self._clock = clock
         self._timing = timing
         self._closed = closed
+        self._must_leave = must_leave
+        self._read_epoch = read_epoch
+        self._owner_by_shard: dict[ShardId, NodeId] = {}
+        self._unfenced: set[ShardId] = set()
+        self._look_again = asyncio.Event()
         self._never: dict[AttemptId, None] = {}
         self._asked_at_by_shard: dict[ShardId, float] = {}
         self._urgent_renewal = asyncio.Event()
@@ -168,6 +185,18 @@
         await asyncio.sleep(self._timing.reservation)
         await self._take_over()
         self.ready = True
+        while self._unfenced:
+            await self._fence()
+            await asyncio.sleep(MAX_POLL_SECONDS)
+
+    async def _fence(self) -> None:
+        # The earlier process of this agent may have taken an order of a new owner,
+        # and with its memory the epoch is lost. An older owner that still grants
+        # must not renew what the new one may already have given to another VM.
+        for shard in list(self._unfenced):
+            epoch = await self._read_epoch(shard)
+            if epoch is not None:
+                self._knows(shard, epoch, None)
 
     async def _take_over(self) -> None:
         while True:
@@ -181,8 +210,11 @@
     def _take_over_one(self, task: WorkerTask) -> None:
         if task.attempt in self.attempt_by_id:
             return
-        attempt = Attempt(task.attempt, shard_of(task.attempt), Phase.RUNNING)
+        shard = shard_of(task.attempt)
+        attempt = Attempt(task.attempt, shard, Phase.RUNNING, self._clock())
         attempt.grant_until = task.lease_until
+        if shard not in self.epoch_by_shard:
+            self._unfenced.add(shard)
         self.attempt_by_id[task.attempt] = attempt
         if task.state is TaskState.RUNNING:
             self._commitments.adopt(task.attempt, task.size)
@@ -196,27 +228,40 @@
     ) -> AnyMessage:
         assert isinstance(message, Reserve)
         now = self._clock()
-        why = self._why_not(message.shard, message.epoch)
-        if why or message.attempt in self._never:
-            return NoRoom(why or "given up here before", self._commitments.free(now))
+        why = self._why_not(message.shard, message.epoch, stream)
+        why = why or self.health.why_closed(job_of(message.attempt), now)
+        if message.attempt in self._never or message.attempt in self.attempt_by_id:
+            why = why or "asked for here before"
+        if why:
+            return NoRoom(why, self._commitments.free(now))
+        if message.urgent:
+            await self._make_room(message.size)
+            now = self._clock()
         until = now + self._timing.reservation
         if not self._commitments.reserve(
             message.attempt, message.size, until=until, now=now
         ):
             return NoRoom("not enough is free", self._commitments.free(now))
-        self.attempt_by_id.setdefault(
+        self.attempt_by_id[message.attempt] = Attempt(
             message.attempt,
-            Attempt(
-                message.attempt,
-                message.shard,
-                Phase.RESERVED,
-                reserved_until=until,
-                job_class=message.job_class,
-                urgent=message.urgent,
-            ),
+            message.shard,
+            Phase.RESERVED,
+            now,
+            reserved_until=until,
+            job_class=message.job_class,
+            urgent=message.urgent,
         )
-        left = self.attempt_by_id[message.attempt].reserved_until - now
-        return Reserved(left, self._commitments.free(now), self._incarnation)
+        free = self._commitments.free(now)
+        return Reserved(self._timing.reservation, free, self._incarnation)
+
+    async def _make_room(self, size: Resources) -> None:
+        evictable = [a.id for a in self._least_wanted() if not a.urgent]
+        chosen = to_evict(self._commitments, evictable, size, self._clock())
+        await self._evict_these(chosen, "urgent work needs its room")
+
+    def _least_wanted(self) -> list[Attempt]:
+        """Return what runs: not urgent first, then the latest start first."""
+        return sorted(self.running(), key=lambda a: (a.urgent, -a.since))
 
     async def _on_start(
         self, stream: Stream, message: AnyMessage, outlet: Outlet
@@ -228,7 +273,7 @@
         if attempt is not None and attempt.phase is not Phase.RESERVED:
             return Done()
         now = self._clock()
-        why = self._why_not(message.shard, message.epoch)
+        why = self._why_not(message.shard, message.epoch, stream)
         if attempt is None or now > attempt.reserved_until:
             why = why or "its reservation has lapsed"
         if why or attempt is None:
@@ -236,6 +281,7 @@
         if not self._commitments.take(message.attempt, now):
             return self._never_start(message.attempt, message.shard, "no room is held")
         attempt.phase = Phase.STARTING
+        attempt.since = now
         return await self._start(attempt, message)
 
     async def _start(self, attempt: Attempt, message: Start) -> AnyMessage:
@@ -256,9 +302,10 @@
         if isinstance(task, WorkerRefused):
             return self._never_start(attempt.id, attempt.shard, f"worker: {task.code}")
         if isinstance(task, WorkerUnreachable):
-            attempt.grant_until = attempt.reserved_until
+            # Whether it runs shows in the worker's list.
             return Refused(Code.OUTCOME_UNKNOWN.value, task.reason)
         attempt.phase = Phase.RUNNING
+        attempt.since = self._clock()
         await self._worker.renew({attempt.id: attempt.grant_until})
         return Done()
 
@@ -288,7 +335,7 @@
         assert isinstance(message, Adopt)
         if not self.ready:
             return Refused(Code.UNAVAILABLE.value, "still listing what runs here", 1.0)
-        if not self._knows(message.shard, message.epoch):
+        if not self._knows(message.shard, message.epoch, stream.peer):
             return Refused(Code.CONFLICT.value, "a newer owner is known here")
         reports = []
         for attempt in list(self.attempt_by_id.values()):
@@ -305,22 +352,27 @@
     ) -> AnyMessage:
         assert isinstance(message, Evict)
         attempt = self.attempt_by_id.get(message.attempt)
-        if attempt is None or not self._knows(message.shard, message.epoch):
+        known = self._knows(message.shard, message.epoch, stream.peer)
+        if attempt is None or not known:
             return Refused(Code.NOT_FOUND.value, "no such attempt of this owner here")
         await self.evict(attempt, message.reason)
         return Done()
 
-    def _why_not(self, shard: ShardId, epoch: Epoch) -> str:
+    def _why_not(self, shard: ShardId, epoch: Epoch, stream: Stream) -> str:
         if not self.ready:
             return "still listing what runs here"
-        if not self._knows(shard, epoch):
+        if not self._knows(shard, epoch, stream.peer):
             return "a newer owner is known here"
         return self._closed()
 
-    def _knows(self, shard: ShardId, epoch: Epoch) -> bool:
+    def _knows(self, shard: ShardId, epoch: Epoch, owner: NodeId | None) -> bool:
+        """Take an owner's epoch; tell whether no newer one is known."""
         if epoch < self.epoch_by_shard.get(shard, Epoch(0)):
             return False
         self.epoch_by_shard[shard] = epoch
+        self._unfenced.discard(shard)
+        if owner is not None:
+            self._owner_by_shard[shard] = owner
         return True
 
     # ---- ends
@@ -330,16 +382,28 @@
         if attempt.phase is not Phase.RUNNING or attempt.stopping:
             return
         attempt.stopping = reason
-        task = await self._worker.stop(attempt.id, checkpoint=True)
-        if isinstance(task, WorkerTask) and task.state is not TaskState.RUNNING:
-            self._ended(attempt, task)
-        else:
-            attempt.stopping = ""
+        try:
+            task = await self._worker.stop(attempt.id, checkpoint=True)
+            if isinstance(task, WorkerTask) and task.state is not TaskState.RUNNING:
+                self._ended(attempt, task)
+        finally:
+            # An answer that was lost, or a caller that went, must not leave an
+            # attempt that nobody stops any more.
+            if attempt.report is None:
+                attempt.stopping = ""
 
     async def evict_all(self, reason: str) -> None:
         """Checkpoint and stop every attempt."""
         await asyncio.gather(*(self.evict(a, reason) for a in self.running()))
 
+    async def _evict_these(self, attempts: list[AttemptId], reason: str) -> None:
+        chosen = [self.attempt_by_id[a] for a in attempts if a in self.attempt_by_id]
+        await asyncio.gather(*(self.evict(attempt, reason) for attempt in chosen))
+
+    def look_soon(self) -> None:
+        """Look at once: the configuration changed."""
+        self._look_again.set()
+
     async def hand_on(self, reason: str) -> None:
         """Checkpoint and stop everything, and wait until owners know of it."""
         while self.attempt_by_id:
@@ -349,7 +413,13 @@
             await asyncio.sleep(HAND_ON_PAUSE_SECONDS)
 
     def _ended(self, attempt: Attempt, task: WorkerTask) -> None:
+        if attempt.phase is Phase.ENDED:
+            return
         state = STATE_BY_TASK_STATE[task.state]
+        if state is AttemptState.SUCCEEDED:
+            self.health.succeeded()
+        elif state is AttemptState.FAILED:
+            self.health.failed(job_of(attempt.id), self._clock())
         attempt.phase = Phase.ENDED
         attempt.report = AttemptReport(
             attempt.id, attempt.shard, state, task.checkpoint, attempt.stopping
@@ -369,22 +439,49 @@
         while True:
             await self.look()
             pause = min(MAX_POLL_SECONDS, self._timing.grant * POLL_SHARE)
-            await asyncio.sleep(pause)
+            try:
+                async with asyncio.timeout(pause):
+                    await self._look_again.wait()
+            except TimeoutError:
+                continue
+            self._look_again.clear()
 
     async def look(self) -> None:
         """Look once at the worker's tasks."""
         self._drop_lapsed_reservations()
         if not self.running():
             return
+        await self._keep_to_capacity()
         asked_at = self._clock()
         tasks = await self._worker.tasks()
         if isinstance(tasks, WorkerUnreachable):
             return
         task_by_attempt = {task.attempt: task for task in tasks}
-        for attempt in self.running():
-            await self._look_at(attempt, task_by_attempt.get(attempt.id), asked_at)
+        await asyncio.gather(
+            *(
+                self._look_at(attempt, task_by_attempt.get(attempt.id), asked_at)
+                for attempt in self.running()
+            )
+        )
         await self._renew_leases(task_by_attempt)
 
+    async def _keep_to_capacity(self) -> None:
+        # Operators may take the zone out, shrink the VM or place a service on it
+        # while it is full: what runs then makes way at once.
+        why = self._must_leave()
+        if why:
+            await self.evict_all(why)
+            return
+        now = self._clock()
+        if not self._commitments.over(now):
+            return
+        for attempt in list(self.attempt_by_id.values()):
+            if attempt.phase is Phase.RESERVED:
+                self._never_start(attempt.id, attempt.shard, "the VM holds less now")
+        evictable = [attempt.id for attempt in self._least_wanted()]
+        chosen = to_evict(self._commitments, evictable, NOTHING, now) or evictable
+        await self._evict_these(chosen, "the VM holds less now")
+
     async def _look_at(
         self, attempt: Attempt, task: WorkerTask | None, asked_at: float
     ) -> None:
@@ -392,6 +489,9 @@
             # A start is on its way to the worker until its lease has lapsed.
             if attempt.phase is Phase.STARTING and asked_at < attempt.reserved_until:
                 return
+            # It was started after the list was asked for, so the list lacks it.
+            if attempt.since >= asked_at:
+                return
             lost = WorkerTask(attempt.id, TaskState.LAPSED)
             self._ended(attempt, lost)
             return
@@ -447,9 +547,23 @@
         await asyncio.gather(*(self._renew_shard(shard) for shard in due))
 
     async def _renew_shard(self, shard: ShardId) -> None:
-        owner = self._view.owner(shard)
-        if owner is None:
+        if shard in self._unfenced:
             return
+        for owner in self._owners(shard):
+            if await self._ask_owner(shard, owner):
+                return
+
+    def _owners(self, shard: ShardId) -> list[Member]:
+        # The owner whose order came last is the newest for sure; gossip may still
+        # name the one before, or know of one that has sent no order here yet.
+        last = self._owner_by_shard.get(shard)
+        members = self._view.member_by_node
+        told = members.get(last) if last is not None else None
+        named = self._view.owner(shard)
+        found = [m for m in (told, named) if m is not None and m.state not in GONE]
+        return found[:1] if told == named else found
+
+    async def _ask_owner(self, shard: ShardId, owner: Member) -> bool:
         reports = [
             self._report(a)
             for a in self.attempt_by_id.values()
@@ -468,9 +582,13 @@
         answer = await self._peers.call(
             owner.host, owner.port, ask, timeout=CALL_SECONDS
         )
-        if isinstance(answer, Grants) and self._knows(shard, answer.epoch):
-            self._asked_at_by_shard[shard] = asked_at
-            await self._take_grants(answer, asked_at)
+        if not isinstance(answer, Grants):
+            return False
+        if not self._knows(shard, answer.epoch, owner.node):
+            return False
+        self._asked_at_by_shard[shard] = asked_at
+        await self._take_grants(answer, asked_at)
+        return True
 
     async def _take_grants(self, answer: Grants, asked_at: float) -> None:
         leases: dict[AttemptId, float] = {}
--- a/wagtailcleat/agent/commitments.py
+++ b/wagtailcleat/agent/commitments.py
@@ -21,8 +21,13 @@
 
 @dataclass
 class Commitments:
-    """The VM's capacity and everything that takes of it."""
+    """The VM's capacity and everything that takes of it.
 
+    `known` tells whether the capacity comes from a configuration and the worker;
+    until then nothing is taken on, and nothing that runs is evicted for it.
+    """
+
+    known: bool = False
     capacity: Resources = NOTHING
     for_services: Resources = NOTHING
     held_by_attempt: dict[AttemptId, Held] = field(default_factory=dict)
@@ -66,7 +71,7 @@
 
     def over(self, now: float) -> bool:
         """Tell whether more is committed than the VM holds."""
-        return not NOTHING.fits(self.free(now))
+        return self.known and not NOTHING.fits(self.free(now))
 
     def _expire(self, now: float) -> None:
         lapsed = [
--- a/wagtailcleat/batch/accounts.py
+++ b/wagtailcleat/batch/accounts.py
@@ -19,8 +19,24 @@
     return "failed"
 
 
-def account(job: JobRecord, name: str) -> str:
-    """Return the account as JSON text."""
+def late_reason(job: JobRecord, now: float) -> str:
+    """Return why an open job can't end by its deadline; empty while it may.
+
+    Parameters: `now` on the wall clock.
+    """
+    deadline, run_seconds = job.spec.deadline, job.spec.task.run_seconds
+    if not job.open() or job.cancelled or job.stopped:
+        return ""
+    if now > deadline:
+        return "its deadline has passed"
+    waiting = job.count(TaskState.PENDING)
+    if waiting and now + run_seconds > deadline:
+        return f"{waiting} tasks still wait and could not end by the deadline"
+    return ""
+
+
+def account(job: JobRecord, name: str, now: float) -> str:
+    """Return the account as JSON text; `now` is on the wall clock."""
     spec = job.spec
     body: dict[str, object] = {
         "id": name,
@@ -30,7 +46,7 @@
         "urgent": spec.urgent,
         "accepted_at": round(job.accepted_at, 3),
         "deadline": spec.deadline,
-        "attempts": sum(task.attempt for task in job.tasks),
+        "attempts": sum(task.starts for task in job.tasks),
         "evictions": sum(task.evictions for task in job.tasks),
         "failures": sum(task.failures for task in job.tasks),
     }
@@ -39,6 +55,9 @@
     if job.ended_at:
         body["ended_at"] = round(job.ended_at, 3)
         body["in_time"] = job.ended_at <= spec.deadline
+    late = late_reason(job, now)
+    if late:
+        body["late"] = late
     if job.reason:
         body["reason"] = job.reason
     return json.dumps(body)
--- /dev/null
+++ b/wagtailcleat/batch/grants.py
@@ -0,0 +1,197 @@
+"""Grants: an attempt runs while its agent holds one, and lapses without.
+
+The agent counts a grant from when it asked, the owner from when it answered, so the
+owner's view always ends later. The next attempt is committed only after the last
+one's end is reported, or its grant has surely lapsed.
+"""
+
+import asyncio
+
+from wagtailcleat.batch.record import (
+    AnyEvent,
+    AttemptEnded,
+    JobForgotten,
+    JobStopped,
+)
+from wagtailcleat.batch.shard import Shard
+from wagtailcleat.errors import Code
+from wagtailcleat.ids import AttemptId
+from wagtailcleat.wire.messages import (
+    Adopted,
+    AnyMessage,
+    AttemptReport,
+    AttemptState,
+    Grants,
+    Refused,
+    RenewGrants,
+    job_of,
+)
+
+KEEP_ENDED_SECONDS = 86_400.0
+FORGET_ROUND_SECONDS = 60.0
+DISTINCT_FAILURES_TO_STOP = 3
+COMMIT_WAIT_SECONDS = 0.5
+
+
+class GrantBook:
+    """Hands out grants of one shard, and commits the ends that agents report."""
+
+    def __init__(self, shard: Shard) -> None:
+        """Grant the attempts of `shard`."""
+        self._shard = shard
+        self._ending: set[AttemptId] = set()
+        self._forgot_at = 0.0
+
+    async def renew(self, message: RenewGrants) -> AnyMessage:
+        """Commit the ends an agent reports, and renew its attempts' grants."""
+        shard = self._shard
+        if message.epoch > shard.journal.epoch:
+            # The agent has an order of a later owner: this one has lost the shard
+            # and would not have heard of it before its next commit.
+            shard.journal.deposed.set()
+        if shard.journal.deposed.is_set():
+            return Refused(Code.UNAVAILABLE.value, "no longer the owner")
+        shard.view.note_free(message.node, message.free, shard.clock())
+        ended = [r for r in message.reports if r.state is not AttemptState.RUNNING]
+        await self._commit_ends(ended)
+        running = [
+            r.attempt for r in message.reports if r.state is AttemptState.RUNNING
+        ]
+        fenced = message.epoch == shard.journal.epoch
+        return self._grants(running, ended, fenced)
+
+    async def _commit_ends(self, ended: list[AttemptReport]) -> None:
+        # A commit may hang for as long as the store does; grants must not wait for
+        # it, or running tasks would lose theirs. What is committed later is
+        # acknowledged when it is reported again.
+        fresh = [report for report in ended if report.attempt not in self._ending]
+        events = [event for report in fresh for event in self.ended_events(report)]
+        if not events:
+            return
+        work = self._commit(events, {report.attempt for report in fresh})
+        task = self._shard.in_background(work)
+        await asyncio.wait([task], timeout=COMMIT_WAIT_SECONDS)
+
+    async def _commit(self, events: list[AnyEvent], attempts: set[AttemptId]) -> None:
+        self._ending |= attempts
+        try:
+            await self._shard.commit_all(events)
+        finally:
+            self._ending -= attempts
+
+    def _grants(
+        self, running: list[AttemptId], ended: list[AttemptReport], fenced: bool
+    ) -> AnyMessage:
+        shard = self._shard
+        now = shard.clock()
+        if shard.journal.deposed.is_set():
+            return Refused(Code.UNAVAILABLE.value, "no longer the owner")
+        seconds = min(shard.timing.grant, shard.may_grant_until() - now)
+        if seconds <= 0:
+            return Refused(Code.UNAVAILABLE.value, "may not grant: the store is lost")
+        record = shard.record
+        seconds_by_attempt: dict[AttemptId, float] = {}
+        stop: list[AttemptId] = []
+        for attempt in running:
+            if not record.is_current(attempt):
+                stop.append(attempt)
+                continue
+            job = record.job_by_id[job_of(attempt)]
+            if job.cancelled or job.stopped:
+                stop.append(attempt)
+            seconds_by_attempt[attempt] = seconds
+            self._note(attempt, shard.whole_grant_from(now), fenced)
+        acknowledged = [r.attempt for r in ended if not record.is_current(r.attempt)]
+        return Grants(shard.journal.epoch, seconds_by_attempt, acknowledged, stop)
+
+    def _note(self, attempt: AttemptId, until: float, fenced: bool) -> None:
+        # An agent that has not yet taken an order of this epoch may, if this answer
+        # is lost, go on with grants of an earlier owner: their bound stands.
+        known = 0.0 if fenced else self._shard.granted_until.get(attempt, 0.0)
+        self._shard.granted_until[attempt] = max(known, until)
+
+    def adopted(self, answer: Adopted, held: list[AttemptId]) -> None:
+        """Take an agent's word on which attempts run, and end the others.
+
+        The agent refuses orders of earlier epochs from its answer on, so what it
+        does not list will never start.
+        """
+        shard = self._shard
+        until = shard.whole_grant_from(shard.clock())
+        listed = {report.attempt for report in answer.reports}
+        events: list[AnyEvent] = []
+        for report in answer.reports:
+            if report.state is not AttemptState.RUNNING:
+                events += self.ended_events(report)
+            elif shard.record.is_current(report.attempt):
+                shard.granted_until[report.attempt] = until
+        never = AttemptState.NEVER_STARTED
+        events += [
+            AttemptEnded(attempt, never, "", "not at its agent", shard.wall_clock())
+            for attempt in held
+            if attempt not in listed and shard.record.is_current(attempt)
+        ]
+        if events:
+            shard.in_background(shard.commit_all(events))
+
+    def ended_events(self, report: AttemptReport) -> list[AnyEvent]:
+        """Return what is to be committed for an end that was reported."""
+        # Reports come twice and late; one of an attempt no longer current is
+        # acknowledged and changes nothing.
+        if not self._shard.record.is_current(report.attempt):
+            return []
+        event = AttemptEnded(
+            report.attempt,
+            report.state,
+            report.checkpoint,
+            report.reason,
+            self._shard.wall_clock(),
+        )
+        events: list[AnyEvent] = [event]
+        if report.state is AttemptState.FAILED:
+            events += self._after_failure(report)
+        return events
+
+    def _after_failure(self, report: AttemptReport) -> list[AnyEvent]:
+        shard = self._shard
+        job_id = job_of(report.attempt)
+        task = shard.record.task_by_attempt[report.attempt]
+        failed_on = {*task.failed_on, task.vm}
+        most = shard.in_force.configuration.rules.max_attempts
+        many = task.failures + 1 >= most
+        if len(failed_on) < DISTINCT_FAILURES_TO_STOP and not many:
+            return []
+        where = ", ".join(sorted(failed_on))
+        reason = f"task {report.attempt.split('/')[1]} failed on {where}"
+        return [JobStopped(job_id, reason, shard.wall_clock())]
+
+    async def lapse(self) -> None:
+        """End the attempts whose grants have surely lapsed, forget old jobs."""
+        shard = self._shard
+        now, wall = shard.clock(), shard.wall_clock()
+        current = shard.record.task_by_attempt
+        lapsed = [
+            attempt
+            for attempt in current
+            if now
+            > shard.granted_until.setdefault(attempt, shard.whole_grant_from(now))
+        ]
+        events: list[AnyEvent] = [
+            AttemptEnded(attempt, AttemptState.LAPSED, "", "its grant lapsed", wall)
+            for attempt in lapsed
+        ]
+        if now - self._forgot_at > FORGET_ROUND_SECONDS:
+            self._forgot_at = now
+            events += self._to_forget(wall)
+            for attempt in [a for a in shard.granted_until if a not in current]:
+                del shard.granted_until[attempt]
+        if events:
+            await shard.commit_all(events)
+
+    def _to_forget(self, wall: float) -> list[JobForgotten]:
+        jobs = self._shard.record.job_by_id.values()
+        return [
+            JobForgotten(job.spec.id)
+            for job in jobs
+            if job.ended_at and wall - job.ended_at > KEEP_ENDED_SECONDS
+        ]
--- /dev/null
+++ b/wagtailcleat/batch/holders.py
@@ -0,0 +1,126 @@
+"""Who held a shard before, as the store keeps it until each is settled.
+
+An earlier owner that lost its store lease but not its agents may go on handing out
+grants, up to the bound in the settings. A successor has to know of every such
+owner, also of one before a claimer that died in the middle of its takeover; so a
+claim adds its predecessor to a list in the same transaction, and only an owner that
+has settled all of them clears it.
+"""
+
+import msgspec
+
+from wagtailcleat.configuration.keys import shard_earlier, shard_epoch
+from wagtailcleat.ids import Epoch, Incarnation, NodeId, ShardId
+from wagtailcleat.platform.store import (
+    Absent,
+    Compare,
+    Found,
+    Store,
+    Txn,
+    Unavailable,
+    Written,
+)
+from wagtailcleat.wire.messages import Done, Member, StepDown
+from wagtailcleat.wire.streams import Lost, Peers
+
+CALL_SECONDS = 1.0
+
+
+class Holder(msgspec.Struct, frozen=True):
+    """One process that owned a shard, or claimed it."""
+
+    node: NodeId
+    incarnation: Incarnation
+    host: str
+    port: int
+
+
+class EpochRecord(msgspec.Struct, frozen=True):
+    """What the epoch key holds: the number, and who raised it last."""
+
+    epoch: Epoch
+    holder: Holder
+
+
+class KnownHolders(msgspec.Struct, frozen=True):
+    """What a claimer read before its claim."""
+
+    epoch: Epoch
+    epoch_revision: int
+    unsettled: list[Holder]
+    """The last holder, and those before it that may still hand out grants."""
+
+
+_encode = msgspec.json.Encoder().encode
+
+
+def holder_of(me: Member) -> Holder:
+    """Return this process as a holder."""
+    return Holder(me.node, me.incarnation, me.host, me.port)
+
+
+def encode_epoch(epoch: Epoch, holder: Holder) -> bytes:
+    """Return the value of the epoch key."""
+    return _encode(EpochRecord(epoch, holder))
+
+
+def encode_earlier(holders: list[Holder]) -> bytes:
+    """Return the value of the key of earlier holders."""
+    return _encode(holders)
+
+
+async def read_holders(store: Store, shard: ShardId) -> KnownHolders | None:
+    """Return who held the shard so far, or nothing where the store fails.
+
+    The two keys are read one after the other. A claim in between changes the epoch,
+    which the claim made after this reading compares.
+    """
+    epoch = await store.get(shard_epoch(shard))
+    earlier = await store.get(shard_earlier(shard))
+    if isinstance(epoch, Unavailable) or isinstance(earlier, Unavailable):
+        return None
+    if isinstance(epoch, Absent):
+        return KnownHolders(Epoch(0), 0, [])
+    record = msgspec.json.decode(epoch.value, type=EpochRecord)
+    unsettled = [record.holder]
+    if isinstance(earlier, Found):
+        unsettled += msgspec.json.decode(earlier.value, type=list[Holder])
+    unique = list(dict.fromkeys(unsettled))
+    return KnownHolders(record.epoch, epoch.mod_revision, unique)
+
+
+async def read_epoch(store: Store, shard: ShardId) -> Epoch | None:
+    """Return the shard's epoch, or nothing where the store fails."""
+    found = await store.get(shard_epoch(shard))
+    if isinstance(found, Unavailable):
+        return None
+    if isinstance(found, Absent):
+        return Epoch(0)
+    return msgspec.json.decode(found.value, type=EpochRecord).epoch
+
+
+async def clear_earlier(store: Store, shard: ShardId, epoch_value: bytes) -> bool:
+    """Note that all earlier holders are settled; tell whether it was written."""
+    txn = Txn(
+        [Compare(shard_epoch(shard), value=epoch_value)],
+        {shard_earlier(shard): encode_earlier([])},
+    )
+    return isinstance(await store.write(txn), Written)
+
+
+async def is_settled(holder: Holder, me: Holder, order: StepDown, peers: Peers) -> bool:
+    """Tell whether `holder` surely hands out no grants of an earlier epoch.
+
+    It has stepped down, or is this process itself, or a later process of its node
+    has its address, which one process alone can listen on.
+    """
+    if holder == me:
+        return True
+    stream = await peers.stream(holder.host, holder.port)
+    if isinstance(stream, Lost) or stream.peer != holder.node:
+        return False
+    if stream.peer_incarnation > holder.incarnation:
+        return True
+    if stream.peer_incarnation < holder.incarnation:
+        return False
+    return isinstance(await stream.call(order, timeout=CALL_SECONDS), Done)
--- a/wagtailcleat/batch/journal.py
+++ b/wagtailcleat/batch/journal.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -25,6 +24,7 @@
     shard_log,
     shard_log_entry,
     shard_snapshot,
+    shard_snapshot_part,
 )
 from wagtailcleat.ids import Epoch, ShardId
 from wagtailcleat.logs import part_logger
@@ -44,7 +44,9 @@
 log = part_logger("journal")
 
 ENTRIES_A_SNAPSHOT = 100
-MAX_EVENTS_A_WRITE = 500
+MAX_ENTRIES_A_SNAPSHOT = 1000
+MAX_ENTRY_BYTES = 500_000
+SNAPSHOT_PART_BYTES = 900_000
 RETRY_PAUSE_SECONDS = 0.1
 
 
@@ -58,13 +60,15 @@
     """Not written: the store does not answer."""
     DEPOSED = "deposed"
     """Not written, nor ever will be: another owner has the shard."""
+    UNKNOWN = "unknown"
+    """Another owner has the shard, and it may have found the events written."""
 
 
 @dataclass
 class _Batch:
     events: list[AnyEvent]
+    size: int
     done: asyncio.Future[Commit]
-    give_up_at: float = 0.0
 
 
 @dataclass
@@ -81,8 +85,9 @@
     interval: float
     snapshot_revision: int = 0
     snapshot_number: int = 0
-    on_commit: Callable[[list[AnyEvent]], None] = lambda _: None
     deposed: asyncio.Event = field(default_factory=asyncio.Event)
+    _log_bytes: int = 0
+    _snapshot_bytes: int = 0
     _waiting: list[_Batch] = field(default_factory=list)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -91,37 +96,57 @@
         if self.deposed.is_set():
             return Commit.DEPOSED
         done: asyncio.Future[Commit] = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Batch(events, done))
+        self._waiting.append(_Batch(events, len(encode_events(events)), done))
         self._wake.set()
         return await asyncio.shield(done)
 
     async def run(self) -> None:
         """Write what waits, at most once an interval, until deposed."""
-        while not self.deposed.is_set():
-            await self._wake.wait()
-            self._wake.clear()
-            batches = self._take()
+        try:
+            while not self.deposed.is_set():
+                await self._wake.wait()
+                self._wake.clear()
+                await self._write_some()
+                if self._snapshot_due():
+                    await self._snapshot()
+                if self._waiting:
+                    self._wake.set()
+                await asyncio.sleep(self.interval)
+        finally:
+            deposed = self.deposed.is_set()
+            _settle(self._waiting, Commit.DEPOSED if deposed else Commit.FAILED)
+            self._waiting.clear()
+
+    async def _write_some(self) -> None:
+        batches = self._take()
+        # Stopped in the middle of a write, this process can't tell what became of
+        # it: whoever waits must not be told that nothing was written.
+        outcome = Commit.UNKNOWN
+        try:
             if batches:
                 outcome = await self._write(batches)
-                for batch in batches:
-                    if not batch.done.done():
-                        batch.done.set_result(outcome)
-            if self.record.number - self.snapshot_number >= ENTRIES_A_SNAPSHOT:
-                await self._snapshot()
-            if self._waiting:
-                self._wake.set()
-            await asyncio.sleep(self.interval)
-        for batch in self._waiting:
-            batch.done.set_result(Commit.DEPOSED)
+        finally:
+            _settle(batches, outcome)
 
     def _take(self) -> list[_Batch]:
         taken: list[_Batch] = []
-        count = 0
-        while self._waiting and count < MAX_EVENTS_A_WRITE:
-            count += len(self._waiting[0].events)
+        size = 0
+        while self._waiting and (not taken or size < MAX_ENTRY_BYTES):
+            size += self._waiting[0].size
+            if taken and size > MAX_ENTRY_BYTES:
+                break
             taken.append(self._waiting.pop(0))
         return taken
 
+    def _snapshot_due(self) -> bool:
+        # A large shard's snapshot is written seldom: only once the log has grown to
+        # a part of its size, so that snapshots stay a fixed share of all writes.
+        entries = self.record.number - self.snapshot_number
+        if entries < ENTRIES_A_SNAPSHOT:
+            return False
+        grown = self._log_bytes >= self._snapshot_bytes
+        return grown or entries >= MAX_ENTRIES_A_SNAPSHOT
+
     async def _write(self, batches: list[_Batch]) -> Commit:
         events = [event for batch in batches for event in batch.events]
         number = self.record.number + 1
@@ -169,18 +194,20 @@
                 # Only this owner's epoch could have written these bytes here.
                 return self._committed(number, events)
             self.deposed.set()
-            return Commit.DEPOSED
+            return Commit.UNKNOWN if unknown else Commit.DEPOSED
         epoch = await self.store.get(shard_epoch(self.shard))
         if isinstance(epoch, Unavailable) or isinstance(stored, Unavailable):
             return None
         if isinstance(epoch, Absent) or epoch.value != self.epoch_value:
+            # The next owner may have found the entry and put it into a snapshot.
             self.deposed.set()
-            return Commit.DEPOSED
-        if places and await self._refresh_zones():
+            return Commit.UNKNOWN if unknown else Commit.DEPOSED
+        if places and await self.refresh_zones():
             return Commit.ZONES_CHANGED
         return None
 
-    async def _refresh_zones(self) -> bool:
+    async def refresh_zones(self) -> bool:
+        """Read the zones out anew; tell whether they changed."""
         zones = await read_zones_out(self.store)
         if zones is None or zones[1] == self.zones_revision:
             return False
@@ -191,7 +218,7 @@
         for event in events:
             self.record.apply(event)
         self.record.number = number
-        self.on_commit(events)
+        self._log_bytes += len(encode_events(events))
         return Commit.COMMITTED
 
     async def _snapshot(self) -> None:
@@ -200,12 +227,16 @@
         # it replaces, never to put an older one over a newer.
         number = self.record.number
         key = shard_snapshot(self.shard)
+        parts = _in_parts(self.record.snapshot())
+        puts = {key: str(len(parts)).encode()}
+        for index, part in enumerate(parts):
+            puts[shard_snapshot_part(self.shard, index)] = part
         txn = Txn(
             [
                 Compare(shard_epoch(self.shard), value=self.epoch_value),
                 Compare(key, mod_revision=self.snapshot_revision),
             ],
-            {key: self.record.snapshot()},
+            puts,
             delete_ranges=[
                 (shard_log(self.shard), shard_log_entry(self.shard, number + 1))
             ],
@@ -214,12 +245,26 @@
         if isinstance(outcome, Written):
             self.snapshot_revision = outcome.store_revision
             self.snapshot_number = number
+            self._snapshot_bytes = sum(len(part) for part in parts)
+            self._log_bytes = 0
             return
         found = await self.store.get(key)
         if isinstance(found, Found):
             self.snapshot_revision = found.mod_revision
 
 
+def _settle(batches: list[_Batch], outcome: Commit) -> None:
+    for batch in batches:
+        if not batch.done.done():
+            batch.done.set_result(outcome)
+
+
+def _in_parts(snapshot: bytes) -> list[bytes]:
+    # A value of the store has at most a megabyte, and a shard may hold more.
+    starts = range(0, len(snapshot), SNAPSHOT_PART_BYTES)
+    return [snapshot[start : start + SNAPSHOT_PART_BYTES] for start in starts]
+
+
 async def read_zones_out(store: Store) -> tuple[list[str], int] | None:
     """Return the zones out and the store's revision of that key."""
     found = await store.get(ZONES_OUT)
@@ -239,13 +284,17 @@
 
 async def load(store: Store, shard: ShardId) -> Loaded | None:
     """Return a shard's committed state, or nothing where the store fails."""
-    snapshot = await store.get(shard_snapshot(shard))
-    if isinstance(snapshot, Unavailable):
+    stored = await store.list(shard_snapshot(shard))
+    if not isinstance(stored, Listing):
         return None
-    found = isinstance(snapshot, Found)
-    record = restore(snapshot.value) if isinstance(snapshot, Found) else ShardRecord()
-    snapshot_revision = snapshot.mod_revision if isinstance(snapshot, Found) else 0
-    snapshot_number = record.number if found else 0
+    value_by_key = {found.key: found for found in stored.found}
+    head = value_by_key.get(shard_snapshot(shard))
+    record, snapshot_revision = ShardRecord(), 0
+    if head is not None:
+        keys = [shard_snapshot_part(shard, i) for i in range(int(head.value))]
+        record = restore(b"".join(value_by_key[key].value for key in keys))
+        snapshot_revision = head.mod_revision
+    snapshot_number = record.number
     entries = await store.list(shard_log(shard))
     if not isinstance(entries, Listing):
         return None
--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -10,30 +10,35 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wagtailcleat.batch.holders import (
+    Holder,
+    KnownHolders,
+    encode_earlier,
+    encode_epoch,
+    holder_of,
+    read_holders,
+)
 from wagtailcleat.batch.journal import Journal, load, read_zones_out
-from wagtailcleat.batch.owner import LAPSE_MARGIN, Owner
+from wagtailcleat.batch.owner import Owner
 from wagtailcleat.batch.shards import preference
 from wagtailcleat.clock import Clock
-from wagtailcleat.configuration.keys import shard_epoch, shard_owner
+from wagtailcleat.configuration.keys import shard_earlier, shard_epoch, shard_owner
 from wagtailcleat.ids import Epoch, NodeId, ShardId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import (
-    Absent,
     Compare,
     Found,
     Leased,
     LeaseGone,
     Store,
     Txn,
-    Unavailable,
     Unknown,
     Written,
 )
 from wagtailcleat.settings import Timing
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import Done, MemberState, Role, StepDown
-from wagtailcleat.wire.streams import Peers
 
 log = part_logger("ownership")
 
@@ -41,17 +46,16 @@
 ROUND_SECONDS = 0.5
 RIVALS = 2
 SECOND_CLAIMS_SHARE = 0.1
-CALL_SECONDS = 1.0
 
-MakeOwner = Callable[[ShardId, Journal], Owner]
+MakeOwner = Callable[[ShardId, Journal, list[Holder]], Owner]
 
 
 @dataclass(frozen=True)
 class Claim:
-    """A shard just taken, and who held it before."""
+    """A shard just taken, and who may still hand out grants for it."""
 
     epoch: Epoch
-    earlier_node: str
+    earlier: list[Holder]
 
 
 class Ownership:
@@ -61,7 +65,6 @@
         self,
         store: Store,
         view: View,
-        peers: Peers,
         supervisor: Supervisor,
         *,
         shards: int,
@@ -83,7 +86,6 @@
         self._lease = ""
         self._store = store
         self._view = view
-        self._peers = peers
         self._supervisor = supervisor
         self._shards = shards
         self._clock = clock
@@ -92,7 +94,7 @@
         self._make_owner = make_owner
         self._announce = announce
         self._closed = closed
-        self._claiming: set[ShardId] = set()
+        self._stepped_down_by_shard: dict[ShardId, Epoch] = {}
         self._branch_by_shard: dict[ShardId, Supervisor] = {}
 
     def may_grant_until(self) -> float:
@@ -106,9 +108,12 @@
     async def run(self) -> None:
         """Keep the lease and claim shards, until cancelled."""
         while True:
-            await self._keep_lease()
-            if self._lease and not self._closed():
-                await self._claim_some()
+            wanted = [] if self._closed() else self._to_claim()
+            if self.owner_by_shard or wanted:
+                await self._keep_lease()
+            for shard in wanted:
+                if self._lease:
+                    await self._claim_and_run(shard)
             self._drop_deposed()
             pause = min(ROUND_SECONDS, self._timing.ownership / RENEWALS_A_LEASE)
             await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
@@ -123,6 +128,9 @@
 
     def step_down(self, message: StepDown) -> Done:
         """Hand out no more grants for a shard that a newer epoch has taken."""
+        # It may come in the middle of a takeover here, before there is an owner.
+        known = self._stepped_down_by_shard.get(message.shard, Epoch(0))
+        self._stepped_down_by_shard[message.shard] = max(known, message.epoch)
         owner = self.owner_by_shard.get(message.shard)
         if owner is not None and owner.journal.epoch < message.epoch:
             self._drop(message.shard)
@@ -152,26 +160,31 @@
 
     # ---- claiming
 
-    async def _claim_some(self) -> None:
+    def _to_claim(self) -> list[ShardId]:
         agents = [
             m.node
             for m in self._view.agents()
             if m.state is MemberState.ALIVE and m.role is Role.AGENT
         ]
-        for number in range(self._shards):
-            shard = ShardId(number)
-            if shard in self.owner_by_shard or shard in self._claiming:
-                continue
-            if self._is_mine_to_claim(shard, agents):
-                await self._claim_and_run(shard)
+        owned = self._owned_elsewhere()
+        return [
+            shard
+            for shard in map(ShardId, range(self._shards))
+            if shard not in self.owner_by_shard
+            and shard not in owned
+            and self._is_mine_to_claim(shard, agents)
+        ]
+
+    def _owned_elsewhere(self) -> set[ShardId]:
+        standing = (MemberState.ALIVE, MemberState.SUSPECT)
+        return {
+            shard
+            for member in self._view.agents()
+            if member.state in standing and member.node != self._view.me.node
+            for shard in member.shards
+        }
 
     def _is_mine_to_claim(self, shard: ShardId, agents: list[NodeId]) -> bool:
-        owner = self._view.owner(shard)
-        if owner is not None and owner.state in (
-            MemberState.ALIVE,
-            MemberState.SUSPECT,
-        ):
-            return False
         ranked = preference(shard, agents)[:RIVALS]
         if self._view.me.node not in ranked:
             return False
@@ -180,61 +193,51 @@
         return first or self._random.random() < SECOND_CLAIMS_SHARE
 
     async def _claim_and_run(self, shard: ShardId) -> None:
-        self._claiming.add(shard)
-        try:
-            claim = await self._claim(shard)
-            if claim is not None:
-                await self._take_over(shard, claim)
-        finally:
-            self._claiming.discard(shard)
-
-    async def _claim(self, shard: ShardId) -> Claim | None:
-        epoch = await self._store.get(shard_epoch(shard))
-        if isinstance(epoch, Unavailable):
-            return None
-        number = int(epoch.value.split(b"|")[0]) if isinstance(epoch, Found) else 0
-        earlier = epoch.value.decode() if isinstance(epoch, Found) else ""
-        return await self._claim_epoch(shard, number, earlier, epoch)
-
-    async def _claim_epoch(
-        self, shard: ShardId, number: int, earlier: str, known: Found | Absent
-    ) -> Claim | None:
-        me = self._view.me
-        value = epoch_value(Epoch(number + 1), f"{me.node}|{me.incarnation}")
+        known = await read_holders(self._store, shard)
+        if known is None:
+            return
+        claim = await self._claim(shard, known)
+        if claim is not None:
+            await self._take_over(shard, claim)
+
+    async def _claim(self, shard: ShardId, known: KnownHolders) -> Claim | None:
+        me = holder_of(self._view.me)
+        epoch = Epoch(known.epoch + 1)
+        value = encode_epoch(epoch, me)
         compares = [
             Compare(shard_owner(shard), absent=True),
-            Compare(shard_epoch(shard), absent=True)
-            if isinstance(known, Absent)
-            else Compare(shard_epoch(shard), mod_revision=known.mod_revision),
+            Compare(shard_epoch(shard), mod_revision=known.epoch_revision),
         ]
-        txn = Txn(
-            compares,
-            {shard_epoch(shard): value},
-            {shard_owner(shard): me.node.encode()},
-            self._lease,
-        )
+        puts = {
+            shard_epoch(shard): value,
+            shard_earlier(shard): encode_earlier(known.unsettled),
+        }
+        owner_key = {shard_owner(shard): self._owner_value()}
+        txn = Txn(compares, puts, owner_key, self._lease)
         outcome = await self._store.write(txn)
         if isinstance(outcome, Unknown):
             read = await self._store.get(shard_epoch(shard))
             if isinstance(read, Found) and read.value == value:
                 outcome = Written(read.mod_revision)
-        if not isinstance(outcome, Written):
-            return None
-        parts = earlier.split("|")
-        return Claim(Epoch(number + 1), parts[1] if len(parts) > 1 else "")
+        if isinstance(outcome, Written):
+            return Claim(epoch, known.unsettled)
+        # A claim of this process whose answer was lost may have taken effect after
+        # all; then this process keeps the key alive and nobody owns the shard.
+        await self._hand_back(shard)
+        return None
 
     async def _take_over(self, shard: ShardId, claim: Claim) -> None:
         loaded = await load(self._store, shard)
         zones = await read_zones_out(self._store)
-        if loaded is None or zones is None:
+        stepped_down = self._stepped_down_by_shard.get(shard, Epoch(0)) > claim.epoch
+        if loaded is None or zones is None or stepped_down:
             await self._hand_back(shard)
             return
-        me = self._view.me
         journal = Journal(
             self._store,
             shard,
             claim.epoch,
-            epoch_value(claim.epoch, f"{me.node}|{me.incarnation}"),
+            encode_epoch(claim.epoch, holder_of(self._view.me)),
             loaded.record,
             zones[0],
             zones[1],
@@ -242,49 +245,24 @@
             snapshot_revision=loaded.snapshot_revision,
             snapshot_number=loaded.snapshot_number,
         )
-        owner = self._make_owner(shard, journal)
-        await owner.adopt(await self._wait_for_unreachable(shard, claim))
+        owner = self._make_owner(shard, journal, claim.earlier)
         self.owner_by_shard[shard] = owner
         branch = self._supervisor.supervisor(f"shard-{shard}")
         self._branch_by_shard[shard] = branch
         branch.spawn("journal", journal.run)
+        branch.spawn("takeover", owner.takeover.run)
         branch.spawn("placement", owner.run)
         log.info("Owns a shard", extra={"shard": shard, "epoch": claim.epoch})
         self._announce()
 
-    async def _wait_for_unreachable(self, shard: ShardId, claim: Claim) -> float:
-        """Return how long an earlier owner's grants may last at agents cut off.
-
-        An earlier owner that steps down, or whose process is surely gone, hands
-        out none any more, so its last ones end a grant from now. One that can't
-        be asked may hand them out up to the bound.
-        """
-        grant = self._timing.grant * LAPSE_MARGIN
-        if not claim.earlier_node:
-            return grant
-        if claim.earlier_node == self._view.me.node:
-            return grant
-        member = next(
-            (m for m in self._view.agents() if m.node == claim.earlier_node), None
-        )
-        if member is not None:
-            ask = StepDown(shard, claim.epoch)
-            answer = await self._peers.call(
-                member.host, member.port, ask, timeout=CALL_SECONDS
-            )
-            if isinstance(answer, Done):
-                return grant
-        return grant + self._timing.outage_grant
-
     async def _hand_back(self, shard: ShardId) -> None:
-        await self._store.write(
-            Txn(
-                [
-                    Compare(shard_owner(shard), value=self._view.me.node.encode()),
-                ],
-                deletes=[shard_owner(shard)],
-            )
-        )
+        key = shard_owner(shard)
+        mine = Compare(key, value=self._owner_value())
+        await self._store.write(Txn([mine], deletes=[key]))
+
+    def _owner_value(self) -> bytes:
+        me = self._view.me
+        return f"{me.node}|{me.incarnation}".encode()
 
     # ---- losing
 
@@ -296,13 +274,9 @@
     def _drop(self, shard: ShardId) -> None:
         owner = self.owner_by_shard.pop(shard)
         owner.journal.deposed.set()
+        owner.stop()
         branch = self._branch_by_shard.pop(shard, None)
         if branch is not None:
             self._supervisor.once(f"stop-{shard}", branch.stop)
         log.info("Owns a shard no longer", extra={"shard": shard})
         self._announce()
-
-
-def epoch_value(epoch: Epoch, holder: str) -> bytes:
-    """Return what the epoch key holds: the number, and who raised it last."""
-    return f"{epoch}|{holder}".encode()
--- a/wagtailcleat/batch/placement.py
+++ b/wagtailcleat/batch/placement.py
@@ -1,7 +1,6 @@
 """Which VM an attempt is asked for first, and in which order tasks are placed."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from wagtailcleat.batch.record import TaskRecord
@@ -24,20 +23,21 @@
     free: Resources
 
 
-Order = Callable[[list[Candidate], Resources], list[Candidate]]
-
-
 def usable_agents(
-    view: View, configuration: Configuration, quarantined: set[VmName]
+    view: View, configuration: Configuration, zones_out: list[str]
 ) -> list[Member]:
-    """Return the agents that may take new tasks at all."""
+    """Return the agents that may take new tasks at all.
+
+    Parameters: `zones_out` as the journal read them from the store, which may be
+    newer than what is in force here; commits are checked against those.
+    """
     vms = {vm.name for vm in configuration.inventory.vms}
     return [
         member
         for member in view.agents()
         if member.state is MemberState.ALIVE
         and member.vm in vms
-        and member.vm not in quarantined
+        and member.zone not in zones_out
         and not zone_is_out(configuration, member.zone)
     ]
 
@@ -48,13 +48,11 @@
     size: Resources,
     *,
     view: View,
-    tried: set[NodeId],
     rng: random.Random,
     now: float,
 ) -> list[Candidate]:
     """Return a sample of agents that may have room, not the ones it failed on."""
-    open_to = [m for m in agents if m.node not in tried]
-    fresh = [m for m in open_to if m.vm not in task.failed_on] or open_to
+    fresh = _not_failed_on(agents, task)
     found = []
     for member in rng.sample(fresh, len(fresh)):
         free = _free(view, member.node, now)
@@ -65,12 +63,40 @@
     return found
 
 
-def best_fit(found: list[Candidate], size: Resources) -> list[Candidate]:
+def any_of(
+    agents: list[Member], task: TaskRecord, *, rng: random.Random
+) -> list[Candidate]:
+    """Return a sample of agents, whether or not they seem to have room."""
+    fresh = _not_failed_on(agents, task)
+    chosen = rng.sample(fresh, min(SAMPLE, len(fresh)))
+    return [Candidate(member, Resources()) for member in chosen]
+
+
+def _not_failed_on(agents: list[Member], task: TaskRecord) -> list[Member]:
+    return [m for m in agents if m.vm not in task.failed_on] or agents
+
+
+def best_fit(
+    found: list[Candidate],
+    size: Resources,
+    configuration: Configuration,
+    owners_vm: VmName,
+) -> list[Candidate]:
     """Order by what would be left, the least first; unknown ones last.
 
-    Tight VMs fill up first, so that room for large tasks stays whole.
+    Tight VMs fill up first, so that room for large tasks stays whole. The owner's
+    own VM comes last of all, and its rack next to last: were task and owner lost
+    at once, the next owner could not tell for long whether the task still runs.
     """
-    return sorted(found, key=lambda c: _left(c, size))
+    rack_by_vm = {vm.name: vm.rack for vm in configuration.inventory.vms}
+    rack = rack_by_vm.get(owners_vm)
+
+    def order(candidate: Candidate) -> tuple[bool, bool, bool, float]:
+        vm = candidate.member.vm
+        near = rack is not None and rack_by_vm.get(vm) == rack
+        return vm == owners_vm, near, *_left(candidate, size)
+
+    return sorted(found, key=order)
 
 
 def _left(candidate: Candidate, size: Resources) -> tuple[bool, float]:
--- /dev/null
+++ b/wagtailcleat/batch/placer.py
@@ -0,0 +1,236 @@
+"""Starts what waits: reserve at an agent, commit the assignment, start.
+
+Each placement is a task of its own, so that a slow agent delays only the attempt
+asked of it; the journal writes their assignments together.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from wagtailcleat.batch.grants import GrantBook
+from wagtailcleat.batch.journal import Commit
+from wagtailcleat.batch.placement import (
+    Candidate,
+    any_of,
+    best_fit,
+    candidates,
+    usable_agents,
+)
+from wagtailcleat.batch.record import Assigned, JobRecord, TaskRecord
+from wagtailcleat.batch.shard import CALL_SECONDS, Shard
+from wagtailcleat.batch.shards import team_shards
+from wagtailcleat.configuration.models import team_named
+from wagtailcleat.ids import AttemptId, JobId, TaskId, TeamName
+from wagtailcleat.resources import Resources
+from wagtailcleat.wire.messages import (
+    AttemptReport,
+    Done,
+    JobSpec,
+    Member,
+    NoRoom,
+    Release,
+    Reserve,
+    Reserved,
+    Start,
+    attempt_id,
+)
+from wagtailcleat.wire.streams import Lost
+
+MAX_PLACED_AT_ONCE = 32
+RESERVE_TRIES = 4
+START_TRIES = 4
+START_PAUSE_SECONDS = 0.2
+NO_ROOM_PAUSE_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A reservation that an agent made for an attempt."""
+
+    attempt: AttemptId
+    job: JobRecord
+    task: TaskRecord
+    member: Member
+    reserved: Reserved
+
+
+class Placer:
+    """Places one shard's waiting tasks."""
+
+    def __init__(self, shard: Shard, grants: GrantBook) -> None:
+        """Place the tasks of `shard`."""
+        self.starts = 0
+        self._shard = shard
+        self._grants = grants
+        self._job_by_placing: dict[TaskId, JobRecord] = {}
+        self._tried_by_task: dict[TaskId, int] = {}
+        self._not_before_by_job: dict[JobId, float] = {}
+
+    def place(self) -> None:
+        """Begin to place the first tasks that wait, within their teams' quotas."""
+        shard = self._shard
+        if shard.journal.store.holding_back:
+            # No assignment can be committed: reservations would only hold room.
+            return
+        now = shard.clock()
+        agents: list[Member] | None = None
+        room_by_team: dict[TeamName, Resources] = {}
+        for task_id, job, task in shard.record.pending():
+            if len(self._job_by_placing) >= MAX_PLACED_AT_ONCE:
+                break
+            waits = now < self._not_before_by_job.get(job.spec.id, 0.0)
+            if waits or task_id in self._job_by_placing:
+                continue
+            team = job.spec.team
+            if team not in room_by_team:
+                room_by_team[team] = self._quota_left(team)
+            if not job.spec.task.size.fits(room_by_team[team]):
+                continue
+            room_by_team[team] = room_by_team[team] - job.spec.task.size
+            if agents is None:
+                agents = usable_agents(
+                    shard.view, shard.in_force.configuration, shard.journal.zones_out
+                )
+            self._job_by_placing[task_id] = job
+            shard.in_background(self._place_one(task_id, job, task, agents))
+
+    async def _place_one(
+        self, task_id: TaskId, job: JobRecord, task: TaskRecord, agents: list[Member]
+    ) -> None:
+        # A number is never asked for again: its reservation may have been given up,
+        # and then the agent refuses it for good, lest a late start order runs it.
+        number = max(task.attempt, self._tried_by_task.get(task_id, 0)) + 1
+        self._tried_by_task[task_id] = number
+        try:
+            attempt = attempt_id(task_id, number)
+            placement = await self._reserve(attempt, job, task, agents)
+            if placement is None:
+                pause = NO_ROOM_PAUSE_SECONDS * self._shard.random.uniform(0.5, 1.5)
+                self._not_before_by_job[job.spec.id] = self._shard.clock() + pause
+                return
+            self._not_before_by_job.pop(job.spec.id, None)
+            if not await self._assign(placement):
+                await self._release(attempt, placement.member)
+                return
+        finally:
+            del self._job_by_placing[task_id]
+        del self._tried_by_task[task_id]
+        await self._start(placement)
+
+    def _quota_left(self, team: TeamName) -> Resources:
+        shard = self._shard
+        found = team_named(shard.in_force.configuration, team)
+        if found is None:
+            return Resources()
+        lanes = team_shards(found, shard.shards).count(shard.id)
+        share = lanes / found.shards
+        left = Resources(
+            found.cores * share,
+            int(found.memory_mb * share),
+            int(found.accelerators * share),
+        )
+        left = left - shard.record.taken_by(team)
+        for job in self._job_by_placing.values():
+            if job.spec.team == team:
+                left = left - job.spec.task.size
+        return left
+
+    async def _reserve(
+        self,
+        attempt: AttemptId,
+        job: JobRecord,
+        task: TaskRecord,
+        agents: list[Member],
+    ) -> Placement | None:
+        for candidate in self._candidates(job.spec, task, agents)[:RESERVE_TRIES]:
+            member = candidate.member
+            answer = await self._ask(attempt, job.spec, member)
+            if isinstance(answer, Reserved):
+                return Placement(attempt, job, task, member, answer)
+            if isinstance(answer, Lost) and answer.sent:
+                # It may hold the room nonetheless.
+                self._shard.in_background(self._release(attempt, member))
+        return None
+
+    def _candidates(
+        self, spec: JobSpec, task: TaskRecord, agents: list[Member]
+    ) -> list[Candidate]:
+        shard = self._shard
+        found = candidates(
+            agents,
+            task,
+            spec.task.size,
+            view=shard.view,
+            rng=shard.random,
+            now=shard.clock(),
+        )
+        if not found and spec.urgent:
+            # An agent makes room for urgent work by evicting what is not urgent.
+            found = any_of(agents, task, rng=shard.random)
+        configuration = shard.in_force.configuration
+        return best_fit(found, spec.task.size, configuration, shard.view.me.vm)
+
+    async def _ask(
+        self, attempt: AttemptId, spec: JobSpec, member: Member
+    ) -> Reserved | Lost | None:
+        shard = self._shard
+        ask = Reserve(
+            attempt,
+            shard.id,
+            shard.journal.epoch,
+            spec.task.size,
+            spec.job_class,
+            spec.urgent,
+        )
+        answer = await shard.peers.call(
+            member.host, member.port, ask, timeout=CALL_SECONDS
+        )
+        if isinstance(answer, Reserved | NoRoom):
+            shard.view.note_free(member.node, answer.free, shard.clock())
+        return answer if isinstance(answer, Reserved | Lost) else None
+
+    async def _assign(self, placement: Placement) -> bool:
+        shard, attempt = self._shard, placement.attempt
+        event = Assigned(
+            attempt,
+            placement.member.vm,
+            placement.member.node,
+            placement.reserved.incarnation,
+            shard.wall_clock(),
+        )
+        outcome = await shard.journal.commit([event])
+        # The job may have been cancelled between the reservation and the commit.
+        if outcome is not Commit.COMMITTED or not shard.record.is_current(attempt):
+            return False
+        shard.granted_until[attempt] = shard.whole_grant_from(shard.clock())
+        return True
+
+    async def _start(self, placement: Placement) -> None:
+        shard = self._shard
+        order = Start(
+            placement.attempt,
+            shard.id,
+            shard.journal.epoch,
+            placement.job.spec.task.command,
+            shard.timing.grant,
+            placement.task.checkpoint,
+            shard.in_force.revision,
+        )
+        member = placement.member
+        for _ in range(START_TRIES):
+            answer = await shard.peers.call(
+                member.host, member.port, order, timeout=CALL_SECONDS
+            )
+            if isinstance(answer, Done):
+                self.starts += 1
+                return
+            if isinstance(answer, AttemptReport):
+                await shard.commit_all(self._grants.ended_events(answer))
+                return
+            await asyncio.sleep(START_PAUSE_SECONDS)
+
+    async def _release(self, attempt: AttemptId, member: Member) -> None:
+        order = Release(attempt)
+        await self._shard.peers.call(
+            member.host, member.port, order, timeout=CALL_SECONDS
+        )
--- a/wagtailcleat/batch/record.py
+++ b/wagtailcleat/batch/record.py
@@ -1,5 +1,7 @@
 """A shard's record: jobs, tasks and attempts, folded from its committed events."""
 
+from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -88,7 +90,7 @@
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
-    """A task; `attempt` counts its attempts, the last of which may run."""
+    """A task; `attempt` is the number of its last attempt, which may run."""
 
     state: TaskState = TaskState.PENDING
     attempt: int = 0
@@ -99,6 +101,8 @@
     failures: int = 0
     evictions: int = 0
     failed_on: list[VmName] = []
+    starts: int = 0
+    """How often it was given to a VM; `attempt` may leave numbers out."""
 
 
 class JobRecord(msgspec.Struct, array_like=True):
@@ -130,16 +134,24 @@
 
 @dataclass
 class ShardRecord:
-    """A shard's jobs; changed by `apply` alone."""
+    """A shard's jobs; changed by `apply` alone, which keeps the indexes too."""
 
     job_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
     number: int = 0
+    task_by_attempt: dict[AttemptId, TaskRecord] = field(default_factory=dict)
+    """Every attempt that may be running."""
+    _pending_by_job: dict[JobId, dict[int, TaskRecord]] = field(default_factory=dict)
+    _assigned_by_job: Counter[JobId] = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        """Index the jobs given."""
+        for job_id, job in self.job_by_id.items():
+            self._index(job_id, job)
 
     def apply(self, event: AnyEvent) -> None:
         """Fold one committed event into the state."""
         if isinstance(event, JobAccepted):
-            tasks = [TaskRecord() for _ in range(event.spec.tasks)]
-            self.job_by_id[event.spec.id] = JobRecord(event.spec, event.at, tasks)
+            self._accepted(event)
         elif isinstance(event, Assigned):
             self._assigned(event)
         elif isinstance(event, AttemptEnded):
@@ -149,53 +161,49 @@
         elif isinstance(event, JobStopped):
             self._cancelled(event.job, event.reason, event.at, stopped=True)
         else:
-            self.job_by_id.pop(event.job, None)
+            self._forgotten(event.job)
 
     def task(self, attempt: AttemptId) -> TaskRecord | None:
         """Return the task of an attempt, where the record still has it."""
         job = self.job_by_id.get(job_of(attempt))
         index = int(attempt.split("/")[1])
-        return job.tasks[index] if job is not None else None
+        if job is None or index >= len(job.tasks):
+            return None
+        return job.tasks[index]
 
     def is_current(self, attempt: AttemptId) -> bool:
         """Tell whether the attempt is its task's last and has not ended."""
-        task = self.task(attempt)
-        number = int(attempt.rsplit("/", 1)[1])
-        return (
-            task is not None
-            and task.state is TaskState.ASSIGNED
-            and task.attempt == number
-        )
+        return attempt in self.task_by_attempt
+
+    def is_open(self, job: JobId) -> bool:
+        """Tell whether a task of the job is still to be run or to end."""
+        return bool(self._pending_by_job.get(job)) or self._assigned_by_job[job] > 0
+
+    def open_tasks(self) -> int:
+        """Return how many tasks are still to be run or to end."""
+        return self.pending_count() + len(self.task_by_attempt)
 
-    def assigned(self) -> list[tuple[AttemptId, TaskRecord]]:
-        """Return every attempt that may be running."""
-        return [
-            (attempt_id(task_id(job.spec.id, index), task.attempt), task)
-            for job in self.job_by_id.values()
-            for index, task in enumerate(job.tasks)
-            if task.state is TaskState.ASSIGNED
-        ]
+    def pending_count(self) -> int:
+        """Return how many tasks are to be placed."""
+        return sum(len(tasks) for tasks in self._pending_by_job.values())
 
-    def pending(self) -> list[tuple[TaskId, JobRecord, TaskRecord]]:
+    def pending(self) -> Iterator[tuple[TaskId, JobRecord, TaskRecord]]:
         """Return every task to place: urgent first, then by deadline."""
         jobs = sorted(
-            self.job_by_id.values(), key=lambda j: (not j.spec.urgent, j.spec.deadline)
+            (self.job_by_id[job_id] for job_id in self._pending_by_job),
+            key=lambda job: (not job.spec.urgent, job.spec.deadline),
         )
-        return [
-            (task_id(job.spec.id, index), job, task)
-            for job in jobs
-            if not job.cancelled and not job.stopped
-            for index, task in enumerate(job.tasks)
-            if task.state is TaskState.PENDING
-        ]
+        for job in jobs:
+            for index, task in list(self._pending_by_job[job.spec.id].items()):
+                yield task_id(job.spec.id, index), job, task
 
     def taken_by(self, team: str) -> Resources:
         """Return what a team's assigned tasks take."""
         total = Resources()
-        for job in self.job_by_id.values():
-            if job.spec.team == team:
-                for _ in range(job.count(TaskState.ASSIGNED)):
-                    total = total + job.spec.task.size
+        for job_id, count in self._assigned_by_job.items():
+            spec = self.job_by_id[job_id].spec
+            if spec.team == team:
+                total = total + spec.task.size.times(count)
         return total
 
     def snapshot(self) -> bytes:
@@ -203,22 +211,42 @@
         jobs = list(self.job_by_id.values())
         return msgspec.msgpack.encode(Snapshot(self.number, jobs))
 
+    def _accepted(self, event: JobAccepted) -> None:
+        # The same job sent twice at once is accepted twice in the log; a second
+        # record would forget the attempts of the first, which may be running.
+        if event.spec.id in self.job_by_id:
+            return
+        tasks = [TaskRecord() for _ in range(event.spec.tasks)]
+        job = JobRecord(event.spec, event.at, tasks)
+        self.job_by_id[event.spec.id] = job
+        self._index(event.spec.id, job)
+
     def _assigned(self, event: Assigned) -> None:
         task = self.task(event.attempt)
-        if task is None:
+        job_id = job_of(event.attempt)
+        index = int(event.attempt.split("/")[1])
+        # Cancelled between the reservation and the commit: nothing starts.
+        if task is None or task.state is not TaskState.PENDING:
             return
         task.state = TaskState.ASSIGNED
         task.attempt = int(event.attempt.rsplit("/", 1)[1])
         task.vm = event.vm
         task.node = event.node
         task.incarnation = event.incarnation
+        task.starts += 1
+        self._no_longer_pending(job_id, index)
+        self._assigned_by_job[job_id] += 1
+        self.task_by_attempt[event.attempt] = task
 
     def _ended(self, event: AttemptEnded) -> None:
-        if not self.is_current(event.attempt):
+        task = self.task_by_attempt.pop(event.attempt, None)
+        if task is None:
             return
-        job = self.job_by_id[job_of(event.attempt)]
-        task = self.task(event.attempt)
-        assert task is not None
+        job_id = job_of(event.attempt)
+        job = self.job_by_id[job_id]
+        self._assigned_by_job[job_id] -= 1
+        if not self._assigned_by_job[job_id]:
+            del self._assigned_by_job[job_id]
         if event.checkpoint:
             task.checkpoint = event.checkpoint
         if event.state is AttemptState.SUCCEEDED:
@@ -227,29 +255,50 @@
             task.state = TaskState.CANCELLED
         else:
             task.state = TaskState.PENDING
+            index = int(event.attempt.split("/")[1])
+            self._pending_by_job.setdefault(job_id, {})[index] = task
         if event.state is AttemptState.FAILED:
             task.failures += 1
             task.failed_on = sorted({*task.failed_on, task.vm})
         if event.state in (AttemptState.EVICTED, AttemptState.LAPSED):
             task.evictions += 1
-        if not job.open():
+        if not self.is_open(job_id):
             job.ended_at = event.at
 
     def _cancelled(
         self, job_id: JobId, reason: str, at: float, *, stopped: bool
     ) -> None:
         job = self.job_by_id.get(job_id)
-        if job is None:
+        # Orders cross: what has ended, or is being stopped already, stays so.
+        if job is None or job.cancelled or job.stopped or not self.is_open(job_id):
             return
         job.cancelled = not stopped
         job.stopped = stopped
         job.reason = reason
-        for task in job.tasks:
-            if task.state is TaskState.PENDING:
-                task.state = TaskState.FAILED if stopped else TaskState.CANCELLED
-        if not job.open():
+        for task in self._pending_by_job.pop(job_id, {}).values():
+            task.state = TaskState.FAILED if stopped else TaskState.CANCELLED
+        if not self.is_open(job_id):
             job.ended_at = at
 
+    def _forgotten(self, job_id: JobId) -> None:
+        if job_id in self.job_by_id and not self.is_open(job_id):
+            del self.job_by_id[job_id]
+
+    def _no_longer_pending(self, job_id: JobId, index: int) -> None:
+        waiting = self._pending_by_job[job_id]
+        del waiting[index]
+        if not waiting:
+            del self._pending_by_job[job_id]
+
+    def _index(self, job_id: JobId, job: JobRecord) -> None:
+        for index, task in enumerate(job.tasks):
+            if task.state is TaskState.PENDING:
+                self._pending_by_job.setdefault(job_id, {})[index] = task
+            elif task.state is TaskState.ASSIGNED:
+                attempt = attempt_id(task_id(job_id, index), task.attempt)
+                self.task_by_attempt[attempt] = task
+                self._assigned_by_job[job_id] += 1
+
 
 def restore(snapshot: bytes) -> ShardRecord:
     """Return the state that `snapshot` holds."""
--- /dev/null
+++ b/wagtailcleat/batch/submissions.py
@@ -0,0 +1,132 @@
+"""Callers' orders on a shard's jobs: submit, show, list, cancel."""
+
+from msgspec.structs import replace
+
+from wagtailcleat.batch.accounts import account
+from wagtailcleat.batch.journal import Commit
+from wagtailcleat.batch.placement import feasible
+from wagtailcleat.batch.record import JobAccepted, JobCancelled, JobRecord
+from wagtailcleat.batch.shard import Shard
+from wagtailcleat.batch.shards import name_of
+from wagtailcleat.configuration.models import team_named
+from wagtailcleat.errors import Code
+from wagtailcleat.wire.messages import (
+    AnyMessage,
+    CancelJob,
+    JobAccount,
+    JobAccounts,
+    JobSpec,
+    ListJobs,
+    Refused,
+    ShowJob,
+    SubmitJob,
+)
+
+MAX_TASKS_A_SHARD = 20_000
+MAX_JOBS_A_SHARD = 2_000
+RETRY_AFTER_SECONDS = 2.0
+
+
+class Submissions:
+    """Answers callers from what is committed, and commits their orders."""
+
+    def __init__(self, shard: Shard) -> None:
+        """Serve the jobs of `shard`."""
+        self._shard = shard
+
+    async def submit(self, message: SubmitJob) -> AnyMessage:
+        """Accept a job once it is in the store; the same job twice is one job."""
+        shard, sent = self._shard, message.spec
+        known = shard.record.job_by_id.get(sent.id)
+        if known is not None:
+            return self._known(known, sent)
+        now = shard.wall_clock()
+        spec = sent
+        if spec.deadline == 0:
+            spec = replace(spec, deadline=round(now + spec.deadline_seconds, 3))
+        refusal = self._why_not(spec)
+        if refusal is not None:
+            return refusal
+        outcome = await shard.journal.commit([JobAccepted(spec, now)])
+        shard.wake.set()
+        known = shard.record.job_by_id.get(sent.id)
+        if outcome is Commit.COMMITTED and known is not None:
+            return self._known(known, sent)
+        if outcome is Commit.UNKNOWN:
+            return Refused(
+                Code.OUTCOME_UNKNOWN.value,
+                "the shard's owner changed meanwhile; submit again, it is one job",
+                RETRY_AFTER_SECONDS,
+            )
+        return Refused(
+            Code.NOT_RUN.value,
+            "the job was not accepted: the store does not answer",
+            RETRY_AFTER_SECONDS,
+        )
+
+    async def show(self, message: ShowJob) -> AnyMessage:
+        """Return a job's account."""
+        job = self._shard.record.job_by_id.get(message.id)
+        if job is None:
+            return Refused(Code.NOT_FOUND.value, "there is no such job")
+        return self._account(job)
+
+    async def list_jobs(self, message: ListJobs) -> AnyMessage:
+        """Return the accounts of a team's jobs in this shard."""
+        jobs = self._shard.record.job_by_id.values()
+        mine = [job for job in jobs if job.spec.team == message.team]
+        return JobAccounts([self._account(job).text for job in mine])
+
+    async def cancel(self, message: CancelJob) -> AnyMessage:
+        """Cancel a job; running tasks are stopped as their agents hear of it."""
+        shard = self._shard
+        job = shard.record.job_by_id.get(message.id)
+        if job is None:
+            return Refused(Code.NOT_FOUND.value, "there is no such job")
+        if job.cancelled or not shard.record.is_open(message.id):
+            return self._account(job)
+        event = JobCancelled(message.id, "cancelled by its team", shard.wall_clock())
+        if await shard.journal.commit([event]) is Commit.COMMITTED:
+            return self._account(job)
+        return Refused(
+            Code.UNAVAILABLE.value,
+            "not cancelled yet: the store does not answer; ask again",
+            RETRY_AFTER_SECONDS,
+        )
+
+    def _why_not(self, spec: JobSpec) -> Refused | None:
+        shard = self._shard
+        configuration = shard.in_force.configuration
+        team = team_named(configuration, spec.team)
+        if team is None:
+            return Refused(Code.NOT_FOUND.value, f"no team '{spec.team}' in the rules")
+        if not spec.task.size.fits(team.quota):
+            return Refused(
+                Code.QUOTA.value, "one task alone takes more than the team's quota"
+            )
+        reason = feasible(configuration, spec)
+        if reason:
+            return Refused(Code.INFEASIBLE.value, reason)
+        if spec.deadline < shard.wall_clock() + spec.task.run_seconds:
+            return Refused(
+                Code.INFEASIBLE.value, "its deadline is before a task could end"
+            )
+        record = shard.record
+        tasks = record.open_tasks() + spec.tasks
+        if tasks > MAX_TASKS_A_SHARD or len(record.job_by_id) >= MAX_JOBS_A_SHARD:
+            return Refused(
+                Code.NOT_RUN.value, "the shard is full", 10 * RETRY_AFTER_SECONDS
+            )
+        return None
+
+    def _known(self, known: JobRecord, spec: JobSpec) -> AnyMessage:
+        fixed = spec if spec.deadline else replace(spec, deadline=known.spec.deadline)
+        if known.spec != fixed:
+            return Refused(
+                Code.CONFLICT.value, "another job of this id was accepted before"
+            )
+        return self._account(known)
+
+    def _account(self, job: JobRecord) -> JobAccount:
+        now = self._shard.wall_clock()
+        return JobAccount(account(job, name_of(job.spec.id), now))
--- a/wagtailcleat/configuration/keys.py
+++ b/wagtailcleat/configuration/keys.py
@@ -23,10 +23,20 @@
 
 
 def shard_snapshot(shard: ShardId) -> str:
-    """Return the key of a shard's snapshot."""
+    """Return the key that tells of how many parts a shard's snapshot consists."""
     return shard_prefix(shard) + "snapshot"
 
 
+def shard_snapshot_part(shard: ShardId, index: int) -> str:
+    """Return the key of one part of a shard's snapshot."""
+    return f"{shard_snapshot(shard)}/{index:04d}"
+
+
+def shard_earlier(shard: ShardId) -> str:
+    """Return the key of the earlier owners that may still hand out grants."""
+    return shard_prefix(shard) + "earlier"
+
+
 def shard_log(shard: ShardId) -> str:
     """Return the prefix of a shard's log entries."""
     return shard_prefix(shard) + "log/"
--- a/wagtailcleat/platform/circuit.py
+++ b/wagtailcleat/platform/circuit.py
@@ -34,6 +34,10 @@
         self.tokens -= 1
         return max(0.0, -self.tokens / self.rate)
 
+    def drain(self) -> None:
+        """Give up what was saved up; calls go on at the rate."""
+        self.tokens = min(self.tokens, 1.0)
+
     def take(self, now: float) -> bool:
         """Take a token if there is one now."""
         if self.wait(now) == 0.0:
@@ -53,13 +57,17 @@
 
     def allows(self, now: float) -> bool:
         """Tell whether a call may go out; a probe holds back others meanwhile."""
-        if self.failures < FAILURES_TO_OPEN:
+        if not self.is_open():
             return True
         if now < self.open_until:
             return False
         self.open_until = now + self._pause()
         return True
 
+    def is_open(self) -> bool:
+        """Tell whether calls are held back but for probes."""
+        return self.failures >= FAILURES_TO_OPEN
+
     def succeeded(self) -> None:
         """Note that the store answered."""
         self.failures = 0
--- a/wagtailcleat/platform/store.py
+++ b/wagtailcleat/platform/store.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.logs import part_logger
@@ -26,6 +27,13 @@
 CALL_SECONDS = 2.0
 MAX_CLIENTS = 32
 MAX_QUEUED_SECONDS = 2.0
+RENEWALS_PER_SECOND = 10.0
+HTTP_FAILED = 599
+NEVER_CONNECTED = (
+    pycurl.E_COULDNT_RESOLVE_PROXY,
+    pycurl.E_COULDNT_RESOLVE_HOST,
+    pycurl.E_COULDNT_CONNECT,
+)
 
 
 @dataclass(frozen=True)
@@ -148,6 +156,7 @@
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
         self._reads = TokenBucket(reads_per_second, reads_per_second)
         self._writes = TokenBucket(writes_per_second, writes_per_second)
+        self._renewals = TokenBucket(RENEWALS_PER_SECOND, RENEWALS_PER_SECOND)
         self._circuit = Circuit(random.Random(f"{seed}/circuit"))
 
     def __repr__(self) -> str:
@@ -159,6 +168,11 @@
         """Whether the last call was answered."""
         return self._circuit.down_since is None
 
+    @property
+    def holding_back(self) -> bool:
+        """Whether calls are held back but for probes: the store has an outage."""
+        return self._circuit.is_open()
+
     def down_for(self, now: float) -> float:
         """Return for how many seconds the store has not answered."""
         since = self._circuit.down_since
@@ -213,7 +227,8 @@
 
     async def keep_alive(self, lease: str) -> Leased | LeaseGone | Unavailable:
         """Renew a lease; the caller counts its seconds from before the call."""
-        answer = await self._call("/v3/lease/keepalive", {"ID": lease}, self._writes)
+        # Renewals wait for no token: after an outage they go before all else.
+        answer = await self._call("/v3/lease/keepalive", {"ID": lease}, self._renewals)
         if not isinstance(answer, dict):
             return Unavailable(answer.reason)
         left = float(answer.get("result", {}).get("TTL", 0))
@@ -290,16 +305,24 @@
             response = await self._client.fetch(request, raise_error=False)
             if response.code == 200:
                 answer = json.loads(response.body)
-                self._circuit.succeeded()
+                self._answered()
                 return answer  # type: ignore[no-any-return]
         except (HTTPClientError, OSError, ValueError) as error:
             return self._failed(Unknown(str(error)))
-        if response.code == 429:
-            self._circuit.failed(self._clock())
-            return Unavailable("the store's rate limit")
-        if response.code == 599 and "connect" not in str(response.error).lower():
-            return self._failed(Unknown(str(response.error)))
-        return self._failed(Unavailable(f"{response.code} {response.reason}"))
+        # Only a refusal of the store's own, or a connection that never opened, says
+        # that nothing was written. A connection reset or a gateway's 5xx may hide
+        # an answer to a write that took effect.
+        if _refused(response) or _never_connected(response.error):
+            return self._failed(Unavailable(f"{response.code} {response.reason}"))
+        return self._failed(Unknown(str(response.error)))
+
+    def _answered(self) -> None:
+        # All processes return at once after an outage. One that starts from empty
+        # buckets asks at its rate, and not a second's worth in one burst.
+        if self._circuit.is_open():
+            self._reads.drain()
+            self._writes.drain()
+        self._circuit.succeeded()
 
     def _failed(self, outcome: Unknown | Unavailable) -> Unknown | Unavailable:
         self.failures += 1
@@ -310,6 +333,20 @@
 Fetch = Callable[[HTTPRequest], Awaitable[Any]]
 
 
+def _refused(response: HTTPResponse) -> bool:
+    if response.code == HTTP_FAILED:
+        return False
+    try:
+        body = json.loads(response.body or b"")
+    except ValueError:
+        return False
+    return isinstance(body, dict) and "code" in body
+
+
+def _never_connected(error: BaseException | None) -> bool:
+    return getattr(error, "errno", None) in NEVER_CONNECTED
+
+
 def _b64(text: str | bytes) -> str:
     raw = text.encode() if isinstance(text, str) else text
     return base64.b64encode(raw).decode()
--- a/wagtailcleat/resources.py
+++ b/wagtailcleat/resources.py
@@ -34,6 +34,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return this amount taken `count` times."""
+        return Resources(
+            self.cores * count, self.memory_mb * count, self.accelerators * count
+        )
+
     def smaller(self, other: "Resources") -> "Resources":
         """Return the smaller amount in each dimension."""
         return Resources(
