Batch failure tests with real processes, and what they found

Found by them and mended: a lapse committed after an outage lost the checkpoint of an eviction already reported; a shard had no owner when the agents that should have it stood in a zone that is out; a lost answer makes the HTTP client send a write again, which then conflicted with itself and deposed the owner.

--- /dev/null
+++ b/features/steps/batch_steps.py
@@ -0,0 +1,541 @@
+"""Steps on batch work over a deployment of real processes."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from batch_oracle import overlaps, peak, running, runs, runs_by_task
+from behave import given, then, when
+
+from standins.cluster import Cluster, VmOptions
+from standins.processes import HttpError, http, wait_for
+from wagtailcleat.batch.shards import find_shard
+from wagtailcleat.clock import boot_time
+from wagtailcleat.configuration.models import Team
+
+TEAM = "travel-desk"
+LANES = 4
+TIMING = {
+    "reservation": 0.5,
+    "grant": 2.0,
+    "ownership": 2,
+    "gossip": 0.2,
+    "suspicion": 1.0,
+    "outage_grant": 20.0,
+    "store_call": 1.0,
+    "drain": 5.0,
+}
+AGENT_SETTINGS = {"shards": 4}
+PATIENCE_SECONDS = 40
+CHECKPOINT_ROUNDING_SECONDS = 0.1
+
+
+def team():
+    return {"name": TEAM, "cores": 200, "memory_mb": 800_000, "shards": LANES}
+
+
+def job_body(name, tasks, command, cores, **more):
+    shared = {"memory_mb": 100, "deadline_seconds": 600}
+    body = {"id": name, "command": command, "cores": cores, "tasks": tasks}
+    return body | shared | more
+
+
+def jobs_url(context, name=""):
+    port = context.cluster.entry.ready["http_port"]
+    return f"http://127.0.0.1:{port}/teams/{TEAM}/jobs" + (f"/{name}" if name else "")
+
+
+def submit(context, body):
+    """Submit until the job is known; return the last answer."""
+
+    def known():
+        try:
+            answer = http("POST", jobs_url(context), body)
+        except HttpError:
+            return None
+        if answer.status in (200, 201):
+            return answer
+        print(answer)
+        return None
+
+    return wait_or_show(context, known, f"job {body['id']} is accepted")
+
+
+def account(context, name):
+    try:
+        answer = http("GET", jobs_url(context, name))
+    except HttpError:
+        return {}
+    return answer.json() if answer.status == 200 else {}
+
+
+def ended(context, name):
+    def check():
+        seen = account(context, name)
+        return (
+            seen if seen.get("state") in ("finished", "failed", "cancelled") else None
+        )
+
+    return wait_or_show(context, check, f"job {name} ends")
+
+
+def wait_or_show(context, condition, what):
+    """Wait; where it fails, show each agent's state first."""
+    try:
+        return wait_for(condition, PATIENCE_SECONDS, what)
+    except AssertionError:
+        for process in context.cluster.agent_by_vm.values():
+            print(process.name, state(process))
+        raise
+
+
+def state(process):
+    return http("GET", process.url + "/state", timeout=2).json()
+
+
+def shard_of(name):
+    return find_shard(Team(**team()), name, AGENT_SETTINGS["shards"])
+
+
+def owner_vm(context, name):
+    """Return the VM whose agent owns the job's shard."""
+    shard = str(shard_of(name))
+    frozen = {process.name for process in context.frozen}
+
+    def find():
+        for vm, agent in context.cluster.agent_by_vm.items():
+            if agent.name in frozen or not agent.alive:
+                continue
+            if shard in state(agent)["shards"]:
+                return vm
+        return None
+
+    return wait_for(find, PATIENCE_SECONDS, f"shard {shard} has an owner")
+
+
+# ---- the deployment
+
+
+@given('a batch deployment of VMs "{vms}"')
+def step_deployment(context, vms):
+    options = []
+    for number, text in enumerate(vms.split()):
+        name, zone, cores = text.split("=")
+        rack = f"rack-{number}"
+        options.append(VmOptions(name, zone, rack, cores=int(cores), services=()))
+    context.frozen = []
+    context.cluster = Cluster(
+        options,
+        services=(),
+        entries=1,
+        timing=TIMING,
+        agent_settings=AGENT_SETTINGS,
+        entry_settings=AGENT_SETTINGS,
+    )
+    context.add_cleanup(context.cluster.close)
+    answer = context.cluster.apply(rules={"teams": [team()]})
+    assert answer.status == 200, answer.body
+    wait_for(lambda: all_owned(context), PATIENCE_SECONDS, "all shards are owned")
+
+
+def all_owned(context):
+    agents = context.cluster.agent_by_vm.values()
+    return sum(len(state(agent)["shards"]) for agent in agents) == 4
+
+
+# ---- jobs
+
+
+@given(
+    'job "{name}" of {tasks:d} tasks of "{command}" with {cores:d} cores'
+    ' runs on "{vm}" and {other:d} on "{other_vm}"'
+)
+def step_runs_on(context, name, tasks, command, cores, vm, other, other_vm):
+    submit(context, job_body(name, tasks, command, cores))
+    held = context.cluster.vm_by_name[vm].cores // cores
+    wanted = min(held, tasks - other) if tasks > other else 0
+
+    def full():
+        return len(running(context.cluster, vm)) >= wanted - 1
+
+    wait_for(full, PATIENCE_SECONDS, f"{vm} is full")
+
+
+@given(
+    'job "{name}" of {tasks:d} tasks of "{command}" with {cores:d} cores fills all VMs'
+)
+def step_fills(context, name, tasks, command, cores):
+    submit(context, job_body(name, tasks, command, cores))
+    wait_for(
+        lambda: len(running(context.cluster)) == tasks, PATIENCE_SECONDS, "all run"
+    )
+
+
+@when(
+    'job "{name}" of {tasks:d} tasks of "{command}" with {cores:d} cores is submitted'
+)
+@when(
+    'job "{name}" of {tasks:d} tasks of "{command}" with {cores:d} cores'
+    " is submitted until known"
+)
+def step_submit(context, name, tasks, command, cores):
+    submit(context, job_body(name, tasks, command, cores))
+
+
+@when(
+    'urgent job "{name}" of {tasks:d} task of "{command}" with {cores:d} cores'
+    " is submitted"
+)
+def step_urgent(context, name, tasks, command, cores):
+    submit(context, job_body(name, tasks, command, cores, urgent=True))
+    context.submitted_at = boot_time()
+
+
+@when(
+    'job "{name}" of {tasks:d} tasks of "{command}" with {cores:d} cores'
+    " is submitted {times:d} times at once"
+)
+def step_many_times(context, name, tasks, command, cores, times):
+    body = job_body(name, tasks, command, cores)
+    with ThreadPoolExecutor(times) as pool:
+        list(pool.map(lambda _: submit(context, body), range(times)))
+
+
+@when(
+    '{jobs:d} jobs of {tasks:d} tasks of "{command}" with {cores:d} cores'
+    " are submitted at once"
+)
+@when(
+    '{jobs:d} more jobs of {tasks:d} tasks of "{command}" with {cores:d} cores'
+    " are submitted at once"
+)
+def step_jobs(context, jobs, tasks, command, cores):
+    first = len(getattr(context, "jobs", []))
+    names = [f"job-{first + number}" for number in range(jobs)]
+    bodies = [job_body(name, tasks, command, cores) for name in names]
+    with ThreadPoolExecutor(jobs) as pool:
+        list(pool.map(lambda body: submit(context, body), bodies))
+    context.jobs = getattr(context, "jobs", []) + names
+
+
+@when("{count:d} tasks run")
+def step_run(context, count):
+    wait_for(
+        lambda: len(running(context.cluster)) >= count, PATIENCE_SECONDS, "tasks run"
+    )
+
+
+@when("{count:d} tasks have run")
+def step_have_run(context, count):
+    wait_for(
+        lambda: len(runs(context.cluster)) >= count, PATIENCE_SECONDS, "tasks have run"
+    )
+
+
+@then('job "{name}" ends with {count:d} tasks succeeded')
+def step_ends(context, name, count):
+    seen = ended(context, name)
+    assert seen["succeeded"] == count, seen
+
+
+@then("all {jobs:d} jobs end with {count:d} tasks succeeded")
+def step_all_end(context, jobs, count):
+    for name in context.jobs[:jobs]:
+        step_ends(context, name, count)
+
+
+# ---- faults
+
+
+def freeze(context, process):
+    process.freeze()
+    context.frozen.append(process)
+
+
+def bystander(context, name):
+    """Return a VM that runs tasks and whose agent owns no shard of the job."""
+    shard = str(shard_of(name))
+
+    def find():
+        for vm, agent in context.cluster.agent_by_vm.items():
+            if running(context.cluster, vm) and shard not in state(agent)["shards"]:
+                return vm
+        return None
+
+    return wait_for(find, PATIENCE_SECONDS, "a VM runs tasks of another's shard")
+
+
+@when('the owner of job "{name}" is frozen as soon as a task runs')
+def step_freeze_owner(context, name):
+    vm = owner_vm(context, name)
+    wait_for(lambda: running(context.cluster), PATIENCE_SECONDS, "a task runs")
+    freeze(context, context.cluster.agent_by_vm[vm])
+
+
+@when('another agent owns the shard of job "{name}"')
+def step_another(context, name):
+    owner_vm(context, name)
+
+
+@when('an agent that runs tasks and owns no shard of job "{name}" is frozen')
+def step_freeze_bystander(context, name):
+    context.vm = bystander(context, name)
+    context.tasks = {run.task for run in running(context.cluster, context.vm)}
+    freeze(context, context.cluster.agent_by_vm[context.vm])
+
+
+@when('an agent that runs tasks and owns no shard of job "{name}" is told to stop')
+def step_stop_bystander(context, name):
+    context.vm = bystander(context, name)
+    agent = context.cluster.agent_by_vm[context.vm]
+    context.stopping = ThreadPoolExecutor(1).submit(agent.terminate, 15)
+
+
+@when('the owner of job "{name}" is killed and started again')
+def step_kill_owner(context, name):
+    vm = owner_vm(context, name)
+    wait_for(
+        lambda: any(run.state == "stopped" for run in runs(context.cluster)),
+        PATIENCE_SECONDS,
+        "a task is checkpointed",
+    )
+    agent = context.cluster.agent_by_vm[vm]
+    agent.kill()
+    agent.start()
+    assert context.stopping.result() == 0
+
+
+@when('the agent on "{vm}" is killed and started again')
+def step_kill_agent(context, vm):
+    agent = context.cluster.agent_by_vm[vm]
+    agent.kill()
+    agent.start()
+
+
+@when('the agent on "{vm}" is frozen')
+def step_freeze(context, vm):
+    freeze(context, context.cluster.agent_by_vm[vm])
+
+
+@when("what was frozen goes on")
+def step_thaw(context):
+    for process in context.frozen:
+        process.thaw()
+    context.frozen = []
+
+
+@when("what was frozen goes on after {seconds:d} second")
+def step_thaw_later(context, seconds):
+    thaw_at = context.out_at + seconds
+    wait_for(lambda: boot_time() >= thaw_at, seconds + 1, "the pause")
+    step_thaw(context)
+
+
+@when('the store loses the next {count:d} answers to writes of "{part}"')
+def step_lose(context, count, part):
+    context.cluster.store.faults(lose_answers=count, lose_answers_matching=part)
+
+
+@when('the operator lowers "{vm}" to {cores:d} cores')
+def step_lower(context, vm, cores):
+    inventory = context.cluster.inventory()
+    for item in inventory["vms"]:
+        if item["name"] == vm:
+            item["cores"] = cores
+    answer = context.cluster.apply(
+        inventory, {"teams": [team()]}, base_revision=1, change_id="smaller"
+    )
+    assert answer.status == 200, answer.body
+
+
+@when('the operator takes zone "{zone}" out')
+def step_out(context, zone):
+    answer = context.cluster.admin("POST", f"/admin/zones/{zone}/out")
+    assert answer.status == 200, answer.body
+    context.out_at = boot_time()
+
+
+@when('the operator brings zone "{zone}" back')
+def step_in(context, zone):
+    answer = context.cluster.admin("POST", f"/admin/zones/{zone}/in")
+    assert answer.status == 200, answer.body
+    context.in_at = boot_time()
+
+
+@when('the operator takes zone "{zone}" out and the store goes down')
+def step_out_and_down(context, zone):
+    step_out(context, zone)
+    step_down(context)
+
+
+def step_down(context):
+    context.cluster.store.faults(down=True)
+    context.down_at = boot_time()
+
+
+@when('the store goes down while {count:d} tasks of "{name}" run')
+def step_down_while(context, count, name):
+    def running_now():
+        return sum(f".{name}~" in r.task for r in running(context.cluster)) == count
+
+    wait_for(running_now, PATIENCE_SECONDS, f"{count} tasks of {name} run")
+    step_down(context)
+
+
+@when("callers submit jobs for {seconds:d} seconds")
+def step_submit_during(context, seconds):
+    context.refused = []
+    until = context.down_at + seconds
+    number = 0
+    while boot_time() < until:
+        name = f"refused-{number}"
+        answer = http("POST", jobs_url(context), job_body(name, 1, "sleep:0.1", 1))
+        context.refused.append((name, answer))
+        number += 1
+        time.sleep(0.2)
+
+
+@when("the store is back after {seconds:d} seconds")
+def step_back(context, seconds):
+    back_at = context.down_at + seconds
+    wait_for(lambda: boot_time() >= back_at, seconds + 1, "the outage")
+    context.cluster.store.faults()
+    context.back_at = boot_time()
+
+
+# ---- what must hold
+
+
+@then("no task ever ran in two places")
+def step_no_overlap(context):
+    assert not overlaps(context.cluster), overlaps(context.cluster)
+
+
+@then('"{vm}" never ran more than {count:d} tasks at a time')
+def step_peak(context, vm, count):
+    assert peak(context.cluster, vm) <= count, peak(context.cluster, vm)
+
+
+@then('"{vm}" runs at most {count:d} tasks within {seconds:d} seconds')
+def step_at_most(context, vm, count, seconds):
+    wait_for(
+        lambda: len(running(context.cluster, vm)) <= count,
+        seconds,
+        f"{vm} runs at most {count} tasks",
+    )
+
+
+@then("each evicted task was checkpointed")
+def step_checkpointed(context):
+    stopped = [run for run in runs(context.cluster) if run.state == "stopped"]
+    assert stopped, "nothing was evicted"
+    lapsed = [run for run in runs(context.cluster) if run.state == "lapsed"]
+    assert not lapsed, lapsed
+
+
+@then('a task of "{name}" runs within {seconds:d} seconds')
+def step_runs_within(context, name, seconds):
+    wait_for(
+        lambda: any(f".{name}~" in run.task for run in running(context.cluster)),
+        seconds,
+        f"{name} runs",
+    )
+
+
+@then("its tasks run on other VMs")
+def step_elsewhere(context):
+    def moved():
+        found = {r.task for r in runs(context.cluster) if r.vm != context.vm}
+        return context.tasks <= found
+
+    wait_for(moved, PATIENCE_SECONDS, "the tasks run elsewhere")
+
+
+@then('each task of job "{name}" succeeded once')
+def step_once(context, name):
+    for task, found in runs_by_task(context.cluster).items():
+        if f".{name}~" in task:
+            succeeded = [run for run in found if run.state == "succeeded"]
+            assert len(succeeded) == 1, found
+
+
+@then('no stopped task of "{command}" ran longer than {seconds:d} seconds in all')
+def step_no_longer(context, command, seconds):
+    stopped = False
+    for found in runs_by_task(context.cluster).values():
+        if any(run.state == "lapsed" for run in found):
+            continue
+        stopped = stopped or any(run.state == "stopped" for run in found)
+        total = sum(run.end - run.start for run in found)
+        assert total <= seconds + CHECKPOINT_ROUNDING_SECONDS, found
+    assert stopped, "nothing was evicted"
+
+
+@then("no other task ended meanwhile")
+def step_none_ended(context):
+    others = [r for r in runs(context.cluster) if r.vm != "vm-1"]
+    assert all(run.state in ("running", "succeeded") for run in others), others
+
+
+@then('no task started in zone "{zone}" later than {seconds:d} second after that')
+def step_none_started(context, zone, seconds):
+    vms = context.cluster.vm_by_name.values()
+    inside = {vm.name for vm in vms if vm.zone == zone}
+    late = [
+        (run, run.start - context.out_at)
+        for run in runs(context.cluster)
+        if run.vm in inside and run.start > context.out_at + seconds
+    ]
+    assert not late, late
+
+
+@then('a task runs in zone "{zone}" within {seconds:d} seconds')
+def step_back_in(context, zone, seconds):
+    vms = context.cluster.vm_by_name.values()
+    inside = {vm.name for vm in vms if vm.zone == zone}
+
+    def started():
+        return any(
+            r.vm in inside and r.start > context.in_at for r in runs(context.cluster)
+        )
+
+    wait_for(started, seconds, f"a task runs in {zone}")
+
+
+@then("every submission was refused as not run")
+def step_refused(context):
+    assert context.refused
+    for _, answer in context.refused:
+        assert answer.status == 503, answer
+        assert answer.json()["code"] == "not_run", answer
+
+
+@then('no task of job "{name}" was stopped')
+def step_none_stopped(context, name):
+    found = [r for r in runs(context.cluster) if f".{name}~" in r.task]
+    assert {r.state for r in found} <= {"running", "succeeded"}, found
+    assert len(found) == len({r.task for r in found}), found
+
+
+@then("no refused job was ever accepted")
+def step_never_accepted(context):
+    for name, _ in context.refused:
+        answer = http("GET", jobs_url(context, name))
+        assert answer.status == 404, answer
+
+
+@then("every process is alive")
+def step_alive(context):
+    agents = context.cluster.agent_by_vm.values()
+    assert all(agent.alive for agent in agents)
+    assert context.cluster.entry.alive
+
+
+@then(
+    "the store took at most {writes:d} writes and {reads:d} reads"
+    " in any second after its return"
+)
+def step_calm(context, writes, reads):
+    seconds = context.cluster.store.record()["calls_by_second"]
+    after = [row for row in seconds if row[0] >= int(context.back_at)]
+    assert max(row[2] for row in after) <= writes, after
+    assert max(row[1] for row in after) <= reads, after
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -40,6 +40,7 @@
     AnyMessage,
     CancelJob,
     ListJobs,
+    Member,
     MemberState,
     NotOwner,
     RenewGrants,
@@ -116,6 +117,7 @@
             make_owner=self._make_owner,
             announce=self._announce_shards,
             closed=self.closed,
+            may_own=self._may_own,
         )
         node.dispatch.add(self.services.handlers())
         node.dispatch.add(self.attempts.handlers())
@@ -234,6 +236,11 @@
         )
         return Owner(held, earlier)
 
+    def _may_own(self, member: Member) -> bool:
+        # An agent in a zone that is out takes no shards: were it counted among
+        # those that should, a shard might be left without an owner.
+        return not zone_is_out(self.node.in_force.configuration, member.zone)
+
     def _announce_shards(self) -> None:
         shards = sorted(self.ownership.owner_by_shard)
         change = self.node.change_me
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -304,6 +304,9 @@
         if isinstance(task, WorkerUnreachable):
             # Whether it runs shows in the worker's list.
             return Refused(Code.OUTCOME_UNKNOWN.value, task.reason)
+        if attempt.report is not None:
+            # Seen running and evicted before the worker's answer came here.
+            return attempt.report
         attempt.phase = Phase.RUNNING
         attempt.since = self._clock()
         await self._worker.renew({attempt.id: attempt.grant_until})
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -40,6 +40,7 @@
         """Grant the attempts of `shard`."""
         self._shard = shard
         self._ending: set[AttemptId] = set()
+        self._end_by_attempt: dict[AttemptId, AttemptReport] = {}
         self._forgot_at = 0.0
 
     async def renew(self, message: RenewGrants) -> AnyMessage:
@@ -64,6 +65,9 @@
         # A commit may hang for as long as the store does; grants must not wait for
         # it, or running tasks would lose theirs. What is committed later is
         # acknowledged when it is reported again.
+        for report in ended:
+            if self._shard.record.is_current(report.attempt):
+                self._end_by_attempt[report.attempt] = report
         fresh = [report for report in ended if report.attempt not in self._ending]
         events = [event for report in fresh for event in self.ended_events(report)]
         if not events:
@@ -176,18 +180,27 @@
             if now
             > shard.granted_until.setdefault(attempt, shard.whole_grant_from(now))
         ]
-        events: list[AnyEvent] = [
-            AttemptEnded(attempt, AttemptState.LAPSED, "", "its grant lapsed", wall)
-            for attempt in lapsed
-        ]
+        events: list[AnyEvent] = []
+        for attempt in lapsed:
+            events += self._end_of_lapsed(attempt, wall)
         if now - self._forgot_at > FORGET_ROUND_SECONDS:
             self._forgot_at = now
             events += self._to_forget(wall)
-            for attempt in [a for a in shard.granted_until if a not in current]:
-                del shard.granted_until[attempt]
+            for noted in (shard.granted_until, self._end_by_attempt):
+                for attempt in [a for a in noted if a not in current]:
+                    del noted[attempt]
         if events:
             await shard.commit_all(events)
 
+    def _end_of_lapsed(self, attempt: AttemptId, wall: float) -> list[AnyEvent]:
+        # Its end may be known although it could not be committed while the store
+        # was down; the task must resume from that checkpoint and not from before.
+        report = self._end_by_attempt.get(attempt)
+        if report is not None:
+            return self.ended_events(report)
+        lapsed = AttemptState.LAPSED
+        return [AttemptEnded(attempt, lapsed, "", "its grant lapsed", wall)]
+
     def _to_forget(self, wall: float) -> list[JobForgotten]:
         jobs = self._shard.record.job_by_id.values()
         return [
--- a/wagtailcleat/batch/journal.py
+++ b/wagtailcleat/batch/journal.py
@@ -190,8 +190,9 @@
         entry = shard_log_entry(self.shard, number)
         stored = await self.store.get(entry)
         if isinstance(stored, Found):
-            if unknown and stored.value == txn.puts[entry]:
-                # Only this owner's epoch could have written these bytes here.
+            if stored.value == txn.puts[entry]:
+                # Only this owner's epoch could have written these bytes here: the
+                # answer was lost, and this or the HTTP client sent them again.
                 return self._committed(number, events)
             self.deposed.set()
             return Commit.UNKNOWN if unknown else Commit.DEPOSED
--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -28,6 +28,7 @@
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import (
     Compare,
+    Conflict,
     Found,
     Leased,
     LeaseGone,
@@ -38,13 +39,13 @@
 )
 from wagtailcleat.settings import Timing
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import Done, MemberState, Role, StepDown
+from wagtailcleat.wire.messages import Done, Member, MemberState, StepDown
 
 log = part_logger("ownership")
 
 RENEWALS_A_LEASE = 3.0
 ROUND_SECONDS = 0.5
-RIVALS = 2
+RIVALS = 3
 SECOND_CLAIMS_SHARE = 0.1
 
 MakeOwner = Callable[[ShardId, Journal, list[Holder]], Owner]
@@ -74,11 +75,13 @@
         make_owner: MakeOwner,
         announce: Callable[[], None],
         closed: Callable[[], str],
+        may_own: Callable[[Member], bool],
     ) -> None:
         """Own the shards that fall to this agent by rendezvous hashing.
 
         Parameters: `announce` is called when the shards owned change; `closed`
-        tells why no shard may be taken, or is empty.
+        tells why no shard may be taken, or is empty; `may_own` tells whether another
+        agent may take shards, as far as is known here.
         """
         self.owner_by_shard: dict[ShardId, Owner] = {}
         self.kept_at = 0.0
@@ -94,6 +97,7 @@
         self._make_owner = make_owner
         self._announce = announce
         self._closed = closed
+        self._may_own = may_own
         self._stepped_down_by_shard: dict[ShardId, Epoch] = {}
         self._branch_by_shard: dict[ShardId, Supervisor] = {}
 
@@ -164,7 +168,7 @@
         agents = [
             m.node
             for m in self._view.agents()
-            if m.state is MemberState.ALIVE and m.role is Role.AGENT
+            if m.state is MemberState.ALIVE and self._may_own(m)
         ]
         owned = self._owned_elsewhere()
         return [
@@ -188,9 +192,9 @@
         ranked = preference(shard, agents)[:RIVALS]
         if self._view.me.node not in ranked:
             return False
-        # The second in line steps in too, but seldom, where the first does not.
-        first = ranked[0] == self._view.me.node
-        return first or self._random.random() < SECOND_CLAIMS_SHARE
+        # The next in line step in too, but seldom, where the first does not.
+        rank = ranked.index(self._view.me.node)
+        return self._random.random() < SECOND_CLAIMS_SHARE**rank
 
     async def _claim_and_run(self, shard: ShardId) -> None:
         known = await read_holders(self._store, shard)
@@ -215,7 +219,9 @@
         owner_key = {shard_owner(shard): self._owner_value()}
         txn = Txn(compares, puts, owner_key, self._lease)
         outcome = await self._store.write(txn)
-        if isinstance(outcome, Unknown):
+        if isinstance(outcome, Unknown | Conflict):
+            # A lost answer makes the HTTP client send the claim again, and then the
+            # claim conflicts with itself.
             read = await self._store.get(shard_epoch(shard))
             if isinstance(read, Found) and read.value == value:
                 outcome = Written(read.mod_revision)
