Bench: an open-loop load on the real routing and admission, in virtual time

Relay, Services, Slots and the routing functions run as they are; the network and the endpoints are fakes that only take time. Baselines stand behind the same setting; each policy gets the same arrivals and the same work of each request.

--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,221 @@
+"""A deployment's deciding parts in one process, on a clock handed down."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from bench.fakes import EndpointModel, Network, PeersModel, Server
+from bench.policies import Policy
+from bench.profiles import Profile
+from wagtailcleat.agent.services import ServiceDesk, Services
+from wagtailcleat.clock import Clock
+from wagtailcleat.configuration.models import (
+    Configuration,
+    Inventory,
+    Rules,
+    Service,
+    Team,
+    Vm,
+    Zone,
+)
+from wagtailcleat.configuration.parts import InForce
+from wagtailcleat.entry.relay import Relay
+from wagtailcleat.ids import (
+    Incarnation,
+    NodeId,
+    Revision,
+    ServiceName,
+    ShardId,
+    VmName,
+    ZoneName,
+)
+from wagtailcleat.membership.view import View
+from wagtailcleat.routing.choose import chooser
+from wagtailcleat.settings import Timing
+from wagtailcleat.wire.messages import AnyMessage, Member, MemberState, Role
+
+FIRST_PORT = 1000
+NO_LIMIT = 9_999
+TEAM = "travel-desk"
+LEDGER_SWEEP_SECONDS = 1.0
+
+
+@dataclass
+class AgentModel:
+    """The parts of one agent that decide on service requests."""
+
+    member: Member
+    services: Services
+    endpoint: EndpointModel
+    server: Server
+    closed_because: str = ""
+
+    @property
+    def desk(self) -> ServiceDesk:
+        """The agent's only service."""
+        return next(iter(self.services.desk_by_service.values()))
+
+
+@dataclass
+class EntryModel:
+    """The parts of one entry that decide on service requests."""
+
+    view: View
+    in_force: InForce
+    peers: PeersModel
+    relay: Relay
+
+
+@dataclass
+class Deployment:
+    """All agents by VM, and all entries."""
+
+    profile: Profile
+    clock: Clock
+    network: Network
+    agent_by_vm: dict[VmName, AgentModel] = field(default_factory=dict)
+    entries: list[EntryModel] = field(default_factory=list)
+    timing: Timing = Timing()
+
+    def apply(self, configuration: Configuration) -> None:
+        """Bring a configuration in force at every entry."""
+        for entry in self.entries:
+            entry.in_force.adopt(configuration, self.clock())
+
+    async def sweep(self) -> None:
+        """Let ledgers forget, as each agent's check does."""
+        while True:
+            await asyncio.sleep(LEDGER_SWEEP_SECONDS)
+            for agent in self.agent_by_vm.values():
+                agent.services.ledger.expire(self.clock())
+
+
+def configuration_of(
+    profile: Profile, *, revision: int = 1, zones_out: tuple[str, ...] = ()
+) -> Configuration:
+    """Return the profile's inventory and rules."""
+    vms = [
+        Vm(
+            name=f"vm-{number}",
+            zone=profile.zones[number % len(profile.zones)],
+            rack=f"rack-{number // 3}",
+            cores=profile.cores,
+            memory_mb=profile.memory_mb,
+        )
+        for number in range(profile.workers)
+    ]
+    service = Service(
+        name=profile.service,
+        vms=[vm.name for vm in vms],
+        cores=profile.slots,
+        memory_mb=profile.memory_mb // 8,
+        slots=profile.slots,
+        connections=profile.connections,
+        queue=profile.queue,
+        deadline_seconds=profile.deadline,
+        latency_target_seconds=profile.work_mean * 4,
+    )
+    team = Team(
+        name=TEAM,
+        cores=profile.cores * profile.workers,
+        memory_mb=profile.memory_mb * profile.workers,
+    )
+    zones = [Zone(name=zone, region="home") for zone in profile.zones]
+    return Configuration(
+        revision=Revision(revision),
+        inventory=Inventory(zones=zones, vms=vms, services=[service]),
+        rules=Rules(teams=[team]),
+        zones_out=list(zones_out),
+    )
+
+
+def build(profile: Profile, policy: Policy, clock: Clock, seed: int) -> Deployment:
+    """Wire a deployment that decides as `policy` says."""
+    configuration = configuration_of(profile)
+    made = Deployment(profile, clock, Network(profile.zone_delay))
+    service = configuration.inventory.services[0]
+    for number, vm in enumerate(configuration.inventory.vms):
+        member = _agent_member(vm, FIRST_PORT + number, service.name)
+        made.agent_by_vm[VmName(vm.name)] = _agent(made, member, service, policy)
+    members = [agent.member for agent in made.agent_by_vm.values()]
+    for number in range(profile.entries):
+        entry = _entry(made, number, policy, seed)
+        entry.view.merge_all(members, clock())
+        made.entries.append(entry)
+    made.apply(configuration)
+    return made
+
+
+def _agent_member(vm: Vm, port: int, service: str) -> Member:
+    return Member(
+        node=NodeId(f"agent-{vm.name}"),
+        role=Role.AGENT,
+        host="127.0.0.1",
+        port=port,
+        zone=ZoneName(vm.zone),
+        vm=VmName(vm.name),
+        incarnation=Incarnation(1),
+        version=1,
+        state=MemberState.ALIVE,
+        services=[ServiceName(service)],
+        shards=[ShardId(0)] if port == FIRST_PORT else [],
+    )
+
+
+def _agent(
+    made: Deployment, member: Member, service: Service, policy: Policy
+) -> AgentModel:
+    model = EndpointModel(made.profile.slots)
+    services = Services(
+        {},
+        incarnation=member.incarnation,
+        clock=made.clock,
+        timing=made.timing,
+        closed=lambda: agent.closed_because,
+        max_answer_bytes=1 << 20,
+        kept_answer_bytes=32 << 20,
+    )
+    desk = ServiceDesk(service, model)  # type: ignore[arg-type]
+    if not policy.limits:
+        desk.slots.slots = NO_LIMIT
+    services.desk_by_service[ServiceName(service.name)] = desk
+    handlers = services.handlers()
+
+    async def handle(message: AnyMessage) -> AnyMessage:
+        return await handlers[type(message)](None, message, None)  # type: ignore[arg-type]
+
+    server = Server(member, handle)
+    made.network.add(server)
+    agent = AgentModel(member, services, model, server)
+    return agent
+
+
+def _entry(made: Deployment, number: int, policy: Policy, seed: int) -> EntryModel:
+    zone = made.profile.zones[number % len(made.profile.zones)]
+    me = Member(
+        node=NodeId(f"entry-{number}"),
+        role=Role.ENTRY,
+        host="127.0.0.1",
+        port=number,
+        zone=ZoneName(zone),
+        vm=VmName(""),
+        incarnation=Incarnation(1),
+        version=1,
+        state=MemberState.ALIVE,
+        services=[],
+        shards=[],
+    )
+    view = View(me, random.Random(f"{seed}/view/{number}"))
+    in_force = InForce()
+    peers = PeersModel(made.network, zone)
+    relay = Relay(
+        view,
+        in_force,
+        peers,  # type: ignore[arg-type]
+        clock=made.clock,
+        choose=chooser(policy.routing, random.Random(f"{seed}/route/{number}")),
+        rng=random.Random(f"{seed}/relay/{number}"),
+    )
+    if policy.retry_always:
+        relay.budget.spend = lambda: True  # type: ignore[method-assign]
+    return EntryModel(view, in_force, peers, relay)
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,196 @@
+"""Fakes at the interfaces of the decisions: the network, and endpoints with slots.
+
+Everything that decides is the product's own code: `Relay`, `Services`, `Slots`,
+the routing functions. What stands here only takes time.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+from wagtailcleat.agent.endpoint import EndpointAnswer, EndpointFailed
+from wagtailcleat.wire.messages import AnyMessage, Member, ServiceRequest
+from wagtailcleat.wire.streams import Lost, Parts
+
+SILENCE_SECONDS = 1.0
+"""After how long a silent stream is given up: `timing.ping` + `timing.silence`."""
+
+
+@dataclass
+class EndpointFaults:
+    """What is wrong with an endpoint now."""
+
+    slow_factor: float = 1.0
+    fails_at_once: bool = False
+
+
+@dataclass
+class EndpointModel:
+    """An endpoint: so many slots, a queue before them that knows no deadline."""
+
+    slots: int
+    pressure: Callable[[], float] = lambda: 1.0
+    """By how much its neighbours slow it down now."""
+    faults: EndpointFaults = field(default_factory=EndpointFaults)
+    runs: int = 0
+    busy_seconds: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Start idle."""
+        self._free = asyncio.Semaphore(self.slots)
+        self._work: set[asyncio.Task[int]] = set()
+
+    async def run(
+        self, message: ServiceRequest, seconds: float
+    ) -> EndpointAnswer | EndpointFailed:
+        """Answer as `agent.endpoint.Endpoint` does, after the request's work."""
+        self.runs += 1
+        work = asyncio.create_task(self._do(work_of(message.path)))
+        # Work that nobody waits for any more goes on: an HTTP server does not
+        # hear that its client gave up until it writes the answer.
+        self._work.add(work)
+        work.add_done_callback(self._work.discard)
+        try:
+            async with asyncio.timeout(seconds):
+                status = await asyncio.shield(work)
+        except TimeoutError:
+            return EndpointFailed(True, "no answer in time")
+        return EndpointAnswer(status, [], b"")
+
+    async def answers(self) -> bool:
+        """Tell that connections are taken."""
+        return True
+
+    def close(self) -> None:
+        """Close nothing."""
+
+    async def _do(self, work: float) -> int:
+        if self.faults.fails_at_once:
+            return 500
+        async with self._free:
+            seconds = work * self.faults.slow_factor * self.pressure()
+            await asyncio.sleep(seconds)
+            self.busy_seconds += seconds
+        return 200
+
+
+def work_of(path: str) -> float:
+    """Return the seconds of work that a request's path asks for."""
+    return float(parse_qs(urlsplit(path).query)["work"][0])
+
+
+Handle = Callable[[AnyMessage], Awaitable[AnyMessage]]
+
+
+@dataclass
+class Server:
+    """A node that can be called, as the network knows it."""
+
+    member: Member
+    handle: Handle
+    up: bool = True
+    starts: int = 0
+
+
+class StreamModel:
+    """One open stream to a server: a delay each way, and it may go silent."""
+
+    def __init__(self, server: Server, delay: float) -> None:
+        """Open to `server`, `delay` seconds away."""
+        self.peer = server.member.node
+        self.closed = False
+        self.silent = False
+        self._server = server
+        self._starts = server.starts
+        self._delay = delay
+
+    async def call(
+        self, message: AnyMessage, *, timeout: float, parts: Parts | None = None
+    ) -> AnyMessage | Lost:
+        """Carry a message and its answer, as `wire.streams.Stream` does."""
+        if self.silent:
+            return await self._never(timeout)
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(self._delay)
+                if not self._reaches():
+                    self.closed = True
+                    return Lost(True, "the stream ended")
+                answer = await self._server.handle(message)
+                await asyncio.sleep(self._delay)
+        except TimeoutError:
+            return Lost(True, "no answer in time")
+        if self.silent:
+            return await self._never(timeout)
+        if not self._reaches():
+            self.closed = True
+            return Lost(True, "the stream ended")
+        return answer
+
+    def _reaches(self) -> bool:
+        return self._server.up and self._server.starts == self._starts
+
+    async def _never(self, timeout: float) -> Lost:
+        await asyncio.sleep(min(timeout, SILENCE_SECONDS))
+        if timeout < SILENCE_SECONDS:
+            return Lost(True, "no answer in time")
+        self.closed = True
+        return Lost(True, "the stream went silent")
+
+
+class Network:
+    """All servers by address, with the delay between two zones."""
+
+    def __init__(self, zone_delay: float) -> None:
+        """Have no servers yet."""
+        self.server_by_port: dict[int, Server] = {}
+        self.zone_delay = zone_delay
+
+    def add(self, server: Server) -> None:
+        """Let a server be reached at its member's port."""
+        self.server_by_port[server.member.port] = server
+
+
+class PeersModel:
+    """What `wire.streams.Peers` is to a process, over the modelled network."""
+
+    def __init__(self, network: Network, zone: str) -> None:
+        """Call from `zone`."""
+        self._network = network
+        self._zone = zone
+        self.stream_by_port: dict[int, StreamModel] = {}
+
+    @property
+    def streams(self) -> list[StreamModel]:
+        """All streams open now."""
+        return list(self.stream_by_port.values())
+
+    async def stream(self, host: str, port: int) -> StreamModel | Lost:
+        """Return the open stream to a port, or open one."""
+        stream = self.stream_by_port.get(port)
+        if stream is not None and not stream.closed:
+            return stream
+        server = self._network.server_by_port[port]
+        same = server.member.zone == self._zone
+        delay = self._network.zone_delay * (0.1 if same else 1.0)
+        if not server.up:
+            await asyncio.sleep(2 * delay)
+            return Lost(False, "connection refused")
+        self.stream_by_port[port] = StreamModel(server, delay)
+        return self.stream_by_port[port]
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        message: AnyMessage,
+        *,
+        timeout: float,
+        parts: Parts | None = None,
+    ) -> AnyMessage | Lost:
+        """Call the server at a port."""
+        stream = await self.stream(host, port)
+        if isinstance(stream, Lost):
+            return stream
+        return await stream.call(message, timeout=timeout)
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,115 @@
+"""What is run, by name: a load, and what goes wrong meanwhile."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bench import faults
+from bench.errors import BadValueError
+from bench.policies import Policy
+from bench.profiles import Profile
+from bench.services import Faults, run_services
+
+Measures = dict[str, float]
+
+
+@dataclass(frozen=True)
+class Run:
+    """One run to make."""
+
+    profile: Profile
+    policy: Policy
+    seconds: float
+    seed: int
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A scenario: how it is run, and the policies it compares."""
+
+    name: str
+    about: str
+    run: Callable[[Run], Measures]
+    policies: tuple[str, ...]
+
+
+ROUTING = ("product", "random", "round_robin", "least_cost")
+OVERLOAD = ("product", "no_limits", "retry_always", "no_limits_retry_always")
+
+
+def _services(load: float, make_faults: Callable[[], Faults] | None = None):  # type: ignore[no-untyped-def]
+    def run(wanted: Run) -> Measures:
+        return run_services(
+            wanted.profile,
+            wanted.policy,
+            load=load,
+            seconds=wanted.seconds,
+            seed=wanted.seed,
+            faults=make_faults() if make_faults else None,
+        )
+
+    return run
+
+
+def _kill() -> Faults:
+    return faults.killed_agent(faults.FROM + 1)
+
+
+def _slow_and_silent() -> Faults:
+    return faults.together(faults.slow_endpoint, faults.silent_connections())
+
+
+def _failing_and_overload() -> Faults:
+    return faults.failing_endpoint
+
+
+SCENARIOS = (
+    Scenario("unloaded", "0.05 of capacity", _services(0.05), ("product",)),
+    Scenario("steady", "0.7 of capacity", _services(0.7), ROUTING),
+    Scenario("load-1.0", "all of capacity", _services(1.0), ROUTING),
+    Scenario("load-1.3", "1.3 times capacity", _services(1.3), OVERLOAD),
+    Scenario("load-2.0", "twice the capacity", _services(2.0), OVERLOAD),
+    Scenario(
+        "slow-endpoint",
+        "0.7 load; one endpoint ten times slower",
+        _services(0.7, lambda: faults.slow_endpoint),
+        ROUTING,
+    ),
+    Scenario(
+        "failing-endpoint",
+        "0.7 load; one endpoint fails at once",
+        _services(0.7, lambda: faults.failing_endpoint),
+        ROUTING,
+    ),
+    Scenario(
+        "silent-connections",
+        "0.7 load; a stream of each entry goes silent every 2 s",
+        _services(0.7, faults.silent_connections),
+        ROUTING,
+    ),
+    Scenario("killed-vm", "0.7 load; one VM is killed", _services(0.7, _kill), ROUTING),
+    Scenario(
+        "slow-and-silent",
+        "0.7 load; one endpoint slow, and streams going silent",
+        _services(0.7, _slow_and_silent),
+        ROUTING,
+    ),
+    Scenario(
+        "failing-at-1.3",
+        "1.3 load; one endpoint fails at once",
+        _services(1.3, _failing_and_overload),
+        OVERLOAD,
+    ),
+)
+SCENARIO_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
+
+
+def scenario_named(name: str) -> Scenario:
+    """Return a scenario.
+
+    Raises:
+        BadValueError: there is none of that name.
+
+    """
+    if name not in SCENARIO_BY_NAME:
+        raise BadValueError("--scenario", name, SCENARIO_BY_NAME)
+    return SCENARIO_BY_NAME[name]
