--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -36,13 +36,15 @@
 OVERLOAD = ("product", "no_limits", "retry_always", "no_limits_retry_always")
 
 
-def _services(load: float, make_faults: Callable[[], Faults] | None = None):  # type: ignore[no-untyped-def]
+def _services(  # type: ignore[no-untyped-def]
+    load: float, make_faults: Callable[[], Faults] | None = None, stretch: float = 1.0
+):
     def run(wanted: Run) -> Measures:
         return run_services(
             wanted.profile,
             wanted.policy,
             load=load,
-            seconds=wanted.seconds,
+            seconds=wanted.seconds * stretch,
             seed=wanted.seed,
             faults=make_faults() if make_faults else None,
         )
@@ -63,7 +65,12 @@
 
 
 SCENARIOS = (
-    Scenario("unloaded", "0.05 of capacity", _services(0.05), ("product",)),
+    Scenario(
+        "unloaded",
+        "0.05 of capacity, for 14 times as long",
+        _services(0.05, stretch=14.0),
+        ("product",),
+    ),
     Scenario("steady", "0.7 of capacity", _services(0.7), ROUTING),
     Scenario("load-1.0", "all of capacity", _services(1.0), ROUTING),
     Scenario("load-1.3", "1.3 times capacity", _services(1.3), OVERLOAD),
--- /dev/null
+++ b/wagtailcleat/agent/interference.py
@@ -0,0 +1,312 @@
+"""What this VM does when batch tasks slow a service down, and what it learns of it.
+
+Interference shows only in lagged usage and in the services' own latencies, so one
+step is taken a lag interval: throttle the class of tasks that hurts most, then
+evict its largest, then offer less. Each interval also teaches a score for the pair
+of service and job class: the slowdown that one used core causes. Reservations read
+the scores, so that a pair known to be bad is not made again.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from math import sqrt
+
+from hdrh.histogram import HdrHistogram
+
+from wagtailcleat.ids import AttemptId, ServiceName
+
+MICROSECONDS = 1_000_000
+TAIL_SHARE = 0.01
+CHANCE_DEVIATIONS = 2.0
+MIN_COUNT = 20
+LEARNING_RATE = 0.4
+FIRST_SCORE = 0.01
+MAX_SCORE = 2.0
+CALM_WEIGHT = 0.2
+CALM_DOWN_WEIGHT = 0.1
+ALLOWED_EXCESS = 0.12
+MIN_SHARE = 0.25
+LEAST_STEP = 0.4
+RELEASE_FACTOR = 1.6
+RELEASE_AFTER_CALM = 2
+EVICT_AFTER_BREACHES = 2
+MIN_OFFER = 0.25
+OFFER_STEP = 0.75
+IDLE_CORES = 0.5
+
+
+@dataclass(frozen=True)
+class Neighbour:
+    """A batch attempt beside the services; `used` is its lagged usage in cores."""
+
+    attempt: AttemptId
+    job_class: str
+    cores: float
+    used: float
+    share: float = 1.0
+    urgent: bool = False
+
+
+@dataclass(frozen=True)
+class Tail:
+    """A service's answers over one interval."""
+
+    count: int
+    over_target: int
+    median: float
+
+    @property
+    def breached(self) -> bool:
+        """Tell whether more answers were over the target than chance explains.
+
+        The 99th percentile of some hundred answers is little more than their
+        maximum; a control that acts on it evicts for noise.
+        """
+        expected = self.count * TAIL_SHARE
+        limit = expected + CHANCE_DEVIATIONS * sqrt(max(expected, 0.5))
+        return self.count >= MIN_COUNT and self.over_target > limit
+
+
+@dataclass(frozen=True)
+class Throttle:
+    """Hold an attempt to a share of its cores."""
+
+    attempt: AttemptId
+    share: float
+
+
+@dataclass(frozen=True)
+class Evict:
+    """Checkpoint and stop an attempt, so that it goes on elsewhere."""
+
+    attempt: AttemptId
+    reason: str
+
+
+Step = Throttle | Evict
+
+
+class TailWindow:
+    """Reads what a histogram recorded since the last look."""
+
+    def __init__(self, histogram: HdrHistogram) -> None:
+        """Start from what the histogram holds now."""
+        self.histogram = histogram
+        self._before = list(histogram.counts)
+
+    def look(self, target_seconds: float) -> Tail:
+        """Return the answers since the last look."""
+        counts = list(self.histogram.counts)
+        new = [now - before for now, before in zip(counts, self._before, strict=True)]
+        self._before = counts
+        total = sum(new)
+        return Tail(total, self._over(new, target_seconds), self._median(new, total))
+
+    def _over(self, new: list[int], target_seconds: float) -> int:
+        value = int(target_seconds * MICROSECONDS)
+        first = self.histogram.get_counts_array_index(value)
+        return sum(new[first + 1 :])
+
+    def _median(self, new: list[int], total: int) -> float:
+        seen = 0
+        for index, count in enumerate(new):
+            seen += count
+            if seen * 2 >= total and count:
+                value: int = self.histogram.get_value_from_index(index)
+                return value / MICROSECONDS
+        return 0.0
+
+
+@dataclass
+class Interference:
+    """The scores and the throttles of one VM; one `step` a lag interval."""
+
+    score_by_pair: dict[tuple[ServiceName, str], float] = field(default_factory=dict)
+    share_by_attempt: dict[AttemptId, float] = field(default_factory=dict)
+    calm_median_by_service: dict[ServiceName, float] = field(default_factory=dict)
+    offer: float = 1.0
+    throttles: int = 0
+    evictions: int = 0
+    _breaches: int = 0
+    _calm: int = 0
+    _last_tail_by_service: dict[ServiceName, Tail] = field(default_factory=dict)
+
+    def score(self, service: ServiceName, job_class: str) -> float:
+        """Return the slowdown that one core of a job class causes to a service."""
+        return self.score_by_pair.get((service, job_class), FIRST_SCORE)
+
+    def excess(
+        self, services: Iterable[ServiceName], cores_by_class: Mapping[str, float]
+    ) -> float:
+        """Return the greatest slowdown foreseen of any service, above 1."""
+        return max(
+            (
+                sum(self.score(s, c) * cores for c, cores in cores_by_class.items())
+                for s in services
+            ),
+            default=0.0,
+        )
+
+    def refusal(
+        self,
+        services: list[ServiceName],
+        neighbours: list[Neighbour],
+        job_class: str,
+        cores: float,
+    ) -> str:
+        """Return why one more task is not taken beside the services, or nothing."""
+        held = _cores_by_class(neighbours)
+        if self.offer < 1.0 and held:
+            return "this VM offers less: its services are slow"
+        known = [s for s in services if (s, job_class) in self.score_by_pair]
+        after = held | {job_class: held.get(job_class, 0.0) + cores}
+        hurt = [
+            s
+            for s in known
+            if self.excess([s], after) > ALLOWED_EXCESS
+            and self.score(s, job_class) > FIRST_SCORE
+        ]
+        if hurt:
+            return f"tasks of class '{job_class}' slow {', '.join(sorted(hurt))} down"
+        return ""
+
+    def penalty(self, services: Iterable[ServiceName], job_class: str) -> float:
+        """Return the worst score of a job class beside the services."""
+        return max((self.score(s, job_class) for s in services), default=0.0)
+
+    def step(
+        self,
+        tail_by_service: Mapping[ServiceName, Tail],
+        neighbours: list[Neighbour],
+    ) -> list[Step]:
+        """Learn from one lag interval, and return what to do now.
+
+        The usage of `neighbours` is a lag old: it stood while the tails of the
+        step before this one were measured, and is matched with those.
+        """
+        self._forget_ended(neighbours)
+        self._learn(neighbours)
+        self._last_tail_by_service = dict(tail_by_service)
+        breached = [name for name, tail in tail_by_service.items() if tail.breached]
+        if breached:
+            self._calm = 0
+            self._breaches += 1
+            return self._tighten(breached, neighbours)
+        self._breaches = 0
+        self._calm += 1
+        if self._calm > RELEASE_AFTER_CALM:
+            return self._release(list(tail_by_service), neighbours)
+        return []
+
+    # ---- learning
+
+    def _learn(self, neighbours: list[Neighbour]) -> None:
+        used_by_class: dict[str, float] = defaultdict(float)
+        for neighbour in neighbours:
+            used_by_class[neighbour.job_class] += neighbour.used
+        alone = sum(used_by_class.values()) < IDLE_CORES
+        for service, tail in self._last_tail_by_service.items():
+            if tail.count >= MIN_COUNT:
+                self._learn_calm(service, tail.median, alone)
+                if not alone:
+                    self._learn_scores(service, tail.median, used_by_class)
+
+    def _learn_calm(self, service: ServiceName, median: float, alone: bool) -> None:
+        calm = self.calm_median_by_service.setdefault(service, median)
+        weight = CALM_WEIGHT if alone else CALM_DOWN_WEIGHT * (median < calm)
+        self.calm_median_by_service[service] = calm + weight * (median - calm)
+
+    def _learn_scores(
+        self, service: ServiceName, median: float, used_by_class: Mapping[str, float]
+    ) -> None:
+        # Normalised least mean squares: the error is shared out by used cores, so
+        # that a class seen beside the service in different amounts gets its own
+        # part of the blame.
+        observed = median / self.calm_median_by_service[service] - 1
+        error = observed - self.excess([service], used_by_class)
+        norm = sum(cores * cores for cores in used_by_class.values())
+        for job_class, cores in used_by_class.items():
+            before = self.score(service, job_class)
+            after = before + LEARNING_RATE * error * cores / norm
+            self.score_by_pair[service, job_class] = min(max(after, 0.0), MAX_SCORE)
+
+    # ---- acting
+
+    def _tighten(
+        self, breached: list[ServiceName], neighbours: list[Neighbour]
+    ) -> list[Step]:
+        movable = [n for n in neighbours if not n.urgent] or neighbours
+        if not movable:
+            return []
+        harm_by_class: dict[str, float] = defaultdict(float)
+        for n in movable:
+            harm = self.penalty(breached, n.job_class) * n.cores * self._share(n)
+            harm_by_class[n.job_class] += harm
+        worst = max(harm_by_class, key=lambda c: harm_by_class[c])
+        of_class = [n for n in movable if n.job_class == worst]
+        lowest = all(self._share(n) <= MIN_SHARE for n in of_class)
+        if not lowest:
+            return self._throttle(of_class, self._next_share(harm_by_class, worst))
+        if self._breaches >= EVICT_AFTER_BREACHES:
+            return self._evict(of_class, breached)
+        return []
+
+    def _next_share(self, harm_by_class: Mapping[str, float], worst: str) -> float:
+        # The scores size the step: what is foreseen above the allowed slowdown is
+        # taken from the worst class, and at least a little, as a breach was seen.
+        above = max(0.0, sum(harm_by_class.values()) - ALLOWED_EXCESS)
+        wanted = 1 - above / max(harm_by_class[worst], 1e-6)
+        return min(max(wanted, LEAST_STEP), 0.75)
+
+    def _throttle(self, neighbours: list[Neighbour], factor: float) -> list[Step]:
+        steps: list[Step] = []
+        for neighbour in neighbours:
+            share = min(1.0, max(MIN_SHARE, self._share(neighbour) * factor))
+            if share != self._share(neighbour):
+                self.share_by_attempt[neighbour.attempt] = share
+                self.throttles += 1
+                steps.append(Throttle(neighbour.attempt, share))
+        return steps
+
+    def _evict(
+        self, of_class: list[Neighbour], breached: list[ServiceName]
+    ) -> list[Step]:
+        largest = max(of_class, key=lambda n: n.cores)
+        self.evictions += 1
+        self._breaches = 0
+        if len(of_class) == 1:
+            self.offer = max(MIN_OFFER, self.offer * OFFER_STEP)
+        return [Evict(largest.attempt, f"it slows {', '.join(breached)} down")]
+
+    def _release(
+        self, services: list[ServiceName], neighbours: list[Neighbour]
+    ) -> list[Step]:
+        self.offer = min(1.0, self.offer / OFFER_STEP)
+        held = [n for n in neighbours if self._share(n) < 1.0]
+        if not held:
+            return []
+        least = min(held, key=lambda n: self.penalty(services, n.job_class))
+        of_class = [n for n in held if n.job_class == least.job_class]
+        after: dict[str, float] = defaultdict(float)
+        for n in neighbours:
+            factor = RELEASE_FACTOR if n.job_class == least.job_class else 1.0
+            after[n.job_class] += n.cores * min(1.0, self._share(n) * factor)
+        if self.excess(services, after) > ALLOWED_EXCESS:
+            return []
+        return self._throttle(of_class, RELEASE_FACTOR)
+
+    def _share(self, neighbour: Neighbour) -> float:
+        return self.share_by_attempt.get(neighbour.attempt, 1.0)
+
+    def _forget_ended(self, neighbours: list[Neighbour]) -> None:
+        running = {neighbour.attempt for neighbour in neighbours}
+        for attempt in [a for a in self.share_by_attempt if a not in running]:
+            del self.share_by_attempt[attempt]
+
+
+def _cores_by_class(neighbours: list[Neighbour]) -> dict[str, float]:
+    cores_by_class: dict[str, float] = defaultdict(float)
+    for neighbour in neighbours:
+        cores_by_class[neighbour.job_class] += neighbour.cores * neighbour.share
+    return dict(cores_by_class)
