--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -73,10 +73,15 @@
     profile: Profile
     clock: Clock
     network: Network
+    configuration: Configuration
     agent_by_vm: dict[VmName, AgentModel] = field(default_factory=dict)
     entries: list[EntryModel] = field(default_factory=list)
     timing: Timing = Timing()
 
+    def peers(self, zone: str) -> PeersModel:
+        """Return what a process in `zone` calls others by."""
+        return PeersModel(self.network, zone)
+
     def apply(self, configuration: Configuration) -> None:
         """Bring a configuration in force at every entry."""
         for entry in self.entries:
@@ -91,9 +96,16 @@
 
 
 def configuration_of(
-    profile: Profile, *, revision: int = 1, zones_out: tuple[str, ...] = ()
+    profile: Profile,
+    services: int = 1,
+    *,
+    revision: int = 1,
+    zones_out: tuple[str, ...] = (),
 ) -> Configuration:
-    """Return the profile's inventory and rules."""
+    """Return the profile's inventory and rules.
+
+    Parameters: `services` stand on the VMs in turn, one on each VM.
+    """
     vms = [
         Vm(
             name=f"vm-{number}",
@@ -104,17 +116,7 @@
         )
         for number in range(profile.workers)
     ]
-    service = Service(
-        name=profile.service,
-        vms=[vm.name for vm in vms],
-        cores=profile.slots,
-        memory_mb=profile.memory_mb // 8,
-        slots=profile.slots,
-        connections=profile.connections,
-        queue=profile.queue,
-        deadline_seconds=profile.deadline,
-        latency_target_seconds=profile.work_mean * 4,
-    )
+    found = [_service(profile, vms, n, services) for n in range(services)]
     team = Team(
         name=TEAM,
         cores=profile.cores * profile.workers,
@@ -123,18 +125,39 @@
     zones = [Zone(name=zone, region="home") for zone in profile.zones]
     return Configuration(
         revision=Revision(revision),
-        inventory=Inventory(zones=zones, vms=vms, services=[service]),
+        inventory=Inventory(zones=zones, vms=vms, services=found),
         rules=Rules(teams=[team]),
         zones_out=list(zones_out),
     )
 
 
-def build(profile: Profile, policy: Policy, clock: Clock, seed: int) -> Deployment:
+def service_name(profile: Profile, number: int) -> ServiceName:
+    """Return the name of a profile's service, by its number."""
+    return ServiceName(profile.service if not number else f"{profile.service}-{number}")
+
+
+def _service(profile: Profile, vms: list[Vm], number: int, services: int) -> Service:
+    return Service(
+        name=service_name(profile, number),
+        vms=[vm.name for vm in vms[number::services]],
+        cores=profile.slots,
+        memory_mb=profile.memory_mb // 8,
+        slots=profile.slots,
+        connections=profile.connections,
+        queue=profile.queue,
+        deadline_seconds=profile.deadline,
+        latency_target_seconds=profile.work_mean * 4,
+    )
+
+
+def build(
+    profile: Profile, policy: Policy, clock: Clock, seed: int, services: int = 1
+) -> Deployment:
     """Wire a deployment that decides as `policy` says."""
-    configuration = configuration_of(profile)
-    made = Deployment(profile, clock, Network(profile.zone_delay))
-    service = configuration.inventory.services[0]
+    configuration = configuration_of(profile, services)
+    made = Deployment(profile, clock, Network(profile.zone_delay), configuration)
     for number, vm in enumerate(configuration.inventory.vms):
+        service = configuration.inventory.services[number % services]
         member = _agent_member(vm, FIRST_PORT + number, service.name)
         made.agent_by_vm[VmName(vm.name)] = _agent(made, member, service, policy)
     members = [agent.member for agent in made.agent_by_vm.values()]
--- a/bench/services.py
+++ b/bench/services.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from bench.deployment import Deployment, EntryModel, build
+from bench.deployment import Deployment, EntryModel, build, service_name
 from bench.policies import Policy
 from bench.profiles import Profile
 from bench.virtual_time import run_virtual
@@ -108,10 +108,10 @@
         made = build(profile, policy, clock, seed)
         sweeping = asyncio.create_task(made.sweep())
         breaking = asyncio.create_task(_break(made, faults))
-        seen = await _drive(made, load, seconds, seed)
+        seen = await drive(made, load, seconds, seed, WARM_UP_SECONDS)
         sweeping.cancel()
         breaking.cancel()
-        return _measures(made, seen, seconds)
+        return service_measures(made, seen, seconds - WARM_UP_SECONDS)
 
     return run_virtual(main)
 
@@ -122,14 +122,25 @@
         await asyncio.sleep(0.1)
 
 
-async def _drive(made: Deployment, load: float, seconds: float, seed: int) -> Seen:
+async def drive(
+    made: Deployment,
+    load: float,
+    seconds: float,
+    seed: int,
+    warm_up: float,
+    services: int = 1,
+) -> Seen:
+    """Send the arrivals to the entries, and return what was seen after `warm_up`."""
     seen = Seen(made.profile.deadline)
     rng = random.Random(f"{seed}/entries")
     running: set[asyncio.Task[None]] = set()
     for arrival in arrivals(made.profile, load, seconds, seed):
         await asyncio.sleep(arrival.at - made.clock())
         entry = rng.choice(made.entries)
-        task = asyncio.create_task(_request(made, entry, arrival, seen))
+        service = service_name(made.profile, arrival.number % services)
+        noted = seen if arrival.at >= warm_up else None
+        work = _request(made, entry, arrival, service, noted)
+        task = asyncio.create_task(work)
         running.add(task)
         task.add_done_callback(running.discard)
     while running:
@@ -138,13 +149,17 @@
 
 
 async def _request(
-    made: Deployment, entry: EntryModel, arrival: Arrival, seen: Seen
+    made: Deployment,
+    entry: EntryModel,
+    arrival: Arrival,
+    service: ServiceName,
+    seen: Seen | None,
 ) -> None:
     profile = made.profile
     await asyncio.sleep(profile.client_delay)
     reached = made.clock()
     request = CallerRequest(
-        service=ServiceName(profile.service),
+        service=service,
         method="POST",
         path=f"/{arrival.number}?work={arrival.work:.6f}",
         headers=[],
@@ -155,12 +170,12 @@
     outcome = await entry.relay.send(request)
     at_entry = made.clock() - reached
     await asyncio.sleep(profile.client_delay)
-    if arrival.at >= WARM_UP_SECONDS:
+    if seen is not None:
         seen.note(outcome, made.clock() - arrival.at, at_entry)
 
 
-def _measures(made: Deployment, seen: Seen, seconds: float) -> dict[str, float]:
-    measured = seconds - WARM_UP_SECONDS
+def service_measures(made: Deployment, seen: Seen, measured: float) -> dict[str, float]:
+    """Return the measures of `measured` seconds; times in milliseconds."""
     retries = sum(entry.relay.retries for entry in made.entries)
     requests = sum(entry.relay.requests for entry in made.entries)
     return {
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -211,8 +211,10 @@
     name, _, argument = request.command.partition(":")
     if name not in ("sleep", "fail", "echo", "hold"):
         return False
+    numbers = argument.split(":")
     return _is_number(request.checkpoint or "0") and (
-        name != "sleep" or _is_number(argument)
+        name != "sleep"
+        or (len(numbers) in (1, 3) and all(_is_number(n) for n in numbers))
     )
 
 
--- a/standins/worker_tasks.py
+++ b/standins/worker_tasks.py
@@ -80,9 +80,19 @@
             return math.inf
         if name != "sleep":
             return self._progress_at
-        rest = max(float(argument) - self._progress, 0.0)
+        seconds = float(argument.split(":")[0])
+        rest = max(seconds - self._progress, 0.0)
         return self._progress_at + rest / self.throttle
 
+    @property
+    def used(self) -> Size:
+        """What the task really uses: its size, or what `sleep:S:CORES:MB` says."""
+        _, _, argument = self.request.command.partition(":")
+        parts = argument.split(":")
+        if len(parts) == 3:
+            return Size(float(parts[1]) * self.throttle, float(parts[2]))
+        return Size(self.size.cores * self.throttle, self.size.memory_mb)
+
     def set_throttle(self, share: float, now: float) -> None:
         """Go on at another speed."""
         self._advance(now)
@@ -197,8 +207,7 @@
         faults = self.switches.now
         tasks = {
             task.id: Size(
-                task.size.cores * task.throttle * faults.noisy,
-                task.size.memory_mb * faults.noisy,
+                task.used.cores * faults.noisy, task.used.memory_mb * faults.noisy
             )
             for task in self.running()
         }
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -12,6 +12,8 @@
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.interference import Interference
+from wagtailcleat.agent.neighbours import NeighbourWatch
 from wagtailcleat.agent.services import Services
 from wagtailcleat.batch.holders import Holder, read_epoch
 from wagtailcleat.batch.journal import Journal
@@ -105,6 +107,13 @@
             must_leave=self.must_leave,
             read_epoch=lambda shard: read_epoch(node.store, shard),
         )
+        self.neighbours = NeighbourWatch(
+            Interference(),
+            self.attempts,
+            self.commitments,
+            self.services,
+            self.worker,
+        )
         self.ownership = Ownership(
             node.store,
             node.view,
@@ -150,6 +159,7 @@
         spawn("capacity", self._read_capacity)
         spawn("services", self._check_services)
         spawn("attempts", self._run_attempts)
+        spawn("neighbours", self.neighbours.run)
         if self._settings.owns_shards:
             spawn("ownership", self.ownership.run)
         return {"peer_port": node.view.me.port, "http_port": bound_port(sockets)}
@@ -261,6 +271,7 @@
         add("services", self.services.dump)
         add("ledger", lambda: len(self.services.ledger))
         add("attempts", self.attempts.dump)
+        add("neighbours", self.neighbours.dump)
         add("shards", self._shards)
 
     def _shards(self) -> dict[str, object]:
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -69,6 +69,10 @@
 }
 
 Closed = Callable[[], str]
+Refuses = Callable[[str, Resources], str]
+"""Tells why a task of a job class and size is not taken; empty where it is."""
+Penalty = Callable[[str], float]
+"""Tells how much a core of a job class slows the services here down."""
 ReadEpoch = Callable[[ShardId], Awaitable[Epoch | None]]
 
 
@@ -95,6 +99,8 @@
     job_class: str = ""
     urgent: bool = False
     stopping: str = ""
+    used: Resources = NOTHING
+    """The most it was seen to use, from lagged usage."""
 
 
 class Attempts:
@@ -125,6 +131,8 @@
         self.epoch_by_shard: dict[ShardId, Epoch] = {}
         self.ready = False
         self.health = Health()
+        self.refuses: Refuses = lambda job_class, size: ""
+        self.penalty: Penalty = lambda job_class: 0.0
         self._worker = worker
         self._commitments = commitments
         self._view = view
@@ -232,8 +240,11 @@
         why = why or self.health.why_closed(job_of(message.attempt), now)
         if message.attempt in self._never or message.attempt in self.attempt_by_id:
             why = why or "asked for here before"
+        if not why and not message.urgent:
+            why = self.refuses(message.job_class, message.size)
+        penalty = self.penalty(message.job_class)
         if why:
-            return NoRoom(why, self._commitments.free(now))
+            return NoRoom(why, self._commitments.free(now), penalty)
         if message.urgent:
             await self._make_room(message.size)
             now = self._clock()
@@ -241,7 +252,7 @@
         if not self._commitments.reserve(
             message.attempt, message.size, until=until, now=now
         ):
-            return NoRoom("not enough is free", self._commitments.free(now))
+            return NoRoom("not enough is free", self._commitments.free(now), penalty)
         self.attempt_by_id[message.attempt] = Attempt(
             message.attempt,
             message.shard,
@@ -252,7 +263,7 @@
             urgent=message.urgent,
         )
         free = self._commitments.free(now)
-        return Reserved(self._timing.reservation, free, self._incarnation)
+        return Reserved(self._timing.reservation, free, self._incarnation, penalty)
 
     async def _make_room(self, size: Resources) -> None:
         evictable = [a.id for a in self._least_wanted() if not a.urgent]
@@ -422,7 +433,13 @@
             self.health.failed(job_of(attempt.id), self._clock())
         attempt.phase = Phase.ENDED
         attempt.report = AttemptReport(
-            attempt.id, attempt.shard, state, task.checkpoint, attempt.stopping
+            attempt.id,
+            attempt.shard,
+            state,
+            task.checkpoint,
+            attempt.stopping,
+            attempt.used,
+            self._clock() - attempt.since,
         )
         self._commitments.release(attempt.id)
         self._urgent_renewal.set()
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from wagtailcleat.batch.learning import Sample
 from wagtailcleat.batch.record import (
     AnyEvent,
     AttemptEnded,
@@ -140,6 +141,7 @@
         # acknowledged and changes nothing.
         if not self._shard.record.is_current(report.attempt):
             return []
+        self._learn(report)
         event = AttemptEnded(
             report.attempt,
             report.state,
@@ -152,6 +154,17 @@
             events += self._after_failure(report)
         return events
 
+    def _learn(self, report: AttemptReport) -> None:
+        shard = self._shard
+        spec = shard.record.job_by_id[job_of(report.attempt)].spec
+        task = shard.record.task_by_attempt[report.attempt]
+        # What went on from a checkpoint, or was cut off, says nothing of how long a
+        # whole task runs.
+        whole = report.state is AttemptState.SUCCEEDED and not task.checkpoint
+        if spec.job_class and whole:
+            sample = Sample(report.used, report.ran_seconds)
+            shard.learning.note(spec.team, spec.job_class, sample)
+
     def _after_failure(self, report: AttemptReport) -> list[AnyEvent]:
         shard = self._shard
         job_id = job_of(report.attempt)
--- a/wagtailcleat/batch/placer.py
+++ b/wagtailcleat/batch/placer.py
@@ -7,6 +7,8 @@
 import asyncio
 from dataclasses import dataclass
 
+import msgspec
+
 from wagtailcleat.batch.grants import GrantBook
 from wagtailcleat.batch.journal import Commit
 from wagtailcleat.batch.placement import (
@@ -14,6 +16,7 @@
     any_of,
     best_fit,
     candidates,
+    feasible,
     usable_agents,
 )
 from wagtailcleat.batch.record import Assigned, JobRecord, TaskRecord
@@ -142,9 +145,11 @@
         task: TaskRecord,
         agents: list[Member],
     ) -> Placement | None:
-        for candidate in self._candidates(job.spec, task, agents)[:RESERVE_TRIES]:
+        size = self._size(job.spec)
+        found = self._candidates(job.spec, task, agents, size)
+        for candidate in found[:RESERVE_TRIES]:
             member = candidate.member
-            answer = await self._ask(attempt, job.spec, member)
+            answer = await self._ask(attempt, job.spec, member, size)
             if isinstance(answer, Reserved):
                 return Placement(attempt, job, task, member, answer)
             if isinstance(answer, Lost) and answer.sent:
@@ -152,14 +157,26 @@
                 self._shard.in_background(self._release(attempt, member))
         return None
 
+    def _size(self, spec: JobSpec) -> Resources:
+        """Return what to reserve: what the class takes, where a VM can hold it."""
+        declared = spec.task.size
+        shard = self._shard
+        learned = shard.learning.size(spec.team, spec.job_class, declared)
+        if learned == declared:
+            return declared
+        task = msgspec.structs.replace(spec.task, size=learned)
+        larger = msgspec.structs.replace(spec, task=task)
+        too_large = feasible(shard.in_force.configuration, larger)
+        return declared if too_large else learned
+
     def _candidates(
-        self, spec: JobSpec, task: TaskRecord, agents: list[Member]
+        self, spec: JobSpec, task: TaskRecord, agents: list[Member], size: Resources
     ) -> list[Candidate]:
         shard = self._shard
         found = candidates(
             agents,
             task,
-            spec.task.size,
+            size,
             view=shard.view,
             rng=shard.random,
             now=shard.clock(),
@@ -168,17 +185,24 @@
             # An agent makes room for urgent work by evicting what is not urgent.
             found = any_of(agents, task, rng=shard.random)
         configuration = shard.in_force.configuration
-        return best_fit(found, spec.task.size, configuration, shard.view.me.vm)
+        ordered = best_fit(found, size, configuration, shard.view.me.vm)
+        # The order is kept among VMs whose services the class hurts alike.
+        return sorted(
+            ordered,
+            key=lambda c: shard.penalties.level(
+                configuration, c.member.vm, spec.job_class
+            ),
+        )
 
     async def _ask(
-        self, attempt: AttemptId, spec: JobSpec, member: Member
+        self, attempt: AttemptId, spec: JobSpec, member: Member, size: Resources
     ) -> Reserved | Lost | None:
         shard = self._shard
         ask = Reserve(
             attempt,
             shard.id,
             shard.journal.epoch,
-            spec.task.size,
+            size,
             spec.job_class,
             spec.urgent,
         )
@@ -187,6 +211,12 @@
         )
         if isinstance(answer, Reserved | NoRoom):
             shard.view.note_free(member.node, answer.free, shard.clock())
+            shard.penalties.note(
+                shard.in_force.configuration,
+                member.vm,
+                spec.job_class,
+                answer.penalty,
+            )
         return answer if isinstance(answer, Reserved | Lost) else None
 
     async def _assign(self, placement: Placement) -> bool:
--- a/wagtailcleat/batch/shard.py
+++ b/wagtailcleat/batch/shard.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 from wagtailcleat.batch.journal import Commit, Journal
+from wagtailcleat.batch.learning import Learning
+from wagtailcleat.batch.penalties import Penalties
 from wagtailcleat.batch.record import AnyEvent, ShardRecord
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.parts import InForce
@@ -39,6 +41,8 @@
     random: random.Random
     may_grant_until: Callable[[], float]
     """Until when this process may hand out grants, on its clock."""
+    learning: Learning = field(default_factory=Learning)
+    penalties: Penalties = field(default_factory=Penalties)
     granted_until: dict[AttemptId, float] = field(default_factory=dict)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     _background: set[asyncio.Task[None]] = field(default_factory=set)
--- a/wagtailcleat/resources.py
+++ b/wagtailcleat/resources.py
@@ -48,6 +48,14 @@
             min(self.accelerators, other.accelerators),
         )
 
+    def larger(self, other: "Resources") -> "Resources":
+        """Return the larger amount in each dimension."""
+        return Resources(
+            max(self.cores, other.cores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits(self, free: "Resources") -> bool:
         """Tell whether this amount fits into `free` in every dimension."""
         return (
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -340,6 +340,8 @@
     lasts: float
     free: Resources
     incarnation: Incarnation
+    penalty: float = 0.0
+    """The slowdown of this VM's services by one core of the job class."""
 
 
 class NoRoom(Message, frozen=True, tag="no_room"):
@@ -347,6 +349,7 @@
 
     reason: str
     free: Resources
+    penalty: float = 0.0
 
 
 class Start(Message, frozen=True, tag="start"):
@@ -386,6 +389,9 @@
     state: AttemptState
     checkpoint: str = ""
     reason: str = ""
+    used: Resources = Resources()
+    """The most it was seen to use, from lagged usage."""
+    ran_seconds: float = 0.0
 
 
 class RenewGrants(Message, frozen=True, tag="renew_grants"):
