--- a/bench/batch.py
+++ b/bench/batch.py
@@ -36,6 +36,7 @@
     TeamName,
     VmName,
 )
+from wagtailcleat.membership.view import View
 from wagtailcleat.resources import Resources
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import (
@@ -123,7 +124,7 @@
     is declared.
     """
 
-    demand: float = 0.8
+    demand: float = 1.5
     off: tuple[float, float] = (1.0, 1.0)
     run_seconds: tuple[float, float] = (4.0, 8.0)
     classes: tuple[str, ...] = CLASSES
@@ -211,7 +212,7 @@
         attempts = Attempts(
             worker,  # type: ignore[arg-type]
             commitments,
-            made.entries[0].view,
+            self._view_of(agent),
             made.peers(agent.member.zone),  # type: ignore[arg-type]
             vm=vm,
             incarnation=agent.member.incarnation,
@@ -233,6 +234,12 @@
         self._serve_batch(agent, attempts)
         return BatchAgent(vm, worker, attempts, commitments, watch)
 
+    def _view_of(self, agent: AgentModel) -> View:
+        view = View(agent.member, random.Random(agent.member.node))
+        others = [a.member for a in self.made.agent_by_vm.values()]
+        view.merge_all(others, self.clock())
+        return view
+
     def _let_interfere(
         self, agent: AgentModel, worker: WorkerModel, commitments: Commitments
     ) -> None:
@@ -279,6 +286,7 @@
             shard.learning = DeclaredOnly()
         if self.policy.fitting is Fitting.FIRST_FIT:
             shard.penalties.level = lambda *_: 0  # type: ignore[method-assign]
+            shard.penalties.known = lambda *_: None  # type: ignore[method-assign]
         return Owner(shard, [])
 
     # ---- the batch load
--- a/bench/batch_fakes.py
+++ b/bench/batch_fakes.py
@@ -28,14 +28,14 @@
 LIGHT_LOAD_SHARE = 0.5
 
 SLOWDOWN_BY_PAIR = {
-    (0, "ledger"): 1.6,
+    (0, "ledger"): 3.0,
     (1, "ledger"): 0.05,
     (0, "render"): 0.05,
-    (1, "render"): 1.6,
+    (1, "render"): 3.0,
     (0, "index"): 0.05,
     (1, "index"): 0.05,
-    (0, "crunch"): 0.4,
-    (1, "crunch"): 0.4,
+    (0, "crunch"): 0.3,
+    (1, "crunch"): 0.3,
 }
 """By how much a whole VM of a job class slows the first and second service down."""
 
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -71,8 +71,11 @@
 Closed = Callable[[], str]
 Refuses = Callable[[str, Resources], str]
 """Tells why a task of a job class and size is not taken; empty where it is."""
-Penalty = Callable[[str], float]
-"""Tells how much a core of a job class slows the services here down."""
+Penalty = Callable[[str, float | None], float | None]
+"""Tells how much a core of a job class slows the services here down, if known.
+
+Is handed what the owner knows of it from elsewhere.
+"""
 ReadEpoch = Callable[[ShardId], Awaitable[Epoch | None]]
 
 
@@ -132,7 +135,7 @@
         self.ready = False
         self.health = Health()
         self.refuses: Refuses = lambda job_class, size: ""
-        self.penalty: Penalty = lambda job_class: 0.0
+        self.penalty: Penalty = lambda job_class, told: told
         self._worker = worker
         self._commitments = commitments
         self._view = view
@@ -240,9 +243,9 @@
         why = why or self.health.why_closed(job_of(message.attempt), now)
         if message.attempt in self._never or message.attempt in self.attempt_by_id:
             why = why or "asked for here before"
+        penalty = self.penalty(message.job_class, message.penalty)
         if not why and not message.urgent:
             why = self.refuses(message.job_class, message.size)
-        penalty = self.penalty(message.job_class)
         if why:
             return NoRoom(why, self._commitments.free(now), penalty)
         if message.urgent:
--- a/wagtailcleat/agent/interference.py
+++ b/wagtailcleat/agent/interference.py
@@ -20,7 +20,12 @@
 TAIL_SHARE = 0.01
 CHANCE_DEVIATIONS = 2.0
 MIN_COUNT = 20
-LEARNING_RATE = 0.4
+NOISE_OF_ONE = 0.8
+"""Variance of the relative error of a median, times the answers it is taken from."""
+FIRST_VARIANCE = 0.03**2
+TOLD_VARIANCE = 0.01**2
+DRIFT_VARIANCE = 0.001**2
+FORGET_WEIGHT = 0.03
 FIRST_SCORE = 0.01
 MAX_SCORE = 2.0
 CALM_WEIGHT = 0.2
@@ -126,6 +131,7 @@
     share_by_attempt: dict[AttemptId, float] = field(default_factory=dict)
     calm_median_by_service: dict[ServiceName, float] = field(default_factory=dict)
     offer: float = 1.0
+    variance_by_pair: dict[tuple[ServiceName, str], float] = field(default_factory=dict)
     throttles: int = 0
     evictions: int = 0
     _breaches: int = 0
@@ -175,6 +181,26 @@
         """Return the worst score of a job class beside the services."""
         return max((self.score(s, job_class) for s in services), default=0.0)
 
+    def known_penalty(
+        self, services: Iterable[ServiceName], job_class: str
+    ) -> float | None:
+        """Return the worst score of a job class, if any service has one."""
+        scores = [
+            score
+            for s in services
+            if (score := self.score_by_pair.get((s, job_class))) is not None
+        ]
+        return max(scores, default=None)
+
+    def tell(
+        self, services: Iterable[ServiceName], job_class: str, score: float
+    ) -> None:
+        """Take a score learned elsewhere for pairs not known here."""
+        for service in services:
+            if (service, job_class) not in self.score_by_pair:
+                self.score_by_pair[service, job_class] = score
+                self.variance_by_pair[service, job_class] = TOLD_VARIANCE
+
     def step(
         self,
         tail_by_service: Mapping[ServiceName, Tail],
@@ -210,7 +236,8 @@
             if tail.count >= MIN_COUNT:
                 self._learn_calm(service, tail.median, alone)
                 if not alone:
-                    self._learn_scores(service, tail.median, used_by_class)
+                    self._learn_scores(service, tail, used_by_class)
+        self._forget_unseen(used_by_class)
 
     def _learn_calm(self, service: ServiceName, median: float, alone: bool) -> None:
         calm = self.calm_median_by_service.setdefault(service, median)
@@ -218,18 +245,36 @@
         self.calm_median_by_service[service] = calm + weight * (median - calm)
 
     def _learn_scores(
-        self, service: ServiceName, median: float, used_by_class: Mapping[str, float]
+        self, service: ServiceName, tail: Tail, used_by_class: Mapping[str, float]
     ) -> None:
-        # Normalised least mean squares: the error is shared out by used cores, so
-        # that a class seen beside the service in different amounts gets its own
-        # part of the blame.
-        observed = median / self.calm_median_by_service[service] - 1
+        # A Kalman filter with one variance a pair: the error of the foreseen
+        # slowdown is shared out by used cores and by how little is known of a
+        # pair yet, and less of it is believed the fewer answers it comes from.
+        observed = tail.median / self.calm_median_by_service[service] - 1
         error = observed - self.excess([service], used_by_class)
-        norm = sum(cores * cores for cores in used_by_class.values())
+        spread = NOISE_OF_ONE / tail.count
+        for job_class, cores in used_by_class.items():
+            spread += self._variance(service, job_class) * cores * cores
         for job_class, cores in used_by_class.items():
-            before = self.score(service, job_class)
-            after = before + LEARNING_RATE * error * cores / norm
-            self.score_by_pair[service, job_class] = min(max(after, 0.0), MAX_SCORE)
+            pair = (service, job_class)
+            variance = self._variance(*pair)
+            gain = variance * cores / spread
+            score = self.score(*pair) + gain * error
+            self.score_by_pair[pair] = min(max(score, 0.0), MAX_SCORE)
+            self.variance_by_pair[pair] = variance * (1 - gain * cores)
+
+    def _variance(self, service: ServiceName, job_class: str) -> float:
+        known = self.variance_by_pair.get((service, job_class), FIRST_VARIANCE)
+        return min(known + DRIFT_VARIANCE, FIRST_VARIANCE)
+
+    def _forget_unseen(self, used_by_class: Mapping[str, float]) -> None:
+        # A class that is refused is never measured again. Its score fades, so that
+        # it is tried anew some time: what it does shifts with load and releases.
+        for pair, score in self.score_by_pair.items():
+            if pair[1] not in used_by_class:
+                faded = score + FORGET_WEIGHT * (FIRST_SCORE - score)
+                self.score_by_pair[pair] = faded
+                self.variance_by_pair[pair] = self._variance(*pair)
 
     # ---- acting
 
--- a/wagtailcleat/agent/neighbours.py
+++ b/wagtailcleat/agent/neighbours.py
@@ -70,9 +70,16 @@
             size.cores,
         )
 
-    def penalty(self, job_class: str) -> float:
-        """Return the worst slowdown of a service here by one core of the class."""
-        return self.control.penalty(self._services.desk_by_service, job_class)
+    def penalty(self, job_class: str, told: float | None) -> float | None:
+        """Return the worst slowdown of a service here by one core of the class.
+
+        Parameters: `told` is what the owner knows of it, taken where nothing is
+        known here; so a new agent does not learn anew what others have.
+        """
+        services = self._services.desk_by_service
+        if told is not None:
+            self.control.tell(services, job_class, told)
+        return self.control.known_penalty(services, job_class)
 
     def neighbours(self) -> list[Neighbour]:
         """Return what runs or is about to, with its lagged usage."""
--- a/wagtailcleat/batch/penalties.py
+++ b/wagtailcleat/batch/penalties.py
@@ -27,15 +27,27 @@
     _revision: Revision = Revision(-1)
 
     def note(
-        self, configuration: Configuration, vm: VmName, job_class: str, penalty: float
+        self,
+        configuration: Configuration,
+        vm: VmName,
+        job_class: str,
+        penalty: float | None,
     ) -> None:
-        """Take what an agent told."""
+        """Take what an agent told, if it knows the class."""
+        if penalty is None:
+            return
         pair = (self._services(configuration, vm), job_class)
         before = self.by_pair.get(pair, penalty)
         self.by_pair[pair] = before + WEIGHT * (penalty - before)
         if len(self.by_pair) > MAX_PAIRS:
             del self.by_pair[next(iter(self.by_pair))]
 
+    def known(
+        self, configuration: Configuration, vm: VmName, job_class: str
+    ) -> float | None:
+        """Return the slowdown to expect on a VM, if any agent has told one."""
+        return self.by_pair.get((self._services(configuration, vm), job_class))
+
     def level(self, configuration: Configuration, vm: VmName, job_class: str) -> int:
         """Return how late a VM is to be asked, from 0 on."""
         pair = (self._services(configuration, vm), job_class)
--- a/wagtailcleat/batch/placer.py
+++ b/wagtailcleat/batch/placer.py
@@ -205,6 +205,9 @@
             size,
             spec.job_class,
             spec.urgent,
+            shard.penalties.known(
+                shard.in_force.configuration, member.vm, spec.job_class
+            ),
         )
         answer = await shard.peers.call(
             member.host, member.port, ask, timeout=CALL_SECONDS
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -332,6 +332,8 @@
     size: Resources
     job_class: str
     urgent: bool = False
+    penalty: float | None = None
+    """What the owner knows of the class beside the same services elsewhere."""
 
 
 class Reserved(Message, frozen=True, tag="reserved"):
@@ -340,8 +342,8 @@
     lasts: float
     free: Resources
     incarnation: Incarnation
-    penalty: float = 0.0
-    """The slowdown of this VM's services by one core of the job class."""
+    penalty: float | None = None
+    """The slowdown of this VM's services by one core of the job class, if known."""
 
 
 class NoRoom(Message, frozen=True, tag="no_room"):
@@ -349,7 +351,7 @@
 
     reason: str
     free: Resources
-    penalty: float = 0.0
+    penalty: float | None = None
 
 
 class Start(Message, frozen=True, tag="start"):
