Configuration: a record of each change, so that a conflict shows the true difference

A 409 compared the store's configuration with what was in force at the entry: where the entry was ahead of the operator's base, changes were missing from it. A repeated change id was recognised only while no other change had followed. Each change now leaves a record in its own transaction. Problems of form and of the whole are told at once; before, a misspelt key hid all others. Metrics have fixed names: attempt ids had become names.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -7,10 +7,13 @@
       | problem                                                                                              |
       | $.vms[0].coers: unknown key; known are accelerators, cores, memory_mb, name, rack, zone               |
       | $.vms[0].cores: missing                                                                              |
+      | $.vms: 'vm-1' stands 2 times                                                                         |
+      | $.services[0].vms[1]: no VM 'vm-9' in the inventory                                                  |
+      | $.vms[1]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
     When the misspelt key is mended
     Then these problems are reported
       | problem                                                                                              |
-      | vms: 'vm-1' stands 2 times                                                                           |
-      | services[0].vms[1]: no VM 'vm-9' in the inventory                                                    |
-      | vms[0]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
-      | vms[1]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
+      | $.vms: 'vm-1' stands 2 times                                                                         |
+      | $.services[0].vms[1]: no VM 'vm-9' in the inventory                                                  |
+      | $.vms[0]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
+      | $.vms[1]: the services placed on 'vm-1' take 8 cores, 1000 MB, 0 accelerators, it holds 4 cores, 2000 MB, 0 accelerators |
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -2,17 +2,11 @@
 
 from behave import given, then, when
 
-from wagtailcleat.checked import convert
-from wagtailcleat.configuration.check import inventory_problems
-from wagtailcleat.configuration.models import Inventory
-from wagtailcleat.errors import SettingsError
+from wagtailcleat.configuration.check import check_inventory
 
 
 def _check(raw):
-    try:
-        return inventory_problems(convert(raw, Inventory))
-    except SettingsError as error:
-        return error.problems
+    return check_inventory(raw)[1]
 
 
 @given(
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -6,12 +6,12 @@
 from typing import Annotated
 
 import cyclopts
-from prometheus_client import generate_latest
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.metrics import add_agent_metrics
 from wagtailcleat.agent.services import Services
 from wagtailcleat.batch.journal import Journal
 from wagtailcleat.batch.owner import Owner
@@ -20,11 +20,12 @@
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
 from wagtailcleat.process import (
-    Introspection,
     bind,
     bound_port,
     dump_on_signal,
@@ -256,6 +257,15 @@
         add("ledger", lambda: len(self.services.ledger))
         add("attempts", self.attempts.dump)
         add("shards", self._shards)
+        add_node_metrics(self.node.introspection, self.node)
+        add_agent_metrics(
+            self.node.introspection,
+            self.services,
+            self.attempts,
+            self.commitments,
+            self.ownership,
+            self.node.clock,
+        )
 
     def _shards(self) -> dict[str, object]:
         owners = self.ownership.owner_by_shard
@@ -284,7 +294,7 @@
     def get(self) -> None:
         """Answer with all metrics of this process."""
         self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(generate_latest(self._introspection.registry))
+        self.finish(self._introspection.metrics())
 
 
 def _state_application(introspection: Introspection) -> Application:
--- /dev/null
+++ b/wagtailcleat/agent/metrics.py
@@ -0,0 +1,97 @@
+"""The metrics of an agent."""
+
+from collections.abc import Mapping
+
+from wagtailcleat.agent.attempts import Attempts
+from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.services import Services
+from wagtailcleat.batch.ownership import Ownership
+from wagtailcleat.clock import Clock
+from wagtailcleat.introspection import Introspection, Kind
+from wagtailcleat.resources import Resources
+
+
+def add_agent_metrics(
+    introspection: Introspection,
+    services: Services,
+    attempts: Attempts,
+    commitments: Commitments,
+    ownership: Ownership,
+    clock: Clock,
+) -> None:
+    """Show what an agent serves, runs, holds and owns."""
+    _add_services(introspection, services)
+    metric, labelled = introspection.metric, introspection.labelled
+    metric(
+        Kind.GAUGE,
+        "tasks_running",
+        "Batch tasks running on this VM.",
+        lambda: len(attempts.running()),
+    )
+    metric(
+        Kind.GAUGE,
+        "shards_owned",
+        "Batch shards that this process owns.",
+        lambda: len(ownership.owner_by_shard),
+    )
+    labelled(
+        Kind.GAUGE,
+        "capacity",
+        "What the VM holds: cores, megabytes, accelerators.",
+        "resource",
+        lambda: _by_resource(commitments.capacity),
+    )
+    labelled(
+        Kind.GAUGE,
+        "free",
+        "What of the VM is committed to nothing: cores, megabytes, accelerators.",
+        "resource",
+        lambda: _by_resource(commitments.free(clock())),
+    )
+
+
+def _add_services(introspection: Introspection, services: Services) -> None:
+    labelled = introspection.labelled
+    desks = services.desk_by_service
+    labelled(
+        Kind.GAUGE,
+        "service_requests_in_flight",
+        "Requests that hold a slot, by service.",
+        "service",
+        lambda: {name: desk.slots.in_use for name, desk in desks.items()},
+    )
+    labelled(
+        Kind.GAUGE,
+        "service_requests_queued",
+        "Requests that wait for a slot, by service.",
+        "service",
+        lambda: {name: desk.slots.queued for name, desk in desks.items()},
+    )
+    labelled(
+        Kind.COUNTER,
+        "service_requests_refused",
+        "Requests refused as not run, by service.",
+        "service",
+        lambda: {name: desk.refused for name, desk in desks.items()},
+    )
+    labelled(
+        Kind.COUNTER,
+        "service_requests_failed",
+        "Requests that the endpoint failed, by service.",
+        "service",
+        lambda: {name: desk.failed for name, desk in desks.items()},
+    )
+    introspection.latencies(
+        "service_request_seconds",
+        "From a slot to the endpoint's answer, by service.",
+        "service",
+        lambda: {name: desk.latencies for name, desk in desks.items()},
+    )
+
+
+def _by_resource(amount: Resources) -> Mapping[str, float]:
+    return {
+        "cores": amount.cores,
+        "memory_mb": amount.memory_mb,
+        "accelerators": amount.accelerators,
+    }
--- a/wagtailcleat/checked.py
+++ b/wagtailcleat/checked.py
@@ -6,6 +6,7 @@
 
 import json
 import math
+from types import NoneType, UnionType
 from typing import Any, TypeVar, get_args, get_origin
 
 import msgspec
@@ -52,14 +53,27 @@
         SettingsError: with every problem found, each `path: sentence`.
 
     """
-    problems: list[str] = []
-    value = _convert(raw, kind, path, problems)
+    value, problems = convert_partly(raw, kind, path=path)
     if problems:
         raise SettingsError(problems)
-    return value  # type: ignore[no-any-return]
+    return value
+
+
+def convert_partly(raw: Any, kind: type[T], *, path: str = "$") -> tuple[T, list[str]]:
+    """Return `raw` as a `kind`, and every problem found.
+
+    What could not be read is None in the value, so that a check of the whole can
+    go on with the rest and everything wrong is told at once.
+    """
+    problems: list[str] = []
+    return _convert(raw, kind, path, problems), problems
 
 
 def _convert(raw: Any, kind: Any, path: str, problems: list[str]) -> Any:
+    if get_origin(kind) is UnionType and NoneType in get_args(kind):
+        if raw is None:
+            return None
+        kind = next(k for k in get_args(kind) if k is not NoneType)
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
         return _struct(raw, kind, path, problems)
     if get_origin(kind) in (list, tuple) and isinstance(raw, list):
@@ -69,6 +83,8 @@
             for index, item in enumerate(raw)
         ]
         return tuple(items) if get_origin(kind) is tuple else items
+    if get_origin(kind) is dict and isinstance(raw, dict):
+        return _mapping(raw, kind, path, problems)
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
@@ -90,7 +106,6 @@
         if key not in known
     )
     values: dict[str, Any] = {}
-    before = len(problems)
     for field in fields:
         if field.encode_name in raw:
             values[field.name] = _convert(
@@ -101,7 +116,18 @@
             )
         elif field.required:
             problems.append(f"{path}.{field.encode_name}: missing")
-    return kind(**values) if len(problems) == before else None
+            values[field.name] = None
+    return kind(**values)
+
+
+def _mapping(raw: dict[str, Any], kind: Any, path: str, problems: list[str]) -> Any:
+    key_kind, value_kind = get_args(kind)
+    return {
+        _convert(key, key_kind, f"{path} key '{key}'", problems): _convert(
+            value, value_kind, f"{path}.{key}", problems
+        )
+        for key, value in raw.items()
+    }
 
 
 def _located(path: str, message: str) -> str:
--- a/wagtailcleat/configuration/keys.py
+++ b/wagtailcleat/configuration/keys.py
@@ -1,10 +1,11 @@
 """Keys in the platform's store, all below one prefix."""
 
-from wagtailcleat.ids import ShardId
+from wagtailcleat.ids import Revision, ShardId
 
 PREFIX = "/wagtailcleat/"
 CONFIGURATION = PREFIX + "configuration"
 ZONES_OUT = PREFIX + "zones_out"
+CHANGES = PREFIX + "changes/"
 
 
 def shard_prefix(shard: ShardId) -> str:
@@ -35,3 +36,8 @@
 def shard_log_entry(shard: ShardId, number: int) -> str:
     """Return the key of one log entry."""
     return f"{shard_log(shard)}{number:012d}"
+
+
+def change_record(revision: Revision) -> str:
+    """Return the key that records what the change to `revision` replaced."""
+    return f"{CHANGES}{revision:012d}"
--- a/wagtailcleat/configuration/writer.py
+++ b/wagtailcleat/configuration/writer.py
@@ -9,9 +9,16 @@
 
 from wagtailcleat.checked import convert, read_json
 from wagtailcleat.configuration.check import problems
-from wagtailcleat.configuration.keys import CONFIGURATION, ZONES_OUT
+from wagtailcleat.configuration.history import (
+    RECORDS_KEPT,
+    PartChange,
+    changes_since,
+    make_record,
+    read_records,
+    revision_of,
+)
+from wagtailcleat.configuration.keys import CONFIGURATION, ZONES_OUT, change_record
 from wagtailcleat.configuration.models import Configuration
-from wagtailcleat.configuration.parts import changed, cut
 from wagtailcleat.ids import Revision
 from wagtailcleat.platform.store import (
     Absent,
@@ -27,21 +34,28 @@
 SETTLE_TRIES = 3
 SETTLE_PAUSE_SECONDS = 0.2
 
-Change = Callable[[Configuration], Configuration]
-
 
 @dataclass(frozen=True)
 class Accepted:
-    """The change is in the store: it will be in force everywhere in seconds."""
+    """The change is in the store: it will be in force everywhere in seconds.
 
+    `revision` is the change's own; others may have come after it already, and
+    `configuration` is the newest read.
+    """
+
+    revision: Revision
     configuration: Configuration
 
 
 @dataclass(frozen=True)
 class Raced:
-    """Another change came first; nothing was written."""
+    """Another change came first; nothing was written.
+
+    `changes` is what differs from the operator's base; None where that is too old.
+    """
 
     current: Configuration
+    changes: list[PartChange] | None
 
 
 @dataclass(frozen=True)
@@ -51,6 +65,13 @@
     problems: list[str]
 
 
+@dataclass(frozen=True)
+class Missing:
+    """What the change names is not in the configuration; nothing was written."""
+
+    reason: str
+
+
 @dataclass(frozen=True)
 class StoreFailed:
     """The store did not answer; `unknown` tells whether it may have written."""
@@ -59,12 +80,13 @@
     unknown: bool
 
 
-Changed = Accepted | Raced | Faulty | StoreFailed
+Changed = Accepted | Raced | Faulty | Missing | StoreFailed
+Change = Callable[[Configuration], Configuration | Missing]
 
 
 @dataclass(frozen=True)
 class Stored:
-    """The configuration in the store; `mod_revision` is the store's own."""
+    """The accepted configuration and the store's revision of its key."""
 
     configuration: Configuration
     mod_revision: int
@@ -92,74 +114,119 @@
 
     Parameters: `base` is the revision that the operator saw (None: any, for a
     change that does not depend on it); `change_id` makes a repeated call the same
-    change.
+    change, also when other changes came after its first call.
     """
     for _ in range(SETTLE_TRIES):
         stored = await read(store)
         if isinstance(stored, Unavailable):
             return StoreFailed(stored.reason, unknown=False)
         current = stored.configuration
-        if current.change_id == change_id and current.revision > 0:
-            return Accepted(current)
-        if base is not None and current.revision != base:
-            return Raced(current)
-        after = msgspec.structs.replace(
-            change(current),
-            revision=Revision(current.revision + 1),
-            change_id=change_id,
-        )
-        found = problems(after)
-        if found:
-            return Faulty(found)
-        outcome = await store.write(_txn(stored, after))
+        if base is None or base != current.revision:
+            earlier = await _accepted_or_raced(store, base, change_id, current)
+            if earlier is not None:
+                return earlier
+        after = checked_change(current, change_id, change)
+        if not isinstance(after, Configuration):
+            return after
+        if after.revision == current.revision:
+            return Accepted(current.revision, current)
+        txn = _txn(stored, after)
+        outcome = await store.write(txn)
         if isinstance(outcome, Written):
-            return Accepted(after)
+            return Accepted(after.revision, after)
         if isinstance(outcome, Unavailable):
             return StoreFailed(outcome.reason, unknown=False)
         if isinstance(outcome, Unknown):
-            return await _settle(store, _txn(stored, after), after, outcome)
+            return await _settle(store, txn, base, after, outcome)
     return StoreFailed("other changes kept coming first", unknown=False)
 
 
+def checked_change(
+    current: Configuration, change_id: str, change: Change
+) -> Configuration | Faulty | Missing:
+    """Return the configuration after `change`; `current` where it changes nothing."""
+    changed = change(current)
+    if isinstance(changed, Missing):
+        return changed
+    if changed == current:
+        return current
+    revision = Revision(current.revision + 1)
+    after = msgspec.structs.replace(changed, revision=revision, change_id=change_id)
+    found = problems(after)
+    return Faulty(found) if found else after
+
+
+async def raced(
+    store: Store, base: Revision, current: Configuration
+) -> Raced | StoreFailed:
+    """Return the refusal of a change whose base is not the present revision."""
+    records = await read_records(store)
+    if isinstance(records, Unavailable):
+        return StoreFailed(records.reason, unknown=False)
+    return Raced(current, changes_since(base, records, current))
+
+
+async def _accepted_or_raced(
+    store: Store, base: Revision | None, change_id: str, current: Configuration
+) -> Accepted | Raced | StoreFailed | None:
+    # The same change may have been accepted on an earlier call whose answer was
+    # lost, and others after it. Were it taken for new, a zone taken out by it and
+    # since brought back by another operator would be out a second time.
+    records = await read_records(store)
+    if isinstance(records, Unavailable):
+        return StoreFailed(records.reason, unknown=False)
+    revision = revision_of(records, change_id)
+    if revision is not None:
+        return Accepted(revision, current)
+    if base is None:
+        return None
+    return Raced(current, changes_since(base, records, current))
+
+
 async def _settle(
-    store: Store, txn: Txn, after: Configuration, unknown: Unknown
+    store: Store,
+    txn: Txn,
+    base: Revision | None,
+    after: Configuration,
+    unknown: Unknown,
 ) -> Changed:
     # The answer of a write was lost. The same transaction, sent again, can take
     # effect at most once (its compare holds once), so a repeat is safe; and the
-    # change id read back tells whose write it was.
+    # record of the change, read back, tells whose write it was.
     for _ in range(SETTLE_TRIES):
         await asyncio.sleep(SETTLE_PAUSE_SECONDS)
         outcome = await store.write(txn)
         if isinstance(outcome, Written):
-            return Accepted(after)
+            return Accepted(after.revision, after)
         stored = await read(store)
         if isinstance(stored, Unavailable):
             continue
-        if stored.configuration.change_id == after.change_id:
-            return Accepted(after)
-        if stored.configuration.revision >= after.revision:
-            return Raced(stored.configuration)
+        current = stored.configuration
+        if current.change_id == after.change_id:
+            return Accepted(after.revision, current)
+        if current.revision < after.revision:
+            continue
+        records = await read_records(store)
+        if isinstance(records, Unavailable):
+            continue
+        if revision_of(records, after.change_id) is not None:
+            return Accepted(after.revision, current)
+        seen = Revision(after.revision - 1) if base is None else base
+        return Raced(current, changes_since(seen, records, current))
     return StoreFailed(unknown.reason, unknown=True)
 
 
 def _txn(stored: Stored, after: Configuration) -> Txn:
-    puts = {CONFIGURATION: msgspec.json.encode(after)}
+    puts = {
+        CONFIGURATION: msgspec.json.encode(after),
+        change_record(after.revision): make_record(stored.configuration, after),
+    }
     if sorted(after.zones_out) != sorted(stored.configuration.zones_out):
         # Every assignment's commit compares this key, so that no commit made
         # after a zone was taken out can place a task there.
         puts[ZONES_OUT] = json.dumps(sorted(after.zones_out)).encode()
     compare = Compare(CONFIGURATION, mod_revision=stored.mod_revision)
-    return Txn([compare], puts)
-
-
-def described(before: Configuration, after: Configuration) -> list[dict[str, object]]:
-    """Return each changed part, for a diff that an operator reads."""
-    old = cut(before)
-    return [
-        {
-            "part": key,
-            "before": json.loads(old[key]) if key in old else None,
-            "after": json.loads(value) if value else None,
-        }
-        for key, value in sorted(changed(before, after).items())
-    ]
+    deletes = []
+    if after.revision > RECORDS_KEPT:
+        deletes = [change_record(Revision(after.revision - RECORDS_KEPT))]
+    return Txn([compare], puts, deletes=deletes)
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -15,10 +15,12 @@
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
+from wagtailcleat.entry.metrics import add_entry_metrics
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId
 from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.process import (
     bind,
@@ -85,6 +87,7 @@
             node.gossiper,
             node.introspection,
             node.clock,
+            jobs,
         )
         self.callers_server = _server(
             callers_application(callers, jobs), settings.max_body_bytes
@@ -152,6 +155,8 @@
         add("p50_ms", lambda: state.latencies.get_value_at_percentile(50) / 1000)
         add("p99_ms", lambda: state.latencies.get_value_at_percentile(99) / 1000)
         add("endpoints", self._endpoints)
+        add_node_metrics(self.node.introspection, self.node)
+        add_entry_metrics(self.node.introspection, state, relay)
 
     def _endpoints(self) -> dict[str, object]:
         now = self.node.clock()
--- /dev/null
+++ b/wagtailcleat/entry/metrics.py
@@ -0,0 +1,48 @@
+"""The metrics of an entry."""
+
+from wagtailcleat.entry.context import CallersState
+from wagtailcleat.entry.relay import Relay
+from wagtailcleat.introspection import Introspection, Kind
+
+
+def add_entry_metrics(
+    introspection: Introspection, state: CallersState, relay: Relay
+) -> None:
+    """Show what the callers' port counts."""
+    metric = introspection.metric
+    metric(
+        Kind.COUNTER,
+        "requests",
+        "Service requests taken from callers.",
+        lambda: relay.requests,
+    )
+    metric(
+        Kind.COUNTER,
+        "retries",
+        "Service requests sent to a second endpoint.",
+        lambda: relay.retries,
+    )
+    metric(
+        Kind.COUNTER,
+        "requests_refused",
+        "Service requests refused as not run.",
+        lambda: state.refused,
+    )
+    metric(
+        Kind.GAUGE,
+        "requests_in_flight",
+        "Service requests and watchers in flight.",
+        lambda: state.in_flight,
+    )
+    metric(
+        Kind.GAUGE,
+        "draining",
+        "1 while this process leaves.",
+        lambda: state.draining,
+    )
+    introspection.latencies(
+        "request_seconds",
+        "From a caller's request to its answer, all services.",
+        "",
+        lambda: {"": state.latencies},
+    )
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -8,13 +8,13 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.configuration.parts import InForce
 from wagtailcleat.ids import NodeId, VmName, ZoneName
+from wagtailcleat.introspection import Introspection
 from wagtailcleat.membership.freshness import Freshness
 from wagtailcleat.membership.gossip import Gossiper, parse_seeds
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
 from wagtailcleat.process import (
     Dispatch,
-    Introspection,
     bind,
     bound_port,
     make_incarnation,
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -4,16 +4,14 @@
 import json
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from prometheus_client import CollectorRegistry
-from prometheus_client.core import GaugeMetricFamily, Metric
-from prometheus_client.registry import Collector
 from tornado.netutil import bind_sockets
 
 from wagtailcleat.errors import Code, InvariantError, SettingsError
 from wagtailcleat.ids import Incarnation
+from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import AnyMessage, Dump, DumpState, Refused
@@ -24,61 +22,10 @@
 EXIT_OK = 0
 EXIT_INVARIANT = 70
 EXIT_SETTINGS = 78
-MAX_DUMP_BYTES = 1024 * 1024
 MILLISECONDS = 1000
 
 Handlers = dict[type, Callable[[Stream, AnyMessage, Outlet], Awaitable[AnyMessage]]]
 PlainHandlers = dict[type, Callable[[AnyMessage], Awaitable[AnyMessage]]]
-Section = Callable[[], object]
-
-
-class Introspection:
-    """The state dump, section by section, and metrics made of its numbers."""
-
-    def __init__(self) -> None:
-        """Start without sections."""
-        self.registry = CollectorRegistry()
-        self.registry.register(_Numbers(self))
-        self._section_by_name: dict[str, Section] = {}
-
-    def add(self, name: str, section: Section) -> None:
-        """Show what `section` returns under `name`."""
-        self._section_by_name[name] = section
-
-    def state(self) -> dict[str, object]:
-        """Return the whole state."""
-        return {name: section() for name, section in self._section_by_name.items()}
-
-    def text(self) -> str:
-        """Return the state as JSON text, bounded in size."""
-        text = json.dumps(self.state(), default=str)
-        if len(text) <= MAX_DUMP_BYTES:
-            return text
-        short = {n: v for n, v in self.state().items() if not isinstance(v, dict)}
-        return json.dumps(short | {"cut": "the whole state is too large"}, default=str)
-
-
-class _Numbers(Collector):
-    """Every number of the state dump as a gauge."""
-
-    def __init__(self, introspection: Introspection) -> None:
-        self._introspection = introspection
-
-    def collect(self) -> Iterator[Metric]:
-        """Yield a gauge for each number, named by its path."""
-        gauge_by_name: dict[str, float] = {}
-        _numbers("wagtailcleat", self._introspection.state(), gauge_by_name)
-        for name, value in gauge_by_name.items():
-            yield GaugeMetricFamily(name, "A number of the state dump.", value=value)
-
-
-def _numbers(path: str, value: object, found: dict[str, float]) -> None:
-    if isinstance(value, bool | int | float):
-        found[path] = float(value)
-    elif isinstance(value, dict):
-        for key, inner in value.items():
-            clean = "".join(c if c.isalnum() else "_" for c in str(key))
-            _numbers(f"{path}_{clean}", inner, found)
 
 
 def make_incarnation(wall_now: float) -> Incarnation:
@@ -113,7 +60,7 @@
     ) -> AnyMessage:
         """Answer one inbound call."""
         if isinstance(message, DumpState):
-            return Dump(self._introspection.text())
+            return Dump(self._introspection.text(message.sections))
         handler = self._handler_by_type.get(type(message))
         if handler is None:
             kind = type(message).__name__
--- a/wagtailcleat/supervise.py
+++ b/wagtailcleat/supervise.py
@@ -68,6 +68,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def restarts(self) -> int:
+        """Return how often children below this node were restarted."""
+        own = sum(self._restarts_by_child.values())
+        return own + sum(child.restarts() for child in self._children)
+
     def dump(self) -> dict[str, object]:
         """Return the tree's names and restart counts, for the state dump."""
         return {
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -77,7 +77,9 @@
 
 
 class DumpState(Message, frozen=True, tag="dump"):
-    """Asks for the state dump of a process."""
+    """Asks for the state dump of a process, or for some sections of it."""
+
+    sections: list[str] = []
 
 
 class Dump(Message, frozen=True, tag="dumped"):
