--- a/wagtailcleat/configuration/writer.py
+++ b/wagtailcleat/configuration/writer.py
@@ -121,10 +121,9 @@
         if isinstance(stored, Unavailable):
             return StoreFailed(stored.reason, unknown=False)
         current = stored.configuration
-        if base is None or base != current.revision:
-            earlier = await _accepted_or_raced(store, base, change_id, current)
-            if earlier is not None:
-                return earlier
+        earlier = await _accepted_or_raced(store, base, change_id, current)
+        if earlier is not None:
+            return earlier
         after = checked_change(current, change_id, change)
         if not isinstance(after, Configuration):
             return after
@@ -178,7 +177,7 @@
     revision = revision_of(records, change_id)
     if revision is not None:
         return Accepted(revision, current)
-    if base is None:
+    if base is None or base == current.revision:
         return None
     return Raced(current, changes_since(base, records, current))
 
--- /dev/null
+++ b/wagtailcleat/operator/app.py
@@ -0,0 +1,331 @@
+"""`wagtailcleat`: the operators' command line.
+
+Exit codes: 0 done, 1 refused or problems found, 2 wrong usage, 3 another change
+came first, 4 no entry or store reached and nothing done, 5 the outcome is unknown,
+6 what was waited for did not come in time.
+"""
+
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import App, CycloptsError, Parameter
+
+from wagtailcleat.clock import boot_time
+from wagtailcleat.operator.configuration import Application, show_configuration
+from wagtailcleat.operator.configuration import apply as apply_files
+from wagtailcleat.operator.configuration import check as check_files
+from wagtailcleat.operator.exits import Exit
+from wagtailcleat.operator.jobs import (
+    cancel,
+    list_jobs,
+    read_job,
+    show_job,
+    submit,
+    wait_for_job,
+)
+from wagtailcleat.operator.nodes import show_nodes, show_state, show_teams
+from wagtailcleat.operator.options import Options, run
+from wagtailcleat.operator.zones import move_and_wait, show_zone
+
+ZONE_SECONDS = 300.0
+JOB_SECONDS = 86_400.0
+DEFAULTS = Options()
+
+app = App(name="wagtailcleat", help=__doc__, version_flags=[])
+zone_app = App(name="zone", help="Take availability zones out and bring them back.")
+job_app = App(name="job", help="Batch jobs of a team.")
+config_app = App(name="config", help="The accepted configuration.")
+app.command(zone_app)
+app.command(job_app)
+app.command(config_app)
+
+Fields = Annotated[str, Parameter(help="Only these fields, separated by commas.")]
+Wait = Annotated[bool, Parameter(help="Show progress until it is done.", negative=())]
+Timeout = Annotated[float, Parameter(help="Seconds to wait at the most.")]
+ChangeId = Annotated[
+    str, Parameter(help="Repeats the change of this id, whose answer was lost.")
+]
+
+
+@app.command
+def check(*files: Path, json: Annotated[bool, Parameter(negative=())] = False) -> int:
+    """Check inventory and rules files, offline; print every problem with its path."""
+    return check_files(list(files), as_json=json)
+
+
+@app.command
+def apply(
+    *,
+    inventory: Path | None = None,
+    rules: Path | None = None,
+    dry_run: Annotated[bool, Parameter(negative=())] = False,
+    base_revision: int | None = None,
+    change_id: ChangeId = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Apply an inventory, rules, or both, and print what differs.
+
+    Parameters
+    ----------
+    inventory
+        Inventory file, JSON.
+    rules
+        Rules file, JSON.
+    dry_run
+        Only print what would differ.
+    base_revision
+        The revision that the files were made from; by default the present one.
+
+    """
+    asked = Application(inventory, rules, dry_run, base_revision, change_id)
+    return run(options, False, lambda client: apply_files(client, options, asked))
+
+
+@config_app.command(name="show")
+def config_show(
+    *,
+    in_force: Annotated[bool, Parameter(negative=())] = False,
+    fields: Fields = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Print the accepted configuration as JSON.
+
+    Parameters
+    ----------
+    in_force
+        The one in force at the entry; answered without the store.
+
+    """
+    return run(
+        options,
+        False,
+        lambda client: show_configuration(
+            client, options, in_force=in_force, fields=fields
+        ),
+    )
+
+
+@zone_app.command(name="out")
+def zone_out(
+    zone: str,
+    *,
+    wait: Wait = False,
+    timeout: Timeout = ZONE_SECONDS,
+    change_id: ChangeId = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Take an availability zone out of service: nothing more starts there."""
+    return _move(zone, "out", wait, timeout, change_id, options)
+
+
+@zone_app.command(name="in")
+def zone_in(
+    zone: str,
+    *,
+    wait: Wait = False,
+    timeout: Timeout = ZONE_SECONDS,
+    change_id: ChangeId = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Bring an availability zone back into service."""
+    return _move(zone, "in", wait, timeout, change_id, options)
+
+
+@zone_app.command(name="show")
+def zone_show(zone: str, *, fields: Fields = "", options: Options = DEFAULTS) -> int:
+    """Print whether a zone is out, and what still runs there."""
+    return run(options, False, lambda client: show_zone(client, options, zone, fields))
+
+
+@job_app.command(name="submit")
+def job_submit(
+    team: str,
+    job: str,
+    *,
+    file: Path | None = None,
+    command: str | None = None,
+    cores: float | None = None,
+    memory_mb: int | None = None,
+    accelerators: int | None = None,
+    tasks: int | None = None,
+    deadline: float | None = None,
+    deadline_seconds: float | None = None,
+    run_seconds: float | None = None,
+    urgent: Annotated[bool | None, Parameter(negative=())] = None,
+    job_class: str | None = None,
+    wait: Wait = False,
+    timeout: Timeout = JOB_SECONDS,
+    fields: Fields = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Submit a batch job; the same id twice is one job.
+
+    Parameters
+    ----------
+    file
+        Job file, JSON; options given besides go before its fields.
+    command
+        What each task runs.
+    cores
+        Cores of each task.
+    memory_mb
+        Megabytes of each task.
+    accelerators
+        Accelerators of each task.
+    tasks
+        Number of tasks.
+    deadline
+        Seconds since 1970 by which all tasks shall have ended.
+    deadline_seconds
+        The same, counted from the first acceptance.
+    run_seconds
+        How long a task is expected to run.
+    urgent
+        Start before work that is not urgent.
+    job_class
+        Jobs of one class share what is learned of their sizes.
+
+    """
+    given: dict[str, Any] = {
+        "id": job,
+        "command": command,
+        "cores": cores,
+        "memory_mb": memory_mb,
+        "accelerators": accelerators,
+        "tasks": tasks,
+        "deadline": deadline,
+        "deadline_seconds": deadline_seconds,
+        "run_seconds": run_seconds,
+        "urgent": urgent,
+        "job_class": job_class,
+    }
+
+    async def work(client: Any) -> Exit:
+        body = read_job(file) if file is not None else {}
+        body |= {name: value for name, value in given.items() if value is not None}
+        if not wait:
+            return await submit(client, options, team, body, fields)
+        accepted = await submit(client, options, team, body, "id,state")
+        if accepted is not Exit.OK:
+            return accepted
+        return await _wait(client, options, team, job, fields, timeout)
+
+    return run(options, True, work)
+
+
+@job_app.command(name="show")
+def job_show(
+    team: str,
+    job: str,
+    *,
+    wait: Wait = False,
+    timeout: Timeout = JOB_SECONDS,
+    fields: Fields = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Print a job's account."""
+    if wait:
+        return run(
+            options,
+            True,
+            lambda client: _wait(client, options, team, job, fields, timeout),
+        )
+    return run(
+        options, True, lambda client: show_job(client, options, team, job, fields)
+    )
+
+
+@job_app.command(name="list")
+def job_list(team: str, *, options: Options = DEFAULTS) -> int:
+    """Print all jobs of a team, the earliest deadline first."""
+    return run(options, True, lambda client: list_jobs(client, options, team))
+
+
+@job_app.command(name="cancel")
+def job_cancel(
+    team: str, job: str, *, fields: Fields = "", options: Options = DEFAULTS
+) -> int:
+    """Cancel a job and print its account; idempotent."""
+    return run(options, True, lambda client: cancel(client, options, team, job, fields))
+
+
+@app.command
+def nodes(*, columns: Fields = "", options: Options = DEFAULTS) -> int:
+    """Print every process, with the revision in force at each."""
+    return run(options, False, lambda client: show_nodes(client, options, columns))
+
+
+@app.command
+def teams(*, options: Options = DEFAULTS) -> int:
+    """Print each team's quota and its tasks."""
+    return run(options, False, lambda client: show_teams(client, options))
+
+
+@app.command
+def state(
+    process: str,
+    *,
+    section: Annotated[list[str], Parameter(negative=())] = None,  # type: ignore[assignment]
+    options: Options = DEFAULTS,
+) -> int:
+    """Print the state dump of a process, for example of `agent-vm-1`.
+
+    Parameters
+    ----------
+    section
+        Only this section; may be given more than once.
+
+    """
+    return run(
+        options,
+        False,
+        lambda client: show_state(client, options, process, section or []),
+    )
+
+
+def _move(
+    zone: str,
+    direction: str,
+    wait: bool,
+    timeout: float,
+    change_id: str,
+    options: Options,
+) -> int:
+    return run(
+        options,
+        False,
+        lambda client: move_and_wait(
+            client,
+            options,
+            zone,
+            direction,
+            change_id=change_id,
+            wait=wait,
+            timeout=timeout,
+            clock=boot_time,
+        ),
+    )
+
+
+async def _wait(
+    client: Any, options: Options, team: str, job: str, fields: str, timeout: float
+) -> Exit:
+    return await wait_for_job(
+        client, options, team, job, fields=fields, timeout=timeout, clock=boot_time
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    try:
+        code = app(exit_on_error=False, result_action="return_value")
+    except CycloptsError:
+        sys.exit(Exit.USAGE)
+    except KeyboardInterrupt:
+        sys.exit(Exit.TIMED_OUT)
+    sys.exit(code if isinstance(code, int) else Exit.OK)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailcleat/operator/exits.py
@@ -0,0 +1,44 @@
+"""Exit codes of the command line, and what an operator can do about each refusal."""
+
+from enum import IntEnum
+
+from wagtailcleat.errors import Code
+
+
+class Exit(IntEnum):
+    """What a command's end says; documented in docs/ADMIN.md."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_REACHED = 4
+    OUTCOME_UNKNOWN = 5
+    TIMED_OUT = 6
+
+
+EXIT_BY_CODE = {
+    Code.CONFLICT.value: Exit.CONFLICT,
+    Code.UNAVAILABLE.value: Exit.NOT_REACHED,
+    Code.NOT_RUN.value: Exit.NOT_REACHED,
+    Code.OUTCOME_UNKNOWN.value: Exit.OUTCOME_UNKNOWN,
+}
+ADVICE_BY_CODE = {
+    Code.CONFLICT.value: "look at the difference, then apply again on its revision",
+    Code.UNAVAILABLE.value: "nothing was done; what runs goes on; try again later",
+    Code.NOT_RUN.value: "nothing was done; try again later",
+    Code.UNAUTHORIZED.value: "set `token` in the settings file to the entries' own",
+    Code.INFEASIBLE.value: "ask for less, or add a VM that holds it to the inventory",
+    Code.QUOTA.value: "ask for less, or raise the team's quota in the rules",
+    Code.TOO_LARGE.value: "send less",
+}
+
+
+def exit_for(code: str) -> Exit:
+    """Return the exit code for a refusal's code."""
+    return EXIT_BY_CODE.get(code, Exit.REFUSED)
+
+
+def advice_for(code: str) -> str:
+    """Return what to do about a refusal; empty where its own words say it."""
+    return ADVICE_BY_CODE.get(code, "")
--- /dev/null
+++ b/wagtailcleat/operator/nodes.py
@@ -0,0 +1,57 @@
+"""`nodes`, `teams` and `state`: what the processes say of themselves."""
+
+from urllib.parse import quote, urlencode
+
+from wagtailcleat.operator.client import Client, Reply
+from wagtailcleat.operator.exits import Exit
+from wagtailcleat.operator.options import Options, failed
+from wagtailcleat.operator.show import show, show_table
+
+NODE_COLUMNS = ("node", "role", "zone", "vm", "state", "revision")
+TEAM_COLUMNS = (
+    "name",
+    "cores",
+    "memory_mb",
+    "accelerators",
+    "jobs",
+    "tasks_assigned",
+    "tasks_pending",
+)
+
+
+async def show_nodes(client: Client, options: Options, columns: str) -> Exit:
+    """Print every process known, with the revision in force at each."""
+    outcome = await client.call("GET", "/admin/nodes")
+    if not isinstance(outcome, Reply) or not outcome.ok:
+        return failed(outcome, options)
+    if options.json:
+        show(outcome.body, as_json=True)
+    else:
+        wanted = [name for name in columns.split(",") if name]
+        show_table(outcome.body["nodes"], wanted or NODE_COLUMNS)
+    return Exit.OK
+
+
+async def show_teams(client: Client, options: Options) -> Exit:
+    """Print each team's quota and its tasks."""
+    outcome = await client.call("GET", "/admin/teams")
+    if not isinstance(outcome, Reply) or not outcome.ok:
+        return failed(outcome, options)
+    if options.json:
+        show(outcome.body, as_json=True)
+    else:
+        show_table(outcome.body["teams"], TEAM_COLUMNS)
+    return Exit.OK
+
+
+async def show_state(
+    client: Client, options: Options, process: str, sections: list[str]
+) -> Exit:
+    """Print the state dump of a process."""
+    query = urlencode([("section", name) for name in sections])
+    path = f"/admin/state/{quote(process, safe='')}"
+    outcome = await client.call("GET", f"{path}?{query}" if query else path)
+    if not isinstance(outcome, Reply) or not outcome.ok:
+        return failed(outcome, options)
+    show(outcome.body, as_json=True)
+    return Exit.OK
--- /dev/null
+++ b/wagtailcleat/operator/show.py
@@ -0,0 +1,110 @@
+"""What the command line prints: JSON, or lines for a person."""
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from wagtailcleat.operator.client import NotReached, Reply
+from wagtailcleat.operator.exits import Exit, advice_for, exit_for
+
+INDENT = 2
+
+
+def say(text: str) -> None:
+    """Print a line of the result."""
+    print(text, flush=True)
+
+
+def tell(text: str) -> None:
+    """Print a line on progress or on what went wrong, to standard error."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def show(body: Any, *, as_json: bool, fields: str = "") -> None:
+    """Print an object as JSON or as `name: value` lines; only `fields`, if given."""
+    wanted = [name for name in fields.split(",") if name]
+    if wanted and isinstance(body, dict):
+        body = {name: body.get(name) for name in wanted}
+    if as_json or not isinstance(body, dict):
+        say(json.dumps(body, indent=INDENT))
+        return
+    for name, value in body.items():
+        say(f"{name}: {_text(value)}")
+
+
+def show_table(rows: list[dict[str, Any]], columns: Sequence[str]) -> None:
+    """Print rows under a heading, each column as wide as its widest value."""
+    lines = [[column.upper() for column in columns]]
+    lines += [[_text(row.get(column)) for column in columns] for row in rows]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
+    for line in lines:
+        cells = (c.ljust(width) for c, width in zip(line, widths, strict=True))
+        say("  ".join(cells).rstrip())
+
+
+def show_changes(changes: list[dict[str, Any]]) -> None:
+    """Print a difference, a line for each part or field that differs."""
+    for change in changes:
+        for line in _change_lines(change):
+            say(line)
+
+
+def refused(reply: Reply, *, as_json: bool) -> Exit:
+    """Print a refusal and what to do about it; return the exit code."""
+    body: dict[str, Any] = {"message": str(reply.body)}
+    if isinstance(reply.body, dict):
+        body = reply.body
+    if as_json:
+        say(json.dumps(body, indent=INDENT))
+        return exit_for(reply.code)
+    tell(f"refused ({reply.code or reply.status}): {body.get('message', '')}")
+    for problem in body.get("problems", []):
+        tell(f"  {problem}")
+    show_changes(body.get("changes", []))
+    if body.get("changes_known") is False:
+        tell("  the base is too old for the difference to be known")
+    advice = advice_for(reply.code)
+    if advice:
+        tell(f"  {advice}")
+    return exit_for(reply.code)
+
+
+def not_reached(outcome: NotReached, *, as_json: bool, repeat: str = "") -> Exit:
+    """Print that no entry answered; `repeat` says how to repeat the same change."""
+    code = "outcome_unknown" if outcome.sent else "unavailable"
+    if as_json:
+        say(json.dumps({"code": code, "why_by_url": outcome.why_by_url}, indent=INDENT))
+        return exit_for(code)
+    for url, why in outcome.why_by_url.items():
+        tell(f"{url}: {why}")
+    if outcome.sent:
+        tell("no answer came; it may have been done")
+        tell(f"  repeat {repeat or 'the command'}; it is done once")
+    else:
+        tell("no entry was reached; nothing was done")
+        tell("  check the addresses given by --admin, --entry or the settings file")
+    return exit_for(code)
+
+
+def _change_lines(change: dict[str, Any]) -> list[str]:
+    part, before, after = change["part"], change["before"], change["after"]
+    if not change.get("before_known", True):
+        return [f"~ {part}: now {_text(after)} (what it was is not kept)"]
+    if before is None:
+        return [f"+ {part}: {_text(after)}"]
+    if after is None:
+        return [f"- {part}"]
+    if isinstance(before, dict) and isinstance(after, dict):
+        names = sorted(n for n in before | after if before.get(n) != after.get(n))
+        return [
+            f"~ {part}.{name}: {_text(before.get(name))} -> {_text(after.get(name))}"
+            for name in names
+        ]
+    return [f"~ {part}: {_text(before)} -> {_text(after)}"]
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, str):
+        return value
+    return json.dumps(value)
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -10,7 +10,8 @@
 from wagtailcleat.errors import SettingsError
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
-Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^\s/]+(:\d+)?$")]
+URL_PATTERN = r"^https?://[^\s/]+(:\d+)?$"
+Url = Annotated[str, msgspec.Meta(pattern=URL_PATTERN)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:\d{1,5}$")]
 Secret = Annotated[str, msgspec.Meta(min_length=16, max_length=1024)]
 Positive = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
