--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -1,7 +1,6 @@
 """`wagtailcleat-agent`: the composition root of the program beside an endpoint."""
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -17,6 +16,7 @@
 from wagtailcleat.batch.owner import Owner
 from wagtailcleat.batch.ownership import Ownership
 from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
@@ -30,6 +30,7 @@
     bound_port,
     dump_on_signal,
     report_problems,
+    run_to_end,
     say_ready,
     until_told_to_stop,
 )
@@ -331,12 +332,12 @@
         print(f"{settings}: no problems")
         return 0
     start_logging(NodeId(checked.node), level=checked.log_level)
-    return asyncio.run(serve(checked))
+    return run_to_end(serve(checked))
 
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/wagtailcleat/command_line.py
@@ -0,0 +1,20 @@
+"""What the three programs' command lines share."""
+
+import sys
+
+from cyclopts import App, CycloptsError
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
+
+
+def run_program(app: App) -> None:
+    """Run a program's command and exit with its code; 2 where it is used wrongly."""
+    try:
+        code = app(exit_on_error=False, result_action="return_value")
+    except CycloptsError:
+        sys.exit(EXIT_USAGE)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
+    sys.exit(code if isinstance(code, int) else EXIT_OK)
--- a/wagtailcleat/entry/admin.py
+++ b/wagtailcleat/entry/admin.py
@@ -96,10 +96,12 @@
         change_id = change_id or secrets.token_urlsafe(CHANGE_ID_BYTES)
         outcome = await write(self.store, base, change_id, change)
         if isinstance(outcome, Accepted):
-            if self.in_force.adopt(outcome.configuration, self.clock()):
+            current = outcome.configuration
+            if self.in_force.adopt(current, self.clock()):
                 self.gossiper.configuration_changed()
-            fields = {"revision": outcome.revision, "change": change_id}
-            log.info("A change was accepted", extra=fields)
+            if current.change_id == change_id:
+                fields = {"revision": outcome.revision, "change": change_id}
+                log.info("A change was accepted", extra=fields)
         return outcome
 
     async def dump(self, node: NodeId, sections: list[str]) -> str | None:
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -1,7 +1,6 @@
 """`wagtailcleat-entry`: the composition root of the program on entry VMs."""
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -10,6 +9,7 @@
 from tornado.web import Application
 
 from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.follow import Follower
 from wagtailcleat.entry.admin import Admin, admin_application
 from wagtailcleat.entry.callers import callers_application
@@ -27,10 +27,11 @@
     bound_port,
     dump_on_signal,
     report_problems,
+    run_to_end,
     say_ready,
     until_told_to_stop,
 )
-from wagtailcleat.routing.choose import Policy, chooser
+from wagtailcleat.routing.choose import chooser
 from wagtailcleat.settings import EntrySettings, load
 from wagtailcleat.wire.messages import MemberState, Role
 
@@ -66,7 +67,7 @@
             node.in_force,
             node.peers,
             clock=node.clock,
-            choose=chooser(Policy(settings.routing), node.rng("routing")),
+            choose=chooser(settings.routing, node.rng("routing")),
             rng=node.rng("relay"),
         )
         callers = Callers(
@@ -207,12 +208,12 @@
         print(f"{settings}: no problems")
         return 0
     start_logging(NodeId(checked.node), level=checked.log_level)
-    return asyncio.run(serve(checked))
+    return run_to_end(serve(checked))
 
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app)
 
 
 if __name__ == "__main__":
--- a/wagtailcleat/errors.py
+++ b/wagtailcleat/errors.py
@@ -47,6 +47,12 @@
         self.problems = problems
 
 
+class ListenError(WagtailcleatError):
+    """An address that this process can't listen on."""
+
+    code = Code.UNAVAILABLE
+
+
 class StreamError(WagtailcleatError):
     """A stream between two processes that can't be used any longer."""
 
--- a/wagtailcleat/operator/app.py
+++ b/wagtailcleat/operator/app.py
@@ -5,13 +5,13 @@
 6 what was waited for did not come in time.
 """
 
-import sys
 from pathlib import Path
 from typing import Annotated, Any
 
-from cyclopts import App, CycloptsError, Parameter
+from cyclopts import App, Parameter
 
 from wagtailcleat.clock import boot_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.operator.configuration import Application, show_configuration
 from wagtailcleat.operator.configuration import apply as apply_files
 from wagtailcleat.operator.configuration import check as check_files
@@ -318,13 +318,7 @@
 
 def main() -> None:
     """Run the program."""
-    try:
-        code = app(exit_on_error=False, result_action="return_value")
-    except CycloptsError:
-        sys.exit(Exit.USAGE)
-    except KeyboardInterrupt:
-        sys.exit(Exit.TIMED_OUT)
-    sys.exit(code if isinstance(code, int) else Exit.OK)
+    run_program(app)
 
 
 if __name__ == "__main__":
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -4,12 +4,13 @@
 import json
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 from tornado.netutil import bind_sockets
 
-from wagtailcleat.errors import Code, InvariantError, SettingsError
+from wagtailcleat.errors import Code, InvariantError, ListenError, SettingsError
 from wagtailcleat.ids import Incarnation
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger
@@ -21,6 +22,7 @@
 
 EXIT_OK = 0
 EXIT_INVARIANT = 70
+EXIT_LISTEN = 71
 EXIT_SETTINGS = 78
 MILLISECONDS = 1000
 
@@ -83,8 +85,19 @@
 
 
 def bind(host: str, port: int) -> list[object]:
-    """Bind a listening port; 0 lets the kernel choose."""
-    return list(bind_sockets(port, host))
+    """Bind a listening port; 0 lets the kernel choose.
+
+    Raises:
+        ListenError: the address is not this VM's, or the port is taken.
+
+    """
+    try:
+        return list(bind_sockets(port, host))
+    except OSError as error:
+        raise ListenError(
+            f"can't listen on {host}:{port}: {error.strerror}; another process may"
+            " use the port, or the address is not this VM's"
+        ) from None
 
 
 def say_ready(ports: dict[str, int]) -> None:
@@ -114,6 +127,15 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, write)
 
 
+def run_to_end(serving: Coroutine[Any, Any, int]) -> int:
+    """Run a program until it ends; return the exit code."""
+    try:
+        return asyncio.run(serving)
+    except ListenError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_LISTEN
+
+
 def report_problems(path: Path, error: SettingsError) -> int:
     """Print every problem of a settings file; return the exit code."""
     for problem in error.problems:
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -1,22 +1,28 @@
 """Settings: one JSON file a program, checked whole before anything opens."""
 
+from collections import Counter
+from ipaddress import ip_address
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
-from wagtailcleat.checked import convert, read_json
+from wagtailcleat.checked import convert_partly, read_json
 from wagtailcleat.configuration.models import Name
 from wagtailcleat.errors import SettingsError
+from wagtailcleat.routing.choose import Policy
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 URL_PATTERN = r"^https?://[^\s/]+(:\d+)?$"
 Url = Annotated[str, msgspec.Meta(pattern=URL_PATTERN)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:\d{1,5}$")]
 Secret = Annotated[str, msgspec.Meta(min_length=16, max_length=1024)]
+LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 Positive = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
-MIN_STORES = 1
+ANY_ADDRESS = ("0.0.0.0", "::")
+MAX_PORT = 65_535
+PORTS = ("peer_port", "http_port", "admin_port")
 
 
 class Timing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,7 +62,7 @@
     secret: Secret
     store: list[Url]
     worker: Url
-    endpoints_by_service: dict[str, str] = {}
+    endpoints_by_service: dict[Name, Url] = {}
     host: str = "127.0.0.1"
     peer_port: Port = 0
     http_port: Port = 0
@@ -66,7 +72,7 @@
     owns_shards: bool = True
     max_answer_bytes: Count = 16 * 1024 * 1024
     kept_answer_bytes: Count = 32 * 1024 * 1024
-    log_level: str = "INFO"
+    log_level: LogLevel = "INFO"
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -84,11 +90,11 @@
     seeds: list[Address] = []
     timing: Timing = Timing()
     shards: Count = 16
-    routing: str = "two_choices"
+    routing: Policy = Policy.TWO_CHOICES
     max_body_bytes: Count = 1024 * 1024
     max_connections: Count = 4096
     max_in_flight: Count = 2048
-    log_level: str = "INFO"
+    log_level: LogLevel = "INFO"
 
 
 S = TypeVar("S", AgentSettings, EntrySettings)
@@ -105,7 +111,63 @@
         text = path.read_bytes()
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror}"]) from None
-    settings = convert(read_json(text), kind)
-    if len(settings.store) < MIN_STORES:
-        raise SettingsError(["$.store: name at least one address of the store"])
+    settings, found = convert_partly(read_json(text), kind)
+    if settings is not None:
+        found += _whole_problems(settings)
+    if found:
+        raise SettingsError(found)
     return settings
+
+
+def _whole_problems(settings: AgentSettings | EntrySettings) -> list[str]:
+    # A field that could not be read is None and was reported already.
+    found: list[str] = []
+    if settings.store == []:
+        found.append("$.store: name at least one address of the store")
+    found += _host_problems("$.host", settings.host)
+    if settings.host in ANY_ADDRESS:
+        found.append("$.host: others call this process there: give its own address")
+    for index, seed in enumerate(settings.seeds or []):
+        if seed is not None:
+            host, _, port = seed.rpartition(":")
+            found += _host_problems(f"$.seeds[{index}]", host)
+            if not 0 < int(port) <= MAX_PORT:
+                found.append(f"$.seeds[{index}]: {port} is no port")
+    return found + _port_problems(settings) + _timing_problems(settings.timing)
+
+
+def _host_problems(path: str, host: str | None) -> list[str]:
+    if host is None:
+        return []
+    try:
+        ip_address(host)
+    except ValueError:
+        return [f"{path}: '{host}' is no IP number"]
+    return []
+
+
+def _port_problems(settings: AgentSettings | EntrySettings) -> list[str]:
+    ports = Counter(getattr(settings, name, None) for name in PORTS)
+    return [
+        f"$: port {port} stands {count} times among {', '.join(PORTS)}"
+        for port, count in ports.items()
+        if port and count > 1
+    ]
+
+
+def _timing_problems(timing: Timing | None) -> list[str]:
+    if timing is None:
+        return []
+    shorter_and_longer = (
+        ("ping", "silence"),
+        ("gossip", "suspicion"),
+        ("grant", "outage_grant"),
+    )
+    found = []
+    for shorter, longer in shorter_and_longer:
+        low, high = getattr(timing, shorter), getattr(timing, longer)
+        if low is not None and high is not None and low > high:
+            found.append(
+                f"$.timing.{shorter}: {low:g} is longer than {longer}, {high:g}"
+            )
+    return found
