--- /dev/null
+++ b/features/operator/settings.feature
@@ -0,0 +1,64 @@
+Feature: Settings are checked whole before anything opens
+
+  Scenario: Every wrong value of an entry's settings is told at once
+    Given a settings file
+      """
+      {
+        "node": "Entry 1", "zone": "zilina-a", "secret": "short",
+        "admin_token": "0123456789abcdef", "store": [], "host": "localhost",
+        "http_port": 7000, "admin_port": 7000,
+        "seeds": ["entry-2:7000", "10.0.0.1:99999"],
+        "timing": {"ping": 2, "gosip": 1}, "routing": "best", "log_level": "LOUD"
+      }
+      """
+    When "wagtailcleat.entry.app" is started with it
+    Then it ends with 78 and has opened nothing
+    And these lines are told, each after the file's name
+      | line                                                                  |
+      | $.node: 'Entry 1' is not a name of a-z, 0-9 and -, at most 63 characters |
+      | $.secret: Expected `str` of length >= 16                              |
+      | $.routing: Invalid enum value 'best'                                  |
+      | $.log_level: Invalid enum value 'LOUD'                                |
+      | $.store: name at least one address of the store                       |
+      | $.host: 'localhost' is no IP number                                   |
+      | $.seeds[0]: 'entry-2' is no IP number                                 |
+      | $.seeds[1]: 99999 is no port                                          |
+      | $: port 7000 stands 2 times among peer_port, http_port, admin_port    |
+      | $.timing.ping: 2 is longer than silence, 0.75                         |
+
+  Scenario: Every wrong value of an agent's settings is told at once
+    Given a settings file
+      """
+      {
+        "node": "agent-1", "vm": "vm-1", "zone": "zilina-a",
+        "secret": "0123456789abcdef", "store": ["http://10.0.0.9:2379"],
+        "worker": "10.0.0.1:7001", "host": "0.0.0.0", "shards": 0,
+        "endpoints_by_service": {"Booking": "http://10.0.0.1:8080", "a": "8080"}
+      }
+      """
+    When "wagtailcleat.agent.app" is started with it
+    Then it ends with 78 and has opened nothing
+    And these lines are told, each after the file's name
+      | line                                                                        |
+      | $.worker: '10.0.0.1:7001' is not an address like http://10.0.0.1:7001 |
+      | $.shards: Expected `int` >= 1                                               |
+      | $.endpoints_by_service key 'Booking': 'Booking' is not a name of a-z, 0-9 and -, at most 63 characters |
+      | $.endpoints_by_service.a: '8080' is not an address like http://10.0.0.1:7001 |
+      | $.host: others call this process there: give its own address                |
+
+  Scenario: A port that is taken is told in one line
+    Given a settings file whose callers' port is taken
+    When "wagtailcleat.entry.app" is started with it
+    Then it ends with 71 and has opened nothing
+    And it tells "another process may use the port"
+
+  Scenario: Good settings pass the check
+    Given a settings file
+      """
+      {
+        "node": "entry-1", "zone": "zilina-a", "secret": "0123456789abcdef",
+        "admin_token": "0123456789abcdef", "store": ["http://10.0.0.9:2379"]
+      }
+      """
+    When "wagtailcleat.entry.app" is started with it and --check
+    Then it ends with 0 and has opened nothing
--- a/wagtailcleat/checked.py
+++ b/wagtailcleat/checked.py
@@ -88,7 +88,11 @@
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
-        problems.append(_located(path, str(error)))
+        described = _described(kind)
+        if described and isinstance(raw, str):
+            problems.append(f"{path}: {raw!r} is not {described}")
+        else:
+            problems.append(_located(path, str(error)))
         return None
 
 
@@ -130,6 +134,12 @@
     }
 
 
+def _described(kind: Any) -> str:
+    # A regular expression tells an operator little; the type may say it in words.
+    metas = [arg for arg in get_args(kind)[1:] if isinstance(arg, msgspec.Meta)]
+    return next((meta.description for meta in metas if meta.description), "")
+
+
 def _located(path: str, message: str) -> str:
     sentence, _, inner = message.partition(" - at `$")
     return f"{path}{inner.rstrip('`')}: {sentence}"
--- a/wagtailcleat/configuration/models.py
+++ b/wagtailcleat/configuration/models.py
@@ -8,7 +8,8 @@
 from wagtailcleat.resources import Accelerators, Cores, MemoryMb, Resources
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
-Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+NAME_WORDS = "a name of a-z, 0-9 and -, at most 63 characters"
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN, description=NAME_WORDS)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -14,8 +14,13 @@
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 URL_PATTERN = r"^https?://[^\s/]+(:\d+)?$"
-Url = Annotated[str, msgspec.Meta(pattern=URL_PATTERN)]
-Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:\d{1,5}$")]
+URL_WORDS = "an address like http://10.0.0.1:7001"
+Url = Annotated[str, msgspec.Meta(pattern=URL_PATTERN, description=URL_WORDS)]
+ADDRESS_PATTERN = r"^[^\s:]+:\d{1,5}$"
+ADDRESS_WORDS = "an address like 10.0.0.1:7002"
+Address = Annotated[
+    str, msgspec.Meta(pattern=ADDRESS_PATTERN, description=ADDRESS_WORDS)
+]
 Secret = Annotated[str, msgspec.Meta(min_length=16, max_length=1024)]
 LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 Positive = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
