--- a/features/operator/administration.feature
+++ b/features/operator/administration.feature
@@ -96,10 +96,13 @@
 
     Given an operator's terminal on a deployment of two entries and one agent
     And the store loses the next answer to a write of "configuration"
-    When the operator runs "apply --inventory inventory.json"
+    And the inventory is applied
+    Then the store has written the configuration 1 time
+    Given the store loses the next answer to a write of "configuration"
+    When the operator runs "zone out zilina-a"
     Then it ends with 0
-    And it says "accepted as revision 1"
-    And the store has written the configuration 1 time
+    And it says "zilina-a is out of service from revision 2 on"
+    And the store has written the configuration 2 times
 
   Scenario: An entry has died and another takes the change
     An operator takes a zone out. The first entry named does not answer any more;
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -115,6 +115,7 @@
 
 
 @then("the store has written the configuration {count:d} time")
+@then("the store has written the configuration {count:d} times")
 def step_written(context, count):
     writes = context.cluster.store.record()["writes"]
     found = [write for write in writes if write[1] == CONFIGURATION_KEY]
--- a/wagtailcleat/operator/app.py
+++ b/wagtailcleat/operator/app.py
@@ -12,6 +12,7 @@
 
 from wagtailcleat.clock import boot_time
 from wagtailcleat.command_line import run_program
+from wagtailcleat.operator.client import Client
 from wagtailcleat.operator.configuration import Application, show_configuration
 from wagtailcleat.operator.configuration import apply as apply_files
 from wagtailcleat.operator.configuration import check as check_files
@@ -24,11 +25,17 @@
     submit,
     wait_for_job,
 )
-from wagtailcleat.operator.nodes import show_nodes, show_state, show_teams
+from wagtailcleat.operator.nodes import (
+    show_nodes,
+    show_state,
+    show_teams,
+    wait_for_revision,
+)
 from wagtailcleat.operator.options import Options, run
 from wagtailcleat.operator.zones import move_and_wait, show_zone
 
 ZONE_SECONDS = 300.0
+REVISION_SECONDS = 30.0
 JOB_SECONDS = 86_400.0
 DEFAULTS = Options()
 
@@ -201,7 +208,7 @@
         "job_class": job_class,
     }
 
-    async def work(client: Any) -> Exit:
+    async def work(client: Client) -> Exit:
         body = read_job(file) if file is not None else {}
         body |= {name: value for name, value in given.items() if value is not None}
         if not wait:
@@ -251,9 +258,36 @@
 
 
 @app.command
-def nodes(*, columns: Fields = "", options: Options = DEFAULTS) -> int:
-    """Print every process, with the revision in force at each."""
-    return run(options, False, lambda client: show_nodes(client, options, columns))
+def nodes(
+    *,
+    wait: Annotated[bool, Parameter(negative=())] = False,
+    timeout: Timeout = REVISION_SECONDS,
+    columns: Fields = "",
+    options: Options = DEFAULTS,
+) -> int:
+    """Print every process, with the revision in force at each.
+
+    Parameters
+    ----------
+    wait
+        First wait until the accepted revision is in force at every process.
+    columns
+        Only these columns, separated by commas.
+
+    """
+
+    async def work(client: Client) -> Exit:
+        code = Exit.OK
+        if wait:
+            code = await wait_for_revision(
+                client, options, timeout=timeout, clock=boot_time
+            )
+        if code in (Exit.OK, Exit.TIMED_OUT):
+            shown = await show_nodes(client, options, columns)
+            return shown if code is Exit.OK else code
+        return code
+
+    return run(options, False, work)
 
 
 @app.command
@@ -309,7 +343,7 @@
 
 
 async def _wait(
-    client: Any, options: Options, team: str, job: str, fields: str, timeout: float
+    client: Client, options: Options, team: str, job: str, fields: str, timeout: float
 ) -> Exit:
     return await wait_for_job(
         client, options, team, job, fields=fields, timeout=timeout, clock=boot_time
--- a/wagtailcleat/operator/exits.py
+++ b/wagtailcleat/operator/exits.py
@@ -24,7 +24,6 @@
     Code.OUTCOME_UNKNOWN.value: Exit.OUTCOME_UNKNOWN,
 }
 ADVICE_BY_CODE = {
-    Code.CONFLICT.value: "look at the difference, then apply again on its revision",
     Code.UNAVAILABLE.value: "nothing was done; what runs goes on; try again later",
     Code.NOT_RUN.value: "nothing was done; try again later",
     Code.UNAUTHORIZED.value: "set `token` in the settings file to the entries' own",
--- a/wagtailcleat/operator/nodes.py
+++ b/wagtailcleat/operator/nodes.py
@@ -1,12 +1,15 @@
 """`nodes`, `teams` and `state`: what the processes say of themselves."""
 
+import asyncio
 from urllib.parse import quote, urlencode
 
+from wagtailcleat.clock import Clock
 from wagtailcleat.operator.client import Client, Reply
 from wagtailcleat.operator.exits import Exit
 from wagtailcleat.operator.options import Options, failed
-from wagtailcleat.operator.show import show, show_table
+from wagtailcleat.operator.show import show, show_table, tell
 
+POLL_SECONDS = 0.3
 NODE_COLUMNS = ("node", "role", "zone", "vm", "state", "revision")
 TEAM_COLUMNS = (
     "name",
@@ -19,6 +22,36 @@
 )
 
 
+async def wait_for_revision(
+    client: Client, options: Options, *, timeout: float, clock: Clock
+) -> Exit:
+    """Show progress until the accepted revision is in force at every process.
+
+    Parameters: `timeout` in seconds.
+    """
+    accepted = await client.call("GET", "/admin/configuration")
+    if not isinstance(accepted, Reply) or not accepted.ok:
+        return failed(accepted, options)
+    revision = accepted.body["revision"]
+    give_up_at = clock() + timeout
+    last = -1
+    while True:
+        outcome = await client.call("GET", "/admin/nodes")
+        if not isinstance(outcome, Reply) or not outcome.ok:
+            return failed(outcome, options)
+        revisions = [node["revision"] or 0 for node in outcome.body["nodes"]]
+        reached = sum(1 for known in revisions if known >= revision)
+        if reached == len(revisions):
+            return Exit.OK
+        if reached != last:
+            tell(f"revision {revision}: at {reached} of {len(revisions)} processes")
+            last = reached
+        if clock() >= give_up_at:
+            tell(f"revision {revision}: not everywhere within {timeout:g} s")
+            return Exit.TIMED_OUT
+        await asyncio.sleep(POLL_SECONDS)
+
+
 async def show_nodes(client: Client, options: Options, columns: str) -> Exit:
     """Print every process known, with the revision in force at each."""
     outcome = await client.call("GET", "/admin/nodes")
--- a/wagtailcleat/operator/show.py
+++ b/wagtailcleat/operator/show.py
@@ -65,6 +65,9 @@
     if body.get("changes_known") is False:
         tell("  the base is too old for the difference to be known")
     advice = advice_for(reply.code)
+    if "changes" in body:
+        revision = body["revision"]
+        advice = f"look at the difference, then apply with --base-revision {revision}"
     if advice:
         tell(f"  {advice}")
     return exit_for(reply.code)
