--- a/features/operator/administration.feature
+++ b/features/operator/administration.feature
@@ -49,6 +49,9 @@
     Then it ends with 3
     And it says "revision 2 came first; nothing was applied"
     And it says "~ teams/travel-desk.cores: 60.0 -> 80.0"
+    When the operator runs "apply --rules other.json --base-revision 7"
+    Then it ends with 3
+    And it says "there is no revision 7; the present one is 2; nothing was applied"
     When the operator runs "config show --fields revision"
     Then it says ""revision": 2"
 
--- a/wagtailcleat/configuration/writer.py
+++ b/wagtailcleat/configuration/writer.py
@@ -54,6 +54,7 @@
     `changes` is what differs from the operator's base; None where that is too old.
     """
 
+    base: Revision
     current: Configuration
     changes: list[PartChange] | None
 
@@ -162,7 +163,7 @@
     records = await read_records(store)
     if isinstance(records, Unavailable):
         return StoreFailed(records.reason, unknown=False)
-    return Raced(current, changes_since(base, records, current))
+    return Raced(base, current, changes_since(base, records, current))
 
 
 async def _accepted_or_raced(
@@ -179,7 +180,7 @@
         return Accepted(revision, current)
     if base is None or base == current.revision:
         return None
-    return Raced(current, changes_since(base, records, current))
+    return Raced(base, current, changes_since(base, records, current))
 
 
 async def _settle(
@@ -211,7 +212,7 @@
         if revision_of(records, after.change_id) is not None:
             return Accepted(after.revision, current)
         seen = Revision(after.revision - 1) if base is None else base
-        return Raced(current, changes_since(seen, records, current))
+        return Raced(seen, current, changes_since(seen, records, current))
     return StoreFailed(unknown.reason, unknown=True)
 
 
--- a/wagtailcleat/entry/admin.py
+++ b/wagtailcleat/entry/admin.py
@@ -380,9 +380,12 @@
 
 def _conflict(outcome: Raced) -> dict[str, object]:
     revision = outcome.current.revision
+    reason = f"revision {revision} came first"
+    if outcome.base > revision:
+        reason = f"there is no revision {outcome.base}; the present one is {revision}"
     body: dict[str, object] = {
         "code": Code.CONFLICT.value,
-        "message": f"revision {revision} came first; nothing was applied",
+        "message": f"{reason}; nothing was applied",
         "revision": revision,
         "changes_known": outcome.changes is not None,
         "changes": msgspec.to_builtins(outcome.changes or []),
