--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -1,18 +1,17 @@
 """`wagtailcleat-agent`: the composition root of the program beside an endpoint."""
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated
 
 import cyclopts
-from prometheus_client import generate_latest
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
 from wagtailcleat.agent.interference import Interference
+from wagtailcleat.agent.metrics import add_agent_metrics
 from wagtailcleat.agent.neighbours import NeighbourWatch
 from wagtailcleat.agent.services import Services
 from wagtailcleat.batch.holders import Holder, read_epoch
@@ -21,18 +20,21 @@
 from wagtailcleat.batch.ownership import Ownership
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
 from wagtailcleat.process import (
-    Introspection,
     bind,
     bound_port,
     dump_on_signal,
     report_problems,
+    run_to_end,
     say_ready,
     until_told_to_stop,
 )
@@ -314,6 +316,15 @@
         add("attempts", self.attempts.dump)
         add("neighbours", self.neighbours.dump)
         add("shards", self._shards)
+        add_node_metrics(self.node.introspection, self.node)
+        add_agent_metrics(
+            self.node.introspection,
+            self.services,
+            self.attempts,
+            self.commitments,
+            self.ownership,
+            self.node.clock,
+        )
 
     def _shards(self) -> dict[str, object]:
         owners = self.ownership.owner_by_shard
@@ -342,7 +353,7 @@
     def get(self) -> None:
         """Answer with all metrics of this process."""
         self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(generate_latest(self._introspection.registry))
+        self.finish(self._introspection.metrics())
 
 
 def _state_application(introspection: Introspection) -> Application:
@@ -379,12 +390,12 @@
         print(f"{settings}: no problems")
         return 0
     start_logging(NodeId(checked.node), level=checked.log_level)
-    return asyncio.run(serve(checked))
+    return run_to_end(serve(checked))
 
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app)
 
 
 if __name__ == "__main__":
