Membership: what is asked for all the time is worked out once a change

Cause: at 1,100 members an agent's round of claims over 128 shards walked all members for each shard, and each exchange summed the whole view anew.

--- /dev/null
+++ b/bench/slopes/fit.py
@@ -0,0 +1,37 @@
+"""A straight line through measured points, with its spread."""
+
+from dataclasses import asdict, dataclass
+from statistics import fmean
+from typing import Any
+
+MIN_SIZES = 3
+Point = tuple[float, float]
+
+
+@dataclass(frozen=True)
+class Line:
+    """`cost = base + slope * size`; `spread` is the greatest distance of a point."""
+
+    base: float
+    slope: float
+    spread: float
+    points: list[Point]
+
+    def shown(self) -> dict[str, Any]:
+        """Return the line as plain values."""
+        return asdict(self)
+
+
+def fit(points: list[Point]) -> Line:
+    """Return the line of least squares through points of at least three sizes."""
+    sizes = [size for size, _ in points]
+    costs = [cost for _, cost in points]
+    if len(set(sizes)) < MIN_SIZES:
+        raise ValueError(f"{len(set(sizes))} sizes, a line needs {MIN_SIZES}")
+    size_mean, cost_mean = fmean(sizes), fmean(costs)
+    square = sum((size - size_mean) ** 2 for size in sizes)
+    product = sum((s - size_mean) * (c - cost_mean) for s, c in points)
+    slope = product / square
+    base = cost_mean - slope * size_mean
+    spread = max(abs(cost - base - slope * size) for size, cost in points)
+    return Line(base, slope, spread, points)
--- a/wagtailcleat/membership/view.py
+++ b/wagtailcleat/membership/view.py
@@ -9,6 +9,7 @@
 import random
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -21,6 +22,7 @@
 MAX_RUMOURS_A_MESSAGE = 24
 SENDS_PER_DOUBLING = 3
 GONE = (MemberState.LOST, MemberState.LEFT)
+AGING = (MemberState.SUSPECT, *GONE)
 STRENGTH_BY_STATE = {
     MemberState.ALIVE: 0,
     MemberState.LEAVING: 0,
@@ -37,6 +39,43 @@
     return STRENGTH_BY_STATE[new.state] > STRENGTH_BY_STATE[old.state]
 
 
+@dataclass
+class _Index:
+    """Members by what they are asked for; made anew after a change.
+
+    Members are asked for at each request, exchange and round of claims, and change
+    some hundred times a day: a walk over all of them each time took more of a core
+    than a daemon may use.
+    """
+
+    live: list[Member] = field(default_factory=list)
+    others: list[Member] = field(default_factory=list)
+    agents: list[Member] = field(default_factory=list)
+    agents_by_service: dict[ServiceName, list[Member]] = field(default_factory=dict)
+    owner_by_shard: dict[ShardId, Member] = field(default_factory=dict)
+    aging: list[Member] = field(default_factory=list)
+    """Those whose state changes with time: suspect, lost or left."""
+
+    def add(self, member: Member, *, is_me: bool) -> None:
+        """Add a member."""
+        if member.state in AGING:
+            self.aging.append(member)
+        if member.state in GONE:
+            return
+        self.live.append(member)
+        if not is_me:
+            self.others.append(member)
+        if member.role is not Role.AGENT:
+            return
+        self.agents.append(member)
+        for service in member.services:
+            self.agents_by_service.setdefault(service, []).append(member)
+        for shard in member.shards:
+            known = self.owner_by_shard.get(shard)
+            if known is None or member.version > known.version:
+                self.owner_by_shard[shard] = member
+
+
 class View:
     """All members by node, with what changed lately for others to hear."""
 
@@ -44,6 +83,9 @@
         """Know only oneself."""
         self.me = me
         self.member_by_node: dict[NodeId, Member] = {me.node: me}
+        self._sums = [0] * BUCKETS
+        self._index: _Index | None = None
+        self._add_to_sums(me, 1)
         self.changed_at_by_node: dict[NodeId, float] = {}
         self.free_by_node: dict[NodeId, tuple[Resources, float]] = {}
         self._sends_left_by_node: dict[NodeId, int] = {}
@@ -57,41 +99,36 @@
 
     def live(self) -> list[Member]:
         """Return all members that are not gone, oneself among them."""
-        return [m for m in self.member_by_node.values() if m.state not in GONE]
+        return list(self._indexed().live)
 
     def others(self) -> list[Member]:
         """Return all members that are not gone, without oneself."""
-        return [m for m in self.live() if m.node != self.me.node]
+        return list(self._indexed().others)
 
     def agents(self) -> list[Member]:
         """Return all agents that are not gone."""
-        return [m for m in self.live() if m.role is Role.AGENT]
+        return list(self._indexed().agents)
 
     def serving(self, service: ServiceName) -> list[Member]:
         """Return the agents whose endpoint serves `service`."""
-        return [m for m in self.agents() if service in m.services]
+        return list(self._indexed().agents_by_service.get(service, []))
 
     def owner(self, shard: ShardId) -> Member | None:
         """Return the member that says it owns `shard`; the newest, if two do."""
-        owners = [m for m in self.agents() if shard in m.shards]
-        return max(owners, key=lambda m: m.version, default=None)
+        return self._indexed().owner_by_shard.get(shard)
 
     def digest(self) -> int:
         """Return one number that is equal where two views are."""
-        return sum(self.sums()) & SUM_MASK
+        return sum(self._sums) & SUM_MASK
 
     def sums(self) -> list[int]:
         """Return a sum for each bucket of members that are not gone."""
-        sums = [0] * BUCKETS
-        for member in self.live():
-            index = _bucket(member.node)
-            sums[index] = (sums[index] + _fingerprint(member)) & SUM_MASK
-        return sums
+        return list(self._sums)
 
     def differing(self, sums: list[int]) -> list[int]:
         """Return the buckets whose sums differ from `sums`."""
         return [
-            i for i, (a, b) in enumerate(zip(self.sums(), sums, strict=False)) if a != b
+            i for i, (a, b) in enumerate(zip(self._sums, sums, strict=False)) if a != b
         ]
 
     def in_buckets(self, buckets: Iterable[int]) -> list[Member]:
@@ -138,7 +175,8 @@
         Parameters: `suspicion` and `forget_lost` in seconds. Returns the lost.
         """
         lost = []
-        for node, member in list(self.member_by_node.items()):
+        for member in self._indexed().aging:
+            node = member.node
             age = now - self.changed_at_by_node.get(node, now)
             if member.state is MemberState.SUSPECT and age > suspicion:
                 self._weaken(node, (MemberState.SUSPECT,), MemberState.LOST, now)
@@ -146,6 +184,7 @@
             elif member.state in GONE and age > forget_lost:
                 del self.member_by_node[node]
                 self.changed_at_by_node.pop(node, None)
+                self._index = None
         return lost
 
     def note_free(self, node: NodeId, free: Resources, now: float) -> None:
@@ -166,7 +205,7 @@
 
     def pick(self, count: int) -> list[Member]:
         """Return up to `count` random members that are not gone."""
-        others = self.others()
+        others = self._indexed().others
         return self._random.sample(others, min(count, len(others)))
 
     def pick_lost(self) -> Member | None:
@@ -177,7 +216,25 @@
     def _sends_left(self, node: NodeId) -> int:
         return self._sends_left_by_node[node]
 
+    def _indexed(self) -> _Index:
+        if self._index is None:
+            self._index = _Index()
+            for member in self.member_by_node.values():
+                self._index.add(member, is_me=member.node == self.me.node)
+        return self._index
+
+    def _add_to_sums(self, member: Member, sign: int) -> None:
+        if member.state not in GONE:
+            index = _bucket(member.node)
+            added = self._sums[index] + sign * _fingerprint(member)
+            self._sums[index] = added & SUM_MASK
+
     def _put(self, member: Member, now: float) -> None:
+        earlier = self.member_by_node.get(member.node)
+        if earlier is not None:
+            self._add_to_sums(earlier, -1)
+        self._add_to_sums(member, 1)
+        self._index = None
         self.member_by_node[member.node] = member
         self.changed_at_by_node[member.node] = now
         doublings = math.ceil(math.log2(len(self.member_by_node) + 1))
