A stop tells peers the last call taken, and quiet kept connections are closed last

Cause: two scenarios of features/requests/leaving.feature failed on a loaded machine (load average 11): 1 of 366 posts got 504 while an agent stopped, and 2 callers' kept connections were reset while an entry stopped. In the first a call was on its way while the agent closed the stream; in the second a caller sent its next request at the moment of the close. Ruled out: waiting for the acknowledgement of the leave alone (a request can be between choice and sending), and closing after a fixed time. Change: AWAY numbers the last call taken, later ones were surely not run, and the peer closes first; a callers' connection stays until answered `Connection: close` or quiet for a second.

--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -209,12 +209,12 @@
     async def _answers_sent(self) -> None:
         # An answer that has left the services may still be in a stream's buffer;
         # closing the stream would lose it, and its caller be told nothing for sure.
+        for stream in list(self.node.listener.streams):
+            stream.go_away()
         try:
             async with asyncio.timeout(ANSWERS_SENT_SECONDS):
-                while any(s.serving for s in self.node.listener.streams):  # noqa: ASYNC110
+                while self.node.listener.streams:  # noqa: ASYNC110
                     await asyncio.sleep(ANSWERS_POLL_SECONDS)
-                for stream in list(self.node.listener.streams):
-                    await stream.flushed()
         except TimeoutError:
             log.warning("Not every answer has left this process")
 
--- a/wagtailcleat/entry/serving.py
+++ b/wagtailcleat/entry/serving.py
@@ -18,6 +18,9 @@
 
 log = part_logger("callers")
 
+QUIET_SECONDS = 1.0
+QUIET_POLL_SECONDS = 0.05
+
 FULL = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Content-Type: application/json\r\nRetry-After: 1\r\n"
@@ -34,6 +37,7 @@
         self._state = state
         self._max_connections = max_connections
         self._counted: set[object] = set()
+        self._active_at: dict[object, float] = {}
 
     def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve a new connection, or turn it away where there are too many."""
@@ -54,6 +58,7 @@
     def on_close(self, server_conn: object) -> None:
         """Note that a connection has ended, and its request with it."""
         self._done(server_conn)
+        self._active_at.pop(server_conn, None)
         super().on_close(server_conn)
 
     async def drain(self, seconds: float) -> None:
@@ -63,19 +68,40 @@
         # closed after it: a caller that keeps its connection busy would never let
         # this process end, and one that is cut off in a request would be told nothing.
         self.conn_params.no_keep_alive = True
+        give_up_at = asyncio.get_running_loop().time() + seconds
         try:
             async with asyncio.timeout(seconds):
                 await self._state.idle.wait()
         except TimeoutError:
             log.warning("Not every request was finished in time")
+        else:
+            await self._quiet(give_up_at)
         await self.close_all_connections()
 
+    async def _quiet(self, give_up_at: float) -> None:
+        # A caller may be sending its next request on a kept connection at this very
+        # moment. Closed now, it would be reset in the middle of a request; so a
+        # connection stays until it was answered `Connection: close`, or was quiet
+        # for a while.
+        loop = asyncio.get_running_loop()
+        while loop.time() < give_up_at:
+            newest = max(
+                (self._active_at.setdefault(c, loop.time()) for c in self._connections),
+                default=0.0,
+            )
+            left = newest + QUIET_SECONDS - loop.time()
+            if left <= 0 and not self._counted:
+                return
+            await asyncio.sleep(max(left, QUIET_POLL_SECONDS))
+
     def _begun(self, server_conn: object) -> None:
+        self._active_at[server_conn] = asyncio.get_running_loop().time()
         if server_conn not in self._counted:
             self._counted.add(server_conn)
             self._state.enter()
 
     def _done(self, server_conn: object) -> None:
+        self._active_at[server_conn] = asyncio.get_running_loop().time()
         if server_conn in self._counted:
             self._counted.discard(server_conn)
             self._state.leave()
--- a/wagtailcleat/wire/frames.py
+++ b/wagtailcleat/wire/frames.py
@@ -24,12 +24,14 @@
     PONG = 5
     MORE = 6
     BODY = 7
+    AWAY = 8
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """One frame; PING, PONG, CANCEL and MORE carry no message.
 
     PART is a piece of an answer, BODY one of a call; MORE allows further parts.
+    AWAY says that no call after the one it numbers is or will be served.
     """
 
     kind: Kind
--- a/wagtailcleat/wire/streams.py
+++ b/wagtailcleat/wire/streams.py
@@ -219,6 +219,9 @@
         self._timing = timing
         self._reader = reader
         self._next_call = 0
+        self._last_arrived = 0
+        self._leaving = False
+        self._peer_leaves = False
         self._waiting_by_call: dict[int, asyncio.Future[AnyMessage | Lost]] = {}
         self._parts_by_call: dict[int, Parts] = {}
         self._served_by_call: dict[int, _Served] = {}
@@ -242,12 +245,21 @@
         """How many calls of the peer are still being answered."""
         return len(self._served_by_call) + len(self._arriving_by_call)
 
-    async def flushed(self) -> None:
-        """Wait until all that was sent has left this process."""
-        self._flush()
-        if not self.closed:
-            with contextlib.suppress(StreamClosedError):
-                await self._connection.write(b"")
+    @property
+    def usable(self) -> bool:
+        """Whether a new call may be sent."""
+        return not (self.closed or self._peer_leaves)
+
+    def go_away(self) -> None:
+        """Serve no further call; the peer closes once it has all its answers.
+
+        A call can be on its way while this process ends. Its caller would never
+        learn whether it ran; told the last call taken, it knows that it did not.
+        Were this side to close first, a frame that arrives after the close would
+        reset the connection, and answers not yet read would be lost with it.
+        """
+        self._leaving = True
+        self._send(Frame(Kind.AWAY, self._last_arrived))
 
     async def run(self) -> None:
         """Read until the connection ends; every call left ends as `Lost`."""
@@ -290,8 +302,8 @@
         Parameters: `timeout` in seconds; `parts` takes what follows the answer.
         Without it an answer in parts is put together, and `Lost` if it breaks off.
         """
-        if self.closed:
-            return Lost(False, "the stream is closed")
+        if not self.usable:
+            return Lost(False, "the stream takes no more calls")
         if len(self._waiting_by_call) >= MAX_CALLS_PER_STREAM:
             return Lost(False, "too many calls wait on the stream")
         self._next_call += 1
@@ -320,6 +332,7 @@
             self._waiting_by_call.pop(call, None)
             if parts is None or not _has_parts(reply):
                 self._parts_by_call.pop(call, None)
+            self._close_if_left()
         return reply
 
     async def _send_call(self, call: int, message: AnyMessage) -> None:
@@ -375,6 +388,9 @@
         if frame.kind is Kind.PING:
             self._send(Frame(Kind.PONG, frame.call))
             return
+        if frame.kind is Kind.AWAY:
+            self._peer_goes_away(frame.call)
+            return
         served = self._served_by_call.get(frame.call)
         if frame.kind is Kind.MORE and served is not None:
             served.outlet.grant()
@@ -386,11 +402,25 @@
     def _arrive(self, call: int, message: AnyMessage) -> None:
         if call in self._served_by_call or call in self._arriving_by_call:
             raise FrameError("a call number used twice")
+        if self._leaving:
+            return
+        self._last_arrived = max(self._last_arrived, call)
         if isinstance(message, ServiceRequest) and message.parts:
             self._arriving_by_call[call] = _Arriving(message)
         else:
             self._serve(call, message)
 
+    def _peer_goes_away(self, last_taken: int) -> None:
+        self._peer_leaves = True
+        for call, future in self._waiting_by_call.items():
+            if call > last_taken and not future.done():
+                future.set_result(Lost(False, "the peer leaves and has not taken it"))
+        self._close_if_left()
+
+    def _close_if_left(self) -> None:
+        if self._peer_leaves and not self.waiting:
+            self.close("the peer has left")
+
     def _body(self, call: int, message: AnyMessage) -> None:
         arriving = self._arriving_by_call.get(call)
         if arriving is None:
@@ -430,6 +460,7 @@
         parts.add(message)
         if isinstance(message, PartsEnd):
             self._parts_by_call.pop(call, None)
+            self._close_if_left()
 
     def _serve(self, call: int, message: AnyMessage) -> None:
         if len(self._served_by_call) >= MAX_CALLS_PER_STREAM:
@@ -689,7 +720,7 @@
         """Return the open stream to an address, or open one."""
         address = (host, port)
         stream = self._stream_by_address.get(address)
-        if stream is not None and not stream.closed:
+        if stream is not None and stream.usable:
             return stream
         opening = self._opening_by_address.get(address)
         if opening is None:
