--- a/features/batch/capacity.feature
+++ b/features/batch/capacity.feature
@@ -15,12 +15,13 @@
     Tasks wait for room. The agent on the full VM is killed and restarted; it has
     forgotten what it committed, and takes in more than the VM holds, because what
     the worker still runs is not counted.
-    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=2"
-    And job "ledger" of 9 tasks of "sleep:5" with 2 cores runs on "vm-1" and 1 on "vm-2"
-    When 5 tasks have each run for 1 second
-    And the agent on "vm-1" is killed and started again
-    Then job "ledger" ends with 9 tasks succeeded
+    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8"
+    When job "ledger" of 14 tasks of "sleep:4" with 2 cores is submitted
+    And 8 tasks have each run for 1 second
+    And an agent that runs tasks and owns no shard of job "ledger" is killed and started
+    Then job "ledger" ends with 14 tasks succeeded
     And "vm-1" never ran more than 4 tasks at a time
+    And "vm-2" never ran more than 4 tasks at a time
     And no task ever ran in two places
 
   Scenario: Many owners ask one VM for room at once
--- a/features/batch/single_run.feature
+++ b/features/batch/single_run.feature
@@ -8,6 +8,7 @@
     When job "ledger" of 30 tasks of "sleep:0.4" with 2 cores is submitted
     And the owner of job "ledger" is frozen as soon as a task runs
     And another agent owns the shard of job "ledger"
+    And the store answers 0.3 seconds late
     And what was frozen goes on
     Then job "ledger" ends with 30 tasks succeeded
     And no task ever ran in two places
@@ -41,7 +42,8 @@
     second is answered as another job of the same name, or it is accepted anew and
     forgets what the first one's tasks have come to.
     Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-a=8"
-    When job "ledger" of 6 tasks of "sleep:1" with 2 cores is submitted 12 times at once
+    When the store answers 0.3 seconds late
+    And job "ledger" of 6 tasks of "sleep:1" with 2 cores is submitted 12 times at once
     Then every one of these submissions was accepted
     And job "ledger" ends with 6 tasks succeeded
     And each task of job "ledger" succeeded once
--- a/features/steps/batch_steps.py
+++ b/features/steps/batch_steps.py
@@ -333,9 +333,11 @@
     assert context.stopping.result() == 0
 
 
-@when('the agent on "{vm}" is killed and started again')
-def step_kill_agent(context, vm):
-    agent = context.cluster.agent_by_vm[vm]
+@when(
+    'an agent that runs tasks and owns no shard of job "{name}" is killed and started'
+)
+def step_kill_bystander(context, name):
+    agent = context.cluster.agent_by_vm[bystander(context, name)]
     agent.kill()
     agent.start()
 
@@ -364,6 +366,16 @@
     context.cluster.store.faults(lose_answers=count, lose_answers_matching=part)
 
 
+@when("the store answers {seconds:g} seconds late")
+def step_slow(context, seconds):
+    context.cluster.store.faults(slow_seconds=seconds)
+
+
+@when("the store answers at once")
+def step_quick(context):
+    context.cluster.store.faults()
+
+
 @when('the operator lowers "{vm}" to {cores:d} cores')
 def step_lower(context, vm, cores):
     lowered = inventory(context)
