--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -1,17 +1,18 @@
 """`wagtailcleat-agent`: the composition root of the program beside an endpoint."""
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated
 
 import cyclopts
-from prometheus_client import generate_latest
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.interference import Interference
+from wagtailcleat.agent.metrics import add_agent_metrics
+from wagtailcleat.agent.neighbours import NeighbourWatch
 from wagtailcleat.agent.services import Services
 from wagtailcleat.batch.holders import Holder, read_epoch
 from wagtailcleat.batch.journal import Journal
@@ -19,18 +20,21 @@
 from wagtailcleat.batch.ownership import Ownership
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
 from wagtailcleat.process import (
-    Introspection,
     bind,
     bound_port,
     dump_on_signal,
     report_problems,
+    run_to_end,
     say_ready,
     until_told_to_stop,
 )
@@ -41,6 +45,7 @@
     CancelJob,
     ListJobs,
     Member,
+    Members,
     MemberState,
     NotOwner,
     RenewGrants,
@@ -53,6 +58,9 @@
 log = part_logger("agent")
 
 CAPACITY_RETRY_SECONDS = 1.0
+ANNOUNCE_SECONDS = 1.0
+ANSWERS_SENT_SECONDS = 2.0
+ANSWERS_POLL_SECONDS = 0.01
 OWNERS_ORDERS = (SubmitJob, ShowJob, ListJobs, CancelJob, RenewGrants)
 
 app = cyclopts.App(name="wagtailcleat-agent", help=__doc__)
@@ -90,6 +98,7 @@
             clock=node.clock,
             timing=settings.timing,
             closed=self.closed,
+            close_older=node.listener.close_older,
             max_answer_bytes=settings.max_answer_bytes,
             kept_answer_bytes=settings.kept_answer_bytes,
         )
@@ -106,6 +115,13 @@
             must_leave=self.must_leave,
             read_epoch=lambda shard: read_epoch(node.store, shard),
         )
+        self.neighbours = NeighbourWatch(
+            Interference(),
+            self.attempts,
+            self.commitments,
+            self.services,
+            self.worker,
+        )
         self.ownership = Ownership(
             node.store,
             node.view,
@@ -152,6 +168,7 @@
         spawn("capacity", self._read_capacity)
         spawn("services", self._check_services)
         spawn("attempts", self._run_attempts)
+        spawn("neighbours", self.neighbours.run)
         if self._settings.owns_shards:
             spawn("ownership", self.ownership.run)
         return {"peer_port": node.view.me.port, "http_port": bound_port(sockets)}
@@ -159,8 +176,9 @@
     async def stop(self) -> None:
         """Announce the leave, finish requests, hand tasks and shards on, then end."""
         self.leaving = True
+        self.services.note_closed()
         log.info("Leaving")
-        await self.node.change_me(state=MemberState.LEAVING)
+        await self._announce_leave()
         try:
             async with asyncio.timeout(self._settings.timing.drain):
                 await self.services.drained()
@@ -168,10 +186,38 @@
         except TimeoutError:
             log.warning("Not everything was drained in time")
         await self.ownership.give_up()
+        await self._answers_sent()
         await self.node.leave()
         self.services.close()
         self.worker.close()
 
+    async def _announce_leave(self) -> None:
+        # Entries hear it over the streams they hold, at once: what they sent before
+        # they acknowledged it came before the acknowledgement, so after that none
+        # of them has a request on its way here.
+        node = self.node
+        node.view.change_me(node.clock(), state=MemberState.LEAVING)
+        news = Members([], [node.view.me])
+        entries = [s for s in node.listener.streams if s.peer_role is Role.ENTRY]
+        told = [stream.call(news, timeout=ANNOUNCE_SECONDS) for stream in entries]
+        try:
+            async with asyncio.timeout(ANNOUNCE_SECONDS):
+                await asyncio.gather(node.gossiper.announce(), *told)
+        except TimeoutError:
+            log.warning("Not every peer acknowledged that this agent leaves")
+
+    async def _answers_sent(self) -> None:
+        # An answer that has left the services may still be in a stream's buffer;
+        # closing the stream would lose it, and its caller be told nothing for sure.
+        try:
+            async with asyncio.timeout(ANSWERS_SENT_SECONDS):
+                while any(s.serving for s in self.node.listener.streams):  # noqa: ASYNC110
+                    await asyncio.sleep(ANSWERS_POLL_SECONDS)
+                for stream in list(self.node.listener.streams):
+                    await stream.flushed()
+        except TimeoutError:
+            log.warning("Not every answer has left this process")
+
     # ---- what runs
 
     async def _read_capacity(self) -> None:
@@ -268,7 +314,17 @@
         add("services", self.services.dump)
         add("ledger", lambda: len(self.services.ledger))
         add("attempts", self.attempts.dump)
+        add("neighbours", self.neighbours.dump)
         add("shards", self._shards)
+        add_node_metrics(self.node.introspection, self.node)
+        add_agent_metrics(
+            self.node.introspection,
+            self.services,
+            self.attempts,
+            self.commitments,
+            self.ownership,
+            self.node.clock,
+        )
 
     def _shards(self) -> dict[str, object]:
         owners = self.ownership.owner_by_shard
@@ -297,7 +353,7 @@
     def get(self) -> None:
         """Answer with all metrics of this process."""
         self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(generate_latest(self._introspection.registry))
+        self.finish(self._introspection.metrics())
 
 
 def _state_application(introspection: Introspection) -> Application:
@@ -334,12 +390,12 @@
         print(f"{settings}: no problems")
         return 0
     start_logging(NodeId(checked.node), level=checked.log_level)
-    return asyncio.run(serve(checked))
+    return run_to_end(serve(checked))
 
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app)
 
 
 if __name__ == "__main__":
--- a/wagtailcleat/platform/store.py
+++ b/wagtailcleat/platform/store.py
@@ -18,6 +18,7 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.curl import never_repeat
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.circuit import Circuit, TokenBucket
 
@@ -295,6 +296,7 @@
             headers={"Content-Type": "application/json"},
             connect_timeout=CONNECT_SECONDS,
             request_timeout=self._call_seconds,
+            prepare_curl_callback=never_repeat if bucket is self._writes else None,
         )
         return await self._fetch(request)
 
