--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -33,9 +33,11 @@
 from wagtailcleat.routing.choose import chooser
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import AnyMessage, Member, MemberState, Role
+from wagtailcleat.wire.request_ids import RequestIds
 
 FIRST_PORT = 1000
 NO_LIMIT = 9_999
+SECRET = "a secret of the bench only"
 TEAM = "travel-desk"
 LEDGER_SWEEP_SECONDS = 1.0
 
@@ -195,6 +197,7 @@
         clock=made.clock,
         timing=made.timing,
         closed=lambda: agent.closed_because,
+        close_older=lambda _: None,
         max_answer_bytes=1 << 20,
         kept_answer_bytes=32 << 20,
     )
@@ -238,6 +241,8 @@
         clock=made.clock,
         choose=chooser(policy.routing, random.Random(f"{seed}/route/{number}")),
         rng=random.Random(f"{seed}/relay/{number}"),
+        ids=RequestIds(me.node, me.incarnation, SECRET),
+        fresh=lambda: True,
     )
     if policy.retry_always:
         relay.budget.spend = lambda: True  # type: ignore[method-assign]
