--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -1,7 +1,6 @@
 """`wagtailcleat-entry`: the composition root of the program on entry VMs."""
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -10,26 +9,30 @@
 from tornado.web import Application
 
 from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.follow import Follower
 from wagtailcleat.entry.admin import Admin, admin_application
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
+from wagtailcleat.entry.metrics import add_entry_metrics
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.entry.serving import CallersServer
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId
 from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.process import (
     bind,
     bound_port,
     dump_on_signal,
     report_problems,
+    run_to_end,
     say_ready,
     until_told_to_stop,
 )
-from wagtailcleat.routing.choose import Policy, chooser
+from wagtailcleat.routing.choose import chooser
 from wagtailcleat.settings import EntrySettings, load
 from wagtailcleat.wire.messages import MemberState, Role
 from wagtailcleat.wire.request_ids import RequestIds
@@ -68,7 +71,7 @@
             node.in_force,
             node.peers,
             clock=node.clock,
-            choose=chooser(Policy(settings.routing), node.rng("routing")),
+            choose=chooser(settings.routing, node.rng("routing")),
             rng=node.rng("relay"),
             ids=RequestIds(
                 node.view.me.node, node.view.me.incarnation, settings.secret
@@ -94,6 +97,7 @@
             node.gossiper,
             node.introspection,
             node.clock,
+            jobs,
         )
         self.callers_server = _server(
             CallersServer, callers_application(callers, jobs), settings.max_body_bytes
@@ -160,6 +164,8 @@
         add("p50_ms", lambda: state.latencies.get_value_at_percentile(50) / 1000)
         add("p99_ms", lambda: state.latencies.get_value_at_percentile(99) / 1000)
         add("endpoints", self._endpoints)
+        add_node_metrics(self.node.introspection, self.node)
+        add_entry_metrics(self.node.introspection, state, relay)
 
     def _endpoints(self) -> dict[str, object]:
         now = self.node.clock()
@@ -210,12 +216,12 @@
         print(f"{settings}: no problems")
         return 0
     start_logging(NodeId(checked.node), level=checked.log_level)
-    return asyncio.run(serve(checked))
+    return run_to_end(serve(checked))
 
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app)
 
 
 if __name__ == "__main__":
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -110,9 +110,9 @@
             return await self._send_keyed(request, request.key)
         tried: set[NodeId] = set()
         outcome: RequestOutcome = _no_endpoint()
-        for number in range(MAX_TRIES):
+        for _ in range(MAX_TRIES):
             member = self._pick(request.service, tried)
-            if member is None or (number and not self._spend_retry(outcome)):
+            if member is None or (tried and not self._may_send_again(outcome, member)):
                 break
             tried.add(member.node)
             outcome = await self._try(request, member, self._ids.plain())
@@ -126,9 +126,9 @@
         """Open a watcher's answer at an endpoint not in `tried`."""
         await self._until_fresh()
         outcome: RequestOutcome = _no_endpoint()
-        for number in range(MAX_TRIES):
+        for _ in range(MAX_TRIES):
             member = self._pick(request.service, tried)
-            if member is None or (number and not self._spend_retry(outcome)):
+            if member is None:
                 break
             tried.add(member.node)
             parts = Parts()
@@ -289,13 +289,16 @@
     def _may_retry(self, request: CallerRequest, outcome: RequestOutcome) -> bool:
         if self._clock() >= request.deadline:
             return False
-        if isinstance(outcome, NotRun):
-            return True
-        return isinstance(outcome, OutcomeUnknown) and request.idempotent
+        if isinstance(outcome, OutcomeUnknown):
+            return request.idempotent
+        return isinstance(outcome, NotRun)
 
-    def _spend_retry(self, outcome: RequestOutcome) -> bool:
-        # What was not run has loaded no endpoint, so it takes nothing from the budget.
+    def _may_send_again(self, outcome: RequestOutcome, member: Member) -> bool:
+        # What was not run has loaded no endpoint, so trying another takes nothing
+        # from the budget; but one that refuses as well would only be asked in vain.
         if isinstance(outcome, NotRun):
+            if self.endpoints.record(member.node).refusing(self._clock()):
+                return False
             self.retries += 1
             return True
         if not self.budget.spend():
