--- a/bench/batch.py
+++ b/bench/batch.py
@@ -19,6 +19,7 @@
 from bench.profiles import Profile
 from bench.services import Seen, drive, service_measures
 from bench.virtual_time import run_virtual
+from standins.worker_tasks import State
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
 from wagtailcleat.agent.interference import Evict, Interference, Neighbour, Step, Tail
@@ -52,6 +53,7 @@
 LAG_SECONDS = 2.0
 CLASSES = ("ledger", "render", "index", "crunch")
 FIRST_PENALTY = 0.0
+FIRST_VM = VmName("vm-0")
 TIMING = Timing(grant=6.0, reservation=1.0, placement=0.2)
 
 Events = Callable[["World", float], None]
@@ -132,6 +134,8 @@
     memory_mb: int = 4_000
     waves: float = 0.0
     """Where set, the demand comes and goes with this period, in seconds."""
+    off_by_class: bool = False
+    """Whether all tasks of a class are off by the same factor."""
     failing_tasks: str = ""
     """Where set, the command of one job in ten."""
 
@@ -152,6 +156,7 @@
         self.agent_by_vm: dict[VmName, BatchAgent] = {}
         self.jobs = 0
         self.refused_jobs = 0
+        self.seed = seed
         self.random = random.Random(f"{seed}/batch")
         self._services = [s.name for s in self.made.configuration.inventory.services]
         for vm, agent in self.made.agent_by_vm.items():
@@ -310,7 +315,7 @@
         """Submit one job of four tasks."""
         job_class = self.batch.classes[self.jobs % len(self.batch.classes)]
         seconds = self.random.uniform(*self.batch.run_seconds)
-        off = self.random.uniform(*self.batch.off)
+        off = self._off(job_class)
         self.jobs += 1
         used = f"{self.batch.cores * off:.2f}:{self.batch.memory_mb}"
         command = f"sleep:{seconds:.2f}:{used}"
@@ -332,6 +337,22 @@
             self.refused_jobs += 1
             await asyncio.sleep(0.5)
 
+    def _off(self, job_class: str) -> float:
+        rng = self.random
+        if self.batch.off_by_class:
+            rng = random.Random(f"{self.seed}/off/{job_class}")
+        low, high = self.batch.off
+        return low * (high / low) ** rng.random()
+
+    def kill(self, vm: VmName) -> None:
+        """Let a VM and everything on it end."""
+        agent = self.agent_by_vm[vm]
+        agent.worker.up = False
+        for task in agent.worker.standin.running():
+            agent.worker.standin.end(task, State.FAILED, self.clock())
+        agent.worker.standin.task_by_id.clear()
+        self.made.agent_by_vm[vm].server.up = False
+
     async def cancel_half(self) -> None:
         """Cancel every second job that is open."""
         jobs = [j for j in self.journal.record.job_by_id if self._open(j)]
@@ -361,9 +382,12 @@
         if events is not None:
             tasks.append(asyncio.create_task(_happen(world, events)))
         at_start = asyncio.create_task(_note_start(world, warm_up))
+        available_so_far = asyncio.create_task(_available(world, warm_up, seconds))
         seen = await drive(world.made, load, seconds, seed, warm_up, services=2)
-        useful_before, available_before = await at_start
+        useful_before = await at_start
+        available = await available_so_far
         measures = _measures(world, seen, seconds - warm_up, useful_before)
+        measures["of_available"] = measures["batch_core_seconds"] / available
         for task in tasks:
             task.cancel()
         return measures
@@ -371,9 +395,20 @@
     return run_virtual(main)
 
 
-async def _note_start(world: World, warm_up: float) -> tuple[float, float]:
+async def _note_start(world: World, warm_up: float) -> float:
+    await asyncio.sleep(warm_up)
+    return world.useful()
+
+
+async def _available(world: World, warm_up: float, seconds: float) -> float:
+    """Return the core seconds that tasks could have had."""
+    step = 0.1
+    total = 0.0
     await asyncio.sleep(warm_up)
-    return world.useful(), world.free_cores()
+    while world.clock() < seconds:
+        total += world.free_cores() * step
+        await asyncio.sleep(step)
+    return total
 
 
 async def _happen(world: World, events: Events) -> None:
@@ -401,4 +436,7 @@
         "overuse_share": sum(a.worker.overuse_seconds for a in agents)
         / (len(world.agent_by_vm) * world.clock()),
         "refused_jobs": world.refused_jobs,
+        "failed_jobs": sum(job.stopped for job in record.job_by_id.values()),
+        "cancelled_jobs": sum(job.cancelled for job in record.job_by_id.values()),
+        "started_on_first_vm": world.agent_by_vm[FIRST_VM].worker.started,
     }
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -138,10 +138,19 @@
     return ServiceName(profile.service if not number else f"{profile.service}-{number}")
 
 
+def service_number(profile: Profile, vm: int, services: int) -> int:
+    """Return which service stands on a VM: each zone gets all of them in turn."""
+    return vm // len(profile.zones) % services
+
+
 def _service(profile: Profile, vms: list[Vm], number: int, services: int) -> Service:
     return Service(
         name=service_name(profile, number),
-        vms=[vm.name for vm in vms[number::services]],
+        vms=[
+            vm.name
+            for index, vm in enumerate(vms)
+            if service_number(profile, index, services) == number
+        ],
         cores=profile.slots,
         memory_mb=profile.memory_mb // 8,
         slots=profile.slots,
@@ -159,7 +168,9 @@
     configuration = configuration_of(profile, services)
     made = Deployment(profile, clock, Network(profile.zone_delay), configuration)
     for number, vm in enumerate(configuration.inventory.vms):
-        service = configuration.inventory.services[number % services]
+        service = configuration.inventory.services[
+            service_number(profile, number, services)
+        ]
         member = _agent_member(vm, FIRST_PORT + number, service.name)
         made.agent_by_vm[VmName(vm.name)] = _agent(made, member, service, policy)
     members = [agent.member for agent in made.agent_by_vm.values()]
--- a/bench/report.py
+++ b/bench/report.py
@@ -7,7 +7,7 @@
 from statistics import median
 from typing import Any
 
-from bench.scenarios import Measures
+from bench.scenario import Measures
 
 NAME_WIDTH = 24
 WIDTH = 30
--- a/bench/run.py
+++ b/bench/run.py
@@ -14,7 +14,8 @@
 from bench.policies import policy_named
 from bench.profiles import profile_named
 from bench.report import commit, spread, text_table, write_json
-from bench.scenarios import Measures, Run, scenario_named
+from bench.scenario import Measures, Run
+from bench.scenarios import scenario_named
 
 EXIT_BAD_VALUE = 2
 MAX_SEEDS = 100
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -1,37 +1,13 @@
 """What is run, by name: a load, and what goes wrong meanwhile."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from bench import faults
+from bench.batch_scenarios import BATCH_SCENARIOS
 from bench.errors import BadValueError
-from bench.policies import Policy
-from bench.profiles import Profile
+from bench.scenario import Measures, Run, Scenario
 from bench.services import Faults, run_services
 
-Measures = dict[str, float]
-
-
-@dataclass(frozen=True)
-class Run:
-    """One run to make."""
-
-    profile: Profile
-    policy: Policy
-    seconds: float
-    seed: int
-
-
-@dataclass(frozen=True)
-class Scenario:
-    """A scenario: how it is run, and the policies it compares."""
-
-    name: str
-    about: str
-    run: Callable[[Run], Measures]
-    policies: tuple[str, ...]
-
-
 ROUTING = ("product", "two_choices", "random", "round_robin")
 OVERLOAD = ("product", "no_limits", "retry_always", "no_limits_retry_always")
 
@@ -107,7 +83,7 @@
         OVERLOAD,
     ),
 )
-SCENARIO_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
+SCENARIO_BY_NAME = {s.name: s for s in (*SCENARIOS, *BATCH_SCENARIOS)}
 
 
 def scenario_named(name: str) -> Scenario:
--- a/wagtailcleat/agent/interference.py
+++ b/wagtailcleat/agent/interference.py
@@ -24,14 +24,16 @@
 """Variance of the relative error of a median, times the answers it is taken from."""
 FIRST_VARIANCE = 0.03**2
 TOLD_VARIANCE = 0.01**2
-DRIFT_VARIANCE = 0.001**2
+DRIFT_VARIANCE = 0.002**2
+CHANGE_NOISE = 0.02
+"""How far the slowdown is in doubt for each core of use that came or went."""
 FORGET_WEIGHT = 0.03
 FIRST_SCORE = 0.01
 MAX_SCORE = 2.0
 CALM_WEIGHT = 0.2
 CALM_DOWN_WEIGHT = 0.1
 ALLOWED_EXCESS = 0.12
-MIN_SHARE = 0.25
+MIN_SHARE = 0.4
 LEAST_STEP = 0.4
 RELEASE_FACTOR = 1.6
 RELEASE_AFTER_CALM = 2
@@ -137,6 +139,7 @@
     _breaches: int = 0
     _calm: int = 0
     _last_tail_by_service: dict[ServiceName, Tail] = field(default_factory=dict)
+    _last_used_by_class: dict[str, float] = field(default_factory=dict)
 
     def score(self, service: ServiceName, job_class: str) -> float:
         """Return the slowdown that one core of a job class causes to a service."""
@@ -228,15 +231,22 @@
     # ---- learning
 
     def _learn(self, neighbours: list[Neighbour]) -> None:
-        used_by_class: dict[str, float] = defaultdict(float)
+        # The usage read now stood at the end of the interval that the last tails
+        # come from, the one read before at its start.
+        now: dict[str, float] = defaultdict(float)
         for neighbour in neighbours:
-            used_by_class[neighbour.job_class] += neighbour.used
+            now[neighbour.job_class] += neighbour.used
+        before, self._last_used_by_class = self._last_used_by_class, dict(now)
+        classes = set(now) | set(before)
+        used_by_class = {c: (now.get(c, 0) + before.get(c, 0)) / 2 for c in classes}
+        changed = sum(abs(now.get(c, 0) - before.get(c, 0)) / 2 for c in classes)
+        doubt = (CHANGE_NOISE * changed) ** 2
         alone = sum(used_by_class.values()) < IDLE_CORES
         for service, tail in self._last_tail_by_service.items():
             if tail.count >= MIN_COUNT:
                 self._learn_calm(service, tail.median, alone)
                 if not alone:
-                    self._learn_scores(service, tail, used_by_class)
+                    self._learn_scores(service, tail, used_by_class, doubt)
         self._forget_unseen(used_by_class)
 
     def _learn_calm(self, service: ServiceName, median: float, alone: bool) -> None:
@@ -245,14 +255,18 @@
         self.calm_median_by_service[service] = calm + weight * (median - calm)
 
     def _learn_scores(
-        self, service: ServiceName, tail: Tail, used_by_class: Mapping[str, float]
+        self,
+        service: ServiceName,
+        tail: Tail,
+        used_by_class: Mapping[str, float],
+        doubt: float,
     ) -> None:
         # A Kalman filter with one variance a pair: the error of the foreseen
         # slowdown is shared out by used cores and by how little is known of a
         # pair yet, and less of it is believed the fewer answers it comes from.
         observed = tail.median / self.calm_median_by_service[service] - 1
         error = observed - self.excess([service], used_by_class)
-        spread = NOISE_OF_ONE / tail.count
+        spread = NOISE_OF_ONE / tail.count + doubt
         for job_class, cores in used_by_class.items():
             spread += self._variance(service, job_class) * cores * cores
         for job_class, cores in used_by_class.items():
