Records of changes are bounded whole; the fuzz checks what operators were told

1,100 VMs changed at once left a record of 19,879 bytes although only parts' names were kept, against the bound of 16,384; now such a record has no parts, and a difference over it is told as not known. The fuzz of the configuration passed although every change raised an error, as its tasks were never asked; it now reads each outcome and compares it with the store's history. With the settling of lost answers taken out it fails (StoreFailed for a change that the store had taken); with it, it passes.

--- a/features/steps/configuration_fuzz_steps.py
+++ b/features/steps/configuration_fuzz_steps.py
@@ -16,7 +16,7 @@
 from wagtailcleat.configuration.keys import CONFIGURATION
 from wagtailcleat.configuration.models import Vm, Zone
 from wagtailcleat.configuration.parts import cut
-from wagtailcleat.configuration.writer import decode, write
+from wagtailcleat.configuration.writer import Accepted, decode, write
 
 QUIET_SECONDS = 10.0
 MAX_NODES = 7
@@ -64,6 +64,7 @@
         self.deployment = Deployment()
         self.started = 4
         self.changes = 0
+        self.work_by_change = {}
         self.deployment.start("entry-1", [])
         self.deployment.start("entry-2", ["entry-1"])
         self.deployment.start("agent-3", ["entry-1"])
@@ -73,8 +74,9 @@
     def _change(self, entry, change):
         self.changes += 1
         store = self.deployment.store_by_name[entry]
-        work = write(store, None, f"change-{self.changes}", change)
-        return self.deployment.loop.create_task(work)
+        change_id = f"change-{self.changes}"
+        work = write(store, None, change_id, change)
+        self.work_by_change[change_id] = self.deployment.loop.create_task(work)
 
     @rule(number=st.integers(0, 5), entry=st.sampled_from(["entry-1", "entry-2"]))
     def add_vm(self, number, entry):
@@ -175,8 +177,23 @@
         events = self.deployment.keyspace.since(0)
         stored = [e for e in events if e.kv.key.decode() == CONFIGURATION]
         configurations = [decode(event.kv.value) for event in stored]
+        self._check_answers(configurations)
         return {c.revision: cut(c) for c in configurations}
 
+    def _check_answers(self, configurations):
+        # What operators were told against what the store took: each change at most
+        # once, and one that was told accepted at the revision told, or for nothing.
+        change_ids = [c.change_id for c in configurations]
+        assert len(change_ids) == len(set(change_ids)), change_ids
+        revision_by_change = {c.change_id: c.revision for c in configurations}
+        for change_id, work in self.work_by_change.items():
+            outcome = work.result()
+            revision = revision_by_change.get(change_id)
+            if isinstance(outcome, Accepted):
+                assert revision in (None, outcome.revision), (change_id, outcome)
+            elif not getattr(outcome, "unknown", False):
+                assert revision is None, (change_id, outcome)
+
     def _check(self):
         accepted = self._accepted()
         for name, seen in self.deployment.seen_by_name.items():
--- a/standins/in_process_store.py
+++ b/standins/in_process_store.py
@@ -13,10 +13,12 @@
     Conflict,
     Event,
     Found,
+    Listing,
     Txn,
     Unavailable,
     Unknown,
     Written,
+    _after,
     _txn_body,
 )
 
@@ -43,6 +45,15 @@
             return Absent(self.keyspace.revision)
         return Found(key, found.value, found.mod_revision)
 
+    async def list(self, prefix: str) -> Listing | Unavailable:
+        """Return all keys that begin with `prefix`."""
+        await asyncio.sleep(LATENCY_SECONDS)
+        if self.down:
+            return Unavailable("down")
+        kvs = self.keyspace.range(prefix.encode(), _after(prefix))
+        found = [Found(kv.key.decode(), kv.value, kv.mod_revision) for kv in kvs]
+        return Listing(found, self.keyspace.revision)
+
     async def write(self, txn: Txn) -> Written | Conflict | Unknown | Unavailable:
         """Carry out `txn`."""
         await asyncio.sleep(LATENCY_SECONDS)
--- a/wagtailcleat/configuration/history.py
+++ b/wagtailcleat/configuration/history.py
@@ -37,7 +37,7 @@
     change_id: str
     before_by_part: dict[str, Any]
     cut: bool = False
-    """Whether the record was too large, so that only the names of parts are kept."""
+    """Whether the record was too large: it has the parts' names, or not even these."""
 
 
 def make_record(before: Configuration, after: Configuration) -> bytes:
@@ -49,10 +49,13 @@
     whole = msgspec.json.encode(record)
     if len(whole) <= MAX_RECORD_BYTES:
         return whole
-    names = msgspec.structs.replace(
-        record, before_by_part=dict.fromkeys(parts), cut=True
-    )
-    return msgspec.json.encode(names)
+    for names in (parts, []):
+        kept = dict.fromkeys(names)
+        short = msgspec.structs.replace(record, before_by_part=kept, cut=True)
+        encoded = msgspec.json.encode(short)
+        if len(encoded) <= MAX_RECORD_BYTES:
+            break
+    return encoded
 
 
 async def read_records(store: Store) -> list[ChangeRecord] | Unavailable:
@@ -75,11 +78,14 @@
 ) -> list[PartChange] | None:
     """Return what differs between revision `base` and `current`.
 
-    None where the records no longer reach back to `base`.
+    None where the records no longer reach back to `base`, or one of them was too
+    large to tell even which parts changed.
     """
     later = [r for r in records if base < r.revision <= current.revision]
     if len(later) != current.revision - base:
         return None
+    if any(record.cut and not record.before_by_part for record in later):
+        return None
     new = cut(current)
     change_by_part: dict[str, PartChange] = {}
     for record in later:
--- a/wagtailcleat/operator/show.py
+++ b/wagtailcleat/operator/show.py
@@ -63,7 +63,7 @@
         tell(f"  {problem}")
     show_changes(body.get("changes", []))
     if body.get("changes_known") is False:
-        tell("  the base is too old for the difference to be known")
+        tell("  the difference is not kept: the base is too old, or a change too large")
     advice = advice_for(reply.code)
     if "changes" in body:
         revision = body["revision"]
