--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -112,7 +112,7 @@
         outcome: RequestOutcome = _no_endpoint()
         for _ in range(MAX_TRIES):
             member = self._pick(request.service, tried)
-            if member is None:
+            if member is None or (tried and not self._may_send_again(outcome, member)):
                 break
             tried.add(member.node)
             outcome = await self._try(request, member, self._ids.plain())
@@ -193,13 +193,13 @@
         record = self.endpoints.record(member.node)
         message = self._message(request, member, request_id)
         started = self._clock()
-        record.in_flight += 1
+        record.sent(started)
         try:
             reply = await self._call(member, message, request.deadline, None)
             if isinstance(reply, Lost) and reply.sent:
                 reply = await self._settle(request, member, message)
         finally:
-            record.in_flight -= 1
+            record.done(self._clock())
         self._note(record, reply, started)
         outcome = _outcome(reply)
         if request.key is not None and not _is_agents_word(reply):
@@ -212,7 +212,7 @@
     ) -> None:
         now = self._clock()
         if isinstance(reply, Answer):
-            record.load, record.load_at = reply.load, now
+            record.told(reply.load, now)
             if reply.status < FAILED_STATUS:
                 record.succeeded(now - started, now)
             else:
@@ -289,12 +289,18 @@
     def _may_retry(self, request: CallerRequest, outcome: RequestOutcome) -> bool:
         if self._clock() >= request.deadline:
             return False
+        if isinstance(outcome, OutcomeUnknown):
+            return request.idempotent
+        return isinstance(outcome, NotRun)
+
+    def _may_send_again(self, outcome: RequestOutcome, member: Member) -> bool:
+        # What was not run has loaded no endpoint, so trying another takes nothing
+        # from the budget; but one that refuses as well would only be asked in vain.
         if isinstance(outcome, NotRun):
-            # It has loaded no endpoint, so it takes nothing from the budget.
+            if self.endpoints.record(member.node).refusing(self._clock()):
+                return False
             self.retries += 1
             return True
-        if not isinstance(outcome, OutcomeUnknown) or not request.idempotent:
-            return False
         if not self.budget.spend():
             return False
         self.retries += 1
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -97,7 +97,7 @@
     seeds: list[Address] = []
     timing: Timing = Timing()
     shards: Count = 16
-    routing: Policy = Policy.TWO_CHOICES
+    routing: Policy = Policy.LEAST_COST
     max_body_bytes: Count = 1024 * 1024
     max_connections: Count = 4096
     advertised_port: Port = 0
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -339,6 +339,8 @@
     size: Resources
     job_class: str
     urgent: bool = False
+    penalty: float | None = None
+    """What the owner knows of the class beside the same services elsewhere."""
 
 
 class Reserved(Message, frozen=True, tag="reserved"):
@@ -347,6 +349,8 @@
     lasts: float
     free: Resources
     incarnation: Incarnation
+    penalty: float | None = None
+    """The slowdown of this VM's services by one core of the job class, if known."""
 
 
 class NoRoom(Message, frozen=True, tag="no_room"):
@@ -354,6 +358,7 @@
 
     reason: str
     free: Resources
+    penalty: float | None = None
 
 
 class Start(Message, frozen=True, tag="start"):
@@ -393,6 +398,9 @@
     state: AttemptState
     checkpoint: str = ""
     reason: str = ""
+    used: Resources = Resources()
+    """The most it was seen to use, from lagged usage."""
+    ran_seconds: float = 0.0
 
 
 class RenewGrants(Message, frozen=True, tag="renew_grants"):
