Gossip: lost exchanges hold nothing up, and a lost zone floods nobody

Now: exchanges run beside the rounds, pulls are tried three times, suspicion follows two retries and three probes, a news item is sent a third as often, views are compared seldom while rumours are told and two buckets at a time but for a newcomer. Tried: no comparison at all while rumours are told; with 30% lost a departure was then never known everywhere within 120 s at 300, so a quarter of the exchanges compare.

--- a/wagtailcleat/membership/gossip.py
+++ b/wagtailcleat/membership/gossip.py
@@ -12,7 +12,7 @@
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.parts import InForce
 from wagtailcleat.logs import part_logger
-from wagtailcleat.membership.view import View
+from wagtailcleat.membership.view import BUCKETS, View
 from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import (
@@ -33,13 +33,18 @@
 log = part_logger("membership")
 
 FANOUT = 4
-INDIRECT_PROBES = 2
+INDIRECT_PROBES = 3
+DIRECT_RETRIES = 2
 REFRESH_ASKS = 3
 ROUNDS_A_LOST_PROBE = 10
-ROUNDS_A_SEED = 20
+ROUNDS_A_SEED = 60
+RECONCILE_SHARE_AMID_RUMOURS = 0.25
 DOUBTED = (MemberState.SUSPECT, MemberState.LOST)
+MAX_SUSPICIONS = 8
+RECONCILED_BUCKETS = 2
 CALL_SECONDS = 1.0
 PULL_SECONDS = 3.0
+PULL_TRIES_SECONDS = (0.5, 1.0, PULL_SECONDS)
 
 ConfigurationListener = Callable[[], None]
 
@@ -75,7 +80,7 @@
         self._listeners: list[ConfigurationListener] = []
         self._pulling: asyncio.Task[None] | None = None
         self._pushes: set[asyncio.Task[None]] = set()
-        self._round = 0
+        self._exchanges: set[asyncio.Task[None]] = set()
 
     def on_configuration(self, listener: ConfigurationListener) -> None:
         """Call `listener` after each new configuration."""
@@ -90,7 +95,6 @@
 
     async def round(self) -> None:
         """Exchange news with one member, and see who is lost."""
-        self._round += 1
         timing = self._timing
         lost = self.view.expire(
             self._clock(), suspicion=timing.suspicion, forget_lost=timing.forget_lost
@@ -98,12 +102,14 @@
         for member in lost:
             log.warning("A member is lost", extra={"member": member.node})
         others = self.view.pick(1)
-        if not others or self._round % ROUNDS_A_SEED == 0:
+        # By chance, not by count: processes that started together, after an outage,
+        # would all ask the seeds in the same second.
+        if not others or self._random.random() < 1 / ROUNDS_A_SEED:
             await self._seed()
-        if self._round % ROUNDS_A_LOST_PROBE == 0:
+        if self._random.random() < 1 / ROUNDS_A_LOST_PROBE:
             await self._probe_lost()
         for member in others:
-            await self._exchange_or_suspect(member)
+            self._exchange_soon(member)
 
     async def refresh(self) -> bool:
         """Hear one member anew; true where one answered or none is known."""
@@ -150,9 +156,32 @@
         if member is not None:
             await self._exchange(member.host, member.port, about=member)
 
+    def _exchange_soon(self, member: Member) -> None:
+        # An exchange without answer ends after seconds, with the probes of others.
+        # Waiting for it would hold up the rounds just when news is lost: a change
+        # of configuration then reached the last process after 7 s and more.
+        if len(self._exchanges) >= MAX_SUSPICIONS:
+            return
+        task = asyncio.create_task(self._exchange_or_suspect(member))
+        self._exchanges.add(task)
+        task.add_done_callback(self._exchanges.discard)
+
     async def _exchange_or_suspect(self, member: Member) -> None:
         if await self._exchange(member.host, member.port, about=member):
             return
+        # One lost exchange says little. Where many are lost, suspecting on the first
+        # made so much false news, and refutations of it, that true news drowned.
+        tries = [self._retry(member), self._probe_through_others(member)]
+        if not any(await asyncio.gather(*tries)):
+            self.view.suspect(member.node, self._clock())
+
+    async def _retry(self, member: Member) -> bool:
+        for _ in range(DIRECT_RETRIES):
+            if await self._exchange(member.host, member.port, about=member):
+                return True
+        return False
+
+    async def _probe_through_others(self, member: Member) -> bool:
         helpers = [m for m in self.view.pick(INDIRECT_PROBES + 1) if m != member]
         probes = [
             self._peers.call(
@@ -164,8 +193,7 @@
             for helper in helpers[:INDIRECT_PROBES]
         ]
         answers = await asyncio.gather(*probes)
-        if not any(isinstance(answer, Done) for answer in answers):
-            self.view.suspect(member.node, self._clock())
+        return any(isinstance(answer, Done) for answer in answers)
 
     async def _exchange(
         self, host: str, port: int, about: Member | None = None
@@ -175,12 +203,19 @@
         if not isinstance(answer, Gossip):
             return False
         self._take(answer)
-        if answer.digest != self.view.digest():
-            await self._reconcile(host, port)
         if answer.revision > self.in_force.revision:
             await self._pull(host, port)
+        if answer.digest != self.view.digest() and self._reconcile_now():
+            await self._reconcile(host, port)
         return True
 
+    def _reconcile_now(self) -> bool:
+        # While news is on its way views differ anyhow: comparing them is for what
+        # the rumours missed, and else costs more bytes than the rumours do.
+        if len(self.view.member_by_node) == 1 or not self.view.has_rumours():
+            return True
+        return self._random.random() < RECONCILE_SHARE_AMID_RUMOURS
+
     async def _reconcile(self, host: str, port: int) -> None:
         compare = CompareViews(self.view.sums())
         answer = await self._peers.call(host, port, compare, timeout=PULL_SECONDS)
@@ -191,14 +226,21 @@
         await self._peers.call(host, port, mine, timeout=PULL_SECONDS)
 
     async def _pull(self, host: str, port: int) -> None:
-        ask = PullConfiguration(self.in_force.revision)
-        answer = await self._peers.call(host, port, ask, timeout=PULL_SECONDS)
-        if not isinstance(answer, ConfigurationDelta):
+        answer = await self._ask_delta(host, port)
+        if answer is None:
             return
         if self.in_force.merge(answer, self._clock()):
             log.info("A configuration is in force", extra={"revision": answer.revision})
             self.configuration_changed()
 
+    async def _ask_delta(self, host: str, port: int) -> ConfigurationDelta | None:
+        for timeout in PULL_TRIES_SECONDS:
+            ask = PullConfiguration(self.in_force.revision)
+            answer = await self._peers.call(host, port, ask, timeout=timeout)
+            if isinstance(answer, ConfigurationDelta):
+                return answer
+        return None
+
     # ---- answering
 
     async def _on_gossip(self, message: AnyMessage) -> AnyMessage:
@@ -211,6 +253,12 @@
     async def _on_compare(self, message: AnyMessage) -> AnyMessage:
         assert isinstance(message, CompareViews)
         buckets = self.view.differing(message.sums)
+        # All buckets differ after a zone is lost or a partition has healed, and a
+        # whole view in each exchange would take many times a daemon's bytes. A
+        # newcomer, whose own buckets are nearly all empty, gets the whole at once.
+        if message.sums.count(0) < BUCKETS / 2:
+            count = min(RECONCILED_BUCKETS, len(buckets))
+            buckets = sorted(self._random.sample(buckets, count))
         return Members(buckets, self.view.in_buckets(buckets))
 
     async def _on_members(self, message: AnyMessage) -> AnyMessage:
--- a/wagtailcleat/membership/view.py
+++ b/wagtailcleat/membership/view.py
@@ -20,7 +20,7 @@
 BUCKETS = 64
 SUM_MASK = 0xFFFFFFFF
 MAX_RUMOURS_A_MESSAGE = 24
-SENDS_PER_DOUBLING = 3
+SENDS_PER_DOUBLING = 1
 GONE = (MemberState.LOST, MemberState.LEFT)
 AGING = (MemberState.SUSPECT, *GONE)
 STRENGTH_BY_STATE = {
@@ -203,6 +203,10 @@
                 del self._sends_left_by_node[node]
         return [self.member_by_node[n] for n in told if n in self.member_by_node]
 
+    def has_rumours(self) -> bool:
+        """Tell whether news is left to tell."""
+        return bool(self._sends_left_by_node)
+
     def pick(self, count: int) -> list[Member]:
         """Return up to `count` random members that are not gone."""
         others = self._indexed().others
