--- a/wagtailcleat/routing/latency.py
+++ b/wagtailcleat/routing/latency.py
@@ -7,7 +7,7 @@
 from wagtailcleat.wire.messages import Load
 
 EWMA_SECONDS = 5.0
-FIRST_LATENCY_SECONDS = 0.01
+LEAST_LATENCY_SECONDS = 0.001
 ERROR_COUNTS_AS_SECONDS = 2.0
 EJECT_AFTER_FAILURES = 5
 FIRST_EJECTION_SECONDS = 2.0
@@ -30,7 +30,7 @@
     load; so a failure counts as a slow answer.
     """
 
-    latency: float = FIRST_LATENCY_SECONDS
+    latency: float = LEAST_LATENCY_SECONDS
     updated_at: float = 0.0
     in_flight: int = 0
     load: Load | None = None
@@ -121,7 +121,11 @@
         if now - self.load_at < EWMA_SECONDS:
             waiting += self.others
         queued = max(0.0, waiting + 1 - slots) / slots
-        cost = self.latency * (1 + queued + BUSY_COST * waiting)
+        # An old estimate fades: an endpoint that was slow once, or is new, would
+        # otherwise never be asked again while another seems quicker.
+        faded = self.latency * math.exp(-max(now - self.updated_at, 0) / EWMA_SECONDS)
+        latency = max(faded, LEAST_LATENCY_SECONDS)
+        cost = latency * (1 + queued + BUSY_COST * waiting)
         if self.refusing(now):
             cost += self.refusal_seconds
         if self.quiet(now):
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -26,6 +26,7 @@
 from wagtailcleat.resources import Resources
 
 PROTOCOL_VERSION = 1
+WRONG_INCARNATION = "wrong_incarnation"
 
 Header = tuple[str, str]
 
@@ -77,7 +78,9 @@
 
 
 class DumpState(Message, frozen=True, tag="dump"):
-    """Asks for the state dump of a process."""
+    """Asks for the state dump of a process, or for some sections of it."""
+
+    sections: list[str] = []
 
 
 class Dump(Message, frozen=True, tag="dumped"):
@@ -111,6 +114,10 @@
     """The agent's incarnation that the sender means to reach."""
     keep: bool = False
     """Whether the id was given out beforehand, and may come again."""
+    idempotent: bool = False
+    """Whether running it twice does no harm."""
+    parts: bool = False
+    """Whether the body follows in parts."""
 
 
 class Answer(Message, frozen=True, tag="answer"):
@@ -332,6 +339,8 @@
     size: Resources
     job_class: str
     urgent: bool = False
+    penalty: float | None = None
+    """What the owner knows of the class beside the same services elsewhere."""
 
 
 class Reserved(Message, frozen=True, tag="reserved"):
@@ -340,6 +349,8 @@
     lasts: float
     free: Resources
     incarnation: Incarnation
+    penalty: float | None = None
+    """The slowdown of this VM's services by one core of the job class, if known."""
 
 
 class NoRoom(Message, frozen=True, tag="no_room"):
@@ -347,6 +358,7 @@
 
     reason: str
     free: Resources
+    penalty: float | None = None
 
 
 class Start(Message, frozen=True, tag="start"):
@@ -386,6 +398,9 @@
     state: AttemptState
     checkpoint: str = ""
     reason: str = ""
+    used: Resources = Resources()
+    """The most it was seen to use, from lagged usage."""
+    ran_seconds: float = 0.0
 
 
 class RenewGrants(Message, frozen=True, tag="renew_grants"):
