--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -1,34 +1,40 @@
 """`wagtailcleat-agent`: the composition root of the program beside an endpoint."""
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated
 
 import cyclopts
-from prometheus_client import generate_latest
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.interference import Interference
+from wagtailcleat.agent.metrics import add_agent_metrics
+from wagtailcleat.agent.neighbours import NeighbourWatch
 from wagtailcleat.agent.services import Services
+from wagtailcleat.batch.holders import Holder, read_epoch
 from wagtailcleat.batch.journal import Journal
 from wagtailcleat.batch.owner import Owner
 from wagtailcleat.batch.ownership import Ownership
+from wagtailcleat.batch.shard import Shard
 from wagtailcleat.clock import Clock, boot_time, wall_time
+from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
 from wagtailcleat.process import (
-    Introspection,
     bind,
     bound_port,
     dump_on_signal,
     report_problems,
+    run_to_end,
     say_ready,
     until_told_to_stop,
 )
@@ -38,6 +44,7 @@
     AnyMessage,
     CancelJob,
     ListJobs,
+    Member,
     Members,
     MemberState,
     NotOwner,
@@ -105,11 +112,19 @@
             clock=node.clock,
             timing=settings.timing,
             closed=self.closed,
+            must_leave=self.must_leave,
+            read_epoch=lambda shard: read_epoch(node.store, shard),
+        )
+        self.neighbours = NeighbourWatch(
+            Interference(),
+            self.attempts,
+            self.commitments,
+            self.services,
+            self.worker,
         )
         self.ownership = Ownership(
             node.store,
             node.view,
-            node.peers,
             node.supervisor.supervisor("ownership"),
             shards=settings.shards,
             clock=node.clock,
@@ -118,6 +133,7 @@
             make_owner=self._make_owner,
             announce=self._announce_shards,
             closed=self.closed,
+            may_own=self._may_own,
         )
         node.dispatch.add(self.services.handlers())
         node.dispatch.add(self.attempts.handlers())
@@ -128,11 +144,15 @@
 
     def closed(self) -> str:
         """Return why nothing new starts here now; empty where it may."""
-        zone = ZoneName(self._settings.zone)
         if self.leaving:
             return "the agent leaves"
         if not self.node.fresh():
             return "this process was paused and is hearing its peers anew"
+        return self.must_leave()
+
+    def must_leave(self) -> str:
+        """Return why tasks that run here may not stay; empty where they may."""
+        zone = ZoneName(self._settings.zone)
         if zone_is_out(self.node.in_force.configuration, zone):
             return f"availability zone '{zone}' is out of service"
         return ""
@@ -148,6 +168,7 @@
         spawn("capacity", self._read_capacity)
         spawn("services", self._check_services)
         spawn("attempts", self._run_attempts)
+        spawn("neighbours", self.neighbours.run)
         if self._settings.owns_shards:
             spawn("ownership", self.ownership.run)
         return {"peer_port": node.view.me.port, "http_port": bound_port(sockets)}
@@ -188,12 +209,12 @@
     async def _answers_sent(self) -> None:
         # An answer that has left the services may still be in a stream's buffer;
         # closing the stream would lose it, and its caller be told nothing for sure.
+        for stream in list(self.node.listener.streams):
+            stream.go_away()
         try:
             async with asyncio.timeout(ANSWERS_SENT_SECONDS):
-                while any(s.serving for s in self.node.listener.streams):  # noqa: ASYNC110
+                while self.node.listener.streams:  # noqa: ASYNC110
                     await asyncio.sleep(ANSWERS_POLL_SECONDS)
-                for stream in list(self.node.listener.streams):
-                    await stream.flushed()
         except TimeoutError:
             log.warning("Not every answer has left this process")
 
@@ -217,29 +238,36 @@
             await asyncio.sleep(self._settings.timing.endpoint_check)
 
     async def _run_attempts(self) -> None:
-        await self.attempts.rebuild()
-        await asyncio.gather(self.attempts.watch(), self.attempts.renew())
+        # What runs is watched and renewed from the start: its grants may be short.
+        attempts = self.attempts
+        await asyncio.gather(attempts.rebuild(), attempts.watch(), attempts.renew())
 
     def _configured(self) -> None:
-        on_vm = placed(self.node.in_force.configuration, VmName(self._settings.vm))
+        configuration = self.node.in_force.configuration
+        on_vm = placed(configuration, VmName(self._settings.vm))
+        held = self.commitments
         if on_vm is None:
             self.services.configure([])
-            self.commitments.capacity = NOTHING
-            self.commitments.for_services = NOTHING
-            return
-        self.services.configure(on_vm.services)
-        self.commitments.for_services = on_vm.for_services
-        if self._worker_capacity is not None:
-            self.commitments.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
+            held.capacity, held.for_services = NOTHING, NOTHING
+            held.known = configuration.revision > 0
+        else:
+            self.services.configure(on_vm.services)
+            held.for_services = on_vm.for_services
+            if self._worker_capacity is not None:
+                held.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
+                held.known = True
+        self.attempts.look_soon()
 
     def _free(self) -> Resources:
         return self.commitments.free(self.node.clock())
 
     # ---- shards
 
-    def _make_owner(self, shard: ShardId, journal: Journal) -> Owner:
+    def _make_owner(
+        self, shard: ShardId, journal: Journal, earlier: list[Holder]
+    ) -> Owner:
         node = self.node
-        return Owner(
+        held = Shard(
             shard,
             self._settings.shards,
             journal,
@@ -252,6 +280,12 @@
             node.rng(f"shard/{shard}"),
             self.ownership.may_grant_until,
         )
+        return Owner(held, earlier)
+
+    def _may_own(self, member: Member) -> bool:
+        # An agent in a zone that is out takes no shards: were it counted among
+        # those that should, a shard might be left without an owner.
+        return not zone_is_out(self.node.in_force.configuration, member.zone)
 
     def _announce_shards(self) -> None:
         shards = sorted(self.ownership.owner_by_shard)
@@ -264,16 +298,7 @@
         if owner is None:
             known = self.node.view.owner(shard)
             return NotOwner(known.node if known else "")
-        if isinstance(message, SubmitJob):
-            return await owner.submit(message)
-        if isinstance(message, ShowJob):
-            return await owner.show(message)
-        if isinstance(message, ListJobs):
-            return await owner.list_jobs(message)
-        if isinstance(message, CancelJob):
-            return await owner.cancel(message)
-        assert isinstance(message, RenewGrants)
-        return await owner.renew(message)
+        return await owner.order(message)
 
     async def _step_down(self, message: AnyMessage) -> AnyMessage:
         assert isinstance(message, StepDown)
@@ -289,7 +314,17 @@
         add("services", self.services.dump)
         add("ledger", lambda: len(self.services.ledger))
         add("attempts", self.attempts.dump)
+        add("neighbours", self.neighbours.dump)
         add("shards", self._shards)
+        add_node_metrics(self.node.introspection, self.node)
+        add_agent_metrics(
+            self.node.introspection,
+            self.services,
+            self.attempts,
+            self.commitments,
+            self.ownership,
+            self.node.clock,
+        )
 
     def _shards(self) -> dict[str, object]:
         owners = self.ownership.owner_by_shard
@@ -318,7 +353,7 @@
     def get(self) -> None:
         """Answer with all metrics of this process."""
         self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(generate_latest(self._introspection.registry))
+        self.finish(self._introspection.metrics())
 
 
 def _state_application(introspection: Introspection) -> Application:
@@ -355,12 +390,12 @@
         print(f"{settings}: no problems")
         return 0
     start_logging(NodeId(checked.node), level=checked.log_level)
-    return asyncio.run(serve(checked))
+    return run_to_end(serve(checked))
 
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app)
 
 
 if __name__ == "__main__":
--- a/wagtailcleat/configuration/keys.py
+++ b/wagtailcleat/configuration/keys.py
@@ -1,10 +1,11 @@
 """Keys in the platform's store, all below one prefix."""
 
-from wagtailcleat.ids import ShardId
+from wagtailcleat.ids import Revision, ShardId
 
 PREFIX = "/wagtailcleat/"
 CONFIGURATION = PREFIX + "configuration"
 ZONES_OUT = PREFIX + "zones_out"
+CHANGES = PREFIX + "changes/"
 
 
 def shard_prefix(shard: ShardId) -> str:
@@ -23,10 +24,20 @@
 
 
 def shard_snapshot(shard: ShardId) -> str:
-    """Return the key of a shard's snapshot."""
+    """Return the key that tells of how many parts a shard's snapshot consists."""
     return shard_prefix(shard) + "snapshot"
 
 
+def shard_snapshot_part(shard: ShardId, index: int) -> str:
+    """Return the key of one part of a shard's snapshot."""
+    return f"{shard_snapshot(shard)}/{index:04d}"
+
+
+def shard_earlier(shard: ShardId) -> str:
+    """Return the key of the earlier owners that may still hand out grants."""
+    return shard_prefix(shard) + "earlier"
+
+
 def shard_log(shard: ShardId) -> str:
     """Return the prefix of a shard's log entries."""
     return shard_prefix(shard) + "log/"
@@ -35,3 +46,8 @@
 def shard_log_entry(shard: ShardId, number: int) -> str:
     """Return the key of one log entry."""
     return f"{shard_log(shard)}{number:012d}"
+
+
+def change_record(revision: Revision) -> str:
+    """Return the key that records what the change to `revision` replaced."""
+    return f"{CHANGES}{revision:012d}"
--- a/wagtailcleat/resources.py
+++ b/wagtailcleat/resources.py
@@ -34,6 +34,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return this amount taken `count` times."""
+        return Resources(
+            self.cores * count, self.memory_mb * count, self.accelerators * count
+        )
+
     def smaller(self, other: "Resources") -> "Resources":
         """Return the smaller amount in each dimension."""
         return Resources(
@@ -42,6 +48,14 @@
             min(self.accelerators, other.accelerators),
         )
 
+    def larger(self, other: "Resources") -> "Resources":
+        """Return the larger amount in each dimension."""
+        return Resources(
+            max(self.cores, other.cores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits(self, free: "Resources") -> bool:
         """Tell whether this amount fits into `free` in every dimension."""
         return (
