Requests: an agent stays until silent entries have asked, and costs at the target size

It now stays until entries that did not acknowledge its leave can have asked. Ruled out: a longer settle at the entry (there is nobody left to ask).

--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -23,6 +23,7 @@
     "gossip": 0.2,
     "endpoint_check": 0.3,
     "answers_kept": KEPT_SECONDS,
+    "connect": 0.5,
     "balancer_notice": 0.6,
     "drain": 8.0,
 }
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -43,6 +43,7 @@
 from wagtailcleat.wire.messages import (
     AnyMessage,
     CancelJob,
+    Done,
     ListJobs,
     Member,
     Members,
@@ -178,7 +179,7 @@
         self.leaving = True
         self.services.note_closed()
         log.info("Leaving")
-        await self._announce_leave()
+        stay_until = await self._announce_leave()
         try:
             async with asyncio.timeout(self._settings.timing.drain):
                 await self.services.drained()
@@ -186,12 +187,13 @@
         except TimeoutError:
             log.warning("Not everything was drained in time")
         await self.ownership.give_up()
+        await asyncio.sleep(stay_until - self.node.clock())
         await self._answers_sent()
         await self.node.leave()
         self.services.close()
         self.worker.close()
 
-    async def _announce_leave(self) -> None:
+    async def _announce_leave(self) -> float:
         # Entries hear it over the streams they hold, at once: what they sent before
         # they acknowledged it came before the acknowledgement, so after that none
         # of them has a request on its way here.
@@ -200,11 +202,20 @@
         news = Members([], [node.view.me])
         entries = [s for s in node.listener.streams if s.peer_role is Role.ENTRY]
         told = [stream.call(news, timeout=ANNOUNCE_SECONDS) for stream in entries]
+        announced_at = node.clock()
         try:
             async with asyncio.timeout(ANNOUNCE_SECONDS):
-                await asyncio.gather(node.gossiper.announce(), *told)
+                answers = await asyncio.gather(*told, node.gossiper.announce())
         except TimeoutError:
-            log.warning("Not every peer acknowledged that this agent leaves")
+            answers = [None]
+        if all(isinstance(answer, Done) for answer in answers[: len(told)]):
+            return announced_at
+        # An entry that did not acknowledge may have written requests into a silent
+        # connection. It finds that out and asks here what became of them; if this
+        # process were gone by then, nobody could tell that they have not run.
+        log.warning("Not every entry acknowledged that this agent leaves")
+        timing = self._settings.timing
+        return announced_at + timing.silence + 3 * timing.ping + timing.connect
 
     async def _answers_sent(self) -> None:
         # An answer that has left the services may still be in a stream's buffer;
--- a/wagtailcleat/agent/ledger.py
+++ b/wagtailcleat/agent/ledger.py
@@ -12,13 +12,13 @@
 """
 
 import asyncio
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import RequestId
 from wagtailcleat.wire.messages import Answer, Refused
-from wagtailcleat.wire.request_ids import series_and_number
+from wagtailcleat.wire.request_ids import is_keyed, series_and_number
 
 MAX_KEPT = 100_000
 MAX_SERIES = 10_000
@@ -36,8 +36,6 @@
     """What the request asks for, to tell another use of its id apart."""
     keep_until: float = 0.0
     size: int = ENTRY_BYTES
-    dropped: bool = False
-    """The answer was let go to save memory: it ran, but can't be told again."""
 
 
 class Ledger:
@@ -48,7 +46,12 @@
         self.bytes = 0
         self._max_bytes = max_bytes
         self._max_kept = max_kept
-        self._entry_by_id: OrderedDict[RequestId, RequestEntry] = OrderedDict()
+        self._entry_by_id: dict[RequestId, RequestEntry] = {}
+        # Plain and keyed ids are kept for two lengths of time: within each of the
+        # two, whichever ended first is forgotten first, so no pass over all is needed.
+        self._ended_plain: deque[RequestId] = deque()
+        self._ended_keyed: deque[RequestId] = deque()
+        self._with_body_by_id: OrderedDict[RequestId, RequestEntry] = OrderedDict()
         self._forgotten_by_series: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
@@ -81,21 +84,25 @@
             entry.outcome.set_result(outcome)
         if isinstance(outcome, Answer):
             entry.size = ENTRY_BYTES + len(outcome.body)
+            self._with_body_by_id[request] = entry
         self.bytes += entry.size
+        ended = self._ended_keyed if is_keyed(request) else self._ended_plain
+        ended.append(request)
         self._shed()
 
     def expire(self, now: float) -> None:
         """Forget entries whose time is up, and the oldest where there are too many."""
-        over = len(self._entry_by_id) - self._max_kept
-        for request, entry in list(self._entry_by_id.items()):
-            if not entry.outcome.done():
-                continue
-            if entry.keep_until < now or over > 0:
-                self._forget(request)
-                over -= 1
+        for ended in (self._ended_plain, self._ended_keyed):
+            while ended and self._may_forget(ended[0], now):
+                self._forget(ended.popleft())
+
+    def _may_forget(self, request: RequestId, now: float) -> bool:
+        over = len(self._entry_by_id) > self._max_kept
+        return over or self._entry_by_id[request].keep_until < now
 
     def _forget(self, request: RequestId) -> None:
         self.bytes -= self._entry_by_id.pop(request).size
+        self._with_body_by_id.pop(request, None)
         found = series_and_number(request)
         if found is None:
             return
@@ -110,18 +117,12 @@
     def _shed(self) -> None:
         # Bodies go first, oldest first: the fact that a request ran must outlive
         # its answer, or a repeat of it would run again.
-        for entry in self._entry_by_id.values():
-            if self.bytes <= self._max_bytes:
-                return
-            if entry.outcome.done() and not entry.dropped:
-                entry.dropped = True
-                entry.outcome = _done(
-                    Refused(
-                        Code.OUTCOME_UNKNOWN.value, "it ran; its answer is not kept"
-                    )
-                )
-                self.bytes -= entry.size - ENTRY_BYTES
-                entry.size = ENTRY_BYTES
+        while self.bytes > self._max_bytes and self._with_body_by_id:
+            _, entry = self._with_body_by_id.popitem(last=False)
+            told = "it ran; its answer is not kept"
+            entry.outcome = _done(Refused(Code.OUTCOME_UNKNOWN.value, told))
+            self.bytes -= entry.size - ENTRY_BYTES
+            entry.size = ENTRY_BYTES
 
 
 def _done(outcome: Outcome) -> asyncio.Future[Outcome]:
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -15,6 +15,7 @@
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
+from wagtailcleat.entry.lookup import ServiceLookup
 from wagtailcleat.entry.metrics import add_entry_metrics
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.entry.serving import CallersServer
@@ -84,6 +85,7 @@
             self.state,
             settings.max_in_flight,
             settings.max_body_bytes,
+            ServiceLookup(),
         )
         jobs = Jobs(node.view, node.in_force, node.peers, settings.shards, node.clock)
         admin = Admin(
--- a/wagtailcleat/entry/callers.py
+++ b/wagtailcleat/entry/callers.py
@@ -9,12 +9,6 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from wagtailcleat.configuration.models import (
-    Configuration,
-    Service,
-    service_named,
-    zone_is_out,
-)
 from wagtailcleat.entry.context import Callers, CallersHandler
 from wagtailcleat.entry.jobs import JobHandler, Jobs, JobsHandler
 from wagtailcleat.entry.relay import CallerRequest, WatchOpened
@@ -29,7 +23,7 @@
     forwarded,
     is_watch,
 )
-from wagtailcleat.ids import RequestId, ServiceName, ZoneName
+from wagtailcleat.ids import RequestId, ServiceName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.outcomes import (
     Answered,
@@ -111,8 +105,8 @@
         uri = str(self.request.uri).removeprefix(SERVICES_PREFIX)
         name, _, path = uri.partition("/")
         configuration = self.callers.in_force.configuration
-        service = service_named(configuration, ServiceName(name))
-        if service is None:
+        found = self.callers.lookup.find(configuration, ServiceName(name))
+        if found is None:
             self.refuse(Code.NOT_FOUND, f"there is no service '{name}'")
             return None
         problem = self._problem(uri)
@@ -120,7 +114,7 @@
             self.refuse(Code.INVALID, problem)
             return None
         key = self.request.headers.get(IDEMPOTENCY_KEY)
-        if key is None and _zones_out(configuration, service):
+        if key is None and found.all_out(configuration):
             self._answer(
                 NotRun(f"all zones of '{name}' are out", ZONES_RETRY_AFTER_SECONDS)
             )
@@ -131,7 +125,7 @@
             path=f"/{path}",
             headers=forwarded(self.request.headers.get_all()),
             body=b"".join(self._chunks),
-            deadline=now + (self._deadline(service.deadline_seconds) or 0.0),
+            deadline=now + (self._deadline(found.service.deadline_seconds) or 0.0),
             idempotent=_is_idempotent(self.request),
             key=RequestId(key) if key is not None else None,
         )
@@ -292,12 +286,6 @@
     return request.method in IDEMPOTENT_METHODS
 
 
-def _zones_out(configuration: Configuration, service: Service) -> bool:
-    vms = (vm for vm in configuration.inventory.vms if vm.name in service.vms)
-    zones = {ZoneName(vm.zone) for vm in vms}
-    return bool(zones) and all(zone_is_out(configuration, zone) for zone in zones)
-
-
 def _is_event_stream(answer: Answer) -> bool:
     types = [v for k, v in answer.headers if k.lower() == "content-type"]
     return any(value.lower().startswith(EVENT_STREAM) for value in types)
--- a/wagtailcleat/entry/context.py
+++ b/wagtailcleat/entry/context.py
@@ -11,6 +11,7 @@
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.parts import InForce
+from wagtailcleat.entry.lookup import ServiceLookup
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.errors import Code
 from wagtailcleat.membership.view import View
@@ -75,6 +76,7 @@
     state: CallersState
     max_in_flight: int
     max_body_bytes: int
+    lookup: ServiceLookup
 
 
 class CallersHandler(RequestHandler):
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -40,6 +40,7 @@
 FIRST_RETRY_AFTER_SECONDS = 0.5
 SETTLE_SECONDS = 3.0
 SETTLE_PAUSE_SECONDS = 0.1
+SERVING_KEPT_SECONDS = 0.02
 FRESH_WAIT_SECONDS = 0.5
 FRESH_POLL_SECONDS = 0.01
 SPREAD = (0.8, 1.6)
@@ -99,6 +100,7 @@
         self._choose = choose
         self._random = rng
         self._ids = ids
+        self._serving_by_service: dict[ServiceName, tuple[list[Member], float]] = {}
         self._fresh = fresh
 
     async def send(self, request: CallerRequest) -> RequestOutcome:
@@ -169,10 +171,18 @@
 
     def _pick(self, service: ServiceName, tried: set[NodeId]) -> Member | None:
         now = self._clock()
-        serving = self._view.serving(service)
+        serving = self._serving(service, now)
         usable = candidates(serving, self._configuration, self.endpoints, tried, now)
         return self._choose(usable, self.endpoints, now) if usable else None
 
+    def _serving(self, service: ServiceName, now: float) -> list[Member]:
+        # The view walks all members; an agent that has just left refuses by itself.
+        known, until = self._serving_by_service.get(service, ([], 0.0))
+        if now >= until or not known:
+            known = self._view.serving(service)
+            self._serving_by_service[service] = known, now + SERVING_KEPT_SECONDS
+        return known
+
     async def _send_keyed(
         self, request: CallerRequest, key: RequestId
     ) -> RequestOutcome:
