Bad input: strangers at the peer port, event streams cut anywhere

Cause: neither the proof of the cluster's secret nor the cutting of events at line ends of all three kinds had a test; a CR at the end of one piece may be half of a line end.

--- a/features/requests/bad_input.feature
+++ b/features/requests/bad_input.feature
@@ -1,7 +1,7 @@
 Feature: Bad input at the callers' port and at the peer port
 
   Background:
-    Given a small deployment with short bounds for slow callers
+    Given the feature's small deployment with short bounds for slow callers
 
   Scenario: 10,000 fuzzed messages at the callers' port
     # Customers lose the entry because one caller, or a scanner, sends rubbish. Requests
@@ -26,3 +26,13 @@
     And a body over the bound is refused as "too_large", chunked or not
     And headers over the bound are refused
     And connections over the bound are refused as "not_run"
+
+  Scenario: A peer without the secret
+    # A stranger on the network orders an agent about, or reads what callers send.
+    Then a peer with another secret is turned away, with a log line
+    And one that sends back what it was shown is turned away
+
+  Scenario: Event streams that are cut anywhere
+    # A watcher sees half an event, or misses one, because its bytes came in other pieces
+    # or with other line ends than usual.
+    Then events come out whole and in order however their bytes are cut
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -1,16 +1,22 @@
 """Steps on bad input: fuzzed requests and frames, slow and greedy callers."""
 
 import asyncio
+import itertools
 import random
 import socket
 import threading
 
 import msgspec
 from behave import given, then, when
+from hypothesis import given as given_data
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from standins.callers import Caller, Peer, request, settle
 from standins.cluster import Cluster, ServiceOptions, VmOptions
 from standins.processes import http, wait_for
+from wagtailcleat.entry.watchers import EventCutter
+from wagtailcleat.wire.frames import FrameReader
 from wagtailcleat.wire.messages import Refused
 from wagtailcleat.wire.streams import Lost
 
@@ -62,20 +68,27 @@
     return bytes(data) or b"\0"
 
 
-@given("a small deployment with short bounds for slow callers")
+@given("the feature's small deployment with short bounds for slow callers")
 def step_cluster(context):
-    vm = VmOptions("vm-1", "zilina-a", "rack-a1")
-    service = ServiceOptions(slots=64, queue=256)
-    context.cluster = Cluster([vm], [service], 1, entry_settings=SETTINGS)
-    context.add_cleanup(context.cluster.close)
+    if "cluster" not in context.feature.__dict__:
+        context.feature.cluster = start(context)
+    context.cluster = context.feature.cluster
     context.port = context.cluster.entry.ready["http_port"]
     context.agent = context.cluster.agent_by_vm["vm-1"]
-    assert context.cluster.apply().status == 200
-    good = f"http://127.0.0.1:{context.port}{GOOD}"
-    wait_for(lambda: http("GET", good).status == 200, PATIENCE, "it serves")
     context.before = [(p, p.pid, p.rss_mb()) for p in programs(context)]
 
 
+def start(context):
+    vm = VmOptions("vm-1", "zilina-a", "rack-a1")
+    service = ServiceOptions(slots=64, queue=256)
+    cluster = Cluster([vm], [service], 1, entry_settings=SETTINGS)
+    context.add_cleanup(cluster.close, layer="feature")
+    assert cluster.apply().status == 200
+    good = f"http://127.0.0.1:{cluster.entry.ready['http_port']}{GOOD}"
+    wait_for(lambda: http("GET", good).status == 200, PATIENCE, "it serves")
+    return cluster
+
+
 def programs(context):
     return [context.cluster.entry, context.agent]
 
@@ -277,3 +290,77 @@
     assert f'"{code}"'.encode() in answer, answer
     for connection in held:
         connection.close()
+
+
+# ---- strangers
+
+
+@then("a peer with another secret is turned away, with a log line")
+def step_other_secret(context):
+    port = context.agent.ready["peer_port"]
+
+    async def call():
+        stranger = Peer("stranger", 1, port, "another secret than theirs")
+        return await stranger.open()
+
+    assert isinstance(asyncio.run(call()), Lost)
+    logged = "does not know the cluster secret"
+    wait_for(
+        lambda: logged in context.agent.stderr.read_text(), PATIENCE, "it is logged"
+    )
+
+
+@then("one that sends back what it was shown is turned away")
+def step_reflected(context):
+    port = context.agent.ready["peer_port"]
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.settimeout(PATIENCE)
+        shown = b""
+        while chunk := connection.recv(65_536):
+            shown += chunk
+            connection.sendall(chunk)
+    frames = list(FrameReader().feed(shown))
+    assert [type(frame.message).__name__ for frame in frames] == ["Hello", "Proof"]
+
+
+# ---- event streams
+
+LINE_ENDS = st.sampled_from([b"\n", b"\r\n", b"\r"])
+LINES = st.sampled_from([b"data: x", b": beat", b"id: 7", b"id:8", b"id", b"event: y"])
+
+
+@then("events come out whole and in order however their bytes are cut")
+def step_cut_events(context):
+    events = st.lists(st.tuples(st.lists(LINES, min_size=1), LINE_ENDS), min_size=1)
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=400)
+    @given_data(events, st.lists(st.integers(1, 9), min_size=1))
+    def check(made, sizes):
+        texts = [end.join([*lines, b"", b""]) for lines, end in made]
+        data = b"".join(texts)
+        cutter, out, sizes = EventCutter("0"), [], itertools.cycle(sizes)
+        at = 0
+        while at < len(data):
+            size = next(sizes)
+            out.append(cutter.feed(data[at : at + size]))
+            at += size
+        # A CR at the very end may yet be followed by LF, so the last event may wait.
+        whole = b"".join(out) + cutter.feed(b":")
+        assert data.startswith(whole.removesuffix(b":"))
+        assert len(data) - len(whole) <= 1, (data, whole)
+        ids = [line[3:].strip() for lines, _ in made for line in lines if is_id(line)]
+        assert cutter.last_id.encode() == (ids[-1] if ids else b"0")
+        assert all(not piece or ends_whole(data, out, n) for n, piece in enumerate(out))
+
+    check()
+
+
+def is_id(line):
+    return line.partition(b":")[0] == b"id"
+
+
+def ends_whole(data, out, number):
+    """Tell whether what came out so far ends after an event or a comment."""
+    done = b"".join(out[: number + 1])
+    last = done.rstrip(b"\r\n").splitlines()[-1]
+    return last.startswith(b":") or done.endswith((b"\n\n", b"\r\n\r\n", b"\r\r"))
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -19,7 +19,14 @@
     ServiceRequest,
     Settle,
 )
-from wagtailcleat.wire.streams import Identity, Outlet, Peers, Stream, StreamTiming
+from wagtailcleat.wire.streams import (
+    Identity,
+    Lost,
+    Outlet,
+    Peers,
+    Stream,
+    StreamTiming,
+)
 
 CALL_SECONDS = 15.0
 PAUSE_SECONDS = 0.005
@@ -156,16 +163,22 @@
 class Peer:
     """A process on the inner streams, as an entry is; each has one stream."""
 
-    def __init__(self, name: str, incarnation: int, port: int) -> None:
+    def __init__(
+        self, name: str, incarnation: int, port: int, secret: str = SECRET
+    ) -> None:
         """Connect to the peer port `port` when first used."""
-        identity = Identity(NodeId(name), Role.ENTRY, Incarnation(incarnation), SECRET)
+        identity = Identity(NodeId(name), Role.ENTRY, Incarnation(incarnation), secret)
         timing = StreamTiming(silence=5.0)
         self._port = port
         self._peers = Peers(identity, _refuse, timing)
 
+    async def open(self) -> Stream | Lost:
+        """Return the open stream, or why there is none."""
+        return await self._peers.stream("127.0.0.1", self._port)
+
     async def stream(self) -> Stream:
         """Return the open stream."""
-        stream = await self._peers.stream("127.0.0.1", self._port)
+        stream = await self.open()
         assert isinstance(stream, Stream), stream
         return stream
 
