A second living process of one name is refused at start

Cause: two processes of one name would take each other's requests and grants. Ruled out: a record in the store (a lapsed lease is no proof that a process died), and the gossiped record alone (a process that died is remembered for an hour). Change: a starting process asks a seed who has its name, and that process itself. Before: the copy started and served.

--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -1,5 +1,8 @@
 """Steps on processes that are paused, restarted or twice there."""
 
+import json
+import subprocess
+import sys
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -7,12 +10,13 @@
 
 from features.steps.deployment_steps import PATIENCE_SECONDS, url
 from standins.in_process_nodes import Deployment
-from standins.processes import http, wait_for
+from standins.processes import Process, http, wait_for
 from wagtailcleat.clock import boot_time
 from wagtailcleat.configuration.models import Zone
 from wagtailcleat.configuration.writer import Accepted, write
 
 AT_ONCE = 10
+ENTRY = "wagtailcleat.entry.app"
 
 
 def _second_entry(context):
@@ -144,3 +148,41 @@
     )
     assert isinstance(outcome, Accepted), outcome
     deployment.pass_time(1)
+
+
+@when("the second entry is started once more from a copy of its settings")
+def step_copy(context):
+    context.original = _second_entry(context)
+    source = context.cluster.folder / f"{context.original.name}.json"
+    settings = json.loads(source.read_text())
+    settings |= {"peer_port": 0, "http_port": 0, "admin_port": 0}
+    context.copy = context.cluster.folder / "copy.json"
+    context.copy.write_text(json.dumps(settings))
+    context.copied = subprocess.run(
+        [sys.executable, "-m", ENTRY, "--settings", context.copy],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_SECONDS,
+        check=False,
+    )
+
+
+@then("the copy ends with {code:d} and says where the other runs")
+def step_refused(context, code):
+    assert context.copied.returncode == code, context.copied
+    where = f"127.0.0.1:{context.original.ready['peer_port']}"
+    assert where in context.copied.stderr, context.copied.stderr
+
+
+@when("the second entry dies and the copy is started again")
+def step_dies(context):
+    context.original.kill()
+    arguments = ["--settings", str(context.copy)]
+    context.copied = Process("copy", context.cluster.folder, ENTRY, arguments)
+    context.add_cleanup(context.copied.close)
+
+
+@then("the copy serves")
+def step_serves(context):
+    address = f"http://127.0.0.1:{context.copied.ready['http_port']}/health"
+    assert http("GET", address).status == 200
--- a/wagtailcleat/errors.py
+++ b/wagtailcleat/errors.py
@@ -71,5 +71,11 @@
     code = Code.UNAUTHORIZED
 
 
+class IdentityError(WagtailcleatError):
+    """Another living process already has this node's name."""
+
+    code = Code.CONFLICT
+
+
 class InvariantError(WagtailcleatError):
     """A broken invariant: the process must stop."""
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -7,10 +7,12 @@
 
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.configuration.parts import InForce
+from wagtailcleat.errors import IdentityError
 from wagtailcleat.ids import NodeId, VmName, ZoneName
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.membership.freshness import Freshness
 from wagtailcleat.membership.gossip import Gossiper, parse_seeds
+from wagtailcleat.membership.identity import living_namesake
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
 from wagtailcleat.process import (
@@ -44,12 +46,29 @@
     gossiper: Gossiper
     freshness: Freshness
     store: Store
+    seeds: list[tuple[str, int]]
 
     def start(self) -> None:
         """Start gossip under the supervisor."""
         self.supervisor.spawn("gossip", self.gossiper.run)
         self.supervisor.spawn("freshness", self.freshness.run)
 
+    async def refuse_namesake(self) -> None:
+        """Make sure that no other living process has this node's name.
+
+        Raises:
+            IdentityError: one has.
+
+        """
+        other = await living_namesake(
+            self.view, self.peers, self.seeds, self.rng("identity"), self.clock()
+        )
+        if other is not None:
+            raise IdentityError(
+                f"'{other.node}' already runs at {other.host}:{other.port};"
+                " give this process a name of its own, or stop the other"
+            )
+
     def fresh(self) -> bool:
         """Tell whether the view may be acted on, or stems from before a pause."""
         return self.freshness.fresh(self.clock())
@@ -114,13 +133,14 @@
     peers = Peers(identity, dispatch, timing)
     view = View(me, _rng(me, "view"))
     in_force = InForce()
+    seeds = parse_seeds(settings.seeds)
     gossiper = Gossiper(
         view,
         in_force,
         peers,
         clock=clock,
         timing=settings.timing,
-        seeds=parse_seeds(settings.seeds),
+        seeds=seeds,
         rng=_rng(me, "gossip"),
         free=free,
     )
@@ -143,6 +163,7 @@
         gossiper,
         Freshness(clock, gossiper.refresh),
         store,
+        seeds,
     )
     _add_sections(made)
     return made
