Cheaper looks: the tail of an interval, and the rate of a queue

Least of 20 and 50 calls, trial on one core: a look at an interval's answers 1.21 -> 0.26 ms, a decision on a queued request 17.9 -> 2.4 us. Profiling an entry at 200 requests a second shows tornado's HTTP server and its sends on top, nothing of ours.

--- a/wagtailcleat/agent/interference.py
+++ b/wagtailcleat/agent/interference.py
@@ -7,9 +7,11 @@
 the scores, so that a pair known to be bad is not made again.
 """
 
+from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import sqrt
 
 from hdrh.histogram import HdrHistogram
@@ -100,29 +102,35 @@
     def __init__(self, histogram: HdrHistogram) -> None:
         """Start from what the histogram holds now."""
         self.histogram = histogram
-        self._before = list(histogram.counts)
+        self._before = self._counts()
 
     def look(self, target_seconds: float) -> Tail:
         """Return the answers since the last look."""
-        counts = list(self.histogram.counts)
-        new = [now - before for now, before in zip(counts, self._before, strict=True)]
+        counts = self._counts()
+        # The counts only grow at their end as larger values come.
+        before = self._before + [0] * (len(counts) - len(self._before))
+        new = [now - then for now, then in zip(counts, before, strict=True)]
         self._before = counts
         total = sum(new)
         return Tail(total, self._over(new, target_seconds), self._median(new, total))
 
+    def _counts(self) -> list[int]:
+        # Up to the largest value: the rest of the array, most of it, is empty.
+        largest = self.histogram.get_max_value()
+        last = self.histogram.get_counts_array_index(int(largest))
+        return list(self.histogram.counts[: last + 1])
+
     def _over(self, new: list[int], target_seconds: float) -> int:
         value = int(target_seconds * MICROSECONDS)
         first = self.histogram.get_counts_array_index(value)
         return sum(new[first + 1 :])
 
     def _median(self, new: list[int], total: int) -> float:
-        seen = 0
-        for index, count in enumerate(new):
-            seen += count
-            if seen * 2 >= total and count:
-                value: int = self.histogram.get_value_from_index(index)
-                return value / MICROSECONDS
-        return 0.0
+        if not total:
+            return 0.0
+        middle = bisect_left(list(accumulate(new)), total / 2)
+        value: int = self.histogram.get_value_from_index(middle)
+        return value / MICROSECONDS
 
 
 @dataclass
--- a/wagtailcleat/routing/admission.py
+++ b/wagtailcleat/routing/admission.py
@@ -58,7 +58,9 @@
     def expected_wait(self, now: float) -> float:
         """Return the seconds until one more queued request would get a slot."""
         rate = self.slots / max(self.service_seconds, 0.001)
-        recent = [t for t in self.finished_at if now - t < RATE_WINDOW_SECONDS]
+        recent = self.finished_at
+        while recent and now - recent[0] >= RATE_WINDOW_SECONDS:
+            recent.popleft()
         if len(recent) >= 2 and now - recent[0] > 0.2:
             rate = max(len(recent) / (now - recent[0]), rate * 0.1)
         return (self.queued + 1) / rate
