--- a/bench/batch.py
+++ b/bench/batch.py
@@ -126,7 +126,7 @@
     is declared.
     """
 
-    demand: float = 1.5
+    demand: float = 3.0
     off: tuple[float, float] = (1.0, 1.0)
     run_seconds: tuple[float, float] = (4.0, 8.0)
     classes: tuple[str, ...] = CLASSES
