A zone shows its watchers; every section of the dump stands on the page

Watchers were counted nowhere in a zone's state, so a zone could be called empty with watchers there; they are shown, and not waited for, as they resume elsewhere.

--- a/features/operator/administration.feature
+++ b/features/operator/administration.feature
@@ -67,7 +67,7 @@
     Then it ends with 0
     And the agent and the entry show these metrics
       | process | metrics |
-      | agent   | capacity child_restarts configuration_revision free members service_request_seconds service_requests_failed service_requests_in_flight service_requests_queued service_requests_refused shards_owned store_calls store_failures store_up streams tasks_running |
+      | agent   | batch_offer capacity child_restarts configuration_revision free members neighbour_evictions service_request_seconds service_requests_failed service_requests_in_flight service_requests_queued service_requests_refused shards_owned store_calls store_failures store_up streams tasks_running throttles |
       | entry   | child_restarts configuration_revision connections_turned_away draining members request_seconds requests requests_in_flight requests_refused retries store_calls store_failures store_up streams |
     And no metric's label is one of "ledger"
 
@@ -77,6 +77,7 @@
     Given an operator's terminal on the deployment that this feature shares
     When the agent is sent SIGUSR1
     Then its standard error shows a state dump of "agent-vm-1"
+    And each section of the agent's and the entry's dump stands in docs/OPERATIONS.md
 
   Scenario: A zone's move that is repeated after another's change is done once
     The answer to a zone taken out is lost. Before the command repeats the call
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -233,6 +233,15 @@
     assert found[0]["node"] == node, found[0]
 
 
+@then("each section of the agent's and the entry's dump stands in docs/OPERATIONS.md")
+def step_sections(context):
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    for node in ("agent-vm-1", "entry-1"):
+        state = context.cluster.admin("GET", f"/admin/state/{node}").json()
+        missing = [name for name in state if f"`{name}`" not in page]
+        assert not missing, missing
+
+
 # ---- settings of the daemons
 
 
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -323,6 +323,7 @@
             self.attempts,
             self.commitments,
             self.ownership,
+            self.neighbours.control,
             self.node.clock,
         )
 
--- a/wagtailcleat/agent/metrics.py
+++ b/wagtailcleat/agent/metrics.py
@@ -4,6 +4,7 @@
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.interference import Interference
 from wagtailcleat.agent.services import Services
 from wagtailcleat.batch.ownership import Ownership
 from wagtailcleat.clock import Clock
@@ -17,10 +18,12 @@
     attempts: Attempts,
     commitments: Commitments,
     ownership: Ownership,
+    interference: Interference,
     clock: Clock,
 ) -> None:
     """Show what an agent serves, runs, holds and owns."""
     _add_services(introspection, services)
+    _add_interference(introspection, interference)
     metric, labelled = introspection.metric, introspection.labelled
     metric(
         Kind.GAUGE,
@@ -89,6 +92,27 @@
     )
 
 
+def _add_interference(introspection: Introspection, control: Interference) -> None:
+    introspection.metric(
+        Kind.GAUGE,
+        "batch_offer",
+        "Share of the VM offered to batch work for its services' sake.",
+        lambda: control.offer,
+    )
+    introspection.metric(
+        Kind.COUNTER,
+        "throttles",
+        "Batch tasks held to a share of their cores for a service's sake.",
+        lambda: control.throttles,
+    )
+    introspection.metric(
+        Kind.COUNTER,
+        "neighbour_evictions",
+        "Batch tasks evicted for a service's sake.",
+        lambda: control.evictions,
+    )
+
+
 def _by_resource(amount: Resources) -> Mapping[str, float]:
     return {
         "cores": amount.cores,
--- a/wagtailcleat/entry/admin.py
+++ b/wagtailcleat/entry/admin.py
@@ -55,7 +55,7 @@
 DUMP_SECONDS = 2.0
 DUMPS_AT_ONCE = 64
 RETRY_AFTER_SECONDS = 2.0
-ZONE_SECTIONS = ["revision", "tasks_running", "requests_in_flight"]
+ZONE_SECTIONS = ["revision", "tasks_running", "requests_in_flight", "services"]
 
 State = dict[str, Any]
 
@@ -264,6 +264,7 @@
                 "agents_not_reached": len(states) - len(reached),
                 "tasks_running": sum(s["tasks_running"] for s in reached),
                 "requests_in_flight": sum(s["requests_in_flight"] for s in reached),
+                "watchers": sum(_watchers(s) for s in reached),
             }
         )
 
@@ -401,6 +402,10 @@
     return Missing(f"no availability zone '{zone}' in the inventory")
 
 
+def _watchers(state: State) -> int:
+    return sum(service["watchers"] for service in state["services"].values())
+
+
 def _node(member: Member, state: State | None) -> dict[str, Any]:
     return {
         "node": member.node,
--- a/wagtailcleat/operator/zones.py
+++ b/wagtailcleat/operator/zones.py
@@ -81,6 +81,8 @@
     # until it answers or its neighbours hold it for lost.
     heard = zone["revision"] >= revision
     heard = heard and not zone["agents_behind"] and not zone["agents_not_reached"]
+    # Watchers are not waited for: an endpoint may hold them for hours, and they resume
+    # elsewhere without a gap when it goes.
     empty = not zone["tasks_running"] and not zone["requests_in_flight"]
     return bool(heard and (empty or direction == "in"))
 
@@ -94,8 +96,8 @@
     if direction == "in":
         return told
     return (
-        f"{zone['tasks_running']} tasks running,"
-        f" {zone['requests_in_flight']} requests in flight, {told}"
+        f"{zone['tasks_running']} tasks running, {zone['requests_in_flight']} requests"
+        f" and {zone['watchers']} watchers in flight, {told}"
     )
 
 
