--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -33,9 +33,11 @@
 from wagtailcleat.routing.choose import chooser
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import AnyMessage, Member, MemberState, Role
+from wagtailcleat.wire.request_ids import RequestIds
 
 FIRST_PORT = 1000
 NO_LIMIT = 9_999
+SECRET = "a secret of the bench only"
 TEAM = "travel-desk"
 LEDGER_SWEEP_SECONDS = 1.0
 
@@ -136,10 +138,19 @@
     return ServiceName(profile.service if not number else f"{profile.service}-{number}")
 
 
+def service_number(profile: Profile, vm: int, services: int) -> int:
+    """Return which service stands on a VM: each zone gets all of them in turn."""
+    return vm // len(profile.zones) % services
+
+
 def _service(profile: Profile, vms: list[Vm], number: int, services: int) -> Service:
     return Service(
         name=service_name(profile, number),
-        vms=[vm.name for vm in vms[number::services]],
+        vms=[
+            vm.name
+            for index, vm in enumerate(vms)
+            if service_number(profile, index, services) == number
+        ],
         cores=profile.slots,
         memory_mb=profile.memory_mb // 8,
         slots=profile.slots,
@@ -157,7 +168,9 @@
     configuration = configuration_of(profile, services)
     made = Deployment(profile, clock, Network(profile.zone_delay), configuration)
     for number, vm in enumerate(configuration.inventory.vms):
-        service = configuration.inventory.services[number % services]
+        service = configuration.inventory.services[
+            service_number(profile, number, services)
+        ]
         member = _agent_member(vm, FIRST_PORT + number, service.name)
         made.agent_by_vm[VmName(vm.name)] = _agent(made, member, service, policy)
     members = [agent.member for agent in made.agent_by_vm.values()]
@@ -195,6 +208,7 @@
         clock=made.clock,
         timing=made.timing,
         closed=lambda: agent.closed_because,
+        close_older=lambda _: None,
         max_answer_bytes=1 << 20,
         kept_answer_bytes=32 << 20,
     )
@@ -238,6 +252,8 @@
         clock=made.clock,
         choose=chooser(policy.routing, random.Random(f"{seed}/route/{number}")),
         rng=random.Random(f"{seed}/relay/{number}"),
+        ids=RequestIds(me.node, me.incarnation, SECRET),
+        fresh=lambda: True,
     )
     if policy.retry_always:
         relay.budget.spend = lambda: True  # type: ignore[method-assign]
