A second process of the same name is refused at its start

Settings copied to a new VM while the old process ran gave two processes of one name that took turns in every view. At its start a process asks its seeds whom they know by its name, and that one whether it still answers; then it ends with 69. Without the check the test's copy served until the test's patience of 15 s was over; with it the copy is refused, and it starts once the first process is dead. Ruled out: refusing a name that is merely known, which would hold up the replacement of a VM that failed. Left: a first process that is paused at that moment does not answer, and thaws beside the new one.

--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -368,6 +368,7 @@
 async def serve(settings: AgentSettings) -> int:
     """Run one agent until it is told to stop; return the exit code."""
     agent = Agent(settings)
+    await agent.node.refuse_taken_name()
     ports = agent.start()
     dump_on_signal(agent.node.introspection)
     say_ready(ports)
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -199,6 +199,7 @@
 async def serve(settings: EntrySettings) -> int:
     """Run one entry until it is told to stop; return the exit code."""
     entry = Entry(settings)
+    await entry.node.refuse_taken_name()
     ports = entry.start()
     dump_on_signal(entry.node.introspection)
     say_ready(ports)
--- a/wagtailcleat/errors.py
+++ b/wagtailcleat/errors.py
@@ -53,6 +53,12 @@
     code = Code.UNAVAILABLE
 
 
+class IdentityError(WagtailcleatError):
+    """Another living process has this process's name."""
+
+    code = Code.CONFLICT
+
+
 class StreamError(WagtailcleatError):
     """A stream between two processes that can't be used any longer."""
 
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -11,6 +11,7 @@
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.membership.freshness import Freshness
 from wagtailcleat.membership.gossip import Gossiper, parse_seeds
+from wagtailcleat.membership.identity import refuse_taken_name
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
 from wagtailcleat.process import (
@@ -42,9 +43,19 @@
     view: View
     in_force: InForce
     gossiper: Gossiper
+    seeds: list[tuple[str, int]]
     freshness: Freshness
     store: Store
 
+    async def refuse_taken_name(self) -> None:
+        """Return if no other living process has this node's name.
+
+        Raises:
+            IdentityError: one has it.
+
+        """
+        await refuse_taken_name(self.view, self.peers, self.seeds)
+
     def start(self) -> None:
         """Start gossip under the supervisor."""
         self.supervisor.spawn("gossip", self.gossiper.run)
@@ -141,6 +152,7 @@
         view,
         in_force,
         gossiper,
+        parse_seeds(settings.seeds),
         Freshness(clock, gossiper.refresh),
         store,
     )
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -10,7 +10,13 @@
 
 from tornado.netutil import bind_sockets
 
-from wagtailcleat.errors import Code, InvariantError, ListenError, SettingsError
+from wagtailcleat.errors import (
+    Code,
+    IdentityError,
+    InvariantError,
+    ListenError,
+    SettingsError,
+)
 from wagtailcleat.ids import Incarnation
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger
@@ -21,6 +27,7 @@
 log = part_logger("process")
 
 EXIT_OK = 0
+EXIT_IDENTITY = 69
 EXIT_INVARIANT = 70
 EXIT_LISTEN = 71
 EXIT_SETTINGS = 78
@@ -134,6 +141,9 @@
     except ListenError as error:
         print(error.message, file=sys.stderr)
         return EXIT_LISTEN
+    except IdentityError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_IDENTITY
 
 
 def report_problems(path: Path, error: SettingsError) -> int:
