--- a/wagtailcleat/errors.py
+++ b/wagtailcleat/errors.py
@@ -53,6 +53,12 @@
     code = Code.UNAVAILABLE
 
 
+class IdentityError(WagtailcleatError):
+    """Another living process has this process's name."""
+
+    code = Code.CONFLICT
+
+
 class StreamError(WagtailcleatError):
     """A stream between two processes that can't be used any longer."""
 
@@ -71,11 +77,5 @@
     code = Code.UNAUTHORIZED
 
 
-class IdentityError(WagtailcleatError):
-    """Another living process already has this node's name."""
-
-    code = Code.CONFLICT
-
-
 class InvariantError(WagtailcleatError):
     """A broken invariant: the process must stop."""
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -7,12 +7,11 @@
 
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.configuration.parts import InForce
-from wagtailcleat.errors import IdentityError
 from wagtailcleat.ids import NodeId, VmName, ZoneName
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.membership.freshness import Freshness
 from wagtailcleat.membership.gossip import Gossiper, parse_seeds
-from wagtailcleat.membership.identity import living_namesake
+from wagtailcleat.membership.identity import refuse_taken_name
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
 from wagtailcleat.process import (
@@ -44,30 +43,23 @@
     view: View
     in_force: InForce
     gossiper: Gossiper
+    seeds: list[tuple[str, int]]
     freshness: Freshness
     store: Store
-    seeds: list[tuple[str, int]]
-
-    def start(self) -> None:
-        """Start gossip under the supervisor."""
-        self.supervisor.spawn("gossip", self.gossiper.run)
-        self.supervisor.spawn("freshness", self.freshness.run)
 
-    async def refuse_namesake(self) -> None:
-        """Make sure that no other living process has this node's name.
+    async def refuse_taken_name(self) -> None:
+        """Return if no other living process has this node's name.
 
         Raises:
-            IdentityError: one has.
+            IdentityError: one has it.
 
         """
-        other = await living_namesake(
-            self.view, self.peers, self.seeds, self.rng("identity"), self.clock()
-        )
-        if other is not None:
-            raise IdentityError(
-                f"'{other.node}' already runs at {other.host}:{other.port};"
-                " give this process a name of its own, or stop the other"
-            )
+        await refuse_taken_name(self.view, self.peers, self.seeds)
+
+    def start(self) -> None:
+        """Start gossip under the supervisor."""
+        self.supervisor.spawn("gossip", self.gossiper.run)
+        self.supervisor.spawn("freshness", self.freshness.run)
 
     def fresh(self) -> bool:
         """Tell whether the view may be acted on, or stems from before a pause."""
@@ -161,9 +153,9 @@
         view,
         in_force,
         gossiper,
+        seeds,
         Freshness(clock, gossiper.refresh),
         store,
-        seeds,
     )
     _add_sections(made)
     return made
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -27,9 +27,9 @@
 log = part_logger("process")
 
 EXIT_OK = 0
+EXIT_IDENTITY = 69
 EXIT_INVARIANT = 70
 EXIT_LISTEN = 71
-EXIT_IDENTITY = 72
 EXIT_SETTINGS = 78
 MILLISECONDS = 1000
 
