--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -22,24 +22,19 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
-from wagtailcleat.errors import SettingsError
-from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.daemon import run_daemon
+from wagtailcleat.ids import ShardId, VmName, ZoneName
 from wagtailcleat.introspection import Introspection
-from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.logs import part_logger
 from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
 from wagtailcleat.process import (
     bind,
     bound_port,
-    dump_on_signal,
-    report_problems,
-    run_to_end,
-    say_ready,
-    until_told_to_stop,
 )
 from wagtailcleat.resources import NOTHING, Resources
-from wagtailcleat.settings import AgentSettings, load
+from wagtailcleat.settings import AgentSettings
 from wagtailcleat.wire.messages import (
     AnyMessage,
     CancelJob,
@@ -376,18 +371,6 @@
     )
 
 
-async def serve(settings: AgentSettings) -> int:
-    """Run one agent until it is told to stop; return the exit code."""
-    agent = Agent(settings)
-    await agent.node.refuse_taken_name()
-    ports = agent.start()
-    dump_on_signal(agent.node.introspection)
-    say_ready(ports)
-    code = await until_told_to_stop(agent.node.supervisor.broken)
-    await agent.stop()
-    return code
-
-
 @app.default
 def run(
     *,
@@ -395,15 +378,7 @@
     check: Annotated[bool, cyclopts.Parameter(help="Only check the settings.")] = False,
 ) -> int:
     """Serve beside an endpoint: its requests, its VM's tasks, a share of shards."""
-    try:
-        checked = load(settings, AgentSettings)
-    except SettingsError as error:
-        return report_problems(settings, error)
-    if check:
-        print(f"{settings}: no problems")
-        return 0
-    start_logging(NodeId(checked.node), level=checked.log_level)
-    return run_to_end(serve(checked))
+    return run_daemon(settings, AgentSettings, Agent, check=check)
 
 
 def main() -> None:
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -11,6 +11,7 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.follow import Follower
+from wagtailcleat.daemon import run_daemon
 from wagtailcleat.entry.admin import Admin, admin_application
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
@@ -19,22 +20,15 @@
 from wagtailcleat.entry.metrics import add_entry_metrics
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.entry.serving import CallersServer
-from wagtailcleat.errors import SettingsError
-from wagtailcleat.ids import NodeId
-from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.logs import part_logger
 from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.process import (
     bind,
     bound_port,
-    dump_on_signal,
-    report_problems,
-    run_to_end,
-    say_ready,
-    until_told_to_stop,
 )
 from wagtailcleat.routing.choose import chooser
-from wagtailcleat.settings import EntrySettings, load
+from wagtailcleat.settings import EntrySettings
 from wagtailcleat.wire.messages import MemberState, Role
 from wagtailcleat.wire.request_ids import RequestIds
 
@@ -198,18 +192,6 @@
     )
 
 
-async def serve(settings: EntrySettings) -> int:
-    """Run one entry until it is told to stop; return the exit code."""
-    entry = Entry(settings)
-    await entry.node.refuse_taken_name()
-    ports = entry.start()
-    dump_on_signal(entry.node.introspection)
-    say_ready(ports)
-    code = await until_told_to_stop(entry.node.supervisor.broken)
-    await entry.stop()
-    return code
-
-
 @app.default
 def run(
     *,
@@ -217,15 +199,7 @@
     check: Annotated[bool, cyclopts.Parameter(help="Only check the settings.")] = False,
 ) -> int:
     """Serve callers and operators on an entry VM."""
-    try:
-        checked = load(settings, EntrySettings)
-    except SettingsError as error:
-        return report_problems(settings, error)
-    if check:
-        print(f"{settings}: no problems")
-        return 0
-    start_logging(NodeId(checked.node), level=checked.log_level)
-    return run_to_end(serve(checked))
+    return run_daemon(settings, EntrySettings, Entry, check=check)
 
 
 def main() -> None:
