--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -11,7 +11,8 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.follow import Follower
-from wagtailcleat.entry.admin import Admin, admin_application
+from wagtailcleat.entry.admin import admin_application
+from wagtailcleat.entry.admin_base import Admin
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
