--- /dev/null
+++ b/features/operator/demo.feature
@@ -0,0 +1,13 @@
+Feature: The demonstration works
+
+  Scenario: It shows a request, a job and a zone's move, and stops all it started
+    When the demonstration is run
+    Then it ends with 0 after showing these
+      | shown                                                                    |
+      | $ wagtailcleat apply --inventory inventory.json --rules rules.json       |
+      | "body":"for the Kovac group"                                             |
+      | state: finished                                                          |
+      | zilina-a is out of service from revision 2 on                            |
+      | zilina-a is in service from revision 3 on                                |
+      | Everything did what it should; all processes are stopped.                |
+    And no process of it is left
