--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -125,13 +125,14 @@
     peers = Peers(identity, dispatch, timing)
     view = View(me, _rng(me, "view"))
     in_force = InForce()
+    seeds = parse_seeds(settings.seeds)
     gossiper = Gossiper(
         view,
         in_force,
         peers,
         clock=clock,
         timing=settings.timing,
-        seeds=parse_seeds(settings.seeds),
+        seeds=seeds,
         rng=_rng(me, "gossip"),
         free=free,
     )
@@ -152,7 +153,7 @@
         view,
         in_force,
         gossiper,
-        parse_seeds(settings.seeds),
+        seeds,
         Freshness(clock, gossiper.refresh),
         store,
     )
