Batch path fuzzed on virtual time, with the workers' records as the oracle

Agents by their own composition root; only the last step of each store and worker call is replaced. Rules: submit, cancel, kill agent or VM, planned stop, cut, store down, answers lost, zone out and in.

--- /dev/null
+++ b/features/steps/batch_fuzz_steps.py
@@ -0,0 +1,310 @@
+"""A state machine over the batch path, with the workers' records as the oracle."""
+
+from batch_oracle import overlapping, peak_of, runs_of
+from behave import then, when
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from msgspec.structs import replace
+
+from standins.in_process_agents import AgentsDeployment
+from wagtailcleat.batch.shards import find_shard, make_job_id
+from wagtailcleat.configuration.models import (
+    Configuration,
+    Inventory,
+    Rules,
+    Team,
+    Vm,
+    Zone,
+)
+from wagtailcleat.configuration.writer import Accepted, write
+from wagtailcleat.resources import Resources
+from wagtailcleat.settings import Timing
+from wagtailcleat.wire.messages import (
+    CancelJob,
+    JobAccount,
+    JobSpec,
+    Refused,
+    SubmitJob,
+    TaskSpec,
+)
+
+ZONE_BY_VM = {"vm-1": "zilina-a", "vm-2": "zilina-b", "vm-3": "zilina-a"}
+VMS = sorted(ZONE_BY_VM)
+HELD = Resources(4.0, 4_000, 0)
+TASK = Resources(2.0, 100, 0)
+TASKS_A_VM = 2
+SHARDS = 2
+TEAM = Team("travel-desk", 100, 100_000, shards=SHARDS)
+TIMING = Timing(
+    reservation=0.5,
+    grant=3.0,
+    ownership=2,
+    gossip=0.2,
+    suspicion=1.0,
+    outage_grant=15.0,
+    drain=3.0,
+)
+QUIET_SECONDS = 120.0
+SETTLE_ROUND_SECONDS = 3.0
+STEP_SECONDS = 0.3
+ZONE_BOUND_SECONDS = 1.0
+LONG_DEADLINE_SECONDS = 100_000.0
+
+
+def _configured(current: Configuration) -> Configuration:
+    zones = [Zone(zone, "zilina") for zone in ("zilina-a", "zilina-b")]
+    vms = [
+        Vm(name, zone, f"rack-{name}", HELD.cores, HELD.memory_mb)
+        for name, zone in ZONE_BY_VM.items()
+    ]
+    return replace(
+        current, inventory=Inventory(zones, vms, []), rules=Rules(teams=[TEAM])
+    )
+
+
+class BatchHistories(RuleBasedStateMachine):
+    """Callers, operators and faults; the oracle is what the workers recorded."""
+
+    checked = 0
+    tasks_run = 0
+
+    @initialize()
+    def begin(self):
+        """Start three agents and apply the inventory."""
+        self.deployment = AgentsDeployment(
+            ZONE_BY_VM, Resources(100.0, 100_000, 0), TIMING, SHARDS
+        )
+        self.accepted = {}
+        self.refused = set()
+        self.cancelled = set()
+        self.changes = 0
+        self.out_since = None
+        self.out_spans = []
+        self._change(_configured)
+        self.deployment.pass_time(5.0)
+        self.submit(name=0, tasks=4, seconds=8, vm="vm-1")
+        self.submit(name=1, tasks=3, seconds=2, vm="vm-2")
+
+    def _change(self, change):
+        self.changes += 1
+        deployment = self.deployment
+        store = deployment.agent_by_vm[self._live()[0]].node.store
+        work = write(store, None, f"change-{self.changes}", change)
+        done = deployment.loop.run(work)
+        if isinstance(done, Accepted):
+            deployment.adopt(done.configuration)
+        return isinstance(done, Accepted)
+
+    def _live(self):
+        return sorted(self.deployment.agent_by_vm)
+
+    def _now(self):
+        return self.deployment.loop.time()
+
+    # ---- callers
+
+    @rule(
+        name=st.integers(0, 9),
+        tasks=st.integers(1, 4),
+        seconds=st.sampled_from([0.3, 2, 8]),
+        vm=st.sampled_from(VMS),
+    )
+    def submit(self, name, tasks, seconds, vm):
+        """Submit a job, perhaps one that is there already."""
+        if vm not in self.deployment.agent_by_vm:
+            return
+        shard = find_shard(TEAM, f"job-{name}", SHARDS)
+        job = make_job_id(shard, TEAM.name, f"job-{name}")
+        task = TaskSpec(f"sleep:{seconds}", TASK, 0.0)
+        spec = JobSpec(
+            job, TEAM.name, shard, tasks, task, 0.0, False, "", LONG_DEADLINE_SECONDS
+        )
+        answer = self.deployment.order(vm, shard, SubmitJob(spec))
+        if isinstance(answer, JobAccount):
+            self.accepted.setdefault(job, (tasks, shard))
+            self.refused.discard(job)
+        elif isinstance(answer, Refused) and answer.code == "not_run":
+            self.refused.add(job)
+        else:
+            self.refused.discard(job)
+
+    @precondition(lambda self: len(self.accepted) > 2 + len(self.cancelled))
+    @rule(data=st.data(), vm=st.sampled_from(VMS))
+    def cancel(self, data, vm):
+        """Cancel a job."""
+        job = data.draw(st.sampled_from(sorted(self.accepted)))
+        if vm in self.deployment.agent_by_vm:
+            shard = self.accepted[job][1]
+            self.cancelled.add(job)
+            self.deployment.order(vm, shard, CancelJob(job, shard))
+
+    # ---- faults
+
+    @precondition(lambda self: len(self._live()) > 1)
+    @rule(data=st.data(), vm_too=st.booleans())
+    def kill(self, data, vm_too):
+        """Kill an agent, or its whole VM."""
+        vm = data.draw(st.sampled_from(self._live()))
+        if vm_too:
+            self.deployment.kill_vm(vm)
+        else:
+            self.deployment.kill(vm)
+
+    @precondition(lambda self: len(self._live()) > 1)
+    @rule(data=st.data())
+    def replace_agent(self, data):
+        """Stop an agent as planned and start it again."""
+        vm = data.draw(st.sampled_from(self._live()))
+        self.deployment.stop(vm)
+        self.deployment.start(vm)
+
+    @precondition(lambda self: len(self._live()) < len(VMS))
+    @rule()
+    def start(self):
+        """Start what was killed."""
+        for vm in VMS:
+            if vm not in self.deployment.agent_by_vm:
+                self.deployment.start(vm)
+
+    @rule(vm=st.sampled_from(VMS))
+    def cut(self, vm):
+        """Cut an agent off from the others."""
+        self.deployment.cut(vm)
+
+    @rule()
+    def heal(self):
+        """End all cuts."""
+        self.deployment.cut_off.clear()
+
+    @rule(down=st.booleans())
+    def store(self, down):
+        """Take the store down or bring it back."""
+        self.deployment.store_down = down
+
+    @rule(count=st.integers(1, 3), workers_too=st.booleans())
+    def lose_answers(self, count, workers_too):
+        """Lose the next answers of the store, and of the workers."""
+        self.deployment.lost_answers = count
+        self.deployment.lost_worker_answers = count if workers_too else 0
+
+    # ---- operators
+
+    @rule(out=st.booleans())
+    def zone(self, out):
+        """Take a zone out or bring it back."""
+        zones = ["zilina-a"] if out else []
+        asked_at = self._now()
+        accepted = self._change(lambda current: replace(current, zones_out=zones))
+        if out and accepted and self.out_since is None:
+            self.out_since = self._now()
+        elif not out and self.out_since is not None:
+            # Where the answer is unknown it may be in again: not checked on.
+            self.out_spans.append((self.out_since, asked_at))
+            self.out_since = None
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 4.0]))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.deployment.pass_time(seconds)
+
+    @invariant()
+    def go_on(self):
+        """Let a little time pass after each step."""
+        self.deployment.pass_time(STEP_SECONDS)
+
+    # ---- the oracle
+
+    def teardown(self):
+        """End all faults, let everything settle, then check."""
+        if not hasattr(self, "deployment"):
+            return
+        try:
+            self._settle()
+            self._check()
+        finally:
+            self.deployment.close()
+
+    def _settle(self):
+        deployment = self.deployment
+        deployment.store_down = False
+        deployment.lost_answers = deployment.lost_worker_answers = 0
+        deployment.cut_off.clear()
+        self.zone(False)
+        self.start()
+        until = self._now() + QUIET_SECONDS
+        while self._now() < until and self._missing():
+            deployment.pass_time(SETTLE_ROUND_SECONDS)
+        deployment.pass_time(SETTLE_ROUND_SECONDS)
+
+    def _found(self):
+        workers = self.deployment.worker_by_vm.items()
+        return runs_of({vm: list(worker.record.rows) for vm, worker in workers})
+
+    def _missing(self):
+        """Return the accepted tasks that have not ended well."""
+        ended = {run.task for run in self._found() if run.state == "succeeded"}
+        wanted = {
+            f"{job}~{index}"
+            for job, (tasks, _) in self.accepted.items()
+            for index in range(tasks)
+            if job not in self.cancelled
+        }
+        return wanted - ended
+
+    def _check(self):
+        found = self._found()
+        assert not overlapping(found), overlapping(found)
+        for vm in VMS:
+            assert peak_of(found, vm) <= TASKS_A_VM, (vm, peak_of(found, vm))
+        self._check_zone(found)
+        assert not self._missing(), self._missing()
+        jobs_run = {run.task.rpartition("~")[0] for run in found}
+        assert not jobs_run & self.refused, jobs_run & self.refused
+        BatchHistories.checked += 1
+        BatchHistories.tasks_run += len(found)
+
+    def _check_zone(self, found):
+        for since, until in self.out_spans:
+            late = [
+                run
+                for run in found
+                if ZONE_BY_VM[run.vm] == "zilina-a"
+                and since + ZONE_BOUND_SECONDS < run.start < until
+            ]
+            assert not late, (since, until, late)
+
+
+@when(
+    "{count:d} random batch histories of up to {steps:d} steps are run on virtual time"
+)
+def step_histories(context, count, steps):
+    BatchHistories.checked = BatchHistories.tasks_run = 0
+    context.count = count
+    run_state_machine_as_test(
+        BatchHistories,
+        settings=settings(
+            max_examples=count,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            phases=[Phase.generate],
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+@then("in each of them no task ran twice at once and no VM ran more than it holds")
+@then("in each of them no task started in a zone 1 s after it went out")
+@then("in each of them every accepted task ended well, and no refused one ran")
+def step_held(context):
+    assert BatchHistories.checked >= context.count, BatchHistories.checked
+    assert BatchHistories.tasks_run > context.count, BatchHistories.tasks_run
--- a/features/steps/batch_oracle.py
+++ b/features/steps/batch_oracle.py
@@ -16,12 +16,12 @@
     state: str
 
 
-def runs(cluster):
-    """Return every run on every VM, by start."""
+def runs_of(rows_by_vm):
+    """Return every run in the workers' records, by start."""
     found = []
-    for vm in cluster.vm_by_name:
+    for vm, rows in rows_by_vm.items():
         started_at = {}
-        for at, kind, attempt, state in cluster.starts_and_ends(vm):
+        for at, kind, attempt, state in rows:
             if kind == "start":
                 started_at[attempt] = at
             else:
@@ -31,34 +31,20 @@
     return sorted(found, key=lambda run: run.start)
 
 
-def runs_by_task(cluster):
-    """Return the runs of each task, by start."""
-    by_task = {}
-    for run in runs(cluster):
-        by_task.setdefault(run.task, []).append(run)
-    return by_task
-
-
-def running(cluster, vm=None):
-    """Return what runs now."""
-    now = [run for run in runs(cluster) if run.end == inf]
-    return [run for run in now if vm in (None, run.vm)]
-
-
-def overlaps(cluster):
+def overlapping(found):
     """Return each pair of runs in which one task runs twice at one time."""
     return [
         (one, two)
-        for by_start in runs_by_task(cluster).values()
+        for by_start in _by_task(found).values()
         for one, two in zip(by_start, by_start[1:], strict=False)
         if two.start < one.end
     ]
 
 
-def peak(cluster, vm):
+def peak_of(found, vm):
     """Return the most runs that a VM had at one time."""
     changes = []
-    for run in runs(cluster):
+    for run in found:
         if run.vm == vm:
             changes += [(run.start, 1), (run.end, -1)]
     count = most = 0
@@ -68,6 +54,39 @@
     return most
 
 
+def runs(cluster):
+    """Return every run on every VM of a cluster, by start."""
+    return runs_of({vm: cluster.starts_and_ends(vm) for vm in cluster.vm_by_name})
+
+
+def runs_by_task(cluster):
+    """Return the runs of each task, by start."""
+    return _by_task(runs(cluster))
+
+
+def running(cluster, vm=None):
+    """Return what runs now."""
+    now = [run for run in runs(cluster) if run.end == inf]
+    return [run for run in now if vm in (None, run.vm)]
+
+
+def overlaps(cluster):
+    """Return each pair of runs in which one task of a cluster runs twice at once."""
+    return overlapping(runs(cluster))
+
+
+def peak(cluster, vm):
+    """Return the most runs that a VM of a cluster had at one time."""
+    return peak_of(runs(cluster), vm)
+
+
+def _by_task(found):
+    by_task = {}
+    for run in found:
+        by_task.setdefault(run.task, []).append(run)
+    return by_task
+
+
 def _run(attempt, vm, start, end, state):
     task, _, number = attempt.rpartition("~")
     return Run(task, int(number), vm, start, end, state)
