--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -15,6 +15,7 @@
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
+from wagtailcleat.entry.lookup import ServiceLookup
 from wagtailcleat.entry.metrics import add_entry_metrics
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.entry.serving import CallersServer
@@ -40,8 +41,6 @@
 log = part_logger("entry")
 
 MAX_HEADER_BYTES = 32 * 1024
-IDLE_CONNECTION_SECONDS = 300.0
-BODY_SECONDS = 10.0
 MAX_INVENTORY_BYTES = 1_000_000
 FORGET_SECONDS = 10.0
 
@@ -86,6 +85,7 @@
             self.state,
             settings.max_in_flight,
             settings.max_body_bytes,
+            ServiceLookup(),
         )
         jobs = Jobs(node.view, node.in_force, node.peers, settings.shards, node.clock)
         admin = Admin(
@@ -100,11 +100,14 @@
             jobs,
         )
         self.callers_server = _server(
-            CallersServer, callers_application(callers, jobs), settings.max_body_bytes
+            CallersServer,
+            callers_application(callers, jobs),
+            settings.max_body_bytes,
+            settings,
         )
         self.callers_server.serve_for(self.state, settings.max_connections)
         self.admin_server = _server(
-            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES
+            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES, settings
         )
         self._settings = settings
         self._add_sections()
@@ -180,19 +183,25 @@
         }
 
 
-def _server(kind: type[S], application: Application, max_body_bytes: int) -> S:
+def _server(
+    kind: type[S],
+    application: Application,
+    max_body_bytes: int,
+    settings: EntrySettings,
+) -> S:
     return kind(
         application,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=max_body_bytes,
-        idle_connection_timeout=IDLE_CONNECTION_SECONDS,
-        body_timeout=BODY_SECONDS,
+        idle_connection_timeout=settings.idle_connection,
+        body_timeout=settings.slow_body,
     )
 
 
 async def serve(settings: EntrySettings) -> int:
     """Run one entry until it is told to stop; return the exit code."""
     entry = Entry(settings)
+    await entry.node.refuse_taken_name()
     ports = entry.start()
     dump_on_signal(entry.node.introspection)
     say_ready(ports)
