--- /dev/null
+++ b/features/batch/failures.feature
@@ -0,0 +1,29 @@
+Feature: Bad workers, bad jobs and waves of cancellations
+
+  Scenario: A worker fails everything it starts
+    One VM's worker fails each task at once, and so is always the one with room. Most
+    tasks go there and fail, again and again, while good VMs stand idle.
+    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-a=8"
+    When the worker on "vm-1" fails everything
+    And 6 jobs of 8 tasks of "sleep:0.2" with 2 cores are submitted at once
+    Then all 6 jobs end with 8 tasks succeeded
+    And "vm-1" started at most 12 tasks
+
+  Scenario: A job can never run
+    Every task of a job fails wherever it starts. It is tried for ever, or takes good
+    VMs out of use, or ends without a word on why.
+    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-a=8"
+    When job "broken" of 20 tasks of "fail" with 2 cores is submitted
+    Then job "broken" failed, and its account says where
+    When job "ledger" of 12 tasks of "sleep:0.2" with 2 cores is submitted
+    Then job "ledger" ends with 12 tasks succeeded
+
+  Scenario: A wave of cancellations while the store is slow
+    Callers cancel many running jobs at once, each more than once. Tasks go on
+    running, or a task that was being placed starts after its job was cancelled.
+    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-a=8"
+    When 10 jobs of 10 tasks of "hold" with 2 cores are submitted at once
+    And 10 tasks run
+    And the store answers 0.2 seconds late
+    And every job is cancelled twice at once
+    Then every job's account shows "cancelled" and nothing runs
--- a/features/steps/batch_fuzz_steps.py
+++ b/features/steps/batch_fuzz_steps.py
@@ -1,6 +1,16 @@
 """A state machine over the batch path, with the workers' records as the oracle."""
 
 from batch_oracle import overlapping, peak_of, runs_of
+from batch_world import (
+    SHARDS,
+    TASK,
+    TASKS_A_VM,
+    TEAM,
+    TIMING,
+    VMS,
+    ZONE_BY_VM,
+    configured,
+)
 from behave import then, when
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -16,17 +26,8 @@
 
 from standins.in_process_agents import AgentsDeployment
 from wagtailcleat.batch.shards import find_shard, make_job_id
-from wagtailcleat.configuration.models import (
-    Configuration,
-    Inventory,
-    Rules,
-    Team,
-    Vm,
-    Zone,
-)
 from wagtailcleat.configuration.writer import Accepted, write
 from wagtailcleat.resources import Resources
-from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import (
     CancelJob,
     JobAccount,
@@ -36,22 +37,6 @@
     TaskSpec,
 )
 
-ZONE_BY_VM = {"vm-1": "zilina-a", "vm-2": "zilina-b", "vm-3": "zilina-a"}
-VMS = sorted(ZONE_BY_VM)
-HELD = Resources(4.0, 4_000, 0)
-TASK = Resources(2.0, 100, 0)
-TASKS_A_VM = 2
-SHARDS = 2
-TEAM = Team("travel-desk", 100, 100_000, shards=SHARDS)
-TIMING = Timing(
-    reservation=0.5,
-    grant=3.0,
-    ownership=2,
-    gossip=0.2,
-    suspicion=1.0,
-    outage_grant=15.0,
-    drain=3.0,
-)
 QUIET_SECONDS = 120.0
 SETTLE_ROUND_SECONDS = 3.0
 STEP_SECONDS = 0.3
@@ -59,17 +44,6 @@
 LONG_DEADLINE_SECONDS = 100_000.0
 
 
-def _configured(current: Configuration) -> Configuration:
-    zones = [Zone(zone, "zilina") for zone in ("zilina-a", "zilina-b")]
-    vms = [
-        Vm(name, zone, f"rack-{name}", HELD.cores, HELD.memory_mb)
-        for name, zone in ZONE_BY_VM.items()
-    ]
-    return replace(
-        current, inventory=Inventory(zones, vms, []), rules=Rules(teams=[TEAM])
-    )
-
-
 class BatchHistories(RuleBasedStateMachine):
     """Callers, operators and faults; the oracle is what the workers recorded."""
 
@@ -88,7 +62,7 @@
         self.changes = 0
         self.out_since = None
         self.out_spans = []
-        self._change(_configured)
+        self._change(configured)
         self.deployment.pass_time(5.0)
         self.submit(name=0, tasks=4, seconds=8, vm="vm-1")
         self.submit(name=1, tasks=3, seconds=2, vm="vm-2")
--- a/features/steps/batch_steps.py
+++ b/features/steps/batch_steps.py
@@ -579,3 +579,41 @@
     after = [row for row in seconds if row[0] >= int(context.back_at)]
     assert max(row[2] for row in after) <= writes, after
     assert max(row[1] for row in after) <= reads, after
+
+
+# ---- bad workers, bad jobs, cancellations
+
+
+@when('the worker on "{vm}" fails everything')
+def step_failing(context, vm):
+    context.cluster.worker_by_vm[vm].faults(fail_everything=True)
+
+
+@when("every job is cancelled twice at once")
+def step_cancel_all(context):
+    def cancel(name):
+        return http("DELETE", jobs_url(context, name)).status
+
+    with ThreadPoolExecutor(10) as pool:
+        statuses = list(pool.map(cancel, context.jobs * 2))
+    assert set(statuses) == {200}, statuses
+
+
+@then('"{vm}" started at most {count:d} tasks')
+def step_started_at_most(context, vm, count):
+    started = [run for run in runs(context.cluster) if run.vm == vm]
+    assert len(started) <= count, len(started)
+
+
+@then('job "{name}" failed, and its account says where')
+def step_failed(context, name):
+    seen = ended(context, name)
+    assert seen["state"] == "failed", seen
+    assert "failed on vm-" in seen["reason"], seen
+
+
+@then('every job\'s account shows "{state_wanted}" and nothing runs')
+def step_all_in_state(context, state_wanted):
+    for name in context.jobs:
+        assert ended(context, name)["state"] == state_wanted, account(context, name)
+    assert not running(context.cluster), running(context.cluster)
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -12,11 +12,13 @@
     AnyEvent,
     AttemptEnded,
     JobForgotten,
+    JobRecord,
     JobStopped,
+    TaskState,
 )
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import AttemptId
+from wagtailcleat.ids import AttemptId, VmName
 from wagtailcleat.wire.messages import (
     Adopted,
     AnyMessage,
@@ -28,6 +30,7 @@
     job_of,
 )
 
+FAILURES_TO_STOP = 6
 KEEP_ENDED_SECONDS = 86_400.0
 FORGET_ROUND_SECONDS = 60.0
 DISTINCT_FAILURES_TO_STOP = 3
@@ -176,11 +179,17 @@
         failed_on = {*task.failed_on, task.vm}
         most = shard.in_force.configuration.rules.max_attempts
         many = task.failures + 1 >= most
-        if len(failed_on) < DISTINCT_FAILURES_TO_STOP and not many:
-            return []
-        where = ", ".join(sorted(failed_on))
-        reason = f"task {report.attempt.split('/')[1]} failed on {where}"
-        return [JobStopped(job_id, reason, shard.wall_clock())]
+        if len(failed_on) >= DISTINCT_FAILURES_TO_STOP or many:
+            where = ", ".join(sorted(failed_on))
+            reason = f"task {report.attempt.split('/')[1]} failed on {where}"
+            return [JobStopped(job_id, reason, shard.wall_clock())]
+        # VMs close themselves to a job that fails there, so that a job of many
+        # tasks may never see one of them fail on several.
+        where = _failed_everywhere(shard.record.job_by_id[job_id], task.vm)
+        if where:
+            reason = f"its tasks failed on {where} and none succeeded"
+            return [JobStopped(job_id, reason, shard.wall_clock())]
+        return []
 
     async def lapse(self) -> None:
         """End the attempts whose grants have surely lapsed, forget old jobs."""
@@ -221,3 +230,14 @@
             for job in jobs
             if job.ended_at and wall - job.ended_at > KEEP_ENDED_SECONDS
         ]
+
+
+def _failed_everywhere(job: JobRecord, vm: VmName) -> str:
+    """Return where a job's tasks failed, if on several VMs and none succeeded."""
+    if any(task.state is TaskState.SUCCEEDED for task in job.tasks):
+        return ""
+    failed_on = {vm}.union(*(task.failed_on for task in job.tasks))
+    failures = 1 + sum(task.failures for task in job.tasks)
+    if len(failed_on) < DISTINCT_FAILURES_TO_STOP or failures < FAILURES_TO_STOP:
+        return ""
+    return ", ".join(sorted(failed_on))
