A cancelled task's stop is no eviction

Cause: an account counted each checkpointed stop as an eviction, the stops of a cancelled job too; evictions are one of the users' four measures. Ruled out: another state at the agent; it stops a task the same way for any cause.

--- a/wagtailcleat/batch/record.py
+++ b/wagtailcleat/batch/record.py
@@ -29,6 +29,7 @@
 
 
 OPEN_STATES = (TaskState.PENDING, TaskState.ASSIGNED)
+EVICTIONS = (AttemptState.EVICTED, AttemptState.LAPSED)
 
 
 class Event(msgspec.Struct, frozen=True, array_like=True):
@@ -249,9 +250,10 @@
             del self._assigned_by_job[job_id]
         if event.checkpoint:
             task.checkpoint = event.checkpoint
+        stopping = job.cancelled or job.stopped
         if event.state is AttemptState.SUCCEEDED:
             task.state = TaskState.SUCCEEDED
-        elif job.cancelled or job.stopped:
+        elif stopping:
             task.state = TaskState.CANCELLED
         else:
             task.state = TaskState.PENDING
@@ -260,7 +262,7 @@
         if event.state is AttemptState.FAILED:
             task.failures += 1
             task.failed_on = sorted({*task.failed_on, task.vm})
-        if event.state in (AttemptState.EVICTED, AttemptState.LAPSED):
+        if event.state in EVICTIONS and not stopping:
             task.evictions += 1
         if not self.is_open(job_id):
             job.ended_at = event.at
