--- a/wagtailcleat/batch/placer.py
+++ b/wagtailcleat/batch/placer.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -75,27 +76,43 @@
         if shard.journal.store.holding_back:
             # No assignment can be committed: reservations would only hold room.
             return
-        now = shard.clock()
-        agents: list[Member] | None = None
+        if not shard.record.pending_count():
+            return
+        agents = usable_agents(
+            shard.view, shard.in_force.configuration, shard.journal.zones_out
+        )
         room_by_team: dict[TeamName, Resources] = {}
-        for task_id, job, task in shard.record.pending():
+        for job, tasks in shard.record.pending():
             if len(self._job_by_placing) >= MAX_PLACED_AT_ONCE:
                 break
-            waits = now < self._not_before_by_job.get(job.spec.id, 0.0)
-            if waits or task_id in self._job_by_placing:
+            if shard.clock() < self._not_before_by_job.get(job.spec.id, 0.0):
                 continue
             team = job.spec.team
             if team not in room_by_team:
                 room_by_team[team] = self._quota_left(team)
-            if not job.spec.task.size.fits(room_by_team[team]):
+            room = room_by_team[team]
+            room_by_team[team] = self._place_job(job, tasks, room, agents)
+
+    def _place_job(
+        self,
+        job: JobRecord,
+        tasks: Iterator[tuple[TaskId, TaskRecord]],
+        room: Resources,
+        agents: list[Member],
+    ) -> Resources:
+        """Begin to place a job's tasks; return what is left of its team's quota."""
+        size = job.spec.task.size
+        for task_id, task in tasks:
+            full = len(self._job_by_placing) >= MAX_PLACED_AT_ONCE
+            if full or not size.fits(room):
+                break
+            if task_id in self._job_by_placing:
                 continue
-            room_by_team[team] = room_by_team[team] - job.spec.task.size
-            if agents is None:
-                agents = usable_agents(
-                    shard.view, shard.in_force.configuration, shard.journal.zones_out
-                )
+            room = room - size
             self._job_by_placing[task_id] = job
-            shard.in_background(self._place_one(task_id, job, task, agents))
+            placing = self._place_one(task_id, job, task, agents)
+            self._shard.in_background(placing)
+        return room
 
     async def _place_one(
         self, task_id: TaskId, job: JobRecord, task: TaskRecord, agents: list[Member]
--- a/wagtailcleat/batch/record.py
+++ b/wagtailcleat/batch/record.py
@@ -187,15 +187,23 @@
         """Return how many tasks are to be placed."""
         return sum(len(tasks) for tasks in self._pending_by_job.values())
 
-    def pending(self) -> Iterator[tuple[TaskId, JobRecord, TaskRecord]]:
-        """Return every task to place: urgent first, then by deadline."""
+    def pending(
+        self,
+    ) -> Iterator[tuple[JobRecord, Iterator[tuple[TaskId, TaskRecord]]]]:
+        """Return each job with the tasks to place: urgent first, then by deadline.
+
+        Nothing may be applied while a job's tasks are gone through.
+        """
         jobs = sorted(
             (self.job_by_id[job_id] for job_id in self._pending_by_job),
             key=lambda job: (not job.spec.urgent, job.spec.deadline),
         )
         for job in jobs:
-            for index, task in list(self._pending_by_job[job.spec.id].items()):
-                yield task_id(job.spec.id, index), job, task
+            yield job, self._tasks_to_place(job.spec.id)
+
+    def _tasks_to_place(self, job_id: JobId) -> Iterator[tuple[TaskId, TaskRecord]]:
+        for index, task in self._pending_by_job[job_id].items():
+            yield task_id(job_id, index), task
 
     def taken_by(self, team: str) -> Resources:
         """Return what a team's assigned tasks take."""
