--- a/features/batch/store_outage.feature
+++ b/features/batch/store_outage.feature
@@ -18,3 +18,18 @@
     And every process is alive
     And the store took at most 60 writes and 120 reads in any second after its return
     And no task ever ran in two places
+
+  Scenario: The store hangs in the middle of commits
+    The store takes calls and answers none. Some tasks end and their ends are being
+    committed; the grants of all other tasks on those VMs are not renewed meanwhile,
+    because the owner answers an agent only after the commit, and they are evicted.
+    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-a=8"
+    When job "ledger" of 6 tasks of "sleep:9" with 2 cores is submitted
+    And job "short" of 6 tasks of "sleep:1.5" with 2 cores is submitted
+    And 12 tasks run
+    And the store hangs for 6 seconds
+    Then no task of job "ledger" was stopped
+    And job "ledger" ends with 6 tasks succeeded
+    And job "short" ends with 6 tasks succeeded
+    And each task of job "short" succeeded once
+    And no task ever ran in two places
--- a/features/steps/batch_steps.py
+++ b/features/steps/batch_steps.py
@@ -421,6 +421,13 @@
     step_down(context)
 
 
+@when("the store hangs for {seconds:d} seconds")
+def step_hang(context, seconds):
+    context.cluster.store.faults(hang=True)
+    context.down_at = boot_time()
+    step_back(context, seconds)
+
+
 @when("callers submit jobs for {seconds:d} seconds")
 def step_submit_during(context, seconds):
     context.refused = []
