--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -31,6 +31,7 @@
 )
 from wagtailcleat.membership.view import View
 from wagtailcleat.routing.choose import chooser
+from wagtailcleat.routing.latency import EndpointRecord, Endpoints
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import AnyMessage, Member, MemberState, Role
 from wagtailcleat.wire.request_ids import RequestIds
@@ -42,6 +43,22 @@
 LEDGER_SWEEP_SECONDS = 1.0
 
 
+class RecordNeverFull(EndpointRecord):
+    """A record that forgets refusals, for the baseline that always retries."""
+
+    def refusing(self, now: float) -> bool:
+        """Tell that no refusal stands."""
+        return False
+
+
+class EndpointsNeverFull(Endpoints):
+    """Records that forget refusals."""
+
+    def record(self, node: NodeId) -> EndpointRecord:
+        """Return the record of a node."""
+        return self.record_by_node.setdefault(node, RecordNeverFull())
+
+
 @dataclass
 class AgentModel:
     """The parts of one agent that decide on service requests."""
@@ -257,4 +274,5 @@
     )
     if policy.retry_always:
         relay.budget.spend = lambda: True  # type: ignore[method-assign]
+        relay.endpoints = EndpointsNeverFull()
     return EntryModel(view, in_force, peers, relay)
