--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -22,27 +22,23 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
-from wagtailcleat.errors import SettingsError
-from wagtailcleat.ids import NodeId, ShardId, VmName, ZoneName
+from wagtailcleat.daemon import run_daemon
+from wagtailcleat.ids import ShardId, VmName, ZoneName
 from wagtailcleat.introspection import Introspection
-from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.logs import part_logger
 from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
 from wagtailcleat.process import (
     bind,
     bound_port,
-    dump_on_signal,
-    report_problems,
-    run_to_end,
-    say_ready,
-    until_told_to_stop,
 )
 from wagtailcleat.resources import NOTHING, Resources
-from wagtailcleat.settings import AgentSettings, load
+from wagtailcleat.settings import AgentSettings
 from wagtailcleat.wire.messages import (
     AnyMessage,
     CancelJob,
+    Done,
     ListJobs,
     Member,
     Members,
@@ -178,7 +174,7 @@
         self.leaving = True
         self.services.note_closed()
         log.info("Leaving")
-        await self._announce_leave()
+        stay_until = await self._announce_leave()
         try:
             async with asyncio.timeout(self._settings.timing.drain):
                 await self.services.drained()
@@ -186,12 +182,13 @@
         except TimeoutError:
             log.warning("Not everything was drained in time")
         await self.ownership.give_up()
+        await asyncio.sleep(stay_until - self.node.clock())
         await self._answers_sent()
         await self.node.leave()
         self.services.close()
         self.worker.close()
 
-    async def _announce_leave(self) -> None:
+    async def _announce_leave(self) -> float:
         # Entries hear it over the streams they hold, at once: what they sent before
         # they acknowledged it came before the acknowledgement, so after that none
         # of them has a request on its way here.
@@ -200,21 +197,30 @@
         news = Members([], [node.view.me])
         entries = [s for s in node.listener.streams if s.peer_role is Role.ENTRY]
         told = [stream.call(news, timeout=ANNOUNCE_SECONDS) for stream in entries]
+        announced_at = node.clock()
         try:
             async with asyncio.timeout(ANNOUNCE_SECONDS):
-                await asyncio.gather(node.gossiper.announce(), *told)
+                answers = await asyncio.gather(*told, node.gossiper.announce())
         except TimeoutError:
-            log.warning("Not every peer acknowledged that this agent leaves")
+            answers = [None]
+        if all(isinstance(answer, Done) for answer in answers[: len(told)]):
+            return announced_at
+        # An entry that did not acknowledge may have written requests into a silent
+        # connection. It finds that out and asks here what became of them; if this
+        # process were gone by then, nobody could tell that they have not run.
+        log.warning("Not every entry acknowledged that this agent leaves")
+        timing = self._settings.timing
+        return announced_at + timing.silence + 3 * timing.ping + timing.connect
 
     async def _answers_sent(self) -> None:
         # An answer that has left the services may still be in a stream's buffer;
         # closing the stream would lose it, and its caller be told nothing for sure.
+        for stream in list(self.node.listener.streams):
+            stream.go_away()
         try:
             async with asyncio.timeout(ANSWERS_SENT_SECONDS):
-                while any(s.serving for s in self.node.listener.streams):  # noqa: ASYNC110
+                while self.node.listener.streams:  # noqa: ASYNC110
                     await asyncio.sleep(ANSWERS_POLL_SECONDS)
-                for stream in list(self.node.listener.streams):
-                    await stream.flushed()
         except TimeoutError:
             log.warning("Not every answer has left this process")
 
@@ -323,6 +329,7 @@
             self.attempts,
             self.commitments,
             self.ownership,
+            self.neighbours.control,
             self.node.clock,
         )
 
@@ -364,17 +371,6 @@
     )
 
 
-async def serve(settings: AgentSettings) -> int:
-    """Run one agent until it is told to stop; return the exit code."""
-    agent = Agent(settings)
-    ports = agent.start()
-    dump_on_signal(agent.node.introspection)
-    say_ready(ports)
-    code = await until_told_to_stop(agent.node.supervisor.broken)
-    await agent.stop()
-    return code
-
-
 @app.default
 def run(
     *,
@@ -382,15 +378,7 @@
     check: Annotated[bool, cyclopts.Parameter(help="Only check the settings.")] = False,
 ) -> int:
     """Serve beside an endpoint: its requests, its VM's tasks, a share of shards."""
-    try:
-        checked = load(settings, AgentSettings)
-    except SettingsError as error:
-        return report_problems(settings, error)
-    if check:
-        print(f"{settings}: no problems")
-        return 0
-    start_logging(NodeId(checked.node), level=checked.log_level)
-    return run_to_end(serve(checked))
+    return run_daemon(settings, AgentSettings, Agent, check=check)
 
 
 def main() -> None:
--- a/wagtailcleat/agent/interference.py
+++ b/wagtailcleat/agent/interference.py
@@ -7,9 +7,11 @@
 the scores, so that a pair known to be bad is not made again.
 """
 
+from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import sqrt
 
 from hdrh.histogram import HdrHistogram
@@ -24,14 +26,16 @@
 """Variance of the relative error of a median, times the answers it is taken from."""
 FIRST_VARIANCE = 0.03**2
 TOLD_VARIANCE = 0.01**2
-DRIFT_VARIANCE = 0.001**2
+DRIFT_VARIANCE = 0.002**2
+CHANGE_NOISE = 0.02
+"""How far the slowdown is in doubt for each core of use that came or went."""
 FORGET_WEIGHT = 0.03
 FIRST_SCORE = 0.01
 MAX_SCORE = 2.0
 CALM_WEIGHT = 0.2
 CALM_DOWN_WEIGHT = 0.1
-ALLOWED_EXCESS = 0.12
-MIN_SHARE = 0.25
+ALLOWED_EXCESS = 0.17
+MIN_SHARE = 0.4
 LEAST_STEP = 0.4
 RELEASE_FACTOR = 1.6
 RELEASE_AFTER_CALM = 2
@@ -98,29 +102,35 @@
     def __init__(self, histogram: HdrHistogram) -> None:
         """Start from what the histogram holds now."""
         self.histogram = histogram
-        self._before = list(histogram.counts)
+        self._before = self._counts()
 
     def look(self, target_seconds: float) -> Tail:
         """Return the answers since the last look."""
-        counts = list(self.histogram.counts)
-        new = [now - before for now, before in zip(counts, self._before, strict=True)]
+        counts = self._counts()
+        # The counts only grow at their end as larger values come.
+        before = self._before + [0] * (len(counts) - len(self._before))
+        new = [now - then for now, then in zip(counts, before, strict=True)]
         self._before = counts
         total = sum(new)
         return Tail(total, self._over(new, target_seconds), self._median(new, total))
 
+    def _counts(self) -> list[int]:
+        # Up to the largest value: the rest of the array, most of it, is empty.
+        largest = self.histogram.get_max_value()
+        last = self.histogram.get_counts_array_index(int(largest))
+        return list(self.histogram.counts[: last + 1])
+
     def _over(self, new: list[int], target_seconds: float) -> int:
         value = int(target_seconds * MICROSECONDS)
         first = self.histogram.get_counts_array_index(value)
         return sum(new[first + 1 :])
 
     def _median(self, new: list[int], total: int) -> float:
-        seen = 0
-        for index, count in enumerate(new):
-            seen += count
-            if seen * 2 >= total and count:
-                value: int = self.histogram.get_value_from_index(index)
-                return value / MICROSECONDS
-        return 0.0
+        if not total:
+            return 0.0
+        middle = bisect_left(list(accumulate(new)), total / 2)
+        value: int = self.histogram.get_value_from_index(middle)
+        return value / MICROSECONDS
 
 
 @dataclass
@@ -137,6 +147,7 @@
     _breaches: int = 0
     _calm: int = 0
     _last_tail_by_service: dict[ServiceName, Tail] = field(default_factory=dict)
+    _last_used_by_class: dict[str, float] = field(default_factory=dict)
 
     def score(self, service: ServiceName, job_class: str) -> float:
         """Return the slowdown that one core of a job class causes to a service."""
@@ -228,15 +239,22 @@
     # ---- learning
 
     def _learn(self, neighbours: list[Neighbour]) -> None:
-        used_by_class: dict[str, float] = defaultdict(float)
+        # The usage read now stood at the end of the interval that the last tails
+        # come from, the one read before at its start.
+        now: dict[str, float] = defaultdict(float)
         for neighbour in neighbours:
-            used_by_class[neighbour.job_class] += neighbour.used
+            now[neighbour.job_class] += neighbour.used
+        before, self._last_used_by_class = self._last_used_by_class, dict(now)
+        classes = set(now) | set(before)
+        used_by_class = {c: (now.get(c, 0) + before.get(c, 0)) / 2 for c in classes}
+        changed = sum(abs(now.get(c, 0) - before.get(c, 0)) / 2 for c in classes)
+        doubt = (CHANGE_NOISE * changed) ** 2
         alone = sum(used_by_class.values()) < IDLE_CORES
         for service, tail in self._last_tail_by_service.items():
             if tail.count >= MIN_COUNT:
                 self._learn_calm(service, tail.median, alone)
                 if not alone:
-                    self._learn_scores(service, tail, used_by_class)
+                    self._learn_scores(service, tail, used_by_class, doubt)
         self._forget_unseen(used_by_class)
 
     def _learn_calm(self, service: ServiceName, median: float, alone: bool) -> None:
@@ -245,14 +263,18 @@
         self.calm_median_by_service[service] = calm + weight * (median - calm)
 
     def _learn_scores(
-        self, service: ServiceName, tail: Tail, used_by_class: Mapping[str, float]
+        self,
+        service: ServiceName,
+        tail: Tail,
+        used_by_class: Mapping[str, float],
+        doubt: float,
     ) -> None:
         # A Kalman filter with one variance a pair: the error of the foreseen
         # slowdown is shared out by used cores and by how little is known of a
         # pair yet, and less of it is believed the fewer answers it comes from.
         observed = tail.median / self.calm_median_by_service[service] - 1
         error = observed - self.excess([service], used_by_class)
-        spread = NOISE_OF_ONE / tail.count
+        spread = NOISE_OF_ONE / tail.count + doubt
         for job_class, cores in used_by_class.items():
             spread += self._variance(service, job_class) * cores * cores
         for job_class, cores in used_by_class.items():
--- a/wagtailcleat/batch/record.py
+++ b/wagtailcleat/batch/record.py
@@ -29,6 +29,7 @@
 
 
 OPEN_STATES = (TaskState.PENDING, TaskState.ASSIGNED)
+EVICTIONS = (AttemptState.EVICTED, AttemptState.LAPSED)
 
 
 class Event(msgspec.Struct, frozen=True, array_like=True):
@@ -187,15 +188,23 @@
         """Return how many tasks are to be placed."""
         return sum(len(tasks) for tasks in self._pending_by_job.values())
 
-    def pending(self) -> Iterator[tuple[TaskId, JobRecord, TaskRecord]]:
-        """Return every task to place: urgent first, then by deadline."""
+    def pending(
+        self,
+    ) -> Iterator[tuple[JobRecord, Iterator[tuple[TaskId, TaskRecord]]]]:
+        """Return each job with the tasks to place: urgent first, then by deadline.
+
+        Nothing may be applied while a job's tasks are gone through.
+        """
         jobs = sorted(
             (self.job_by_id[job_id] for job_id in self._pending_by_job),
             key=lambda job: (not job.spec.urgent, job.spec.deadline),
         )
         for job in jobs:
-            for index, task in list(self._pending_by_job[job.spec.id].items()):
-                yield task_id(job.spec.id, index), job, task
+            yield job, self._tasks_to_place(job.spec.id)
+
+    def _tasks_to_place(self, job_id: JobId) -> Iterator[tuple[TaskId, TaskRecord]]:
+        for index, task in self._pending_by_job[job_id].items():
+            yield task_id(job_id, index), task
 
     def taken_by(self, team: str) -> Resources:
         """Return what a team's assigned tasks take."""
@@ -249,9 +258,10 @@
             del self._assigned_by_job[job_id]
         if event.checkpoint:
             task.checkpoint = event.checkpoint
+        stopping = job.cancelled or job.stopped
         if event.state is AttemptState.SUCCEEDED:
             task.state = TaskState.SUCCEEDED
-        elif job.cancelled or job.stopped:
+        elif stopping:
             task.state = TaskState.CANCELLED
         else:
             task.state = TaskState.PENDING
@@ -260,7 +270,7 @@
         if event.state is AttemptState.FAILED:
             task.failures += 1
             task.failed_on = sorted({*task.failed_on, task.vm})
-        if event.state in (AttemptState.EVICTED, AttemptState.LAPSED):
+        if event.state in EVICTIONS and not stopping:
             task.evictions += 1
         if not self.is_open(job_id):
             job.ended_at = event.at
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -11,37 +11,31 @@
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.follow import Follower
-from wagtailcleat.entry.admin import Admin, admin_application
+from wagtailcleat.daemon import run_daemon
+from wagtailcleat.entry.admin import admin_application
+from wagtailcleat.entry.admin_base import Admin
 from wagtailcleat.entry.callers import callers_application
 from wagtailcleat.entry.context import Callers, CallersState
 from wagtailcleat.entry.jobs import Jobs
+from wagtailcleat.entry.lookup import ServiceLookup
 from wagtailcleat.entry.metrics import add_entry_metrics
 from wagtailcleat.entry.relay import Relay
 from wagtailcleat.entry.serving import CallersServer
-from wagtailcleat.errors import SettingsError
-from wagtailcleat.ids import NodeId
-from wagtailcleat.logs import part_logger, start_logging
+from wagtailcleat.logs import part_logger
 from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.process import (
     bind,
     bound_port,
-    dump_on_signal,
-    report_problems,
-    run_to_end,
-    say_ready,
-    until_told_to_stop,
 )
 from wagtailcleat.routing.choose import chooser
-from wagtailcleat.settings import EntrySettings, load
+from wagtailcleat.settings import EntrySettings
 from wagtailcleat.wire.messages import MemberState, Role
 from wagtailcleat.wire.request_ids import RequestIds
 
 log = part_logger("entry")
 
 MAX_HEADER_BYTES = 32 * 1024
-IDLE_CONNECTION_SECONDS = 300.0
-BODY_SECONDS = 10.0
 MAX_INVENTORY_BYTES = 1_000_000
 FORGET_SECONDS = 10.0
 
@@ -86,6 +80,7 @@
             self.state,
             settings.max_in_flight,
             settings.max_body_bytes,
+            ServiceLookup(),
         )
         jobs = Jobs(node.view, node.in_force, node.peers, settings.shards, node.clock)
         admin = Admin(
@@ -100,11 +95,14 @@
             jobs,
         )
         self.callers_server = _server(
-            CallersServer, callers_application(callers, jobs), settings.max_body_bytes
+            CallersServer,
+            callers_application(callers, jobs),
+            settings.max_body_bytes,
+            settings,
         )
         self.callers_server.serve_for(self.state, settings.max_connections)
         self.admin_server = _server(
-            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES
+            HTTPServer, admin_application(admin), MAX_INVENTORY_BYTES, settings
         )
         self._settings = settings
         self._add_sections()
@@ -180,27 +178,21 @@
         }
 
 
-def _server(kind: type[S], application: Application, max_body_bytes: int) -> S:
+def _server(
+    kind: type[S],
+    application: Application,
+    max_body_bytes: int,
+    settings: EntrySettings,
+) -> S:
     return kind(
         application,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=max_body_bytes,
-        idle_connection_timeout=IDLE_CONNECTION_SECONDS,
-        body_timeout=BODY_SECONDS,
+        idle_connection_timeout=settings.idle_connection,
+        body_timeout=settings.slow_body,
     )
 
 
-async def serve(settings: EntrySettings) -> int:
-    """Run one entry until it is told to stop; return the exit code."""
-    entry = Entry(settings)
-    ports = entry.start()
-    dump_on_signal(entry.node.introspection)
-    say_ready(ports)
-    code = await until_told_to_stop(entry.node.supervisor.broken)
-    await entry.stop()
-    return code
-
-
 @app.default
 def run(
     *,
@@ -208,15 +200,7 @@
     check: Annotated[bool, cyclopts.Parameter(help="Only check the settings.")] = False,
 ) -> int:
     """Serve callers and operators on an entry VM."""
-    try:
-        checked = load(settings, EntrySettings)
-    except SettingsError as error:
-        return report_problems(settings, error)
-    if check:
-        print(f"{settings}: no problems")
-        return 0
-    start_logging(NodeId(checked.node), level=checked.log_level)
-    return run_to_end(serve(checked))
+    return run_daemon(settings, EntrySettings, Entry, check=check)
 
 
 def main() -> None:
