An ended job keeps its totals, not its tasks

Ruled out: forgetting ended jobs sooner; their account is what their team reads. Change: when its last task ends, a job's record keeps counts by state, attempts, evictions and failures.

--- a/bench/batch.py
+++ b/bench/batch.py
@@ -26,6 +26,7 @@
 from wagtailcleat.agent.neighbours import NeighbourWatch
 from wagtailcleat.batch.learning import Learning
 from wagtailcleat.batch.owner import Owner
+from wagtailcleat.batch.record import TaskState
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.models import placed
@@ -421,7 +422,7 @@
     world: World, seen: Seen, seconds: float, useful_before: float
 ) -> dict[str, float]:
     record = world.journal.record
-    tasks = [task for job in record.job_by_id.values() for task in job.tasks]
+    totals = [job.totals() for job in record.job_by_id.values()]
     agents = world.agent_by_vm.values()
     services = service_measures(world.made, seen, seconds)
     return {
@@ -429,8 +430,8 @@
         "p99_ms": services["p99_ms"],
         "in_time_share": services["in_time_share"],
         "batch_core_seconds": world.useful() - useful_before,
-        "tasks_done": sum(task.state.value == "succeeded" for task in tasks),
-        "evictions": sum(task.evictions for task in tasks),
+        "tasks_done": sum(t.count_by_state.get(TaskState.SUCCEEDED, 0) for t in totals),
+        "evictions": sum(total.evictions for total in totals),
         "starts": sum(agent.worker.started for agent in agents),
         "throttles": sum(a.watch.control.throttles for a in agents),
         "overuse_share": sum(a.worker.overuse_seconds for a in agents)
--- a/features/batch/shares.feature
+++ b/features/batch/shares.feature
@@ -13,3 +13,11 @@
     And job "ledger" ends with 30 tasks succeeded
     And each task of job "ledger" succeeded once
     And no task ever ran in two places
+
+  Scenario: A thousand tasks end, and their job's account stays
+    A shard at the peak outgrows the store's largest value within the hour, and can't
+    write its snapshot any more, because it keeps each task of a day's ended jobs.
+    Given a shard's record with a job of 1000 tasks
+    When all of its tasks end, 3 of them after an eviction and 2 after a failure
+    Then the record's snapshot is smaller than 1000 bytes
+    And the account, also after a restore, shows 1000 succeeded, 3 evictions, 2 failures
--- a/wagtailcleat/batch/accounts.py
+++ b/wagtailcleat/batch/accounts.py
@@ -14,7 +14,7 @@
         return "running" if started else "waiting"
     if job.cancelled:
         return "cancelled"
-    if job.count(TaskState.SUCCEEDED) == len(job.tasks):
+    if job.count(TaskState.SUCCEEDED) == job.spec.tasks:
         return "finished"
     return "failed"
 
@@ -38,20 +38,21 @@
 def account(job: JobRecord, name: str, now: float) -> str:
     """Return the account as JSON text; `now` is on the wall clock."""
     spec = job.spec
+    totals = job.totals()
     body: dict[str, object] = {
         "id": name,
         "team": spec.team,
         "state": state_of(job),
-        "tasks": len(job.tasks),
+        "tasks": spec.tasks,
         "urgent": spec.urgent,
         "accepted_at": round(job.accepted_at, 3),
         "deadline": spec.deadline,
-        "attempts": sum(task.starts for task in job.tasks),
-        "evictions": sum(task.evictions for task in job.tasks),
-        "failures": sum(task.failures for task in job.tasks),
+        "attempts": totals.attempts,
+        "evictions": totals.evictions,
+        "failures": totals.failures,
     }
     for state in TaskState:
-        body[state.value] = job.count(state)
+        body[state.value] = totals.count_by_state.get(state, 0)
     if job.ended_at:
         body["ended_at"] = round(job.ended_at, 3)
         body["in_time"] = job.ended_at <= spec.deadline
--- a/wagtailcleat/batch/record.py
+++ b/wagtailcleat/batch/record.py
@@ -106,8 +106,21 @@
     """How often it was given to a VM; `attempt` may leave numbers out."""
 
 
+class JobTotals(msgspec.Struct, array_like=True):
+    """What is said of a job's tasks taken together."""
+
+    count_by_state: dict[TaskState, int]
+    attempts: int
+    evictions: int
+    failures: int
+
+
 class JobRecord(msgspec.Struct, array_like=True):
-    """A job and its tasks, by index."""
+    """A job and its tasks, by index; an ended one keeps only their totals.
+
+    A job's account is kept for a day. With all its tasks, a shard at the peak would
+    outgrow the store's largest value within the hour.
+    """
 
     spec: JobSpec
     accepted_at: float
@@ -116,6 +129,7 @@
     stopped: bool = False
     reason: str = ""
     ended_at: float = 0.0
+    ended_totals: JobTotals | None = None
 
     def open(self) -> bool:
         """Tell whether a task is still to be run or to end."""
@@ -123,7 +137,24 @@
 
     def count(self, state: TaskState) -> int:
         """Return how many tasks are in `state`."""
-        return sum(1 for task in self.tasks if task.state is state)
+        return self.totals().count_by_state.get(state, 0)
+
+    def totals(self) -> JobTotals:
+        """Return what is said of the tasks taken together."""
+        if self.ended_totals is not None:
+            return self.ended_totals
+        return JobTotals(
+            Counter(task.state for task in self.tasks),
+            sum(task.starts for task in self.tasks),
+            sum(task.evictions for task in self.tasks),
+            sum(task.failures for task in self.tasks),
+        )
+
+    def end(self, at: float) -> None:
+        """Note that no task is open any longer."""
+        self.ended_at = at
+        self.ended_totals = self.totals()
+        self.tasks = []
 
 
 class Snapshot(msgspec.Struct, array_like=True):
@@ -273,7 +304,7 @@
         if event.state in EVICTIONS and not stopping:
             task.evictions += 1
         if not self.is_open(job_id):
-            job.ended_at = event.at
+            job.end(event.at)
 
     def _cancelled(
         self, job_id: JobId, reason: str, at: float, *, stopped: bool
@@ -288,7 +319,7 @@
         for task in self._pending_by_job.pop(job_id, {}).values():
             task.state = TaskState.FAILED if stopped else TaskState.CANCELLED
         if not self.is_open(job_id):
-            job.ended_at = at
+            job.end(at)
 
     def _forgotten(self, job_id: JobId) -> None:
         if job_id in self.job_by_id and not self.is_open(job_id):
