--- a/bench/load.py
+++ b/bench/load.py
@@ -1,6 +1,7 @@
 """Open-loop load over HTTP on real entries; latency from the intended send time."""
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Iterable
@@ -8,7 +9,7 @@
 
 from hdrh.histogram import HdrHistogram
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from bench.services import MICROSECONDS, Arrival, histogram
 
@@ -16,6 +17,7 @@
 CONNECT_SECONDS = 2.0
 REFUSED = 503
 FAILED = 500
+NO_ANSWER = 599
 
 
 @dataclass
@@ -104,17 +106,19 @@
         connect_timeout=CONNECT_SECONDS,
         request_timeout=heard.deadline + CONNECT_SECONDS,
     )
-    response = await client.fetch(request, raise_error=False)
+    response = None
+    with contextlib.suppress(HTTPClientError, OSError):
+        response = await client.fetch(request, raise_error=False)
     elapsed = time.monotonic() - due
     if not counted:
         return
     microseconds = int(elapsed * MICROSECONDS) + 1
-    if response.code == REFUSED:
+    if response is None or response.code == NO_ANSWER:
+        heard.unreachable += 1
+    elif response.code == REFUSED:
         heard.not_run += 1
         heard.without_retry_after += "Retry-After" not in response.headers
         heard.refused.record_value(microseconds)
-    elif response.code == 599:
-        heard.unreachable += 1
     elif response.code >= FAILED:
         heard.unknown += 1
     else:
