--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -11,7 +11,7 @@
 
 from wagtailcleat.agent.endpoint import EndpointAnswer, EndpointFailed
 from wagtailcleat.wire.messages import AnyMessage, Member, ServiceRequest
-from wagtailcleat.wire.streams import Lost, Parts
+from wagtailcleat.wire.parts import Lost, Parts
 
 SILENCE_SECONDS = 1.0
 """After how long a silent stream is given up: `timing.ping` + `timing.silence`."""
--- a/bench/slopes/mesh.py
+++ b/bench/slopes/mesh.py
@@ -25,7 +25,8 @@
     Proof,
     Role,
 )
-from wagtailcleat.wire.streams import NONCE_BYTES, Lost
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import NONCE_BYTES
 
 HOST = "127.0.0.1"
 FIRST_PORT = 10_000
--- a/bench/slopes/streams.py
+++ b/bench/slopes/streams.py
@@ -9,14 +9,8 @@
 from wagtailcleat.ids import Incarnation, NodeId
 from wagtailcleat.process import bind, bound_port
 from wagtailcleat.wire.messages import AnyMessage, Done, DumpState, Role
-from wagtailcleat.wire.streams import (
-    Identity,
-    Listener,
-    Outlet,
-    Peers,
-    Stream,
-    StreamTiming,
-)
+from wagtailcleat.wire.peers import Identity, Listener, Peers
+from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
 
 HOST = "127.0.0.1"
 SECRET = "a secret of the bench only"
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -18,7 +18,7 @@
 from wagtailcleat.entry.watchers import EventCutter
 from wagtailcleat.wire.frames import FrameReader
 from wagtailcleat.wire.messages import Refused
-from wagtailcleat.wire.streams import Lost
+from wagtailcleat.wire.parts import Lost
 
 PATIENCE = 15
 AT_ONCE = 40
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -19,14 +19,9 @@
     ServiceRequest,
     Settle,
 )
-from wagtailcleat.wire.streams import (
-    Identity,
-    Lost,
-    Outlet,
-    Peers,
-    Stream,
-    StreamTiming,
-)
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import Identity, Peers
+from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
 
 CALL_SECONDS = 15.0
 PAUSE_SECONDS = 0.005
--- a/standins/in_process_agents.py
+++ b/standins/in_process_agents.py
@@ -27,7 +27,8 @@
 from wagtailcleat.resources import Resources
 from wagtailcleat.settings import AgentSettings, Timing
 from wagtailcleat.wire.messages import AnyMessage
-from wagtailcleat.wire.streams import Lost, Stream
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.streams import Stream
 
 SECRET = "a secret of the tests only"
 NOWHERE = "http://127.0.0.1:1"
--- a/standins/in_process_nodes.py
+++ b/standins/in_process_nodes.py
@@ -12,7 +12,8 @@
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.settings import AgentSettings, EntrySettings
 from wagtailcleat.wire.messages import Role
-from wagtailcleat.wire.streams import Lost, Stream
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.streams import Stream
 
 SECRET = "a secret of the tests only"
 TOKEN = "an admin token of the tests only"
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -47,7 +47,8 @@
     job_of,
     shard_of,
 )
-from wagtailcleat.wire.streams import Outlet, Peers, Stream
+from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.streams import Outlet, Stream
 
 log = part_logger("attempts")
 
--- a/wagtailcleat/batch/holders.py
+++ b/wagtailcleat/batch/holders.py
@@ -21,7 +21,8 @@
     Written,
 )
 from wagtailcleat.wire.messages import Done, Member, StepDown
-from wagtailcleat.wire.streams import Lost, Peers
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import Peers
 
 CALL_SECONDS = 1.0
 
--- a/wagtailcleat/batch/placer.py
+++ b/wagtailcleat/batch/placer.py
@@ -38,7 +38,7 @@
     Start,
     attempt_id,
 )
-from wagtailcleat.wire.streams import Lost
+from wagtailcleat.wire.parts import Lost
 
 MAX_PLACED_AT_ONCE = 32
 RESERVE_TRIES = 4
--- a/wagtailcleat/batch/shard.py
+++ b/wagtailcleat/batch/shard.py
@@ -16,7 +16,7 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.membership.view import View
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.streams import Peers
+from wagtailcleat.wire.peers import Peers
 
 log = part_logger("batch")
 
--- a/wagtailcleat/entry/admin_base.py
+++ b/wagtailcleat/entry/admin_base.py
@@ -31,7 +31,7 @@
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
 from wagtailcleat.wire.messages import Dump, DumpState, Member
-from wagtailcleat.wire.streams import Peers
+from wagtailcleat.wire.peers import Peers
 
 log = part_logger("admin")
 
--- a/wagtailcleat/entry/callers.py
+++ b/wagtailcleat/entry/callers.py
@@ -33,7 +33,7 @@
     RequestOutcome,
 )
 from wagtailcleat.wire.messages import Answer
-from wagtailcleat.wire.streams import Lost
+from wagtailcleat.wire.parts import Lost
 
 log = part_logger("callers")
 
--- a/wagtailcleat/entry/jobs.py
+++ b/wagtailcleat/entry/jobs.py
@@ -33,7 +33,8 @@
     SubmitJob,
     TaskSpec,
 )
-from wagtailcleat.wire.streams import Lost, Peers
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import Peers
 
 CALL_SECONDS = 6.0
 OWNER_WAIT_SECONDS = 2.0
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -34,8 +34,10 @@
     ServiceRequest,
     Settle,
 )
+from wagtailcleat.wire.parts import Lost, Parts
+from wagtailcleat.wire.peers import Peers
 from wagtailcleat.wire.request_ids import Home, RequestIds
-from wagtailcleat.wire.streams import Lost, Parts, Peers, Stream
+from wagtailcleat.wire.streams import Stream
 
 FIRST_RETRY_AFTER_SECONDS = 0.5
 SETTLE_SECONDS = 3.0
--- a/wagtailcleat/membership/gossip.py
+++ b/wagtailcleat/membership/gossip.py
@@ -28,7 +28,7 @@
     PullConfiguration,
     Refused,
 )
-from wagtailcleat.wire.streams import Peers
+from wagtailcleat.wire.peers import Peers
 
 log = part_logger("membership")
 
--- a/wagtailcleat/membership/identity.py
+++ b/wagtailcleat/membership/identity.py
@@ -19,7 +19,7 @@
     Member,
     Members,
 )
-from wagtailcleat.wire.streams import Peers
+from wagtailcleat.wire.peers import Peers
 
 ASK_SECONDS = 2.0
 SECTIONS = ["node", "incarnation"]
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -25,7 +25,7 @@
 from wagtailcleat.settings import AgentSettings, EntrySettings
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import Member, MemberState, Role
-from wagtailcleat.wire.streams import Identity, Listener, Peers
+from wagtailcleat.wire.peers import Identity, Listener, Peers
 
 LEAVE_SECONDS = 2.0
 
