--- a/wagtailcleat/wire/streams.py
+++ b/wagtailcleat/wire/streams.py
@@ -48,6 +48,7 @@
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 DRAIN_ABOVE_BYTES = 256 * 1024
 MAX_CALLS_PER_STREAM = 10_000
+IDLE_LOOK_SECONDS = 5.0
 MAX_ARRIVING_BYTES = 64 * 1024 * 1024
 
 
@@ -159,6 +160,7 @@
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
         self._heard_at = 0.0
+        self._called = asyncio.Event()
 
     def __repr__(self) -> str:
         """Show the peer and the calls in flight."""
@@ -241,6 +243,7 @@
             self._heard_at = asyncio.get_running_loop().time()
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_call[call] = future
+        self._called.set()
         rest = parts or Parts()
         rest.on_room(lambda: self._send(Frame(Kind.MORE, call)))
         self._parts_by_call[call] = rest
@@ -455,26 +458,42 @@
         loop = asyncio.get_running_loop()
         timing = self._timing
         while True:
+            if not self.waiting and await self._idle():
+                return
             before = loop.time()
-            await asyncio.sleep(timing.ping if self.waiting else timing.ping * 2)
+            await asyncio.sleep(timing.ping)
             now = loop.time()
             # This process was paused itself: the silence may be its own, so it
             # counts anew from now.
             if now - before > timing.silence:
                 self._heard_at = now
             quiet = now - self._heard_at
-            if not self.waiting:
-                if self._opened_here and quiet > timing.idle_close:
-                    self.close("idle")
-                    return
-                continue
-            if quiet > timing.silence:
+            if self.waiting and quiet > timing.silence:
                 log.warning("A stream went silent", extra={"peer": self.peer})
                 self.close("silent")
                 return
-            if quiet >= timing.ping:
+            if self.waiting and quiet >= timing.ping:
                 self._send(Frame(Kind.PING, 0))
 
+    async def _idle(self) -> bool:
+        """Wait for the next call; close a stream without one, and tell so.
+
+        An entry at the target size has a thousand streams and uses few at a time: a
+        look at each every half second would take a tenth of a core.
+        """
+        loop = asyncio.get_running_loop()
+        self._called.clear()
+        while not self.waiting:
+            try:
+                async with asyncio.timeout(IDLE_LOOK_SECONDS):
+                    await self._called.wait()
+            except TimeoutError:
+                quiet = loop.time() - self._heard_at
+                if self._opened_here and quiet > self._timing.idle_close:
+                    self.close("idle")
+                    return True
+        return False
+
 
 def _has_parts(reply: AnyMessage | Lost) -> bool:
     return isinstance(reply, Answer) and reply.parts
