--- a/features/steps/batch_fuzz_steps.py
+++ b/features/steps/batch_fuzz_steps.py
@@ -12,7 +12,7 @@
     configured,
 )
 from behave import then, when
-from hypothesis import HealthCheck, Phase, settings
+from fuzz_runs import run_histories
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -20,7 +20,6 @@
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from msgspec.structs import replace
 
@@ -262,18 +261,7 @@
 def step_histories(context, count, steps):
     BatchHistories.checked = BatchHistories.tasks_run = 0
     context.count = count
-    run_state_machine_as_test(
-        BatchHistories,
-        settings=settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            phases=[Phase.generate],
-            database=None,
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_histories(BatchHistories, count, steps)
 
 
 @then("in each of them no task ran twice at once and no VM ran more than it holds")
--- a/features/steps/configuration_fuzz_steps.py
+++ b/features/steps/configuration_fuzz_steps.py
@@ -1,14 +1,13 @@
 """A state machine over gossiping nodes, with the store's history as the oracle."""
 
 from behave import then, when
-from hypothesis import HealthCheck, Phase, settings
+from fuzz_runs import run_histories
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from msgspec.structs import replace
 
@@ -211,18 +210,7 @@
 def step_histories(context, count, steps):
     Histories.checked = 0
     context.count = count
-    run_state_machine_as_test(
-        Histories,
-        settings=settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            phases=[Phase.generate],
-            database=None,
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_histories(Histories, count, steps)
 
 
 @then("in each of them every process only went forward through the store's revisions")
