--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -216,6 +216,12 @@
         return self._rivals_by_shard[shard]
 
     async def _claim_and_run(self, shard: ShardId) -> None:
+        # A lost owner's key stands until its store lease ends; claims before that
+        # would only be refused, and writes are what the store has few of. A key of
+        # this process's own is left from a claim whose answer was lost.
+        held = await self._store.get(shard_owner(shard))
+        if isinstance(held, Found) and held.value != self._owner_value():
+            return
         known = await read_holders(self._store, shard)
         if known is None:
             return
