The store lease is renewed apart from claims, not in turn with them

The dump showed shards dropped and claimed again seven times by the same agent: with the store answering 0.3 s late a claim and its takeover take longer than the lease of 2 s, which was renewed between claims, so it lapsed, all shards were dropped, and the claims began anew. Ruled out: handing back of excess (30 s had not passed), and a lost epoch. Change: two rounds side by side; a takeover checks that the lease it claimed under still stands; the two reads before a claim go out together.

--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -48,6 +48,7 @@
 RIVALS = 3
 SECOND_CLAIMS_SHARE = 0.1
 HAND_BACK_SHARE = 0.1
+KEEP_ROUND_SHARE = 0.5
 
 MakeOwner = Callable[[ShardId, Journal, list[Holder]], Owner]
 
@@ -100,6 +101,7 @@
         self._closed = closed
         self._may_own = may_own
         self._stepped_down_by_shard: dict[ShardId, Epoch] = {}
+        self._wanted: list[ShardId] = []
         self._owned_since_by_shard: dict[ShardId, float] = {}
         self._handed_back_at = 0.0
         self._ranked: list[NodeId] = []
@@ -116,11 +118,22 @@
 
     async def run(self) -> None:
         """Keep the lease and claim shards, until cancelled."""
+        # A claim and its takeover are many calls; were the lease renewed in turn with
+        # them, a store that answers late would let it lapse, and all shards be dropped
+        # and claimed again without end.
+        await asyncio.gather(self._keep_lease_rounds(), self._claim_rounds())
+
+    async def _keep_lease_rounds(self) -> None:
         while True:
-            wanted = [] if self._closed() else self._to_claim()
-            if self.owner_by_shard or wanted:
+            if self.owner_by_shard or self._wanted:
                 await self._keep_lease()
-            for shard in wanted:
+            pause = min(ROUND_SECONDS, self._timing.ownership / RENEWALS_A_LEASE)
+            await asyncio.sleep(pause * KEEP_ROUND_SHARE)
+
+    async def _claim_rounds(self) -> None:
+        while True:
+            self._wanted = [] if self._closed() else self._to_claim()
+            for shard in self._wanted:
                 if self._lease:
                     await self._claim_and_run(shard)
             self._drop_deposed()
@@ -219,15 +232,17 @@
         # A lost owner's key stands until its store lease ends; claims before that
         # would only be refused, and writes are what the store has few of. A key of
         # this process's own is left from a claim whose answer was lost.
-        held = await self._store.get(shard_owner(shard))
+        lease = self._lease
+        held, known = await asyncio.gather(
+            self._store.get(shard_owner(shard)), read_holders(self._store, shard)
+        )
         if isinstance(held, Found) and held.value != self._owner_value():
             return
-        known = await read_holders(self._store, shard)
-        if known is None:
+        if known is None or lease != self._lease:
             return
         claim = await self._claim(shard, known)
         if claim is not None:
-            await self._take_over(shard, claim)
+            await self._take_over(shard, claim, lease)
 
     async def _claim(self, shard: ShardId, known: KnownHolders) -> Claim | None:
         me = holder_of(self._view.me)
@@ -257,11 +272,13 @@
         await self._hand_back(shard)
         return None
 
-    async def _take_over(self, shard: ShardId, claim: Claim) -> None:
+    async def _take_over(self, shard: ShardId, claim: Claim, lease: str) -> None:
         loaded = await load(self._store, shard)
         zones = await read_zones_out(self._store)
         stepped_down = self._stepped_down_by_shard.get(shard, Epoch(0)) > claim.epoch
-        if loaded is None or zones is None or stepped_down:
+        # The lease may have lapsed meanwhile, and the owner key gone with it.
+        lapsed = lease != self._lease
+        if loaded is None or zones is None or stepped_down or lapsed:
             await self._hand_back(shard)
             return
         journal = Journal(
