--- a/standins/in_process_agents.py
+++ b/standins/in_process_agents.py
@@ -22,10 +22,11 @@
 from standins.worker_tasks import Worker as WorkerState
 from wagtailcleat.agent.app import Agent
 from wagtailcleat.configuration.models import Configuration
-from wagtailcleat.platform.store import Store, Unavailable, Unknown
+from wagtailcleat.platform.store import Store
 from wagtailcleat.platform.worker import Worker, WorkerRefused, WorkerUnreachable
 from wagtailcleat.resources import Resources
 from wagtailcleat.settings import AgentSettings, Timing
+from wagtailcleat.storage import Unavailable, Unknown
 from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.streams import Stream
--- a/standins/in_process_store.py
+++ b/standins/in_process_store.py
@@ -8,7 +8,8 @@
 from standins.keyspace import Keyspace
 from standins.store_messages import TxnRequest
 from standins.transactions import run_txn
-from wagtailcleat.platform.store import (
+from wagtailcleat.platform.store import _after, _txn_body
+from wagtailcleat.storage import (
     Absent,
     Conflict,
     Event,
@@ -18,8 +19,6 @@
     Unavailable,
     Unknown,
     Written,
-    _after,
-    _txn_body,
 )
 
 LATENCY_SECONDS = 0.003
--- a/wagtailcleat/batch/holders.py
+++ b/wagtailcleat/batch/holders.py
@@ -11,15 +11,8 @@
 
 from wagtailcleat.configuration.keys import shard_earlier, shard_epoch
 from wagtailcleat.ids import Epoch, Incarnation, NodeId, ShardId
-from wagtailcleat.platform.store import (
-    Absent,
-    Compare,
-    Found,
-    Store,
-    Txn,
-    Unavailable,
-    Written,
-)
+from wagtailcleat.platform.store import Store
+from wagtailcleat.storage import Absent, Compare, Found, Txn, Unavailable, Written
 from wagtailcleat.wire.messages import Done, Member, StepDown
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
--- a/wagtailcleat/batch/journal.py
+++ b/wagtailcleat/batch/journal.py
@@ -28,13 +28,13 @@
 )
 from wagtailcleat.ids import Epoch, ShardId
 from wagtailcleat.logs import part_logger
-from wagtailcleat.platform.store import (
+from wagtailcleat.platform.store import Store
+from wagtailcleat.storage import (
     Absent,
     Compare,
     Conflict,
     Found,
     Listing,
-    Store,
     Txn,
     Unavailable,
     Unknown,
--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -26,18 +26,18 @@
 from wagtailcleat.ids import Epoch, NodeId, ShardId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.membership.view import View
-from wagtailcleat.platform.store import (
+from wagtailcleat.platform.store import Store
+from wagtailcleat.settings import Timing
+from wagtailcleat.storage import (
     Compare,
     Conflict,
     Found,
     Leased,
     LeaseGone,
-    Store,
     Txn,
     Unknown,
     Written,
 )
-from wagtailcleat.settings import Timing
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import Done, Member, MemberState, StepDown
 
--- /dev/null
+++ b/wagtailcleat/cluster/agent_app.py
@@ -0,0 +1,136 @@
+"""`wagtailcleat-agent` on the platform: one beside each worker."""
+
+import sys
+
+from tornado.httpserver import HTTPServer
+
+from wagtailcleat.clock import boot_time
+from wagtailcleat.cluster.following import Following
+from wagtailcleat.cluster.hosting import Hosting
+from wagtailcleat.cluster.operator_watch import OperatorWatch
+from wagtailcleat.cluster.program import Base, make_base, serve_metrics
+from wagtailcleat.cluster.program import main as run
+from wagtailcleat.cluster.settings import AgentSettings, split_address
+from wagtailcleat.cluster.timing import ZONES_WAIT
+from wagtailcleat.ids import NodeId, ZoneName
+from wagtailcleat.introspection import Kind
+from wagtailcleat.platform.heartbeats import heartbeat_application
+from wagtailcleat.wire.messages import Role
+from wagtailcleat.wire.scheduling import Leads, Orders, Report
+
+MILLISECONDS = 1000
+
+
+class Agent:
+    """The parts of an agent, wired."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        """Wire the parts; nothing runs yet."""
+        self.settings = settings
+        self.base: Base = make_base(settings, Role.AGENT)
+        base = self.base
+        self.operators = OperatorWatch(
+            base.store, wait_seconds=ZONES_WAIT, zones_only=True
+        )
+        self.following = Following(
+            store=base.store,
+            peers=base.peers,
+            clock=boot_time,
+            entries=[
+                (split_address(seed)[0], settings.peer_port) for seed in settings.seeds
+            ],
+            make_report=self._report,
+            on_answer=self._answered,
+            on_orders=self._take_orders,
+        )
+        self.hosting = Hosting(
+            clock=boot_time,
+            lease_limit=settings.run_lease_limit_ms / MILLISECONDS,
+            may_start=self.following.may_act,
+            contact=lambda: self.following.contact_at,
+            zone_out=lambda zone: zone in self.operators.zones_out,
+            on_change=self.following.news,
+        )
+        base.dispatch.add_plain({Leads: self.following.leads_now})
+        base.dispatch.add({Orders: self.following.orders})
+        self._add_metrics()
+
+    def __repr__(self) -> str:
+        """Show the node."""
+        return f"<Agent {self.settings.node}>"
+
+    def start(self) -> None:
+        """Serve."""
+        supervisor = self.base.supervisor
+        supervisor.spawn("operators", self.operators.run)
+        supervisor.spawn("following", self.following.run)
+        supervisor.spawn("hosting", self.hosting.run)
+        host, port = split_address(self.settings.control)
+        server = HTTPServer(
+            heartbeat_application(self.hosting.beat, self.hosting.leave)
+        )
+        server.listen(port, host)
+        serve_metrics(self.base, self.settings)
+
+    async def stop(self) -> None:
+        """End; runs go on until their leases end, and a next life adopts them."""
+        await self.base.supervisor.stop()
+        self.hosting.close()
+        self.base.close()
+
+    def _report(self, orders_taken: int) -> Report:
+        hosting = self.hosting
+        now = boot_time()
+        return Report(
+            NodeId(self.settings.node),
+            self.base.identity.incarnation,
+            ZoneName(self.settings.zone),
+            self.settings.host,
+            self.settings.peer_port,
+            hosting.info,
+            hosting.listed,
+            hosting.running,
+            hosting.ended,
+            list(hosting.unsettled_by_run),
+            list(hosting.refusal_by_run.items()),
+            hosting.silent_seconds(now),
+            hosting.lease_seconds(now),
+            orders_taken,
+        )
+
+    def _answered(self, report: Report) -> None:
+        for key, _ in report.refused:
+            self.hosting.refusal_by_run.pop(key, None)
+
+    def _take_orders(self, orders: Orders) -> None:
+        for start in orders.starts:
+            self.hosting.start(start)
+        for key in orders.stops:
+            self.hosting.stop(key)
+        for pace in orders.paces:
+            self.hosting.pace(pace)
+        self.hosting.acknowledge(orders.born, orders.acknowledged)
+
+    def _add_metrics(self) -> None:
+        metric = self.base.introspection.metric
+        metric(
+            Kind.GAUGE,
+            "runs",
+            "Runs at the worker of this VM.",
+            lambda: len(self.hosting.running),
+        )
+        metric(
+            Kind.GAUGE,
+            "epoch",
+            "Epoch of the leader that this agent follows.",
+            lambda: self.following.epoch,
+        )
+
+
+def main() -> int:
+    """Run the program."""
+    return run(AgentSettings, Agent)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wagtailcleat/cluster/entry_app.py
@@ -0,0 +1,220 @@
+"""`wagtailcleat-entry` on the platform: callers' HTTP, and one entry leads."""
+
+import asyncio
+import sys
+
+from tornado.httpserver import HTTPServer
+
+from wagtailcleat.clock import boot_time, wall_time
+from wagtailcleat.cluster.keys import Place
+from wagtailcleat.cluster.leader import Leader
+from wagtailcleat.cluster.leadership import Leadership, Office
+from wagtailcleat.cluster.operator_watch import OperatorWatch
+from wagtailcleat.cluster.program import Base, make_base, serve_metrics
+from wagtailcleat.cluster.program import main as run
+from wagtailcleat.cluster.settings import EntrySettings, split_address
+from wagtailcleat.cluster.submissions import Submissions
+from wagtailcleat.cluster.timing import CANCEL_ANSWER, QUEUES_WAIT
+from wagtailcleat.errors import Code
+from wagtailcleat.introspection import Kind
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.submissions import caller_server, ready_server
+from wagtailcleat.wire.messages import AnyMessage, Refused, Role
+from wagtailcleat.wire.scheduling import (
+    CancelSteps,
+    CountWaiting,
+    KeepFollowing,
+    Leads,
+    Report,
+    ShowState,
+    Submitted,
+    TakeOver,
+    WhoLeads,
+)
+from wagtailcleat.wire.streams import Outlet, Stream
+
+log = part_logger("entry")
+
+BALANCER_NOTICE = 2.3
+"""Seconds in which the balancer notices that an entry is no longer ready: it asks
+once a second and passes it over after two misses."""
+STOP_MARGIN = 1.0
+"""Seconds before the end of the grace at which this process ends by itself."""
+QUIET_SECONDS = 0.1
+
+
+class Entry:
+    """The parts of an entry, wired."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Wire the parts; nothing runs yet."""
+        self.settings = settings
+        self.base: Base = make_base(settings, Role.ENTRY)
+        self.leader: Leader | None = None
+        self.stopping = False
+        base = self.base
+        place = Place(settings.host, settings.peer_port, int(base.identity.incarnation))
+        self.operators = OperatorWatch(base.store, wait_seconds=QUEUES_WAIT)
+        self.leadership = Leadership(
+            base.identity,
+            place,
+            store=base.store,
+            peers=base.peers,
+            clock=boot_time,
+            lead=self._lead,
+        )
+        self.submissions = Submissions(
+            store=base.store,
+            peers=base.peers,
+            leadership=self.leadership,
+            leader=lambda: self.leader,
+            clock=boot_time,
+        )
+        base.dispatch.add_plain(
+            {
+                WhoLeads: self.leadership.who_leads,
+                Leads: self.leadership.leads_now,
+                KeepFollowing: self.leadership.keep_following,
+                TakeOver: self.leadership.take_over,
+                Submitted: self._submitted,
+                ShowState: self._show_state,
+                CancelSteps: self._cancel,
+                CountWaiting: self._count,
+            }
+        )
+        base.dispatch.add({Report: self._report})
+        self._servers: list[HTTPServer] = []
+        self._add_metrics()
+
+    def __repr__(self) -> str:
+        """Show the node."""
+        return f"<Entry {self.settings.node}>"
+
+    def start(self) -> None:
+        """Serve."""
+        supervisor = self.base.supervisor
+        supervisor.spawn("operators", self.operators.run)
+        supervisor.spawn("leadership", self.leadership.run)
+        front = caller_server(
+            self.submissions,
+            queues=lambda: self.operators.queues,
+            clock=boot_time,
+            wall_clock=wall_time,
+        )
+        ready = ready_server(self.ready)
+        for server, address in (
+            (front, self.settings.front),
+            (ready, self.settings.ready),
+        ):
+            host, port = split_address(address)
+            server.listen(port, host, backlog=512)
+            self._servers.append(server)
+        serve_metrics(self.base, self.settings)
+
+    def ready(self) -> bool:
+        """Tell the balancer whether to send new connections."""
+        return self.operators.queues is not None and not self.stopping
+
+    async def stop(self) -> None:
+        """Hand over, finish what is in flight, then end."""
+        self.stopping = True
+        began = boot_time()
+        await self.leadership.lay_down()
+        await asyncio.sleep(BALANCER_NOTICE)
+        end = began + self.settings.grace - STOP_MARGIN
+        front = self._servers[0]
+        for server in self._servers:
+            server.stop()
+        try:
+            async with asyncio.timeout(max(QUIET_SECONDS, end - boot_time())):
+                await front.close_all_connections()
+        except TimeoutError:
+            log.warning("Requests were in flight at the end of the grace")
+        self.base.close()
+
+    async def _lead(self, office: Office) -> None:
+        leader = Leader(
+            office,
+            store=self.base.store,
+            peers=self.base.peers,
+            leadership=self.leadership,
+            clock=boot_time,
+            wall_clock=wall_time,
+            status_kept=self.settings.status_kept,
+            zones_out=lambda: self.operators.zones_out,
+        )
+        self.leader = leader
+        try:
+            await leader.run()
+        finally:
+            self.leader = None
+
+    # ---- messages for the leader
+
+    async def _report(
+        self, stream: Stream, message: AnyMessage, outlet: Outlet
+    ) -> AnyMessage:
+        leader = self.leader
+        if leader is None:
+            return _not_leading()
+        return await leader.report(stream, message, outlet)
+
+    async def _submitted(self, message: AnyMessage) -> AnyMessage:
+        assert isinstance(message, Submitted)
+        leader = self.leader
+        return _not_leading() if leader is None else await leader.submitted(message)
+
+    async def _show_state(self, message: AnyMessage) -> AnyMessage:
+        assert isinstance(message, ShowState)
+        leader = self.leader
+        if leader is None or not leader.ready:
+            return _not_leading()
+        return leader.state(message)
+
+    async def _cancel(self, message: AnyMessage) -> AnyMessage:
+        assert isinstance(message, CancelSteps)
+        leader = self.leader
+        if leader is None or not leader.ready:
+            return _not_leading()
+        return await leader.cancel(message, CANCEL_ANSWER)
+
+    async def _count(self, message: AnyMessage) -> AnyMessage:
+        assert isinstance(message, CountWaiting)
+        leader = self.leader
+        if leader is None or not leader.ready:
+            return _not_leading()
+        return leader.waiting(message)
+
+    def _add_metrics(self) -> None:
+        metric = self.base.introspection.metric
+        metric(
+            Kind.GAUGE,
+            "leads",
+            "1 while this entry leads.",
+            lambda: self.leader is not None,
+        )
+        metric(
+            Kind.GAUGE,
+            "epoch",
+            "Epoch of the leader that this entry follows.",
+            lambda: self.leadership.leader.epoch,
+        )
+        metric(
+            Kind.GAUGE,
+            "configuration_version",
+            "Version of the configuration in force here; 0: none.",
+            lambda: self.operators.queues.version if self.operators.queues else 0,
+        )
+
+
+def _not_leading() -> Refused:
+    return Refused(Code.UNAVAILABLE.value, "this entry does not lead")
+
+
+def main() -> int:
+    """Run the program."""
+    return run(EntrySettings, Entry)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wagtailcleat/cluster/following.py
@@ -0,0 +1,179 @@
+"""How an agent finds the leader and reports to it.
+
+The answer to a report lets the agent carry out that leader's orders for a while,
+counted from sending the report; an order that was held up on its way counts for
+nothing after that.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+
+from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.keys import LEADER_KEY, decode
+from wagtailcleat.cluster.timing import LOOK_AGAIN, REPORT_EVERY, REPORT_TIMEOUT
+from wagtailcleat.errors import Code
+from wagtailcleat.ids import Epoch
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.storage import Found
+from wagtailcleat.wire.messages import AnyMessage, Done, Refused
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.scheduling import (
+    Leads,
+    Orders,
+    Report,
+    ReportTaken,
+    WhoLeads,
+)
+from wagtailcleat.wire.streams import Outlet, Stream
+
+log = part_logger("following")
+
+COALESCE_SECONDS = 0.004
+"""Pause before a report that has news, so that ends of one moment go together."""
+ASKED_AT_ONCE = 3
+"""Every so many fruitless looks the store is asked too: a call there is priced."""
+
+MakeReport = Callable[[Epoch, int], Report]
+"""Makes the report to the leader of an epoch; also told the last orders taken."""
+
+
+class Following:
+    """An agent's tie to the leader."""
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        peers: Peers,
+        clock: Clock,
+        entries: list[tuple[str, int]],
+        make_report: Callable[[int], Report],
+        on_answer: Callable[[Report], None],
+        on_orders: Callable[[Orders], None],
+    ) -> None:
+        """Wire it; `entries` are addresses that may know the leader."""
+        self.epoch = Epoch(0)
+        self.contact_at = 0.0
+        """When a report that was answered was sent; 0 before the first."""
+        self.valid_until = 0.0
+        self._leader: Leads | None = None
+        self._orders_taken = 0
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._entries = list(entries)
+        self._make_report = make_report
+        self._on_answer = on_answer
+        self._on_orders = on_orders
+        self._news = asyncio.Event()
+        self._looks = 0
+
+    def __repr__(self) -> str:
+        """Show the epoch that is followed."""
+        return f"<Following epoch {self.epoch}>"
+
+    def may_act(self) -> bool:
+        """Tell whether orders of the leader hold now."""
+        return self._clock() < self.valid_until
+
+    def news(self) -> None:
+        """Report soon."""
+        self._news.set()
+
+    async def leads_now(self, message: AnyMessage) -> AnyMessage:
+        """Follow a leader that announces itself."""
+        assert isinstance(message, Leads)
+        self._learn(message)
+        return Done()
+
+    async def orders(
+        self, stream: Stream, message: AnyMessage, outlet: Outlet
+    ) -> AnyMessage:
+        """Take in orders, unless they are of a leader that is not followed."""
+        assert isinstance(message, Orders)
+        if message.epoch != self.epoch or message.number <= self._orders_taken:
+            return Refused(Code.CONFLICT.value, "not of the leader followed here")
+        self._orders_taken = message.number
+        self._on_orders(message)
+        return Done()
+
+    async def run(self) -> None:
+        """Report to the leader, or look for it, for ever."""
+        while True:
+            try:
+                async with asyncio.timeout(REPORT_EVERY):
+                    await self._news.wait()
+                await asyncio.sleep(COALESCE_SECONDS)
+            except TimeoutError:
+                pass
+            self._news.clear()
+            if self._leader is None:
+                await self._look()
+            if self._leader is not None and not await self._report(self._leader):
+                self._leader = None
+                self._news.set()
+
+    async def _report(self, leader: Leads) -> bool:
+        stream = await self._peers.stream(leader.host, leader.port)
+        if isinstance(stream, Lost):
+            return False
+        sent_at = self._clock()
+        report = self._make_report(self._orders_taken)
+        answer = await stream.call(report, timeout=REPORT_TIMEOUT)
+        if isinstance(answer, Lost):
+            # Orders that are held up on this connection must not be taken later.
+            stream.close("a report was not answered")
+            return False
+        if not isinstance(answer, ReportTaken) or answer.epoch < self.epoch:
+            return False
+        if answer.epoch > self.epoch:
+            self._follow(answer.epoch)
+        self.contact_at = sent_at
+        self.valid_until = sent_at + answer.valid_seconds
+        self._on_answer(report)
+        return True
+
+    def _follow(self, epoch: Epoch) -> None:
+        log.info("Follows", extra={"epoch": epoch})
+        self.epoch = epoch
+        self._orders_taken = 0
+        self.valid_until = 0.0
+
+    def _learn(self, leader: Leads) -> None:
+        if leader.epoch < max(self.epoch, 1):
+            return
+        known = self._leader
+        if known is not None and known.epoch >= leader.epoch:
+            return
+        self._leader = leader
+        self._news.set()
+
+    async def _look(self) -> None:
+        self._looks += 1
+        for host, port in self._candidates():
+            answer = await self._peers.call(
+                host, port, WhoLeads(), timeout=REPORT_TIMEOUT
+            )
+            if isinstance(answer, Leads) and answer.epoch:
+                self._learn(answer)
+                if self._leader is not None:
+                    return
+        if self._looks % ASKED_AT_ONCE == 0:
+            await self._ask_store()
+        await asyncio.sleep(LOOK_AGAIN)
+
+    def _candidates(self) -> Iterator[tuple[str, int]]:
+        # One a look, in turn: an entry that is cut off must not hold up the search.
+        if self._entries:
+            yield self._entries[self._looks % len(self._entries)]
+
+    async def _ask_store(self) -> None:
+        found = await self._store.get(LEADER_KEY)
+        if isinstance(found, Found):
+            leader = decode(found.value, Leads)
+            address = (leader.host, leader.port)
+            if address not in self._entries:
+                self._entries.append(address)
+            self._learn(leader)
--- /dev/null
+++ b/wagtailcleat/cluster/hosting.py
@@ -0,0 +1,404 @@
+"""The agent's hold on its worker: one life after the other, runs, orders, leases.
+
+The agent alone orders the worker. Each life of this process uses a fence of its own,
+higher than those before, so that a start that an earlier life sent, and that the
+worker gets late, is refused.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.timing import (
+    CLOCK_DRIFT,
+    LIST_WAIT,
+    RUN_HORIZON,
+    RUN_LEASE,
+    WORKER_CALL,
+    WORKER_SILENT,
+)
+from wagtailcleat.ids import ZoneName
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.heartbeats import Heartbeat
+from wagtailcleat.platform.runs import (
+    OtherLife,
+    RunList,
+    RunWorker,
+    Stale,
+    StartOutcome,
+)
+from wagtailcleat.scheduling.models import (
+    Ended,
+    Pace,
+    Refusal,
+    RunKey,
+    Running,
+    Start,
+    WorkerInfo,
+    WorkerState,
+)
+
+log = part_logger("hosting")
+
+MILLISECONDS = 1000
+RETRY_SECONDS = 0.1
+"""Pause after a call to the worker that failed."""
+SHORTEST_LOOK = 0.05
+"""Shortest time between two lists: one that names an end already known returns at
+once."""
+LAPSE_SLACK = 0.2
+"""How much longer than its lease a run is taken to go on, in seconds."""
+FRESH_LISTS = 2
+"""Lists begun after an order was answered show its effect; the one that was under
+way at that time may not."""
+
+
+@dataclass(eq=False)
+class _Life:
+    """One life of the worker, and this process's orders to it."""
+
+    worker: RunWorker
+    born: int
+    address: str
+    instance: str
+    offset: float = 0.0
+    """What the worker's clock is ahead of this VM's, at least; seconds."""
+    lists: int = 0
+    """Lists answered so far."""
+    listed_at: float = 0.0
+    running: list[Running] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
+    acknowledged: int = 0
+    lease_until: float = 0.0
+    """When the leases end at the latest, on this VM's clock."""
+    lapsed: bool = False
+
+
+class Hosting:
+    """The worker of this VM and what it runs."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        lease_limit: float,
+        may_start: Callable[[], bool],
+        contact: Callable[[], float],
+        zone_out: Callable[[ZoneName], bool],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Wire it.
+
+        Parameters: `lease_limit` is the longest lease that the platform grants;
+        `may_start` tells whether the leader's orders hold now; `contact` returns
+        when the leader was last reached; `on_change` is called when there is news.
+        """
+        self.info: WorkerInfo | None = None
+        self.unsettled_by_run: dict[RunKey, Start] = {}
+        self.refusal_by_run: dict[RunKey, Refusal] = {}
+        self._clock = clock
+        self._lease = min(RUN_LEASE, lease_limit)
+        self._may_start = may_start
+        self._contact = contact
+        self._zone_out = zone_out
+        self._on_change = on_change
+        self._life: _Life | None = None
+        self._sequence = -1
+        self._heard = asyncio.Event()
+        self._listed = asyncio.Condition()
+        self._work: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        """Show the worker and how much runs."""
+        return f"<Hosting {self.info and self.info.id}: {len(self.running)} runs>"
+
+    # ---- what there is to report
+
+    @property
+    def listed(self) -> bool:
+        """Whether the worker has shown in this life what runs."""
+        return self._life is not None and (self._life.lists > 0 or self._life.lapsed)
+
+    @property
+    def running(self) -> list[Running]:
+        """What runs, as last listed."""
+        return self._life.running if self._life else []
+
+    @property
+    def ended(self) -> list[Ended]:
+        """Ends not yet acknowledged, as last listed."""
+        return self._life.ended if self._life else []
+
+    def silent_seconds(self, now: float) -> float:
+        """Return for how long the worker has not answered; 0 while it does."""
+        if self._life is None or not self._life.lists:
+            return 0.0
+        silent = now - self._life.listed_at
+        return silent if silent > WORKER_SILENT else 0.0
+
+    def lease_seconds(self, now: float) -> float:
+        """Return for how long runs may go on, at most, without a renewal."""
+        if self._life is None:
+            return 0.0
+        return max(0.0, self._life.lease_until - now)
+
+    # ---- heartbeats
+
+    async def beat(self, heartbeat: Heartbeat) -> None:
+        """Take in a heartbeat; a late one of an earlier life is passed over."""
+        worker = heartbeat.worker
+        life = self._life
+        if life is not None and worker.born < life.born:
+            log.info("Late heartbeat", extra={"worker": worker.id})
+            return
+        new = life is None or (worker.born, worker.id) != (life.born, life.instance)
+        if not new and heartbeat.sequence <= self._sequence:
+            return
+        self._sequence = heartbeat.sequence
+        if self.info is None or worker.state is not self.info.state:
+            log.info("Worker", extra={"worker": worker.id, "state": worker.state.value})
+        changed = self.info is None or worker.state is not self.info.state
+        self.info = worker
+        if new:
+            self._begin_life(heartbeat)
+        if changed or new:
+            self._on_change()
+
+    async def leave(self, instance: str) -> None:
+        """Note that the worker has left for good."""
+        log.info("Worker left", extra={"worker": instance})
+        if self.info is not None and self.info.id == instance:
+            self.info = None
+            self._end_life()
+            self._on_change()
+
+    def _begin_life(self, heartbeat: Heartbeat) -> None:
+        self._end_life()
+        worker = heartbeat.worker
+        fence = worker.born + int(heartbeat.worker_seconds * MILLISECONDS)
+        log.info(
+            "Worker began",
+            extra={"worker": worker.id, "born": worker.born, "fence": fence},
+        )
+        self._life = _Life(
+            RunWorker(
+                heartbeat.address, worker.id, fence=fence, call_seconds=WORKER_CALL
+            ),
+            worker.born,
+            heartbeat.address,
+            worker.id,
+        )
+        self._heard.set()
+
+    def _end_life(self) -> None:
+        if self._life is None:
+            return
+        self._life.worker.close()
+        self._life = None
+        for task in self._work:
+            task.cancel()
+        self.unsettled_by_run.clear()
+        self.refusal_by_run.clear()
+
+    # ---- lists and leases
+
+    async def run(self) -> None:
+        """Renew leases and list runs, for ever."""
+        while True:
+            await self._heard.wait()
+            life = self._life
+            if life is None:
+                self._heard.clear()
+                continue
+            began = self._clock()
+            if await self._look(life):
+                await asyncio.sleep(max(0.0, began + SHORTEST_LOOK - self._clock()))
+            else:
+                self._lapse(life)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _look(self, life: _Life) -> bool:
+        sent_at = self._clock()
+        until = self._lease_until(life, sent_at)
+        if until is not None:
+            life.lease_until = max(life.lease_until, until)
+        answer = await life.worker.list(
+            acknowledged=life.acknowledged,
+            until=None if until is None else until + life.offset,
+            wait_seconds=LIST_WAIT if life.lists else 0.0,
+        )
+        if self._life is not life:
+            return False
+        if isinstance(answer, RunList):
+            return await self._take_list(life, answer)
+        if isinstance(answer, Stale):
+            life.worker.fence = life.born + int(answer.worker_seconds * MILLISECONDS)
+            log.warning("Fence was stale", extra={"fence": life.worker.fence})
+        elif isinstance(answer, OtherLife):
+            log.warning("Another life answers", extra={"worker": life.instance})
+        return False
+
+    def _lease_until(self, life: _Life, now: float) -> float | None:
+        if not life.lists:
+            return None
+        until = min(now + self._lease, self._contact() + RUN_HORIZON)
+        return until if until > now else None
+
+    async def _take_list(self, life: _Life, answer: RunList) -> bool:
+        now = self._clock()
+        if answer.born and answer.born != life.born:
+            log.warning("Worker was born anew", extra={"worker": life.instance})
+            return False
+        life.offset = answer.worker_seconds - now
+        news = not life.lists or (
+            [ended.number for ended in answer.ended]
+            != [ended.number for ended in life.ended]
+        )
+        known = {running.key for running in life.running}
+        news = news or known != {running.key for running in answer.running}
+        life.running = answer.running
+        life.ended = answer.ended
+        life.lists += 1
+        life.listed_at = now
+        life.lapsed = False
+        if life.lists == 1:
+            longest = self._lease * CLOCK_DRIFT
+            life.lease_until = max(life.lease_until, now + longest)
+        async with self._listed:
+            self._listed.notify_all()
+        if news:
+            self._on_change()
+        return True
+
+    def _lapse(self, life: _Life) -> None:
+        # A worker that is cut off kills what it runs when the leases end. A start
+        # that still reaches it names a lease that has ended, and is refused.
+        now = self._clock()
+        if life.lapsed or not life.lists:
+            return
+        longest = (life.lease_until - life.listed_at) * CLOCK_DRIFT + LAPSE_SLACK
+        if now < life.listed_at + longest:
+            return
+        life.lapsed = True
+        life.running = []
+        log.warning("Leases have lapsed", extra={"worker": life.instance})
+        for task in self._work:
+            task.cancel()
+        for key in list(self.unsettled_by_run):
+            self._refuse(key, Refusal.NEVER_RAN)
+        self._on_change()
+
+    # ---- orders
+
+    def start(self, start: Start) -> None:
+        """Take on a start; what becomes of it is reported."""
+        if start.key in self.unsettled_by_run:
+            return
+        self.unsettled_by_run[start.key] = start
+        self._spawn(self._start(start))
+
+    def stop(self, key: RunKey) -> None:
+        """Stop a run, or keep it from starting."""
+        self._spawn(self._stop(key))
+
+    def pace(self, pace: Pace) -> None:
+        """Let a run work at a share of its processor time."""
+        self._spawn(self._pace(pace))
+
+    def acknowledge(self, born: int, number: int) -> None:
+        """Let the worker forget its ends up to `number`."""
+        life = self._life
+        if life is not None and life.born == born:
+            life.acknowledged = max(life.acknowledged, number)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+
+    def _refuse(self, key: RunKey, why: Refusal) -> None:
+        self.unsettled_by_run.pop(key, None)
+        self.refusal_by_run[key] = why
+        log.info("Did not start", extra={"run": str(key), "why": why.value})
+        self._on_change()
+
+    def _startable(self) -> bool:
+        info = self.info
+        return (
+            info is not None
+            and info.state is WorkerState.READY
+            and not self._zone_out(info.zone)
+            and self._may_start()
+        )
+
+    async def _start(self, start: Start) -> None:
+        life = self._life
+        if life is None or not life.lists or not self._startable():
+            self._refuse(start.key, Refusal.NOT_ALLOWED)
+            return
+        now = self._clock()
+        until = self._lease_until(life, now)
+        if until is None:
+            self._refuse(start.key, Refusal.NOT_ALLOWED)
+            return
+        life.lease_until = max(life.lease_until, until)
+        outcome = await life.worker.start(start, until=until + life.offset)
+        if isinstance(outcome, Refusal):
+            self._refuse(start.key, outcome)
+        elif isinstance(outcome, OtherLife):
+            self._refuse(start.key, Refusal.NEVER_RAN)
+        elif outcome is StartOutcome.STARTED:
+            await self._settle(life, start.key)
+        else:
+            log.info("Start without an answer", extra={"run": str(start.key)})
+            await self._settle_unknown(life, start.key)
+
+    async def _settle(self, life: _Life, key: RunKey) -> bool:
+        """Wait for lists that surely show the run; tell whether they do."""
+        wanted = life.lists + FRESH_LISTS
+        async with self._listed:
+            await self._listed.wait_for(
+                lambda: life.lists >= wanted or _shows(life, key)
+            )
+        self.unsettled_by_run.pop(key, None)
+        return _shows(life, key)
+
+    async def _settle_unknown(self, life: _Life, key: RunKey) -> None:
+        # The start may be carried out seconds later. A stop closes the run for good:
+        # the worker then refuses it, or ends it if it came first.
+        async with self._listed:
+            if _shows(life, key):
+                self.unsettled_by_run.pop(key, None)
+                return
+        await self._stop(key)
+        wanted = life.lists + FRESH_LISTS
+        async with self._listed:
+            await self._listed.wait_for(lambda: life.lists >= wanted)
+        if _shows(life, key):
+            self.unsettled_by_run.pop(key, None)
+        else:
+            self._refuse(key, Refusal.NEVER_RAN)
+
+    async def _stop(self, key: RunKey) -> None:
+        life = self._life
+        while life is not None and life is self._life:
+            if await life.worker.stop(key):
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _pace(self, pace: Pace) -> None:
+        life = self._life
+        if life is not None:
+            await life.worker.pace(pace.key, pace.percent)
+
+    def close(self) -> None:
+        """Let go of the worker; what runs goes on until its lease ends."""
+        self._end_life()
+
+
+def _shows(life: _Life, key: RunKey) -> bool:
+    return any(running.key == key for running in life.running) or any(
+        ended.key == key for ended in life.ended
+    )
--- /dev/null
+++ b/wagtailcleat/cluster/leadership.py
@@ -0,0 +1,447 @@
+"""Which entry leads: a key in the store that is taken over by compare-and-swap.
+
+The leader rewrites a second key, its beat. Another entry claims when it has seen the
+beat stand still for longer than a leader may act after a renewal, or at once when the
+leader's process is surely dead (nobody listens at its address, or another incarnation
+does) or has laid down its office. Leases of the store play no part: a key bound to
+one can vanish while its holder still counts on it.
+
+While the store does not answer, a leader may act on the word of all other entries
+that they will not claim.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.keys import (
+    BEAT_KEY,
+    ENTRY_PREFIX,
+    LEADER_KEY,
+    LEADER_PREFIX,
+    Place,
+    decode,
+    encode,
+    entry_key,
+)
+from wagtailcleat.cluster.timing import (
+    CLAIM_AFTER,
+    LEADER_VALID,
+    PROBE_EVERY,
+    PROBE_TIMEOUT,
+    RENEW_EVERY,
+    STORE_SILENT,
+)
+from wagtailcleat.ids import Epoch, NodeId
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.storage import (
+    Absent,
+    Compare,
+    Conflict,
+    Found,
+    Listing,
+    Txn,
+    Unavailable,
+    WriteOutcome,
+    Written,
+)
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import Identity, Peers
+from wagtailcleat.wire.scheduling import (
+    Follows,
+    KeepFollowing,
+    Leads,
+    TakeOver,
+    WhoLeads,
+)
+
+log = part_logger("leadership")
+
+NOBODY = Leads(Epoch(0), NodeId(""), 0, "", 0)  # type: ignore[arg-type]
+STORE_AGE_UNKNOWN = 1e9
+
+
+class _Sign(Enum):
+    """What an entry can tell of the leader's process."""
+
+    LEADS = "leads"
+    DEAD = "dead"
+    SILENT = "silent"
+
+
+@dataclass
+class _Seen:
+    """The leader's two keys as last read."""
+
+    leader: Leads = NOBODY
+    leader_revision: int = 0
+    beat_revision: int = 0
+    beat_seen_at: float = 0.0
+    """When the beat was first seen at this revision."""
+
+
+@dataclass
+class Office:
+    """An epoch that this entry has claimed."""
+
+    epoch: Epoch
+    leader_revision: int
+    beat_revision: int
+    valid_until: float
+    claimed_at: float
+    laid_down: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def valid_for(self, now: float) -> float:
+        """Return for how many seconds the leader may still act."""
+        if self.laid_down.is_set():
+            return 0.0
+        return max(0.0, self.valid_until - now)
+
+
+Lead = Callable[[Office], Coroutine[Any, Any, None]]
+"""Does a leader's work; cancelled when the office is lost."""
+
+
+class Leadership:
+    """Follows the leader, and leads when it is gone."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        place: Place,
+        *,
+        store: KeyValueStore,
+        peers: Peers,
+        clock: Clock,
+        lead: Lead,
+    ) -> None:
+        """Wire it; `lead` is run while this entry leads."""
+        self.leader = NOBODY
+        self.office: Office | None = None
+        self.changes = 0
+        self.may_claim = True
+        self._identity = identity
+        self._place = place
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._lead = lead
+        self._seen = _Seen()
+        self._started_at = clock()
+        self._promised_until = clock() + LEADER_VALID
+        self._told_to_claim = asyncio.Event()
+        self._entries: list[Place] = []
+
+    def __repr__(self) -> str:
+        """Show who leads."""
+        return f"<Leadership epoch {self.leader.epoch}: {self.leader.node}>"
+
+    @property
+    def leads(self) -> bool:
+        """Whether this entry leads."""
+        return self.office is not None
+
+    async def run(self) -> None:
+        """Follow and lead by turns, for ever."""
+        await self._register()
+        while True:
+            office = await self._follow()
+            self.office = office
+            self.changes += 1
+            log.info("Leads", extra={"epoch": office.epoch})
+            work = asyncio.create_task(self._lead(office))
+            try:
+                await self._hold(office, work)
+            finally:
+                self.office = None
+                work.cancel()
+                await asyncio.gather(work, return_exceptions=True)
+            log.info("Leads no more", extra={"epoch": office.epoch})
+
+    # ---- messages of other processes
+
+    async def who_leads(self, message: AnyMessage) -> AnyMessage:
+        """Answer `WhoLeads`."""
+        return self.leader
+
+    async def leads_now(self, message: AnyMessage) -> AnyMessage:
+        """Take in who leads."""
+        if isinstance(message, Leads):
+            self._learn(message)
+        return self.leader
+
+    async def keep_following(self, message: AnyMessage) -> AnyMessage:
+        """Give the leader the word not to claim, unless a newer epoch is known."""
+        assert isinstance(message, KeepFollowing)
+        now = self._clock()
+        age = now - self._store.answered_at if self._store.answered_at else 1e9
+        if message.epoch < self.leader.epoch or self.leads:
+            return Follows(self.leader.epoch, 0.0, age)
+        self._promised_until = max(self._promised_until, now + LEADER_VALID)
+        asyncio.get_running_loop().create_task(self._touch_store())
+        return Follows(message.epoch, LEADER_VALID, age)
+
+    async def take_over(self, message: AnyMessage) -> AnyMessage:
+        """Claim at once: the leader has laid down its office."""
+        assert isinstance(message, TakeOver)
+        if message.epoch >= self.leader.epoch and self.may_claim:
+            self._told_to_claim.set()
+        return self.leader
+
+    async def lay_down(self) -> None:
+        """Give the office to an entry that follows, before this process stops."""
+        self.may_claim = False
+        office = self.office
+        if office is None:
+            return
+        office.laid_down.set()
+        await self._hand_over(office, need_store=False)
+
+    # ---- following
+
+    def _learn(self, leader: Leads) -> None:
+        if leader.epoch > self.leader.epoch:
+            self.leader = leader
+            log.info("Follows", extra={"epoch": leader.epoch, "leader": leader.node})
+
+    async def _touch_store(self) -> None:
+        if self._clock() - self._store.answered_at > PROBE_EVERY:
+            await self._store.get(LEADER_KEY)
+
+    async def _register(self) -> None:
+        key = entry_key(self._identity.node)
+        value = encode(self._place)
+        while True:
+            found = await self._store.get(key)
+            if isinstance(found, Found) and found.value == value:
+                return
+            if not isinstance(found, Unavailable):
+                absent = isinstance(found, Absent)
+                revision = found.mod_revision if isinstance(found, Found) else None
+                compare = Compare(key, revision, absent=absent)
+                if isinstance(
+                    await self._store.write(Txn([compare], {key: value})), Written
+                ):
+                    return
+            await asyncio.sleep(PROBE_EVERY)
+
+    async def _follow(self) -> Office:
+        while True:
+            office = await self._look()
+            if office is not None:
+                return office
+            try:
+                async with asyncio.timeout(PROBE_EVERY):
+                    await self._told_to_claim.wait()
+            except TimeoutError:
+                continue
+            self._told_to_claim.clear()
+            office = await self._claim("was handed over")
+            if office is not None:
+                return office
+
+    async def _look(self) -> Office | None:
+        sign = await self._sign()
+        if sign is _Sign.LEADS or not self.may_claim:
+            return None
+        if not await self._read():
+            return None
+        now = self._clock()
+        seen = self._seen
+        if seen.leader.epoch == 0:
+            return await self._claim("there is none")
+        if seen.leader.node == self._identity.node:
+            return await self._claim("an earlier life of this process led")
+        if sign is _Sign.DEAD and seen.leader.epoch == self.leader.epoch:
+            return await self._claim("its process is dead")
+        self._learn(seen.leader)
+        stands = now - seen.beat_seen_at
+        if stands >= CLAIM_AFTER and now >= self._promised_until:
+            return await self._claim("its beat stands still")
+        return None
+
+    async def _sign(self) -> _Sign:
+        leader = self.leader
+        if not leader.epoch or leader.node == self._identity.node:
+            return _Sign.SILENT
+        stream = await self._peers.stream(leader.host, leader.port)
+        if isinstance(stream, Lost):
+            refused = await _nobody_listens(leader.host, leader.port)
+            return _Sign.DEAD if refused else _Sign.SILENT
+        if stream.peer == leader.node and (
+            stream.peer_incarnation != leader.incarnation
+        ):
+            return _Sign.DEAD
+        answer = await stream.call(WhoLeads(), timeout=PROBE_TIMEOUT)
+        if isinstance(answer, Leads):
+            self._learn(answer)
+            if answer.epoch == leader.epoch:
+                return _Sign.LEADS if answer.node == leader.node else _Sign.SILENT
+            return _Sign.LEADS if answer.epoch > leader.epoch else _Sign.DEAD
+        return _Sign.SILENT
+
+    async def _read(self) -> bool:
+        listing = await self._store.list(LEADER_PREFIX)
+        if not isinstance(listing, Listing):
+            return False
+        seen = self._seen
+        found_by_key = {found.key: found for found in listing.found}
+        leader = found_by_key.get(LEADER_KEY)
+        beat = found_by_key.get(BEAT_KEY)
+        beat_revision = beat.mod_revision if beat else 0
+        if beat_revision != seen.beat_revision or not seen.beat_seen_at:
+            seen.beat_seen_at = self._clock()
+        seen.beat_revision = beat_revision
+        seen.leader_revision = leader.mod_revision if leader else 0
+        seen.leader = decode(leader.value, Leads) if leader else NOBODY
+        return True
+
+    async def _claim(self, why: str) -> Office | None:
+        if not await self._read():
+            return None
+        seen = self._seen
+        leader = Leads(
+            Epoch(seen.leader.epoch + 1),
+            self._identity.node,
+            self._identity.incarnation,
+            self._place.host,
+            self._place.port,
+        )
+        compares = [
+            _at_revision(LEADER_KEY, seen.leader_revision),
+            _at_revision(BEAT_KEY, seen.beat_revision),
+        ]
+        sent_at = self._clock()
+        puts = {LEADER_KEY: encode(leader), BEAT_KEY: encode(0)}
+        outcome = await self._store.write(Txn(compares, puts))
+        if not isinstance(outcome, Written):
+            outcome = await self._settle_claim(leader, outcome)
+        if not isinstance(outcome, Written):
+            return None
+        log.info(
+            "Claimed",
+            extra={"epoch": leader.epoch, "before": seen.leader.node, "why": why},
+        )
+        self._learn(leader)
+        revision = outcome.store_revision
+        return Office(
+            leader.epoch, revision, revision, sent_at + LEADER_VALID, self._clock()
+        )
+
+    async def _settle_claim(self, leader: Leads, outcome: WriteOutcome) -> WriteOutcome:
+        # The HTTP library may send a claim twice; the second one then conflicts with
+        # the first. Whose name stands in the key tells who won.
+        if not isinstance(outcome, Conflict):
+            return outcome
+        for found in outcome.current:
+            if found.key == LEADER_KEY and found.value == encode(leader):
+                return Written(found.mod_revision)
+        return outcome
+
+    # ---- leading
+
+    async def _hold(self, office: Office, work: "asyncio.Task[None]") -> None:
+        while not office.laid_down.is_set() and not work.done():
+            if not await self._renew(office):
+                return
+            try:
+                async with asyncio.timeout(RENEW_EVERY):
+                    await office.laid_down.wait()
+            except TimeoutError:
+                continue
+
+    async def _renew(self, office: Office) -> bool:
+        """Renew the office; False once another entry has it."""
+        sent_at = self._clock()
+        compares = [
+            _at_revision(LEADER_KEY, office.leader_revision),
+            _at_revision(BEAT_KEY, office.beat_revision),
+        ]
+        puts = {BEAT_KEY: encode(sent_at)}
+        outcome = await self._store.write(Txn(compares, puts))
+        if isinstance(outcome, Written):
+            office.beat_revision = outcome.store_revision
+            office.valid_until = max(office.valid_until, sent_at + LEADER_VALID)
+            return True
+        if isinstance(outcome, Conflict):
+            return self._after_conflict(office, outcome)
+        await self._renew_by_word(office)
+        return True
+
+    def _after_conflict(self, office: Office, conflict: Conflict) -> bool:
+        revision_by_key = {f.key: f.mod_revision for f in conflict.current}
+        if revision_by_key.get(LEADER_KEY) != office.leader_revision:
+            log.warning("Another entry has claimed", extra={"epoch": office.epoch})
+            return False
+        # An earlier renewal without an answer took effect after all.
+        office.beat_revision = revision_by_key.get(BEAT_KEY, 0)
+        return True
+
+    async def _renew_by_word(self, office: Office) -> None:
+        sent_at = self._clock()
+        others = [p for p in self._entries if p != self._place]
+        answers = await asyncio.gather(
+            *(self._word(place, office.epoch) for place in others)
+        )
+        words = [answer for answer in answers if answer is not None]
+        if len(words) < len(others):
+            return
+        shortest = min((word.seconds for word in words), default=LEADER_VALID)
+        office.valid_until = max(office.valid_until, sent_at + shortest)
+        down_since = self._store.down_since
+        long_down = down_since is not None and self._clock() - down_since > STORE_SILENT
+        if long_down and any(w.store_age < PROBE_EVERY * 2 for w in words):
+            log.info("Another entry reaches the store", extra={"epoch": office.epoch})
+            office.laid_down.set()
+            await self._hand_over(office, need_store=True)
+
+    async def _word(self, place: Place, epoch: Epoch) -> Follows | None:
+        answer = await self._peers.call(
+            place.host, place.port, KeepFollowing(epoch), timeout=PROBE_TIMEOUT
+        )
+        if isinstance(answer, Follows):
+            return answer if answer.epoch <= epoch else None
+        if await _nobody_listens(place.host, place.port):
+            # Its process is dead, and a new one claims nothing in its first seconds.
+            return Follows(epoch, LEADER_VALID, STORE_AGE_UNKNOWN)
+        return None
+
+    async def _hand_over(self, office: Office, *, need_store: bool) -> None:
+        for place in [p for p in self._entries if p != self._place]:
+            if need_store:
+                word = await self._word(place, office.epoch)
+                if word is None or word.store_age > PROBE_EVERY * 2:
+                    continue
+            answer = await self._peers.call(
+                place.host, place.port, TakeOver(office.epoch), timeout=PROBE_TIMEOUT
+            )
+            if isinstance(answer, Leads):
+                return
+
+    async def list_entries(self) -> None:
+        """Read which entries there are; called by the leader now and then."""
+        listing = await self._store.list(ENTRY_PREFIX)
+        if isinstance(listing, Listing):
+            self._entries = [decode(found.value, Place) for found in listing.found]
+
+
+def _at_revision(key: str, revision: int) -> Compare:
+    return Compare(key, revision, absent=revision == 0)
+
+
+async def _nobody_listens(host: str, port: int) -> bool:
+    """Tell whether the port surely belongs to no process."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
--- /dev/null
+++ b/wagtailcleat/cluster/operator_watch.py
@@ -0,0 +1,113 @@
+"""Follows what operators wrote into the store: the queues, and zones taken out."""
+
+import asyncio
+from collections.abc import Callable
+
+from wagtailcleat.ids import ZoneName
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.fields import BodyError
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.platform.operators import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    ZONE_OUT_PREFIX,
+    decode_configuration,
+    zone_out,
+)
+from wagtailcleat.scheduling.queues import QueueTable
+from wagtailcleat.storage import Changes, HistoryGone, Listing
+
+log = part_logger("operators")
+
+RETRY_SECONDS = 0.2
+"""Pause after a call that failed; a change must be in force within 2 s."""
+
+
+class OperatorWatch:
+    """What operators want, as far as this process knows."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        *,
+        wait_seconds: float,
+        zones_only: bool = False,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Watch `store`; `on_change` is called after each change.
+
+        Parameters: `wait_seconds` bounds one watch, and so how long a silent
+        connection goes unnoticed.
+        """
+        self.queues: QueueTable | None = None
+        self.zones_out: frozenset[ZoneName] = frozenset()
+        self.known = False
+        self._store = store
+        self._wait_seconds = wait_seconds
+        self._prefix = ZONE_OUT_PREFIX if zones_only else OPERATOR_PREFIX
+        self._on_change = on_change
+        self._revision = 0
+
+    def __repr__(self) -> str:
+        """Show the queues and the zones out."""
+        return f"<OperatorWatch {self.queues}, out: {sorted(self.zones_out)}>"
+
+    async def run(self) -> None:
+        """List, then watch, for ever."""
+        while True:
+            if not self.known and not await self._list():
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            changes = await self._store.changes(
+                self._prefix, self._revision, wait_seconds=self._wait_seconds
+            )
+            if isinstance(changes, Changes):
+                for event in changes.events:
+                    self._take(event.key, event.value)
+                self._revision = max(self._revision, changes.store_revision)
+                if changes.events:
+                    self._on_change()
+            elif isinstance(changes, HistoryGone):
+                self.known = False
+            elif not await self._list():
+                # A cut watch may have missed nothing, but a list is sure.
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _list(self) -> bool:
+        listing = await self._store.list(self._prefix)
+        if not isinstance(listing, Listing):
+            return False
+        zones = {zone_out(found.key) for found in listing.found}
+        self._set_zones(frozenset(zone for zone in zones if zone is not None))
+        for found in listing.found:
+            if found.key == CONFIGURATION_KEY:
+                self._take_configuration(found.value)
+        self._revision = listing.store_revision
+        self.known = True
+        self._on_change()
+        return True
+
+    def _take(self, key: str, value: bytes | None) -> None:
+        zone = zone_out(key)
+        if zone is not None and value is None:
+            self._set_zones(self.zones_out - {zone})
+        elif zone is not None:
+            self._set_zones(self.zones_out | {zone})
+        elif key == CONFIGURATION_KEY and value is not None:
+            self._take_configuration(value)
+
+    def _set_zones(self, zones: frozenset[ZoneName]) -> None:
+        if zones != self.zones_out:
+            log.info("Zones out", extra={"zones": sorted(zones)})
+        self.zones_out = zones
+
+    def _take_configuration(self, value: bytes) -> None:
+        try:
+            table = decode_configuration(value)
+        except BodyError as error:
+            log.error("Unreadable configuration", extra={"why": error.message})
+            return
+        # A late answer may show an older version; what is in force never reverts.
+        if self.queues is None or table.version > self.queues.version:
+            self.queues = table
+            log.info("In force", extra={"version": table.version})
--- /dev/null
+++ b/wagtailcleat/cluster/program.py
@@ -0,0 +1,274 @@
+"""What both programs share: settings, identity, streams, store, metrics, signals."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from wagtailcleat.clock import boot_time, wall_time
+from wagtailcleat.cluster.settings import Shared, load
+from wagtailcleat.cluster.timing import STORE_CALL
+from wagtailcleat.errors import SettingsError
+from wagtailcleat.ids import NodeId
+from wagtailcleat.introspection import Introspection, Kind
+from wagtailcleat.logs import lines_dropped, part_logger, start_bounded_logging
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.process import (
+    EXIT_OK,
+    EXIT_SETTINGS,
+    Dispatch,
+    bind,
+    dump_on_signal,
+    make_incarnation,
+    report_problems,
+    run_to_end,
+)
+from wagtailcleat.supervise import Supervisor
+from wagtailcleat.wire.messages import Role
+from wagtailcleat.wire.peers import Identity, Listener, Peers
+from wagtailcleat.wire.streams import StreamTiming
+
+log = part_logger("process")
+
+STREAM_TIMING = StreamTiming(ping=0.25, silence=0.75, idle_close=20.0, connect=0.6)
+"""A silent stream is noticed within a second; round trips take milliseconds."""
+SETTINGS_LOOK_SECONDS = 5.0
+"""How often the settings file is looked at for a change without a signal."""
+SETTINGS_VARIABLE = "WAGTAILCLEAT_BOOT"
+"""Names the settings file where the command line does not."""
+USAGE = f"usage: PROGRAM SETTINGS.json, or {SETTINGS_VARIABLE} names the file"
+
+S = TypeVar("S", bound=Shared)
+
+
+@dataclass(frozen=True)
+class Base:
+    """The parts that every program is made of, bound but not running."""
+
+    identity: Identity
+    introspection: Introspection
+    dispatch: Dispatch
+    listener: Listener
+    peers: Peers
+    store: KeyValueStore
+    supervisor: Supervisor
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.listener.stop()
+        self.peers.close()
+        for stream in list(self.listener.streams):
+            stream.close("this process ends")
+        self.store.close()
+
+
+class Program(Protocol):
+    """A program as its runner sees it."""
+
+    base: Base
+
+    def start(self) -> None:
+        """Serve."""
+
+    async def stop(self) -> None:
+        """Finish what is in flight, then end."""
+
+
+def make_base(settings: Shared, role: Role) -> Base:
+    """Wire the parts that every program has, and bind the peer port."""
+    node = NodeId(settings.node)
+    identity = Identity(node, role, make_incarnation(wall_time()), settings.secret)
+    introspection = Introspection()
+    dispatch = Dispatch(introspection)
+    listener = Listener(identity, dispatch, STREAM_TIMING)
+    sockets = bind(settings.host, settings.peer_port)
+    listener.add_sockets(sockets)  # type: ignore[arg-type]
+    store = KeyValueStore(settings.store, clock=boot_time, call_seconds=STORE_CALL)
+    base = Base(
+        identity,
+        introspection,
+        dispatch,
+        listener,
+        Peers(identity, dispatch, STREAM_TIMING),
+        store,
+        Supervisor(settings.node),
+    )
+    _add_metrics(base)
+    return base
+
+
+def _add_metrics(base: Base) -> None:
+    add, metric = base.introspection.add, base.introspection.metric
+    add("node", lambda: base.identity.node)
+    add("incarnation", lambda: base.identity.incarnation)
+    add("supervisor", base.supervisor.dump)
+    base.introspection.labelled(
+        Kind.COUNTER,
+        "store_calls",
+        "Calls to the platform's store, by kind.",
+        "kind",
+        lambda: {
+            "read": base.store.counts.reads,
+            "write": base.store.counts.writes,
+            "watch": base.store.counts.watches,
+        },
+    )
+    metric(
+        Kind.COUNTER,
+        "store_failures",
+        "Calls to the platform's store that were not served.",
+        lambda: base.store.counts.failed,
+    )
+    metric(
+        Kind.GAUGE,
+        "store_up",
+        "1 while the platform's store answers.",
+        lambda: base.store.down_since is None,
+    )
+    metric(
+        Kind.COUNTER,
+        "child_restarts",
+        "Restarts of crashed parts of this process.",
+        base.supervisor.restarts,
+    )
+    metric(
+        Kind.COUNTER,
+        "log_lines_dropped",
+        "Log lines dropped because nobody read them in time.",
+        lines_dropped,
+    )
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, introspection: Introspection) -> None:
+        self._introspection = introspection
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._introspection.metrics())
+
+
+class _StateHandler(RequestHandler):
+    def initialize(self, introspection: Introspection) -> None:
+        self._introspection = introspection
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(self._introspection.text())
+
+
+def serve_metrics(base: Base, settings: Shared) -> HTTPServer:
+    """Serve metrics and the state dump on the metrics port."""
+    parts = {"introspection": base.introspection}
+    application = Application(
+        [
+            (r"/metrics", _MetricsHandler, parts),
+            (r"/state", _StateHandler, parts),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = HTTPServer(application)
+    server.listen(settings.metrics_port, settings.host)
+    return server
+
+
+def main(kind: type[S], make: Callable[[S], Program]) -> int:
+    """Run the program that `make` wires from the settings file on the command line."""
+    named = sys.argv[1] if len(sys.argv) == 2 else os.environ.get(SETTINGS_VARIABLE)
+    if not named:
+        print(USAGE, file=sys.stderr)
+        return EXIT_SETTINGS
+    path = Path(named)
+    try:
+        settings = load(path, kind)
+    except SettingsError as error:
+        return report_problems(path, error)
+    start_bounded_logging(NodeId(settings.node), level=settings.log_level)
+    return run_to_end(_serve(path, settings, kind, make))
+
+
+async def _serve(
+    path: Path, settings: S, kind: type[S], make: Callable[[S], Program]
+) -> int:
+    program = make(settings)
+    program.start()
+    reload = _Reload(path, settings, kind)
+    program.base.supervisor.spawn("settings", reload.run)
+    dump_on_signal(program.base.introspection)
+    log.info(
+        "Started",
+        extra={
+            "incarnation": program.base.identity.incarnation,
+            "peer_port": settings.peer_port,
+        },
+    )
+    await _until_told_to_stop(program)
+    log.info("Stops")
+    await program.stop()
+    log.info("Stopped")
+    return EXIT_OK
+
+
+async def _until_told_to_stop(program: Program) -> None:
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    program.base.supervisor.broken.add_done_callback(lambda _: told.set())
+    await told.wait()
+
+
+class _Reload:
+    """Takes up changed settings: those of the log at once, the rest at a restart."""
+
+    def __init__(self, path: Path, settings: Shared, kind: type[Shared]) -> None:
+        self._path = path
+        self._settings = settings
+        self._kind = kind
+        self._told = asyncio.Event()
+        self._text = self._read()
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._told.set)
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_LOOK_SECONDS):
+                    await self._told.wait()
+            except TimeoutError:
+                pass
+            signalled = self._told.is_set()
+            self._told.clear()
+            self._look(signalled)
+
+    def _read(self) -> bytes:
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            return b""
+
+    def _look(self, signalled: bool) -> None:
+        found = self._read()
+        if found == self._text and not signalled:
+            return
+        self._text = found
+        try:
+            settings = load(self._path, self._kind)
+        except SettingsError as error:
+            log.error("Settings not taken up", extra={"why": error.message})
+            return
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = settings
+        start_bounded_logging(NodeId(settings.node), level=settings.log_level)
+        log.info("Settings read again", extra={"changed": changed})
--- /dev/null
+++ b/wagtailcleat/cluster/submissions.py
@@ -0,0 +1,208 @@
+"""Jobs handed in at an entry: accepted once stored, asked for, counted, cancelled.
+
+An entry stores a job itself and then tells the leader; the leader's own watch finds
+it where that message is lost. So acceptance waits for the store alone, and a killed
+entry or leader loses nothing that was accepted.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.keys import (
+    cancel_key,
+    decode,
+    encode,
+    job_key,
+    record_key,
+)
+from wagtailcleat.cluster.leader import Leader
+from wagtailcleat.cluster.leadership import Leadership
+from wagtailcleat.ids import JobId
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.scheduling.models import Job, JobRecord, JobState
+from wagtailcleat.storage import (
+    Absent,
+    Compare,
+    Conflict,
+    Found,
+    Txn,
+    Unavailable,
+    Unknown,
+    Written,
+)
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.scheduling import (
+    CancelSteps,
+    CountWaiting,
+    ShowState,
+    StateShown,
+    Submitted,
+    Waiting,
+)
+
+log = part_logger("submissions")
+
+LEADER_TIMEOUT = 0.6
+"""For an answer of the leader; after that the store is asked."""
+CANCEL_TIMEOUT = 1.2
+RETRY_SECONDS = 0.1
+ANSWER_MARGIN = 0.15
+"""Seconds before the caller's deadline at which the answer is sent."""
+
+
+class Acceptance(Enum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    NOT_STORED = "not_stored"
+    """It is not stored and never will be by this attempt."""
+    UNKNOWN = "unknown"
+    """It may be stored, or may yet be."""
+
+
+@dataclass(frozen=True)
+class NoSuchJob:
+    """There is no such job."""
+
+
+@dataclass(frozen=True)
+class NotAnswered:
+    """Neither the leader nor the store has answered in time."""
+
+
+class Submissions:
+    """What callers can do with jobs."""
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        peers: Peers,
+        leadership: Leadership,
+        leader: Callable[[], Leader | None],
+        clock: Clock,
+    ) -> None:
+        """Wire it; `leader` returns this entry's own leader while it leads."""
+        self._store = store
+        self._peers = peers
+        self._leadership = leadership
+        self._leader = leader
+        self._clock = clock
+        self._telling: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        """Show who leads."""
+        return f"<Submissions to {self._leadership.leader.node}>"
+
+    async def submit(self, job: Job, *, deadline: float) -> Acceptance:
+        """Store a job; the same id twice is one job.
+
+        Parameters: `deadline` on this process's clock.
+        """
+        value = encode(job)
+        key = job_key(job.id)
+        txn = Txn([Compare(key, absent=True)], {key: value})
+        unknown = False
+        while True:
+            outcome = await self._store.write(txn)
+            if isinstance(outcome, Written | Conflict):
+                log.info("Accepted", extra={"job": job.id, "queue": job.queue})
+                if isinstance(outcome, Written):
+                    self._tell(Submitted(job.id, value))
+                return Acceptance.ACCEPTED
+            # Once an attempt may have been carried out, no later refusal undoes it.
+            unknown = unknown or isinstance(outcome, Unknown)
+            if self._clock() + RETRY_SECONDS + ANSWER_MARGIN >= deadline:
+                break
+            await asyncio.sleep(RETRY_SECONDS)
+        verdict = Acceptance.UNKNOWN if unknown else Acceptance.NOT_STORED
+        log.warning("Not accepted", extra={"job": job.id, "outcome": verdict.value})
+        return verdict
+
+    def _tell(self, message: Submitted) -> None:
+        task = asyncio.create_task(self._tell_leader(message))
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
+
+    async def _tell_leader(self, message: Submitted) -> None:
+        own = self._leader()
+        if own is not None:
+            await own.submitted(message)
+            return
+        await self._call(message)
+
+    async def _call(
+        self, message: AnyMessage, timeout: float = LEADER_TIMEOUT
+    ) -> AnyMessage | Lost:
+        leader = self._leadership.leader
+        if not leader.epoch:
+            return Lost(False, "no leader is known")
+        return await self._peers.call(
+            leader.host, leader.port, message, timeout=timeout
+        )
+
+    async def state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
+        """Return how a job stands."""
+        shown = await self._ask(ShowState(job))
+        if isinstance(shown, StateShown) and shown.state:
+            return JobState(shown.state)
+        return await self._stored_state(job)
+
+    async def _ask(self, message: ShowState) -> AnyMessage | Lost:
+        own = self._leader()
+        if own is not None and own.ready:
+            return own.state(message)
+        return await self._call(message)
+
+    async def _stored_state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
+        record = await self._store.get(record_key(job))
+        if isinstance(record, Found):
+            return decode(record.value, JobRecord).state
+        found = await self._store.get(job_key(job))
+        if isinstance(found, Absent):
+            return NoSuchJob()
+        if isinstance(found, Unavailable) or isinstance(record, Unavailable):
+            return NotAnswered()
+        return JobState.QUEUED
+
+    async def cancel(
+        self, job: JobId, *, deadline: float
+    ) -> JobState | NoSuchJob | NotAnswered:
+        """Cancel a job for good; its state afterwards is final."""
+        own = self._leader()
+        left = max(0.1, min(CANCEL_TIMEOUT, deadline - self._clock() - ANSWER_MARGIN))
+        if own is not None and own.ready:
+            shown: AnyMessage | Lost = await own.cancel(CancelSteps(job), left)
+        else:
+            shown = await self._call(CancelSteps(job), left)
+        if isinstance(shown, StateShown) and shown.state:
+            return JobState(shown.state)
+        return await self._cancel_in_store(job)
+
+    async def _cancel_in_store(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
+        found = await self._store.get(job_key(job))
+        if isinstance(found, Absent):
+            return NoSuchJob()
+        if not isinstance(found, Found):
+            return NotAnswered()
+        key = cancel_key(job)
+        txn = Txn([Compare(key, absent=True)], {key: b"1"})
+        outcome = await self._store.write(txn)
+        if isinstance(outcome, Written | Conflict):
+            log.info("Cancelled in the store", extra={"job": job})
+            return JobState.CANCELLED
+        return NotAnswered()
+
+    async def waiting(self, queue: str) -> int | NotAnswered:
+        """Count the jobs of a queue that have not begun."""
+        own = self._leader()
+        if own is not None and own.ready:
+            return own.waiting(CountWaiting(queue)).count
+        answer = await self._call(CountWaiting(queue))
+        return answer.count if isinstance(answer, Waiting) else NotAnswered()
--- a/wagtailcleat/configuration/follow.py
+++ b/wagtailcleat/configuration/follow.py
@@ -11,7 +11,8 @@
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.logs import part_logger
 from wagtailcleat.membership.gossip import Gossiper
-from wagtailcleat.platform.store import Event, Store, Unavailable
+from wagtailcleat.platform.store import Store
+from wagtailcleat.storage import Event, Unavailable
 
 log = part_logger("configuration")
 
--- a/wagtailcleat/configuration/history.py
+++ b/wagtailcleat/configuration/history.py
@@ -15,7 +15,8 @@
 from wagtailcleat.configuration.models import Configuration
 from wagtailcleat.configuration.parts import changed, cut
 from wagtailcleat.ids import Revision
-from wagtailcleat.platform.store import Store, Unavailable
+from wagtailcleat.platform.store import Store
+from wagtailcleat.storage import Unavailable
 
 RECORDS_KEPT = 200
 MAX_RECORD_BYTES = 16 * 1024
--- a/wagtailcleat/configuration/writer.py
+++ b/wagtailcleat/configuration/writer.py
@@ -20,11 +20,11 @@
 from wagtailcleat.configuration.models import Configuration
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import Revision
-from wagtailcleat.platform.store import (
+from wagtailcleat.platform.store import Store
+from wagtailcleat.storage import (
     Absent,
     Compare,
     Found,
-    Store,
     Txn,
     Unavailable,
     Unknown,
--- a/wagtailcleat/entry/admin_changes.py
+++ b/wagtailcleat/entry/admin_changes.py
@@ -21,7 +21,7 @@
 from wagtailcleat.entry.admin_base import AdminHandler, State
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import Revision, ZoneName
-from wagtailcleat.platform.store import Unavailable
+from wagtailcleat.storage import Unavailable
 
 ZONE_SECTIONS = ["revision", "tasks_running", "requests_in_flight", "services"]
 
--- /dev/null
+++ b/wagtailcleat/platform/exchange.py
@@ -0,0 +1,91 @@
+"""One HTTP exchange with the platform: an answer, or how it failed to come."""
+
+import json
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httputil import HTTPHeaders
+
+CONNECT_SECONDS = 0.5
+"""Longer than any round trip of the deployments, shorter than any interval of ours."""
+FAILED = 599
+"""Code with which tornado's client marks an exchange without an answer."""
+NEVER_CONNECTED = (pycurl.E_COULDNT_CONNECT,)
+
+
+class NoAnswer(Enum):
+    """Why no answer came."""
+
+    REFUSED = "refused"
+    """Nobody listens there: what was asked was not done."""
+    LOST = "lost"
+    """What was asked may have been done, or may yet be."""
+
+
+@dataclass(frozen=True)
+class Reply:
+    """An answer: its code and its body where that is a JSON object."""
+
+    code: int
+    body: dict[str, Any]
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+
+
+class Exchange:
+    """Calls on kept connections to one address."""
+
+    def __init__(self, address: str, *, max_clients: int = 16) -> None:
+        """Call `address`, an `ip:port`."""
+        self.calls = 0
+        self._base = f"http://{address}"
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
+
+    def __repr__(self) -> str:
+        """Show the address."""
+        return f"<Exchange {self._base}>"
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        *,
+        timeout: float,
+        headers: dict[str, str] | None = None,
+    ) -> Reply | NoAnswer:
+        """Send one request; `timeout` in seconds covers all of it."""
+        self.calls += 1
+        request = HTTPRequest(
+            self._base + path,
+            method=method,
+            body=None if body is None else json.dumps(body),
+            headers={"Content-Type": "application/json"} | (headers or {}),
+            connect_timeout=min(CONNECT_SECONDS, timeout),
+            request_timeout=timeout,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (TimeoutError, HTTPClientError, OSError):
+            return NoAnswer.LOST
+        if response.code == FAILED:
+            refused = getattr(response.error, "errno", None) in NEVER_CONNECTED
+            return NoAnswer.REFUSED if refused else NoAnswer.LOST
+        return Reply(response.code, _object(response.body), response.headers)
+
+
+def _object(body: bytes | None) -> dict[str, Any]:
+    # An error answer may carry no body, or one of something between the two ends.
+    try:
+        value = json.loads(body or b"{}")
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/wagtailcleat/platform/keyvalue.py
@@ -0,0 +1,215 @@
+"""Client of the platform's key-value store.
+
+Outcomes are the values of `wagtailcleat.storage`. Each key of a write has a compare
+on its own revision, so a write that is carried out late, or sent twice by the HTTP
+library on a connection that broke, changes nothing that was written meanwhile.
+"""
+
+import base64
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+from wagtailcleat.clock import Clock
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.exchange import Exchange, NoAnswer, Reply
+from wagtailcleat.platform.fields import BodyError, flag, rows, text, whole
+from wagtailcleat.storage import (
+    Absent,
+    Changes,
+    Compare,
+    Conflict,
+    Event,
+    Found,
+    HistoryGone,
+    Listing,
+    Txn,
+    Unavailable,
+    Unknown,
+    Written,
+)
+
+log = part_logger("store")
+
+OK = 200
+NOT_FOUND = 404
+CONDITION_FAILED = 412
+HISTORY_GONE = 410
+TOO_MANY = 429
+UNAVAILABLE = 503
+WATCH_SLACK_SECONDS = 0.5
+"""What a watch may take beyond its waiting time before it counts as silent."""
+
+
+@dataclass
+class StoreCounts:
+    """Calls of this process by what they were, for the metrics."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    failed: int = 0
+
+
+class KeyValueStore:
+    """The platform's store."""
+
+    def __init__(self, address: str, *, clock: Clock, call_seconds: float) -> None:
+        """Call the store at `address`, an `ip:port`.
+
+        Parameters: `call_seconds` bounds each call but the watches.
+        """
+        self.counts = StoreCounts()
+        self.down_since: float | None = None
+        self.answered_at = 0.0
+        self._clock = clock
+        self._call_seconds = call_seconds
+        self._exchange = Exchange(address)
+        self._watching = Exchange(address)
+
+    def __repr__(self) -> str:
+        """Show whether the store answers."""
+        return f"<KeyValueStore {'up' if self.down_since is None else 'down'}>"
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._exchange.close()
+        self._watching.close()
+
+    async def get(self, key: str) -> Found | Absent | Unavailable:
+        """Return the value of `key`."""
+        self.counts.reads += 1
+        path = "/kv-key?" + urlencode({"key": key})
+        reply = await self._call("GET", path)
+        if isinstance(reply, Reply) and reply.code == NOT_FOUND:
+            return Absent(whole(reply.body, "storeRevision", default=0))
+        if isinstance(reply, Reply) and reply.code == OK:
+            return _found(reply.body)
+        return Unavailable(_reason(reply))
+
+    async def list(self, prefix: str) -> Listing | Unavailable:
+        """Return all keys that begin with `prefix`.
+
+        The pages are no snapshot; `store_revision` is that of the first, so that a
+        watch from there misses nothing.
+        """
+        found: list[Found] = []
+        revision = 0
+        after = ""
+        while True:
+            self.counts.reads += 1
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            reply = await self._call("GET", "/kv-range?" + urlencode(query))
+            if not isinstance(reply, Reply) or reply.code != OK:
+                return Unavailable(_reason(reply))
+            revision = revision or whole(reply.body, "storeRevision")
+            page = [_found(item) for item in rows(reply.body, "items")]
+            found += page
+            if not page or not flag(reply.body, "hasMore"):
+                return Listing(found, revision)
+            after = page[-1].key
+
+    async def write(self, txn: Txn) -> Written | Conflict | Unknown | Unavailable:
+        """Carry out `txn`, all of it or nothing."""
+        self.counts.writes += 1
+        reply = await self._call("POST", "/kv-txn", _txn_body(txn))
+        if not isinstance(reply, Reply):
+            return Unknown("no answer") if reply is NoAnswer.LOST else _unreachable()
+        if reply.code == OK:
+            return Written(whole(reply.body, "rev", default=0))
+        if reply.code == CONDITION_FAILED:
+            items = rows(reply.body, "items")
+            return Conflict(tuple(_found(item) for item in items if _exists(item)))
+        if reply.code in (TOO_MANY, UNAVAILABLE):
+            return Unavailable(str(reply.code))
+        return Unknown(str(reply.code))
+
+    async def changes(
+        self, prefix: str, after: int, *, wait_seconds: float
+    ) -> Changes | HistoryGone | Unavailable:
+        """Wait for changes under `prefix` later than revision `after`."""
+        self.counts.watches += 1
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "waitMs": str(int(wait_seconds * 1000)),
+        }
+        reply = await self._watching.call(
+            "GET",
+            "/kv-watch?" + urlencode(query),
+            timeout=wait_seconds + WATCH_SLACK_SECONDS,
+        )
+        if isinstance(reply, Reply) and reply.code == HISTORY_GONE:
+            return HistoryGone()
+        if not isinstance(reply, Reply) or reply.code != OK:
+            return Unavailable(_reason(reply))
+        try:
+            events = [_event(item) for item in rows(reply.body, "events")]
+            return Changes(events, whole(reply.body, "storeRevision"))
+        except BodyError as error:
+            return Unavailable(error.message)
+
+    async def _call(
+        self, method: str, path: str, body: dict[str, Any] | None = None
+    ) -> Reply | NoAnswer:
+        reply = await self._exchange.call(
+            method, path, body, timeout=self._call_seconds
+        )
+        served = isinstance(reply, Reply) and reply.code not in (TOO_MANY, UNAVAILABLE)
+        self._note(served, _reason(reply))
+        return reply
+
+    def _note(self, served: bool, reason: str) -> None:
+        now = self._clock()
+        if served:
+            self.answered_at = now
+            if self.down_since is not None:
+                seconds = round(now - self.down_since, 3)
+                log.info("The store answers again", extra={"down_seconds": seconds})
+            self.down_since = None
+            return
+        self.counts.failed += 1
+        if self.down_since is None:
+            self.down_since = now
+            log.warning("The store does not answer", extra={"why": reason})
+
+
+def _reason(reply: Reply | NoAnswer) -> str:
+    return str(reply.code) if isinstance(reply, Reply) else reply.value
+
+
+def _unreachable() -> Unavailable:
+    return Unavailable("nobody listens at the store's address")
+
+
+def _exists(item: dict[str, Any]) -> bool:
+    return whole(item, "rev", default=0) > 0
+
+
+def _found(item: dict[str, Any]) -> Found:
+    value = base64.b64decode(text(item, "value", default=""))
+    return Found(text(item, "key"), value, whole(item, "rev", default=0))
+
+
+def _event(item: dict[str, Any]) -> Event:
+    if flag(item, "tombstone"):
+        return Event(text(item, "key"), None, whole(item, "rev"))
+    found = _found(item)
+    return Event(found.key, found.value, found.mod_revision)
+
+
+def _txn_body(txn: Txn) -> dict[str, Any]:
+    puts = [
+        {"key": key, "value": base64.b64encode(value).decode()}
+        for key, value in txn.puts.items()
+    ]
+    return {
+        "expectRev": [_condition(compare) for compare in txn.compares],
+        "setKeys": puts,
+        "remove": txn.deletes,
+    }
+
+
+def _condition(compare: Compare) -> dict[str, Any]:
+    revision = 0 if compare.absent else compare.mod_revision or 0
+    return {"key": compare.key, "rev": revision}
--- /dev/null
+++ b/wagtailcleat/scheduling/book.py
@@ -0,0 +1,308 @@
+"""The book of jobs: what is known of every job, task and run.
+
+The leader holds one in memory. What must last of it is in the `JobRecord` of each
+job; the rest (what runs where) is told anew by the agents after a change of leader.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wagtailcleat.ids import JobId, NodeId
+from wagtailcleat.scheduling.models import (
+    Job,
+    JobRecord,
+    JobState,
+    RunEnd,
+    RunKey,
+    Step,
+    TaskKey,
+    TaskRecord,
+)
+
+StepKey = tuple[int, int]
+"""Occurrence and step."""
+
+
+class TaskState(Enum):
+    """How a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    """A run of it was ordered, or goes on."""
+    SUCCEEDED = "succeeded"
+
+
+@dataclass(eq=False)
+class Task:
+    """One task; `node` and `run` name its latest run while it is placed."""
+
+    entry: "JobEntry"
+    key: TaskKey
+    step: Step
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    highest_run: int = 0
+    """No run with a higher number was ever ordered by this leader or seen by it."""
+    node: NodeId | None = None
+    failed: int = 0
+    checkpoint: str = ""
+    ready_at: float = 0.0
+    """When it last became free to start, on the leader's clock."""
+    failed_on: set[NodeId] = field(default_factory=set)
+
+    @property
+    def run_key(self) -> RunKey:
+        """The latest run."""
+        return RunKey(self.key, self.run)
+
+
+@dataclass(eq=False)
+class JobEntry:
+    """A job with its progress. `version` counts changes that must last."""
+
+    job: Job
+    learned_at: float
+    """When this leader learned of it, on its own clock."""
+    state: JobState = JobState.QUEUED
+    begun: bool = False
+    settled: bool = True
+    """False while runs of it may go on at agents that were not heard from."""
+    ended_at: float = 0.0
+    """Wall clock seconds."""
+    version: int = 0
+    committed: int = 0
+    store_revision: int = 0
+    """Of its record in the store; 0: there is none."""
+    tasks_by_step: dict[StepKey, list[Task]] = field(default_factory=dict)
+    left_by_step: dict[StepKey, int] = field(default_factory=dict)
+    """Tasks that have not succeeded."""
+    occurrences_begun: int = 0
+
+    @property
+    def durable_state(self) -> JobState:
+        """The state as it may be shown: an end only once it is stored."""
+        if self.state.final and self.committed < self.version:
+            return JobState.RUNNING
+        if self.state is JobState.QUEUED and self.begun:
+            return JobState.RUNNING
+        return self.state
+
+    @property
+    def open(self) -> bool:
+        """Whether work is still owed."""
+        return not self.state.final
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield every task of the occurrences that are due."""
+        for tasks in self.tasks_by_step.values():
+            yield from tasks
+
+    def changed(self) -> None:
+        """Note a change that must last."""
+        self.version += 1
+
+
+class Book:
+    """All jobs by id. Deciding methods take the present time."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.entry_by_id: dict[JobId, JobEntry] = {}
+
+    def __repr__(self) -> str:
+        """Show how many jobs are known."""
+        return f"<Book of {len(self.entry_by_id)} jobs>"
+
+    def add(
+        self,
+        job: Job,
+        *,
+        now: float,
+        wall_now: float,
+        record: JobRecord | None = None,
+        store_revision: int = 0,
+    ) -> JobEntry:
+        """Enter a job, or return its entry where it is known."""
+        known = self.entry_by_id.get(job.id)
+        if known is not None:
+            return known
+        entry = JobEntry(job, now, store_revision=store_revision)
+        self.entry_by_id[job.id] = entry
+        if record is not None:
+            entry.state = record.state
+            entry.ended_at = record.ended_at
+        if entry.open:
+            self.begin_due(entry, now=now, wall_now=wall_now)
+        if record is not None and entry.open:
+            _restore(entry, record, now, wall_now)
+        return entry
+
+    def begin_due(self, entry: JobEntry, *, now: float, wall_now: float) -> bool:
+        """Make the tasks of each occurrence that is due; tell whether any was."""
+        begun = False
+        job = entry.job
+        while entry.occurrences_begun < job.occurrences:
+            number = entry.occurrences_begun
+            if job.first_at and wall_now < job.first_at + number * job.interval:
+                break
+            self._begin(entry, number, now)
+            entry.occurrences_begun += 1
+            begun = True
+        return begun
+
+    def _begin(self, entry: JobEntry, occurrence: int, now: float) -> None:
+        for number, step in enumerate(entry.job.steps):
+            keys = [
+                TaskKey(entry.job.id, occurrence, number, position)
+                for position in range(step.count)
+            ]
+            tasks = [Task(entry, key, step, ready_at=now) for key in keys]
+            entry.tasks_by_step[occurrence, number] = tasks
+            entry.left_by_step[occurrence, number] = len(tasks)
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return a task of a due occurrence."""
+        entry = self.entry_by_id.get(key.job)
+        if entry is None:
+            return None
+        tasks = entry.tasks_by_step.get((key.occurrence, key.step), [])
+        return tasks[key.position] if 0 <= key.position < len(tasks) else None
+
+    def ready(self, entry: JobEntry, step: StepKey) -> bool:
+        """Tell whether all steps before `step` have succeeded."""
+        occurrence, number = step
+        return all(
+            entry.left_by_step.get((occurrence, earlier), 1) == 0
+            for earlier in entry.job.steps[number].after
+        )
+
+    def placed(self, task: Task, run: int, node: NodeId) -> None:
+        """Note that `run` of a task was ordered, or goes on, at `node`."""
+        task.state = TaskState.PLACED
+        task.run = run
+        task.highest_run = max(task.highest_run, run)
+        task.node = node
+        task.entry.begun = True
+
+    def ended(
+        self, run: RunKey, how: RunEnd, checkpoint: str, *, now: float, wall_now: float
+    ) -> JobEntry | None:
+        """Take in how a run ended; return the job's entry if it is known."""
+        task = self.task(run.task)
+        if task is None:
+            return self.entry_by_id.get(run.task.job)
+        entry = task.entry
+        if task.state is TaskState.SUCCEEDED or entry.state.final:
+            return entry
+        if how is RunEnd.SUCCEEDED:
+            self._succeeded(task, run, now, wall_now)
+            return entry
+        if how is RunEnd.FAILED and not task.step.long_running:
+            self._failed(task, wall_now)
+        if checkpoint and checkpoint != task.checkpoint:
+            task.checkpoint = checkpoint
+            entry.changed()
+        if task.run == run.run:
+            self.free(task, now)
+        return entry
+
+    def _succeeded(self, task: Task, run: RunKey, now: float, wall_now: float) -> None:
+        entry = task.entry
+        if task.step.long_running:
+            # Such a task is owed until its job is cancelled, however it ended.
+            self.free(task, now)
+            return
+        step = (task.key.occurrence, task.key.step)
+        members = entry.tasks_by_step[step] if task.step.gang else [task]
+        for member in members:
+            if member.state is TaskState.SUCCEEDED:
+                continue
+            member.state = TaskState.SUCCEEDED
+            entry.left_by_step[step] -= 1
+        entry.changed()
+        if not entry.left_by_step[step]:
+            self._make_ready(entry, task.key.occurrence, now)
+        if self._all_succeeded(entry):
+            self._end(entry, JobState.SUCCEEDED, wall_now)
+
+    def _make_ready(self, entry: JobEntry, occurrence: int, now: float) -> None:
+        for (number, _), tasks in entry.tasks_by_step.items():
+            if number == occurrence:
+                for task in tasks:
+                    if task.state is TaskState.WAITING:
+                        task.ready_at = now
+
+    def _failed(self, task: Task, wall_now: float) -> None:
+        task.failed += 1
+        if task.node is not None:
+            task.failed_on.add(task.node)
+        task.entry.changed()
+        if task.failed >= task.entry.job.attempts:
+            self._end(task.entry, JobState.FAILED, wall_now)
+
+    def free(self, task: Task, now: float) -> None:
+        """Let a task wait again: its latest run is gone."""
+        if task.state is TaskState.PLACED:
+            task.state = TaskState.WAITING
+            task.node = None
+            task.ready_at = now
+
+    def cancel(self, job: JobId, *, wall_now: float) -> JobEntry | None:
+        """Cancel a job that has not ended; return its entry if it is known."""
+        entry = self.entry_by_id.get(job)
+        if entry is not None and entry.open:
+            self._end(entry, JobState.CANCELLED, wall_now)
+        return entry
+
+    def _end(self, entry: JobEntry, state: JobState, wall_now: float) -> None:
+        entry.state = state
+        entry.ended_at = wall_now
+        entry.changed()
+
+    def _all_succeeded(self, entry: JobEntry) -> bool:
+        return entry.occurrences_begun >= entry.job.occurrences and not any(
+            entry.left_by_step.values()
+        )
+
+    def waiting(self, queue: str) -> int:
+        """Count the jobs of a queue that have not begun."""
+        return sum(
+            1
+            for entry in self.entry_by_id.values()
+            if entry.job.queue == queue and entry.open and not entry.begun
+        )
+
+
+def record_of(entry: JobEntry) -> JobRecord:
+    """Return what must last of a job's progress."""
+    if entry.state.final:
+        return JobRecord(entry.state, ended_at=entry.ended_at)
+    rows = []
+    records = []
+    for (occurrence, number), tasks in entry.tasks_by_step.items():
+        done = [t.key.position for t in tasks if t.state is TaskState.SUCCEEDED]
+        if done:
+            rows.append((occurrence, number, done))
+        records += [
+            TaskRecord(occurrence, number, t.key.position, t.failed, t.checkpoint)
+            for t in tasks
+            if t.state is not TaskState.SUCCEEDED and (t.failed or t.checkpoint)
+        ]
+    state = JobState.RUNNING if entry.begun else JobState.QUEUED
+    return JobRecord(state, rows, records)
+
+
+def _restore(entry: JobEntry, record: JobRecord, now: float, wall_now: float) -> None:
+    entry.begun = record.state is not JobState.QUEUED
+    for occurrence, number, positions in record.succeeded:
+        tasks = entry.tasks_by_step.get((occurrence, number), [])
+        for position in positions:
+            tasks[position].state = TaskState.SUCCEEDED
+        if tasks:
+            entry.left_by_step[occurrence, number] -= len(positions)
+    for saved in record.tasks:
+        tasks = entry.tasks_by_step.get((saved.occurrence, saved.step), [])
+        if saved.position < len(tasks):
+            tasks[saved.position].failed = saved.failed
+            tasks[saved.position].checkpoint = saved.checkpoint
--- /dev/null
+++ b/wagtailcleat/scheduling/placement.py
@@ -0,0 +1,100 @@
+"""Which VM a task starts on.
+
+Three kinds of tasks share the VMs. Serving tasks owe their own users a tail latency
+and are slowed by tasks that fill beside them; tasks that fill take processor time
+that is left over; all others mind nobody. So serving tasks stand together on as few
+VMs as hold them, filling tasks stay off those VMs, and the others go where most is
+left over.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from wagtailcleat.ids import ZoneName
+from wagtailcleat.scheduling.book import Task
+from wagtailcleat.scheduling.models import Job, Step
+from wagtailcleat.scheduling.vms import Vm, room_of
+
+FILL_SHARE = 0.9
+"""Share of a filling task's cores that must be left over for it to start.
+
+Below that it would hold its checkpoint and memory at a crawl while the other VMs may
+have room a moment later.
+"""
+
+Score = tuple[float, ...]
+
+
+def allowed(vm: Vm, job: Job, step: Step, zones_out: frozenset[ZoneName]) -> bool:
+    """Tell whether a VM may run tasks of a step at all."""
+    if not vm.usable or vm.worker is None or vm.service != job.service:
+        return False
+    if vm.zone in zones_out:
+        return False
+    return not step.required_label or step.required_label in vm.worker.labels
+
+
+def fits(vm: Vm, step: Step) -> bool:
+    """Tell whether a VM has room for one more task of a step."""
+    if not room_of(step).fits(vm.free):
+        return False
+    if step.fills:
+        return vm.serving == 0 and vm.spare_cores >= FILL_SHARE * step.size.cores
+    return True
+
+
+def _far(vm: Vm, step: Step, racks: Counter[str]) -> int:
+    if step.affinity_rack:
+        return int(vm.rack != step.affinity_rack)
+    if step.same_rack and racks:
+        return int(vm.rack != racks.most_common(1)[0][0])
+    return 0
+
+
+def _score(vm: Vm, task: Task, now: float, racks: Counter[str]) -> Score:
+    step = task.step
+    avoided = int(vm.avoided(now)) + int(vm.node in task.failed_on)
+    cold = vm.worker.cold_seconds if vm.worker else 0.0
+    base = (avoided, _far(vm, step, racks), cold)
+    if step.target_seconds:
+        return (*base, int(vm.serving == 0), vm.filling_cores, vm.free.cores)
+    return (*base, -vm.spare_cores)
+
+
+def count_on_vm(vm: Vm, task: Task) -> int:
+    """Return how many tasks of the same occurrence and step a VM holds."""
+    key = task.key
+    return sum(
+        1
+        for run in vm.hosted_by_run
+        if run.task[:3] == (key.job, key.occurrence, key.step)
+    )
+
+
+def choose(
+    vms: Iterable[Vm],
+    task: Task,
+    *,
+    now: float,
+    zones_out: frozenset[ZoneName],
+    racks: Counter[str],
+    may_use: Callable[[Vm], bool] = lambda vm: True,
+) -> Vm | None:
+    """Return the best VM for a task now, or None where none has room.
+
+    Parameters: `racks` counts the racks that tasks of the same step run on.
+    """
+    step = task.step
+    best: Vm | None = None
+    best_score: Score = ()
+    for vm in vms:
+        if not allowed(vm, task.entry.job, step, zones_out) or not may_use(vm):
+            continue
+        if not fits(vm, step):
+            continue
+        if step.max_per_vm and count_on_vm(vm, task) >= step.max_per_vm:
+            continue
+        score = _score(vm, task, now, racks)
+        if best is None or score < best_score:
+            best, best_score = vm, score
+    return best
--- /dev/null
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -0,0 +1,437 @@
+"""The leader's mind: reports and jobs go in, orders to agents come out.
+
+No network and no clock of its own. A run takes room on its VM from the moment its
+start is ordered until its end is listed, its start is known never to have run, or
+its lease has surely lapsed; only then may the task start elsewhere.
+"""
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wagtailcleat.ids import Epoch, JobId, NodeId, ZoneName
+from wagtailcleat.scheduling.book import Book, JobEntry, StepKey, Task, TaskState
+from wagtailcleat.scheduling.models import (
+    Ended,
+    Pace,
+    Refusal,
+    RunEnd,
+    RunKey,
+    Start,
+)
+from wagtailcleat.scheduling.order import rank
+from wagtailcleat.scheduling.placement import choose
+from wagtailcleat.scheduling.vms import Hosted, Vm
+from wagtailcleat.wire.scheduling import Orders, Report
+
+RUNS_PER_EPOCH = 1_000
+"""Run numbers set aside for one leader: a task is started less often than that."""
+MAX_STARTS_PER_ROUND = 400
+"""Bounds the time of one round: the loop must answer reports meanwhile."""
+
+
+@dataclass(eq=False)
+class _Acknowledging:
+    """Ends of one life of a worker that were taken in and wait to be durable."""
+
+    born: int = 0
+    taken: int = 0
+    """Ends up to this number were taken in."""
+    durable: int = 0
+    waiting: deque[tuple[int, JobEntry | None, int]] = field(default_factory=deque)
+
+
+@dataclass(eq=False)
+class Outgoing:
+    """What an agent is still to be told."""
+
+    starts: list[Start] = field(default_factory=list)
+    stops: list[RunKey] = field(default_factory=list)
+    paces: list[Pace] = field(default_factory=list)
+    acknowledged: int = 0
+
+    def __bool__(self) -> bool:
+        """Whether there is anything to tell."""
+        return bool(self.starts or self.stops or self.paces or self.acknowledged)
+
+
+class Scheduler:
+    """State and decisions of one leader."""
+
+    def __init__(
+        self, epoch: Epoch, *, lease_horizon: float, stop_again: float
+    ) -> None:
+        """Begin with no VM and no job.
+
+        Parameters, in seconds: `lease_horizon` for how long runs may go on at an
+        agent after its last report; `stop_again` after which a stop is repeated.
+        """
+        self.epoch = epoch
+        self.book = Book()
+        self.vm_by_node: dict[NodeId, Vm] = {}
+        self.zones_out: frozenset[ZoneName] = frozenset()
+        self.unheard: set[NodeId] = set()
+        """Agents that may run tasks and have not reported to this leader yet."""
+        self._horizon = lease_horizon
+        self._stop_again = stop_again
+        self._acks_by_node: dict[NodeId, _Acknowledging] = {}
+        self._outgoing_by_node: dict[NodeId, Outgoing] = {}
+
+    # ---- agents
+
+    def take_report(
+        self, report: Report, session: int, *, now: float, wall_now: float
+    ) -> None:
+        """Take in all that an agent tells of its worker.
+
+        Parameters: `session` numbers the connection the report came on.
+        """
+        vm = self._vm(report, session, now)
+        if report.worker is None or not report.listed:
+            return
+        ends = self._acks_by_node.setdefault(vm.node, _Acknowledging())
+        if ends.born != report.worker.born:
+            self._acks_by_node[vm.node] = ends = _Acknowledging(report.worker.born)
+        self._take_ends(vm, ends, report.ended, now, wall_now)
+        self._take_refusals(vm, report, now)
+        self._take_running(vm, report, now)
+        self._drop_absent(vm, report, now)
+        self._heard(vm.node)
+
+    def _vm(self, report: Report, session: int, now: float) -> Vm:
+        vm = self.vm_by_node.get(report.node)
+        if vm is None:
+            vm = Vm(report.node, report.host, report.port, report.zone, now)
+            # An agent passes over orders that are numbered below those it took.
+            vm.orders_sent = report.orders_taken
+            self.vm_by_node[report.node] = vm
+        vm.host, vm.port = report.host, report.port
+        vm.worker = report.worker
+        vm.listed = report.listed
+        vm.present = True
+        vm.heard_at = now
+        vm.silent_seconds = report.silent_seconds
+        vm.session = session
+        return vm
+
+    def _heard(self, node: NodeId) -> None:
+        if node not in self.unheard:
+            return
+        self.unheard.discard(node)
+        self._settle_if_all_heard()
+
+    def _settle_if_all_heard(self) -> None:
+        if self.unheard:
+            return
+        for entry in self.book.entry_by_id.values():
+            entry.settled = True
+
+    def _take_ends(
+        self,
+        vm: Vm,
+        ends: _Acknowledging,
+        listed: list[Ended],
+        now: float,
+        wall_now: float,
+    ) -> None:
+        for ended in listed:
+            vm.drop_run(ended.key)
+            if ended.number <= ends.taken:
+                continue
+            ends.taken = ended.number
+            self._judge(vm, ended, now)
+            task = self.book.task(ended.key.task)
+            others = task is not None and task.run != ended.key.run
+            entry = self.book.ended(
+                ended.key, ended.how, ended.checkpoint, now=now, wall_now=wall_now
+            )
+            if task is not None and others and task.state is TaskState.SUCCEEDED:
+                self._stop_runs([task], now)
+            if entry is not None and entry.state.final:
+                self._stop_runs(entry.tasks(), now)
+            ends.waiting.append((ended.number, entry, entry.version if entry else 0))
+
+    def _judge(self, vm: Vm, ended: Ended, now: float) -> None:
+        if ended.how is RunEnd.SUCCEEDED:
+            vm.succeeded()
+        elif ended.how is RunEnd.FAILED:
+            vm.failed(now)
+
+    def _take_refusals(self, vm: Vm, report: Report, now: float) -> None:
+        for key, why in report.refused:
+            hosted = vm.drop_run(key)
+            if hosted is None:
+                continue
+            if why is Refusal.UNHEALTHY:
+                vm.failed(now)
+            self._free(key, now)
+
+    def _take_running(self, vm: Vm, report: Report, now: float) -> None:
+        for running in report.running:
+            hosted = self._host(vm, running.key, now)
+            if hosted is None:
+                self._outgoing(vm.node).stops.append(running.key)
+                continue
+            hosted.listed = True
+            if hosted.percent != running.percent:
+                hosted.percent = running.percent
+                hosted.progressed_at = now
+            hosted.figure = running.figure
+            if hosted.stopping and now - hosted.stop_at >= self._stop_again:
+                self._stop(vm, hosted, now)
+            task = self.book.task(running.key.task)
+            if running.checkpoint and task is not None and task.run == running.key.run:
+                task.checkpoint = running.checkpoint
+        for key in report.unsettled:
+            self._host(vm, key, now)
+
+    def _host(self, vm: Vm, key: RunKey, now: float) -> Hosted | None:
+        hosted = vm.hosted_by_run.get(key)
+        if hosted is not None:
+            return hosted
+        task = self.book.task(key.task)
+        if task is None:
+            return None
+        hosted = Hosted(key, task.step, now)
+        vm.host_run(hosted)
+        stale = task.run > key.run and task.state is TaskState.PLACED
+        if stale or not task.entry.open or task.state is TaskState.SUCCEEDED:
+            self._stop(vm, hosted, now)
+        else:
+            self.book.placed(task, key.run, vm.node)
+        return hosted
+
+    def _drop_absent(self, vm: Vm, report: Report, now: float) -> None:
+        shown = {running.key for running in report.running}
+        shown.update(report.unsettled)
+        for key, hosted in list(vm.hosted_by_run.items()):
+            if key in shown:
+                continue
+            on_its_way = (
+                hosted.session == vm.session and hosted.order > report.orders_taken
+            )
+            if hosted.sent and not on_its_way:
+                vm.drop_run(key)
+                self._free(key, now)
+
+    def _free(self, key: RunKey, now: float) -> None:
+        task = self.book.task(key.task)
+        if task is not None and task.run == key.run:
+            self.book.free(task, now)
+
+    def lost_touch(self, node: NodeId) -> None:
+        """Note that the connection of an agent ended."""
+        vm = self.vm_by_node.get(node)
+        if vm is not None:
+            vm.present = False
+
+    def expire(self, *, now: float, claimed_at: float) -> list[NodeId]:
+        """Give up runs whose leases have surely lapsed; return the agents given up.
+
+        Parameters: `claimed_at` is when this leader was sure to be the only one.
+        """
+        given_up = []
+        for vm in list(self.vm_by_node.values()):
+            if now - vm.heard_at < self._horizon:
+                continue
+            for key in list(vm.hosted_by_run):
+                vm.drop_run(key)
+                self._free(key, now)
+            given_up.append(vm.node)
+            del self.vm_by_node[vm.node]
+        if self.unheard and now - claimed_at >= self._horizon:
+            given_up += self.unheard
+            self.unheard.clear()
+            self._settle_if_all_heard()
+        return given_up
+
+    # ---- jobs
+
+    def cancel(self, job: JobId, *, now: float, wall_now: float) -> JobEntry | None:
+        """Cancel a job and order its runs to stop."""
+        entry = self.book.cancel(job, wall_now=wall_now)
+        if entry is not None and entry.state.final:
+            self._stop_runs(entry.tasks(), now)
+        return entry
+
+    def _stop_runs(self, tasks: Iterable[Task], now: float) -> None:
+        wanted = {task.key for task in tasks}
+        for vm in self.vm_by_node.values():
+            for hosted in vm.hosted_by_run.values():
+                if hosted.key.task in wanted and not hosted.stopping:
+                    self._stop(vm, hosted, now)
+
+    def _stop(self, vm: Vm, hosted: Hosted, now: float) -> None:
+        hosted.stopping = True
+        hosted.stop_at = now
+        self._outgoing(vm.node).stops.append(hosted.key)
+
+    def _outgoing(self, node: NodeId) -> Outgoing:
+        return self._outgoing_by_node.setdefault(node, Outgoing())
+
+    # ---- decisions
+
+    def place(self, *, now: float, wall_now: float) -> int:
+        """Start as much waiting work as has room; return how many starts."""
+        vms = [vm for vm in self.vm_by_node.values() if vm.usable]
+        if not vms:
+            return 0
+        started = 0
+        for entry, step in self._ranked(now, wall_now):
+            started += self._place_step(vms, entry, step, now)
+            if started >= MAX_STARTS_PER_ROUND:
+                break
+        return started
+
+    def _ranked(self, now: float, wall_now: float) -> list[tuple[JobEntry, StepKey]]:
+        waiting = []
+        for entry in self.book.entry_by_id.values():
+            if not entry.open or not entry.settled:
+                continue
+            if entry.occurrences_begun < entry.job.occurrences:
+                self.book.begin_due(entry, now=now, wall_now=wall_now)
+            for step, tasks in entry.tasks_by_step.items():
+                if not entry.left_by_step[step] or not self.book.ready(entry, step):
+                    continue
+                if any(task.state is TaskState.WAITING for task in tasks):
+                    waiting.append((rank(entry, step, wall_now), entry, step))
+        waiting.sort(key=lambda row: row[0])
+        return [(entry, step) for _, entry, step in waiting]
+
+    def _place_step(
+        self, vms: list[Vm], entry: JobEntry, step: StepKey, now: float
+    ) -> int:
+        tasks = entry.tasks_by_step[step]
+        waiting = [task for task in tasks if task.state is TaskState.WAITING]
+        racks = self._racks(tasks)
+        if waiting[0].step.gang:
+            return self._place_gang(vms, tasks, racks, now)
+        started = 0
+        for task in waiting:
+            vm = choose(vms, task, now=now, zones_out=self.zones_out, racks=racks)
+            if vm is None:
+                break
+            self._start(vm, task, self._next_run(task), now)
+            racks[vm.rack] += 1
+            started += 1
+        return started
+
+    def _place_gang(
+        self, vms: list[Vm], tasks: list[Task], racks: Counter[str], now: float
+    ) -> int:
+        # Members of one run share its number, so all of them start at once or none.
+        if any(task.state is not TaskState.WAITING for task in tasks):
+            return 0
+        run = max(self._next_run(task) for task in tasks)
+        checkpoint = max((task.checkpoint for task in tasks), default="")
+        chosen: list[tuple[Vm, Hosted]] = []
+        for task in tasks:
+            vm = choose(vms, task, now=now, zones_out=self.zones_out, racks=racks)
+            if vm is None:
+                break
+            hosted = Hosted(RunKey(task.key, run), task.step, now)
+            vm.host_run(hosted)
+            chosen.append((vm, hosted))
+            racks[vm.rack] += 1
+        for vm, hosted in chosen:
+            vm.drop_run(hosted.key)
+        if len(chosen) < len(tasks):
+            return 0
+        for task, (vm, _) in zip(tasks, chosen, strict=True):
+            task.checkpoint = checkpoint
+            self._start(vm, task, run, now)
+        return len(tasks)
+
+    def _racks(self, tasks: list[Task]) -> Counter[str]:
+        racks: Counter[str] = Counter()
+        for task in tasks:
+            vm = self.vm_by_node.get(task.node) if task.node is not None else None
+            if vm is not None:
+                racks[vm.rack] += 1
+        return racks
+
+    def _next_run(self, task: Task) -> int:
+        floor = (self.epoch - 1) * RUNS_PER_EPOCH
+        return max(task.highest_run, floor) + 1
+
+    def _start(self, vm: Vm, task: Task, run: int, now: float) -> None:
+        self.book.placed(task, run, vm.node)
+        hosted = Hosted(
+            task.run_key,
+            task.step,
+            now,
+            sent=False,
+            progressed_at=now,
+        )
+        vm.host_run(hosted)
+        spec = task.entry.job.spec
+        start = Start(task.run_key, spec, task.checkpoint)
+        self._outgoing(vm.node).starts.append(start)
+        if task.step.target_seconds:
+            self._clear_fills(vm, now)
+
+    def _clear_fills(self, vm: Vm, now: float) -> None:
+        # A task that fills slows the serving ones beside it; stopped with a
+        # checkpoint it goes on elsewhere.
+        for hosted in vm.hosted_by_run.values():
+            if hosted.step.fills and not hosted.stopping:
+                self._stop(vm, hosted, now)
+
+    # ---- what goes out
+
+    def committed(self, entry: JobEntry, version: int) -> None:
+        """Note that a job's progress up to `version` is in the store."""
+        entry.committed = max(entry.committed, version)
+
+    def orders(self, *, now: float) -> list[tuple[Vm, Orders]]:
+        """Return what each agent in touch is to be told now, and count it as sent."""
+        self._acknowledge()
+        sent = []
+        for node, outgoing in list(self._outgoing_by_node.items()):
+            vm = self.vm_by_node.get(node)
+            if vm is None or vm.worker is None:
+                del self._outgoing_by_node[node]
+                continue
+            if not outgoing or not vm.present:
+                continue
+            vm.orders_sent += 1
+            del self._outgoing_by_node[node]
+            orders = Orders(
+                self.epoch,
+                vm.orders_sent,
+                vm.worker.born,
+                self._still_wanted(vm, outgoing.starts, now),
+                outgoing.stops,
+                outgoing.paces,
+                self._acks_by_node[node].durable if node in self._acks_by_node else 0,
+            )
+            sent.append((vm, orders))
+        return sent
+
+    def _still_wanted(self, vm: Vm, starts: list[Start], now: float) -> list[Start]:
+        wanted = []
+        for start in starts:
+            hosted = vm.hosted_by_run.get(start.key)
+            if hosted is None:
+                continue
+            if hosted.stopping:
+                vm.drop_run(start.key)
+                self._free(start.key, now)
+                continue
+            hosted.sent = True
+            hosted.order = vm.orders_sent
+            hosted.session = vm.session
+            wanted.append(start)
+        return wanted
+
+    def _acknowledge(self) -> None:
+        for node, ends in self._acks_by_node.items():
+            before = ends.durable
+            while ends.waiting:
+                number, entry, version = ends.waiting[0]
+                if entry is not None and entry.committed < version:
+                    break
+                ends.waiting.popleft()
+                ends.durable = number
+            if ends.durable > before:
+                self._outgoing(node).acknowledged = ends.durable
--- /dev/null
+++ b/wagtailcleat/scheduling/vms.py
@@ -0,0 +1,158 @@
+"""The VMs as the leader sees them: what each holds, runs and has free."""
+
+from dataclasses import dataclass, field
+
+from wagtailcleat.ids import NodeId, ServiceName, ZoneName
+from wagtailcleat.resources import NOTHING, Resources
+from wagtailcleat.scheduling.models import RunKey, Step, WorkerInfo, WorkerState
+
+FAILURES_TO_AVOID = 2
+"""Runs of different tasks that failed in a row before a VM is passed over.
+
+Tasks fail by their own fault at 3 to 8% of their runs, so that two in a row are
+chance in fewer than 1 of 150 cases, while a VM that fails everything shows at once.
+"""
+AVOID_SECONDS = 6.0
+"""How long a VM is passed over after its last failure, before it is tried again.
+
+Order of the length of the disturbances that make a VM fail all its work (4 to 7 s).
+"""
+
+
+@dataclass(eq=False)
+class Hosted:
+    """A run that takes room on a VM until its end is listed."""
+
+    key: RunKey
+    step: Step
+    ordered_at: float
+    order: int = 0
+    """Number of the orders that carried its start; 0: learned from a report."""
+    session: int = 0
+    """Of the agent's connection on which it was ordered."""
+    sent: bool = True
+    """False until the orders with its start have left."""
+    listed: bool = False
+    """Whether the worker's own list has shown it."""
+    stopping: bool = False
+    stop_at: float = 0.0
+    percent: int = 0
+    progressed_at: float = 0.0
+    """When its percent last changed."""
+    figure: float = 0.0
+    pace: int = 100
+
+
+@dataclass(eq=False)
+class Vm:
+    """A VM whose agent has reported at least once."""
+
+    node: NodeId
+    host: str
+    port: int
+    zone: ZoneName
+    heard_at: float
+    worker: WorkerInfo | None = None
+    listed: bool = False
+    present: bool = False
+    """Whether the agent is in touch."""
+    registered: bool = False
+    """Whether the store names the agent, so that a next leader will wait for it."""
+    silent_seconds: float = 0.0
+    session: int = 0
+    orders_sent: int = 0
+    hosted_by_run: dict[RunKey, Hosted] = field(default_factory=dict)
+    taken: Resources = NOTHING
+    """Committed; a run that fills takes memory and accelerators only."""
+    filling_cores: float = 0.0
+    """What the runs that fill would use if they could."""
+    serving: int = 0
+    """Runs that serve users of their own."""
+    failures: int = 0
+    failed_at: float = 0.0
+
+    def __repr__(self) -> str:
+        """Show the VM and what it has committed."""
+        return f"<Vm {self.node}: {len(self.hosted_by_run)} runs, {self.taken}>"
+
+    @property
+    def service(self) -> ServiceName | None:
+        """The service whose pool the VM belongs to."""
+        return self.worker.service if self.worker else None
+
+    @property
+    def rack(self) -> str:
+        """The VM's rack, empty where unknown."""
+        return self.worker.rack if self.worker else ""
+
+    @property
+    def capacity(self) -> Resources:
+        """All that the VM holds."""
+        return self.worker.capacity if self.worker else NOTHING
+
+    @property
+    def free(self) -> Resources:
+        """What is not committed."""
+        return self.capacity - self.taken
+
+    @property
+    def spare_cores(self) -> float:
+        """Cores that neither committed nor filling runs would use."""
+        return self.capacity.cores - self.taken.cores - self.filling_cores
+
+    @property
+    def usable(self) -> bool:
+        """Whether the VM may be given work, as far as its agent says."""
+        return (
+            self.present
+            and self.registered
+            and self.listed
+            and self.worker is not None
+            and self.worker.state is WorkerState.READY
+            and self.silent_seconds == 0.0
+        )
+
+    def avoided(self, now: float) -> bool:
+        """Tell whether everything started here has failed lately."""
+        return (
+            self.failures >= FAILURES_TO_AVOID and now < self.failed_at + AVOID_SECONDS
+        )
+
+    def host_run(self, hosted: Hosted) -> None:
+        """Commit room to a run."""
+        if hosted.key in self.hosted_by_run:
+            return
+        self.hosted_by_run[hosted.key] = hosted
+        self.taken += room_of(hosted.step)
+        if hosted.step.fills:
+            self.filling_cores += hosted.step.size.cores
+        if hosted.step.target_seconds:
+            self.serving += 1
+
+    def drop_run(self, key: RunKey) -> Hosted | None:
+        """Free the room of a run that is gone."""
+        hosted = self.hosted_by_run.pop(key, None)
+        if hosted is None:
+            return None
+        self.taken -= room_of(hosted.step)
+        if hosted.step.fills:
+            self.filling_cores -= hosted.step.size.cores
+        if hosted.step.target_seconds:
+            self.serving -= 1
+        return hosted
+
+    def succeeded(self) -> None:
+        """Note that a run did well here."""
+        self.failures = 0
+
+    def failed(self, now: float) -> None:
+        """Note that a run failed here."""
+        self.failures += 1
+        self.failed_at = now
+
+
+def room_of(step: Step) -> Resources:
+    """Return what a task of a step commits."""
+    if step.fills:
+        return Resources(0.0, step.size.memory_mb, step.size.accelerators)
+    return step.size
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -6,8 +6,6 @@
 
 from enum import Enum
 
-import msgspec
-
 from wagtailcleat.ids import (
     AttemptId,
     Epoch,
@@ -24,6 +22,23 @@
     ZoneName,
 )
 from wagtailcleat.resources import Resources
+from wagtailcleat.wire.base import Message
+from wagtailcleat.wire.scheduling import (
+    CancelSteps,
+    CountWaiting,
+    Follows,
+    KeepFollowing,
+    Leads,
+    Orders,
+    Report,
+    ReportTaken,
+    ShowState,
+    StateShown,
+    Submitted,
+    TakeOver,
+    Waiting,
+    WhoLeads,
+)
 
 PROTOCOL_VERSION = 1
 WRONG_INCARNATION = "wrong_incarnation"
@@ -39,10 +54,6 @@
     OPERATOR = "operator"
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Base of all messages."""
-
-
 # ---- opening a stream
 
 
@@ -500,6 +511,20 @@
     | Adopt
     | Adopted
     | Evict
+    | WhoLeads
+    | Leads
+    | Report
+    | ReportTaken
+    | Orders
+    | Submitted
+    | ShowState
+    | StateShown
+    | CancelSteps
+    | CountWaiting
+    | Waiting
+    | KeepFollowing
+    | Follows
+    | TakeOver
 )
 
 
--- /dev/null
+++ b/wagtailcleat/wire/scheduling.py
@@ -0,0 +1,144 @@
+"""Messages between entries, the leader and agents on jobs of several steps.
+
+Durations are in seconds and count from the moment of sending.
+"""
+
+from wagtailcleat.ids import Epoch, Incarnation, JobId, NodeId, ZoneName
+from wagtailcleat.scheduling.models import (
+    Ended,
+    Pace,
+    Refusal,
+    RunKey,
+    Running,
+    Start,
+    WorkerInfo,
+)
+from wagtailcleat.wire.base import Message
+
+
+class WhoLeads(Message, frozen=True, tag="who_leads"):
+    """Asks an entry which entry leads, as far as it knows."""
+
+
+class Leads(Message, frozen=True, tag="leads"):
+    """Names the leader; also sent unasked by a new leader.
+
+    Epoch 0 means that none is known.
+    """
+
+    epoch: Epoch
+    node: NodeId
+    incarnation: Incarnation
+    host: str
+    port: int
+
+
+class Report(Message, frozen=True, tag="report"):
+    """All that an agent knows of its worker; the latest one replaces those before."""
+
+    node: NodeId
+    incarnation: Incarnation
+    zone: ZoneName
+    host: str
+    port: int
+    worker: WorkerInfo | None
+    """None until the worker has said who it is."""
+    listed: bool
+    """Whether `running` and `ended` are the worker's own list, in this life."""
+    running: list[Running]
+    ended: list[Ended]
+    unsettled: list[RunKey]
+    """Starts that were taken on and may yet be carried out."""
+    refused: list[tuple[RunKey, Refusal]]
+    """Starts that surely never run; repeated until the leader has answered."""
+    silent_seconds: float
+    """For how long the worker has not answered."""
+    lease_seconds: float
+    """For how long what runs there may go on, at most, without a renewal."""
+    orders_taken: int
+    """Number of the last orders of the leader that were taken in."""
+
+
+class ReportTaken(Message, frozen=True, tag="report_taken"):
+    """Answers a report.
+
+    For `valid_seconds` after it was sent, the agent may carry out orders of `epoch`.
+    """
+
+    epoch: Epoch
+    valid_seconds: float
+
+
+class Orders(Message, frozen=True, tag="orders"):
+    """What an agent is to do.
+
+    `acknowledged` numbers the last durable end of the worker's life `born`.
+    """
+
+    epoch: Epoch
+    number: int
+    """Rises with each message of one leader to one agent."""
+    born: int
+    starts: list[Start]
+    stops: list[RunKey]
+    paces: list[Pace]
+    acknowledged: int
+
+
+class Submitted(Message, frozen=True, tag="submitted"):
+    """Tells the leader of a job that was just stored; `job` is its stored form."""
+
+    id: JobId
+    job: bytes
+
+
+class ShowState(Message, frozen=True, tag="show_state"):
+    """Asks the leader how a job stands."""
+
+    id: JobId
+
+
+class StateShown(Message, frozen=True, tag="state_shown"):
+    """How a job stands; empty where the leader does not know it."""
+
+    state: str
+
+
+class CancelSteps(Message, frozen=True, tag="cancel_steps"):
+    """Asks the leader to cancel a job for good."""
+
+    id: JobId
+
+
+class CountWaiting(Message, frozen=True, tag="count_waiting"):
+    """Asks how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+class Waiting(Message, frozen=True, tag="waiting"):
+    """The number of a queue's jobs that have not begun."""
+
+    count: int
+
+
+class KeepFollowing(Message, frozen=True, tag="keep_following"):
+    """The leader asks an entry for its word not to claim for a while."""
+
+    epoch: Epoch
+
+
+class Follows(Message, frozen=True, tag="follows"):
+    """An entry's word not to claim for `seconds` from receiving the question."""
+
+    epoch: Epoch
+    """The highest epoch that the entry knows."""
+    seconds: float
+    store_age: float
+    """Seconds since the store last answered this entry."""
+
+
+class TakeOver(Message, frozen=True, tag="take_over"):
+    """The leader lays down `epoch` in favour of the receiver."""
+
+    epoch: Epoch
