--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -75,7 +75,6 @@
     async def stop(self) -> None:
         """End; runs go on until their leases end, and a next life adopts them."""
         await self.base.supervisor.stop()
-        self.hosting.close()
         self.base.close()
 
     def _report(self, orders_taken: int) -> Report:
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -48,6 +48,8 @@
 SHORTEST_LOOK = 0.05
 """Shortest time between two lists: one that names an end already known returns at
 once."""
+CLOSE_SECONDS = 3.0
+"""When the connections to an earlier life are closed: its calls have all timed out."""
 LAPSE_SLACK = 0.2
 """How much longer than its lease a run is taken to go on, in seconds."""
 FRESH_LISTS = 2
@@ -195,7 +197,7 @@
     def _end_life(self) -> None:
         if self._life is None:
             return
-        self._life.worker.close()
+        asyncio.get_running_loop().call_later(CLOSE_SECONDS, self._life.worker.close)
         self._life = None
         for task in self._work:
             task.cancel()
@@ -393,10 +395,6 @@
         if life is not None:
             await life.worker.pace(pace.key, pace.percent)
 
-    def close(self) -> None:
-        """Let go of the worker; what runs goes on until its lease ends."""
-        self._end_life()
-
 
 def _shows(life: _Life, key: RunKey) -> bool:
     return any(running.key == key for running in life.running) or any(
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -24,7 +24,7 @@
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import JobId, NodeId, ZoneName
 from wagtailcleat.logs import part_logger
-from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES, KeyValueStore
 from wagtailcleat.scheduling.book import JobEntry, record_of
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.scheduling.scheduler import Scheduler
@@ -68,8 +68,10 @@
 """
 RETRY_SECONDS = 0.2
 """Pause after a call to the store that failed."""
-RECORDS_PER_WRITE = 28
-"""The store takes 32 entries a transaction; one compare is the leader's own key."""
+RECORDS_PER_WRITE = (MAX_TXN_ENTRIES - 1) // 2
+"""Each record is a compare and a put; one compare more is the leader's own key."""
+JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 3
+"""Each job has up to three keys."""
 ORDERS_TIMEOUT = 0.8
 ENTRIES_SECONDS = 5.0
 FORGET_SLACK = 30.0
@@ -283,6 +285,7 @@
                 log.info("Agent out of touch", extra={"agent": node})
         for node in self.scheduler.expire(now=now, claimed_at=self.office.claimed_at):
             log.warning("Gave up the runs of an agent", extra={"agent": node})
+        self._log_notes()
         if not self.acting:
             return
         self.scheduler.zones_out = self._zones_out()
@@ -292,11 +295,16 @@
             if vm.node in self._stream_by_node:
                 self._spawn(self._send(self._stream_by_node[vm.node], orders))
 
+    def _log_notes(self) -> None:
+        for note in self.scheduler.take_notes():
+            log.info(
+                note.event.value,
+                extra={"run": str(note.run), "agent": note.node, "why": note.why},
+            )
+
     def _log_orders(self, node: NodeId, orders: Orders) -> None:
         for start in orders.starts:
             log.info("Starts", extra={"run": str(start.key), "agent": node})
-        for key in orders.stops:
-            log.info("Stops", extra={"run": str(key), "agent": node})
 
     async def _send(self, stream: Stream, orders: Orders) -> None:
         answer = await stream.call(orders, timeout=ORDERS_TIMEOUT)
@@ -437,7 +445,7 @@
         ]
         if not old:
             return
-        batch = old[: RECORDS_PER_WRITE // 3]
+        batch = old[:JOBS_PER_DELETE]
         txn = Txn([self._mine()], deletes=_keys(entry.job.id for entry in batch))
         if isinstance(await self._store.write(txn), Written):
             for entry in batch:
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -61,12 +61,11 @@
     supervisor: Supervisor
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close the streams to other processes."""
         self.listener.stop()
         self.peers.close()
         for stream in list(self.listener.streams):
             stream.close("this process ends")
-        self.store.close()
 
 
 class Program(Protocol):
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -37,6 +37,9 @@
 HISTORY_GONE = 410
 TOO_MANY = 429
 UNAVAILABLE = 503
+MAX_TXN_ENTRIES = 32
+"""Compares, puts and deletes that the store takes in one transaction, all counted."""
+INVALID = (400, 403, 413)
 WATCH_SLACK_SECONDS = 0.5
 """What a watch may take beyond its waiting time before it counts as silent."""
 
@@ -122,6 +125,10 @@
             return Conflict(tuple(_found(item) for item in items if _exists(item)))
         if reply.code in (TOO_MANY, UNAVAILABLE):
             return Unavailable(str(reply.code))
+        if reply.code in INVALID:
+            # It will not be taken later either: this is a fault of the caller's.
+            log.error("The store calls a write invalid", extra={"code": reply.code})
+            return Unavailable(str(reply.code))
         return Unknown(str(reply.code))
 
     async def changes(
--- a/wagtailcleat/scheduling/placement.py
+++ b/wagtailcleat/scheduling/placement.py
@@ -3,8 +3,9 @@
 Three kinds of tasks share the VMs. Serving tasks owe their own users a tail latency
 and are slowed by tasks that fill beside them; tasks that fill take processor time
 that is left over; all others mind nobody. So serving tasks stand together on as few
-VMs as hold them, filling tasks stay off those VMs, and the others go where most is
-left over.
+VMs as hold them, filling tasks go to the other VMs first, and beside serving ones
+only where their pair of images is known to get on. The others go where most is left
+over.
 """
 
 from collections import Counter
@@ -38,9 +39,7 @@
     """Tell whether a VM has room for one more task of a step."""
     if not room_of(step).fits(vm.free):
         return False
-    if step.fills:
-        return vm.serving == 0 and vm.spare_cores >= FILL_SHARE * step.size.cores
-    return True
+    return not step.fills or vm.spare_cores >= FILL_SHARE * step.size.cores
 
 
 def _far(vm: Vm, step: Step, racks: Counter[str]) -> int:
@@ -58,6 +57,8 @@
     base = (avoided, _far(vm, step, racks), cold)
     if step.target_seconds:
         return (*base, int(vm.serving == 0), vm.filling_cores, vm.free.cores)
+    if step.fills:
+        return (*base, int(vm.serving > 0), -vm.spare_cores)
     return (*base, -vm.spare_cores)
 
 
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from wagtailcleat.ids import Epoch, JobId, NodeId, ZoneName
 from wagtailcleat.scheduling.book import Book, JobEntry, StepKey, Task, TaskState
@@ -21,6 +22,7 @@
 )
 from wagtailcleat.scheduling.order import rank
 from wagtailcleat.scheduling.placement import choose
+from wagtailcleat.scheduling.sharing import AIM_LOAD, Sharing, shares
 from wagtailcleat.scheduling.vms import Hosted, Vm
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -41,6 +43,27 @@
     waiting: deque[tuple[int, JobEntry | None, int]] = field(default_factory=deque)
 
 
+class Event(Enum):
+    """What the scheduler came to believe or decided; each is one log line."""
+
+    ENDED = "Run ended"
+    NEVER_STARTED = "Run never started"
+    GONE = "Run is gone"
+    ADOPTED = "Run adopted"
+    STOPPED = "Stops"
+    PACED = "Paces"
+
+
+@dataclass(frozen=True)
+class Note:
+    """An event with what decided it."""
+
+    event: Event
+    run: RunKey
+    node: NodeId
+    why: str
+
+
 @dataclass(eq=False)
 class Outgoing:
     """What an agent is still to be told."""
@@ -68,8 +91,11 @@
         """
         self.epoch = epoch
         self.book = Book()
+        self.sharing = Sharing()
         self.vm_by_node: dict[NodeId, Vm] = {}
         self.zones_out: frozenset[ZoneName] = frozenset()
+        self.notes: list[Note] = []
+        """What happened since they were last taken out, for the log."""
         self.unheard: set[NodeId] = set()
         """Agents that may run tasks and have not reported to this leader yet."""
         self._horizon = lease_horizon
@@ -97,6 +123,7 @@
         self._take_running(vm, report, now)
         self._drop_absent(vm, report, now)
         self._heard(vm.node)
+        self._share(vm, now)
 
     def _vm(self, report: Report, session: int, now: float) -> Vm:
         vm = self.vm_by_node.get(report.node)
@@ -135,10 +162,13 @@
         wall_now: float,
     ) -> None:
         for ended in listed:
-            vm.drop_run(ended.key)
+            dropped = vm.drop_run(ended.key)
+            if dropped is not None and shares(dropped.step):
+                vm.changed_at = now
             if ended.number <= ends.taken:
                 continue
             ends.taken = ended.number
+            self._note(Event.ENDED, ended.key, vm, ended.how.value)
             self._judge(vm, ended, now)
             task = self.book.task(ended.key.task)
             others = task is not None and task.run != ended.key.run
@@ -162,6 +192,7 @@
             hosted = vm.drop_run(key)
             if hosted is None:
                 continue
+            self._note(Event.NEVER_STARTED, key, vm, why.value)
             if why is Refusal.UNHEALTHY:
                 vm.failed(now)
             self._free(key, now)
@@ -178,7 +209,7 @@
                 hosted.progressed_at = now
             hosted.figure = running.figure
             if hosted.stopping and now - hosted.stop_at >= self._stop_again:
-                self._stop(vm, hosted, now)
+                self._stop(vm, hosted, now, "still listed after a stop")
             task = self.book.task(running.key.task)
             if running.checkpoint and task is not None and task.run == running.key.run:
                 task.checkpoint = running.checkpoint
@@ -196,9 +227,10 @@
         vm.host_run(hosted)
         stale = task.run > key.run and task.state is TaskState.PLACED
         if stale or not task.entry.open or task.state is TaskState.SUCCEEDED:
-            self._stop(vm, hosted, now)
+            self._stop(vm, hosted, now, "not wanted any more")
         else:
             self.book.placed(task, key.run, vm.node)
+            self._note(Event.ADOPTED, key, vm, "listed by its worker")
         return hosted
 
     def _drop_absent(self, vm: Vm, report: Report, now: float) -> None:
@@ -211,9 +243,33 @@
                 hosted.session == vm.session and hosted.order > report.orders_taken
             )
             if hosted.sent and not on_its_way:
+                self._note(Event.GONE, key, vm, "not listed any more")
                 vm.drop_run(key)
                 self._free(key, now)
 
+    def _share(self, vm: Vm, now: float) -> None:
+        self.sharing.observe(vm, now)
+        for measure in self.sharing.measures(vm, now):
+            self._measure(vm, measure.hosted, measure.pace, now)
+
+    def _measure(self, vm: Vm, hosted: Hosted, pace: int, now: float) -> None:
+        if not pace and hosted.step.checkpointable:
+            # It goes on from its checkpoint elsewhere, instead of holding memory here.
+            self._stop(vm, hosted, now, "it slows what serves here")
+            return
+        self._note(Event.PACED, hosted.key, vm, str(pace))
+        hosted.pace = pace
+        vm.changed_at = now
+        self._outgoing(vm.node).paces.append(Pace(hosted.key, pace))
+
+    def _note(self, event: Event, run: RunKey, vm: Vm, why: str) -> None:
+        self.notes.append(Note(event, run, vm.node, why))
+
+    def take_notes(self) -> list[Note]:
+        """Return what happened since the last call."""
+        notes, self.notes = self.notes, []
+        return notes
+
     def _free(self, key: RunKey, now: float) -> None:
         task = self.book.task(key.task)
         if task is not None and task.run == key.run:
@@ -235,6 +291,7 @@
             if now - vm.heard_at < self._horizon:
                 continue
             for key in list(vm.hosted_by_run):
+                self._note(Event.GONE, key, vm, "its lease has surely lapsed")
                 vm.drop_run(key)
                 self._free(key, now)
             given_up.append(vm.node)
@@ -259,11 +316,13 @@
         for vm in self.vm_by_node.values():
             for hosted in vm.hosted_by_run.values():
                 if hosted.key.task in wanted and not hosted.stopping:
-                    self._stop(vm, hosted, now)
+                    self._stop(vm, hosted, now, "its job or task has ended")
 
-    def _stop(self, vm: Vm, hosted: Hosted, now: float) -> None:
+    def _stop(self, vm: Vm, hosted: Hosted, now: float, why: str = "") -> None:
+        self._note(Event.STOPPED, hosted.key, vm, why)
         hosted.stopping = True
         hosted.stop_at = now
+        vm.changed_at = now
         self._outgoing(vm.node).stops.append(hosted.key)
 
     def _outgoing(self, node: NodeId) -> Outgoing:
@@ -307,8 +366,20 @@
         if waiting[0].step.gang:
             return self._place_gang(vms, tasks, racks, now)
         started = 0
+        image = waiting[0].step.image
+
+        def lets_in(vm: Vm) -> bool:
+            return not waiting[0].step.fills or self.sharing.lets_in(vm, image, now)
+
         for task in waiting:
-            vm = choose(vms, task, now=now, zones_out=self.zones_out, racks=racks)
+            vm = choose(
+                vms,
+                task,
+                now=now,
+                zones_out=self.zones_out,
+                racks=racks,
+                may_use=lets_in,
+            )
             if vm is None:
                 break
             self._start(vm, task, self._next_run(task), now)
@@ -364,18 +435,22 @@
             progressed_at=now,
         )
         vm.host_run(hosted)
+        if shares(task.step):
+            vm.changed_at = now
         spec = task.entry.job.spec
         start = Start(task.run_key, spec, task.checkpoint)
         self._outgoing(vm.node).starts.append(start)
         if task.step.target_seconds:
-            self._clear_fills(vm, now)
-
-    def _clear_fills(self, vm: Vm, now: float) -> None:
-        # A task that fills slows the serving ones beside it; stopped with a
-        # checkpoint it goes on elsewhere.
-        for hosted in vm.hosted_by_run.values():
-            if hosted.step.fills and not hosted.stopping:
-                self._stop(vm, hosted, now)
+            self._make_way(vm, now)
+
+    def _make_way(self, vm: Vm, now: float) -> None:
+        """Send away runs that fill until what serves here is predicted to do well."""
+        fills = [h for h in vm.hosted_by_run.values() if h.step.fills]
+        for hosted in fills:
+            if self.sharing.predicted(vm) <= AIM_LOAD:
+                return
+            if not hosted.stopping:
+                self._measure(vm, hosted, 0, now)
 
     # ---- what goes out
 
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -70,6 +70,10 @@
     """Runs that serve users of their own."""
     failures: int = 0
     failed_at: float = 0.0
+    changed_at: float = 0.0
+    """When the set of runs, or a pace, last changed."""
+    measured_at: float = 0.0
+    """When filling runs were last slowed or let on faster."""
 
     def __repr__(self) -> str:
         """Show the VM and what it has committed."""
