--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -87,6 +87,7 @@
             self.settings.host,
             self.settings.peer_port,
             hosting.info,
+            hosting.left,
             hosting.listed,
             hosting.running,
             hosting.ended,
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -98,6 +98,8 @@
         when the leader was last reached; `on_change` is called when there is news.
         """
         self.info: WorkerInfo | None = None
+        self.left = False
+        """Whether the worker has left for good, and none has come since."""
         self.unsettled_by_run: dict[RunKey, Start] = {}
         self.refusal_by_run: dict[RunKey, Refusal] = {}
         self._clock = clock
@@ -173,11 +175,13 @@
         log.info("Worker left", extra={"worker": instance})
         if self.info is not None and self.info.id == instance:
             self.info = None
+            self.left = True
             self._end_life()
             self._on_change()
 
     def _begin_life(self, heartbeat: Heartbeat) -> None:
         self._end_life()
+        self.left = False
         worker = heartbeat.worker
         fence = worker.born + int(heartbeat.worker_seconds * MILLISECONDS)
         log.info(
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -283,8 +283,10 @@
                 self._session_by_stream.pop(id(stream), None)
                 self.scheduler.lost_touch(node)
                 log.info("Agent out of touch", extra={"agent": node})
+                self._dirty.set()
         for node in self.scheduler.expire(now=now, claimed_at=self.office.claimed_at):
             log.warning("Gave up the runs of an agent", extra={"agent": node})
+            self._dirty.set()
         self._log_notes()
         if not self.acting:
             return
@@ -359,6 +361,7 @@
             self._dirty.clear()
             await asyncio.sleep(COMMIT_SECONDS)
             await self._register_agents()
+            await self._strike_agents()
             while changed := self._changed():
                 if not await self._write_records(changed[:RECORDS_PER_WRITE]):
                     await asyncio.sleep(RETRY_SECONDS)
@@ -369,7 +372,11 @@
         return [entry for entry in entries if entry.version > entry.committed]
 
     async def _register_agents(self) -> None:
-        vms = [vm for vm in self.scheduler.vm_by_node.values() if not vm.registered]
+        vms = [
+            vm
+            for vm in self.scheduler.vm_by_node.values()
+            if not vm.registered and vm.present and vm.worker is not None
+        ]
         new = [vm for vm in vms if vm.node not in self._registered]
         for vm in new[:RECORDS_PER_WRITE]:
             place = Place(vm.host, vm.port, 0)
@@ -383,6 +390,28 @@
         if any(not vm.registered for vm in vms):
             self._dirty.set()
 
+    async def _strike_agents(self) -> None:
+        # A next leader waits for each agent that the store names before it starts
+        # work that was under way: one that is gone would hold all of it up.
+        idle = {vm.node for vm in self.scheduler.idle_absent()}
+        gone = [
+            node
+            for node in self._registered
+            if node in idle or node not in self.scheduler.vm_by_node
+        ]
+        gone = [node for node in gone if node not in self.scheduler.unheard]
+        if not gone:
+            return
+        batch = gone[:RECORDS_PER_WRITE]
+        txn = Txn([self._mine()], deletes=[agent_key(node) for node in batch])
+        for node in batch:
+            # From here on no start goes there until the store names it again.
+            self._registered.discard(node)
+            if node in self.scheduler.vm_by_node:
+                self.scheduler.vm_by_node[node].registered = False
+        if not isinstance(await self._store.write(txn), Written):
+            self._dirty.set()
+
     def _mine(self) -> Compare:
         return Compare(LEADER_KEY, self.office.leader_revision)
 
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -3,18 +3,18 @@
 Each leader counts on agents keeping to the same values.
 """
 
-LEADER_VALID = 3.0
+LEADER_VALID = 2.2
 """How long a leader may act after a renewal, counted from sending it.
 
 A silent leader is replaced after this time; a store that does not answer for longer
 stops starts unless every entry gives its word not to claim.
 """
-CLAIM_AFTER = 3.4
+CLAIM_AFTER = 2.5
 """How long the leader's beat must stand still before another entry claims.
 
 Longer than `LEADER_VALID` by more than the clocks drift in that time.
 """
-RENEW_EVERY = 0.8
+RENEW_EVERY = 0.6
 """A third of `LEADER_VALID` and less, so that two lost renewals do no harm."""
 PROBE_EVERY = 0.4
 """How often an entry asks the leader whether it still leads."""
@@ -26,16 +26,17 @@
 REPORT_TIMEOUT = 0.8
 LOOK_AGAIN = 0.15
 """Pause between two attempts to find the leader."""
-RUN_LEASE = 5.0
+RUN_LEASE = 4.8
 """How long runs go on at a worker without a renewal by its agent.
 
 Agents that were killed are back within 3.5 s; the work of a worker that went dark
 starts again elsewhere only after this time.
 """
-RUN_HORIZON = 6.5
+RUN_HORIZON = 5.0
 """How long runs go on after their agent last reached the leader.
 
-Longer than the cuts of single VMs (5.5 s), so that work survives them.
+Longer than it takes to replace a silent leader, so that its death stops no work; no
+longer, because a new leader waits this long for agents that it can't reach.
 """
 CLOCK_DRIFT = 1.02
 """A worker's clock may be this much slow (the platform's word)."""
--- a/wagtailcleat/scheduling/placement.py
+++ b/wagtailcleat/scheduling/placement.py
@@ -35,11 +35,16 @@
     return not step.required_label or step.required_label in vm.worker.labels
 
 
-def fits(vm: Vm, step: Step) -> bool:
-    """Tell whether a VM has room for one more task of a step."""
+def fits(vm: Vm, step: Step, *, squeezed: bool = False) -> bool:
+    """Tell whether a VM has room for one more task of a step.
+
+    Parameters: `squeezed` lets a filling task in where it must share what is left.
+    """
     if not room_of(step).fits(vm.free):
         return False
-    return not step.fills or vm.spare_cores >= FILL_SHARE * step.size.cores
+    if squeezed or not step.fills:
+        return True
+    return vm.spare_cores >= FILL_SHARE * step.size.cores
 
 
 def _far(vm: Vm, step: Step, racks: Counter[str]) -> int:
@@ -80,6 +85,7 @@
     zones_out: frozenset[ZoneName],
     racks: Counter[str],
     may_use: Callable[[Vm], bool] = lambda vm: True,
+    squeezed: bool = False,
 ) -> Vm | None:
     """Return the best VM for a task now, or None where none has room.
 
@@ -91,7 +97,7 @@
     for vm in vms:
         if not allowed(vm, task.entry.job, step, zones_out) or not may_use(vm):
             continue
-        if not fits(vm, step):
+        if not fits(vm, step, squeezed=squeezed):
             continue
         if step.max_per_vm and count_on_vm(vm, task) >= step.max_per_vm:
             continue
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -28,6 +28,15 @@
 
 RUNS_PER_EPOCH = 1_000
 """Run numbers set aside for one leader: a task is started less often than that."""
+STARVED_SECONDS = 1.3
+"""How long a filling job waits without a turn before one of its tasks is squeezed in.
+
+The users expect each job to have something running within 3 s while there is room.
+"""
+FULL_SHARE = 0.6
+"""Share of a pool's cores that may be committed for that; beyond, waiting is right."""
+STRAINED_LOAD = 1.2
+"""Predicted load of serving tasks up to which a starved job is squeezed in there."""
 MAX_STARTS_PER_ROUND = 400
 """Bounds the time of one round: the loop must answer reports meanwhile."""
 
@@ -113,6 +122,9 @@
         Parameters: `session` numbers the connection the report came on.
         """
         vm = self._vm(report, session, now)
+        if report.left:
+            self._give_up(vm, now, "its worker has left")
+            self._heard(vm.node)
         if report.worker is None or not report.listed:
             return
         ends = self._acks_by_node.setdefault(vm.node, _Acknowledging())
@@ -290,10 +302,7 @@
         for vm in list(self.vm_by_node.values()):
             if now - vm.heard_at < self._horizon:
                 continue
-            for key in list(vm.hosted_by_run):
-                self._note(Event.GONE, key, vm, "its lease has surely lapsed")
-                vm.drop_run(key)
-                self._free(key, now)
+            self._give_up(vm, now, "its lease has surely lapsed")
             given_up.append(vm.node)
             del self.vm_by_node[vm.node]
         if self.unheard and now - claimed_at >= self._horizon:
@@ -302,6 +311,20 @@
             self._settle_if_all_heard()
         return given_up
 
+    def _give_up(self, vm: Vm, now: float, why: str) -> None:
+        for key in list(vm.hosted_by_run):
+            self._note(Event.GONE, key, vm, why)
+            vm.drop_run(key)
+            self._free(key, now)
+
+    def idle_absent(self) -> list[Vm]:
+        """Return the VMs whose agent is out of touch and that surely run nothing."""
+        return [
+            vm
+            for vm in self.vm_by_node.values()
+            if not vm.hosted_by_run and (vm.worker is None or not vm.present)
+        ]
+
     # ---- jobs
 
     def cancel(self, job: JobId, *, now: float, wall_now: float) -> JobEntry | None:
@@ -371,6 +394,7 @@
         def lets_in(vm: Vm) -> bool:
             return not waiting[0].step.fills or self.sharing.lets_in(vm, image, now)
 
+        starved = self._starved(vms, entry, waiting, now)
         for task in waiting:
             vm = choose(
                 vms,
@@ -380,6 +404,9 @@
                 racks=racks,
                 may_use=lets_in,
             )
+            if vm is None and starved and not started:
+                # One task of it shares what is left over, however little.
+                vm = self._squeeze_in(vms, task, now, racks)
             if vm is None:
                 break
             self._start(vm, task, self._next_run(task), now)
@@ -387,6 +414,40 @@
             started += 1
         return started
 
+    def _starved(
+        self, vms: list[Vm], entry: JobEntry, waiting: list[Task], now: float
+    ) -> bool:
+        """Tell whether a filling job has had no turn although the VMs are not full."""
+        step = waiting[0].step
+        if not step.fills or now - waiting[0].ready_at < STARVED_SECONDS:
+            return False
+        if any(task.state is TaskState.PLACED for task in entry.tasks()):
+            return False
+        pool = [vm for vm in vms if vm.service == entry.job.service]
+        taken = sum(vm.taken.cores for vm in pool)
+        return taken < FULL_SHARE * sum(vm.capacity.cores for vm in pool)
+
+    def _squeeze_in(
+        self, vms: list[Vm], task: Task, now: float, racks: Counter[str]
+    ) -> Vm | None:
+        image = task.step.image
+        for calm in (lambda vm: not vm.serving, lambda vm: self._bears(vm, image)):
+            vm = choose(
+                vms,
+                task,
+                now=now,
+                zones_out=self.zones_out,
+                racks=racks,
+                may_use=calm,
+                squeezed=True,
+            )
+            if vm is not None:
+                return vm
+        return None
+
+    def _bears(self, vm: Vm, image: str) -> bool:
+        return self.sharing.predicted(vm, image) <= STRAINED_LOAD
+
     def _place_gang(
         self, vms: list[Vm], tasks: list[Task], racks: Counter[str], now: float
     ) -> int:
--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -21,6 +21,8 @@
 """
 ALONE_WEIGHT = 0.1
 """Weight of a new report in what a serving image reaches alone."""
+MAX_ALONE = 0.8
+"""Bound of what a serving image is taken to reach alone, in shares of its target."""
 FIRST_ALONE = 0.35
 """Load taken for a serving image that was never seen alone."""
 FIRST_PRESS = 0.5
@@ -112,6 +114,8 @@
                 self._learn_alone(hosted.step.image, load)
 
     def _learn_alone(self, image: str, load: float) -> None:
+        # A VM that is slow by itself tells nothing about the image.
+        load = min(load, MAX_ALONE)
         before = self.alone_by_image.get(image, load)
         self.alone_by_image[image] = before + ALONE_WEIGHT * (load - before)
 
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -42,7 +42,9 @@
     host: str
     port: int
     worker: WorkerInfo | None
-    """None until the worker has said who it is."""
+    """None until the worker has said who it is, and after it has left."""
+    left: bool
+    """Whether the worker has left for good: nothing runs there."""
     listed: bool
     """Whether `running` and `ended` are the worker's own list, in this life."""
     running: list[Running]
