--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -21,6 +21,7 @@
 )
 from wagtailcleat.ids import ZoneName
 from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.exchange import NoAnswer
 from wagtailcleat.platform.heartbeats import Heartbeat
 from wagtailcleat.platform.runs import (
     OtherLife,
@@ -50,6 +51,8 @@
 once."""
 CLOSE_SECONDS = 3.0
 """When the connections to an earlier life are closed: its calls have all timed out."""
+REFUSALS_TO_END = 3
+"""Connections refused in a row, a tenth of a second apart, that show a dead worker."""
 LAPSE_SLACK = 0.2
 """How much longer than its lease a run is taken to go on, in seconds."""
 FRESH_LISTS = 2
@@ -76,6 +79,8 @@
     lease_until: float = 0.0
     """When the leases end at the latest, on this VM's clock."""
     lapsed: bool = False
+    refusals: int = 0
+    """Connections refused in a row."""
 
 
 class Hosting:
@@ -244,10 +249,20 @@
             log.warning("Fence was stale", extra={"fence": life.worker.fence})
         elif isinstance(answer, OtherLife):
             log.warning("Another life answers", extra={"worker": life.instance})
+        elif answer is NoAnswer.REFUSED and life.lists:
+            self._note_refused(life)
         return False
 
+    def _note_refused(self, life: _Life) -> None:
+        # A port without a listener is no process: what it ran is gone with it.
+        life.refusals += 1
+        if life.refusals >= REFUSALS_TO_END and not life.lapsed:
+            self._lose_runs(life, "nobody listens at its port")
+
     def _lease_until(self, life: _Life, now: float) -> float | None:
-        if not life.lists:
+        if not life.lists or now - life.listed_at > WORKER_SILENT:
+            # A call without an answer may renew all the same: what runs at a silent
+            # worker would count as running for as long as the worker is silent.
             return None
         until = min(now + self._lease, self._contact() + RUN_HORIZON)
         return until if until > now else None
@@ -269,6 +284,7 @@
         life.lists += 1
         life.listed_at = now
         life.lapsed = False
+        life.refusals = 0
         if life.lists == 1:
             longest = self._lease * CLOCK_DRIFT
             life.lease_until = max(life.lease_until, now + longest)
@@ -287,9 +303,12 @@
         longest = (life.lease_until - life.listed_at) * CLOCK_DRIFT + LAPSE_SLACK
         if now < life.listed_at + longest:
             return
+        self._lose_runs(life, "its leases have lapsed")
+
+    def _lose_runs(self, life: _Life, why: str) -> None:
         life.lapsed = True
         life.running = []
-        log.warning("Leases have lapsed", extra={"worker": life.instance})
+        log.warning("Runs are lost", extra={"worker": life.instance, "why": why})
         for task in self._work:
             task.cancel()
         for key in list(self.unsettled_by_run):
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -352,7 +352,7 @@
 
     async def _keep_entries(self) -> None:
         while True:
-            await self._leadership.list_entries()
+            await self._leadership.look_after_entries(self.office)
             await asyncio.sleep(ENTRIES_SECONDS)
 
     async def _keep_records(self) -> None:
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -63,6 +63,9 @@
 log = part_logger("leadership")
 
 NOBODY = Leads(Epoch(0), NodeId(""), 0, "", 0)  # type: ignore[arg-type]
+STRIKE_SECONDS = 8.0
+"""How long an entry is silent before it is struck; cuts last less, and a restart takes
+2 s."""
 STORE_AGE_UNKNOWN = 1e9
 
 
@@ -136,6 +139,9 @@
         self._promised_until = clock() + LEADER_VALID
         self._told_to_claim = asyncio.Event()
         self._entries: list[Place] = []
+        self._silent_since_by_key: dict[str, float] = {}
+        self._registration = 0
+        """Revision of this entry's own key in the store."""
 
     def __repr__(self) -> str:
         """Show who leads."""
@@ -219,14 +225,15 @@
         while True:
             found = await self._store.get(key)
             if isinstance(found, Found) and found.value == value:
+                self._registration = found.mod_revision
                 return
             if not isinstance(found, Unavailable):
                 absent = isinstance(found, Absent)
                 revision = found.mod_revision if isinstance(found, Found) else None
                 compare = Compare(key, revision, absent=absent)
-                if isinstance(
-                    await self._store.write(Txn([compare], {key: value})), Written
-                ):
+                outcome = await self._store.write(Txn([compare], {key: value}))
+                if isinstance(outcome, Written):
+                    self._registration = outcome.store_revision
                     return
             await asyncio.sleep(PROBE_EVERY)
 
@@ -315,6 +322,7 @@
         compares = [
             _at_revision(LEADER_KEY, seen.leader_revision),
             _at_revision(BEAT_KEY, seen.beat_revision),
+            Compare(entry_key(self._identity.node), self._registration),
         ]
         sent_at = self._clock()
         puts = {LEADER_KEY: encode(leader), BEAT_KEY: encode(0)}
@@ -341,6 +349,7 @@
         for found in outcome.current:
             if found.key == LEADER_KEY and found.value == encode(leader):
                 return Written(found.mod_revision)
+        await self._register()
         return outcome
 
     # ---- leading
@@ -389,16 +398,18 @@
             *(self._word(place, office.epoch) for place in others)
         )
         words = [answer for answer in answers if answer is not None]
-        if len(words) < len(others):
-            return
-        shortest = min((word.seconds for word in words), default=LEADER_VALID)
-        office.valid_until = max(office.valid_until, sent_at + shortest)
-        down_since = self._store.down_since
-        long_down = down_since is not None and self._clock() - down_since > STORE_SILENT
-        if long_down and any(w.store_age < PROBE_EVERY * 2 for w in words):
+        if self._store_long_down() and any(_reaches_store(word) for word in words):
             log.info("Another entry reaches the store", extra={"epoch": office.epoch})
             office.laid_down.set()
             await self._hand_over(office, need_store=True)
+            return
+        if len(words) == len(others):
+            shortest = min((word.seconds for word in words), default=LEADER_VALID)
+            office.valid_until = max(office.valid_until, sent_at + shortest)
+
+    def _store_long_down(self) -> bool:
+        since = self._store.down_since
+        return since is not None and self._clock() - since > STORE_SILENT
 
     async def _word(self, place: Place, epoch: Epoch) -> Follows | None:
         answer = await self._peers.call(
@@ -415,7 +426,7 @@
         for place in [p for p in self._entries if p != self._place]:
             if need_store:
                 word = await self._word(place, office.epoch)
-                if word is None or word.store_age > PROBE_EVERY * 2:
+                if word is None or not _reaches_store(word):
                     continue
             answer = await self._peers.call(
                 place.host, place.port, TakeOver(office.epoch), timeout=PROBE_TIMEOUT
@@ -423,11 +434,32 @@
             if isinstance(answer, Leads):
                 return
 
-    async def list_entries(self) -> None:
-        """Read which entries there are; called by the leader now and then."""
+    async def look_after_entries(self, office: Office) -> None:
+        """Read which entries there are, and strike those that are long silent.
+
+        A leader that is away from the store needs the word of each entry: one that is
+        gone for good would deny it for ever. An entry that was struck claims nothing
+        before it has registered again.
+        """
         listing = await self._store.list(ENTRY_PREFIX)
-        if isinstance(listing, Listing):
-            self._entries = [decode(found.value, Place) for found in listing.found]
+        if not isinstance(listing, Listing):
+            return
+        place_by_key = {f.key: decode(f.value, Place) for f in listing.found}
+        self._entries = list(place_by_key.values())
+        now = self._clock()
+        for key, place in place_by_key.items():
+            if place == self._place or await self._word(place, office.epoch):
+                self._silent_since_by_key.pop(key, None)
+                continue
+            since = self._silent_since_by_key.setdefault(key, now)
+            if now - since >= STRIKE_SECONDS:
+                mine = Compare(LEADER_KEY, office.leader_revision)
+                await self._store.write(Txn([mine], deletes=[key]))
+                log.warning("Struck a silent entry", extra={"entry": key})
+
+
+def _reaches_store(word: Follows) -> bool:
+    return word.store_age < PROBE_EVERY * 2
 
 
 def _at_revision(key: str, revision: int) -> Compare:
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -19,7 +19,7 @@
 PROBE_EVERY = 0.4
 """How often an entry asks the leader whether it still leads."""
 PROBE_TIMEOUT = 0.6
-STORE_SILENT = 1.2
+STORE_SILENT = 0.6
 """After how long without the store a leader looks for an entry that reaches it."""
 REPORT_EVERY = 0.3
 """How often an agent reports at least; it reports at once when a run ends."""
@@ -50,7 +50,7 @@
 """After how long without a list no more starts are given to a worker."""
 STOP_AGAIN = 1.0
 """After how long a stop is repeated for a run that is still listed."""
-STORE_CALL = 1.5
+STORE_CALL = 1.0
 """Bound of a call to the store: it takes 4 ms, and 60 times as long when slow."""
 QUEUES_WAIT = 2.0
 """How long a watch on the configuration waits.
