--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -22,7 +22,7 @@
 )
 from wagtailcleat.scheduling.order import rank
 from wagtailcleat.scheduling.placement import choose
-from wagtailcleat.scheduling.sharing import AIM_LOAD, Sharing, shares
+from wagtailcleat.scheduling.sharing import AIM_LOAD, PROBE_PACE, Sharing, shares
 from wagtailcleat.scheduling.vms import Hosted, Vm
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -215,6 +215,8 @@
             if hosted is None:
                 self._outgoing(vm.node).stops.append(running.key)
                 continue
+            if hosted.probing and not hosted.listed:
+                self._measure(vm, hosted, PROBE_PACE, now)
             hosted.listed = True
             if hosted.percent != running.percent:
                 hosted.percent = running.percent
@@ -498,6 +500,8 @@
         vm.host_run(hosted)
         if shares(task.step):
             vm.changed_at = now
+        if task.step.fills and vm.serving:
+            hosted.probing = self.sharing.strange(vm, task.step.image)
         spec = task.entry.job.spec
         start = Start(task.run_key, spec, task.checkpoint)
         self._outgoing(vm.node).starts.append(start)
--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -51,6 +51,14 @@
 """Shortest time between two measures on one VM: the first must show its effect."""
 PROBE_SECONDS = 1.2
 """For how long a VM must have been as it is before a stranger comes."""
+PROBE_PACE = 20
+"""Pace in percent of a stranger: what it presses shows, and does little harm."""
+OVER_SECONDS = 2.0
+"""How long nobody is let in on a VM after a serving run there was over its target."""
+HARD_PRESS = 0.6
+"""Press from which an image is barred from serving ones for a while."""
+BARRED_SECONDS = 20.0
+"""For how long: as long as two swings of the load of serving tasks."""
 LEAST_PRESS = 0.1
 """What sending a filling task away is taken to spare at least."""
 SLOWEST_PACE = 10
@@ -90,6 +98,7 @@
 
     alone_by_image: dict[str, float] = field(default_factory=dict)
     press_by_pair: dict[ImagePair, Press] = field(default_factory=dict)
+    barred_until_by_image: dict[str, float] = field(default_factory=dict)
 
     def alone(self, image: str) -> float:
         """Return the load that a serving image reaches by itself."""
@@ -107,9 +116,9 @@
         for hosted in _serving(vm):
             if not hosted.figure:
                 continue
-            load = hosted.figure / hosted.step.target_seconds
+            load = load_of(hosted)
             if fills:
-                self._learn_press(hosted.step.image, fills, load)
+                self._learn_press(hosted.step.image, fills, load, now)
             else:
                 self._learn_alone(hosted.step.image, load)
 
@@ -119,7 +128,9 @@
         before = self.alone_by_image.get(image, load)
         self.alone_by_image[image] = before + ALONE_WEIGHT * (load - before)
 
-    def _learn_press(self, serving: str, fills: list[Hosted], load: float) -> None:
+    def _learn_press(
+        self, serving: str, fills: list[Hosted], load: float, now: float
+    ) -> None:
         # A Kalman step with a diagonal covariance: the error of the prediction goes
         # to the images that are known least.
         share_by_image: dict[str, float] = {}
@@ -145,6 +156,8 @@
             press.mean = min(MAX_PRESS, max(0.0, mean))
             press.variance *= 1 - gain * share_by_image[image]
             press.variance += DRIFT_VARIANCE
+            if press.mean > HARD_PRESS:
+                self.barred_until_by_image[image] = now + BARRED_SECONDS
 
     def predicted(self, vm: Vm, image: str = "") -> float:
         """Return the highest load on a VM, with one more task of `image` if given."""
@@ -156,6 +169,7 @@
                 self.press(serving, run.step.image).mean * run.pace / FULL_PACE
                 for run in fills
             )
+            load = max(load, load_of(hosted))
             if image:
                 load += self.press(serving, image).mean
             highest = max(highest, load)
@@ -169,20 +183,24 @@
         """
         if not vm.serving:
             return True
+        if now - vm.over_at < OVER_SECONDS or self.barred(image, now):
+            return False
         if self.predicted(vm, image) <= AIM_LOAD:
             return True
-        if all(self.press(h.step.image, image).known for h in _serving(vm)):
-            return False
         calm = self.predicted(vm) <= CALM_LOAD
-        return calm and now - vm.changed_at >= PROBE_SECONDS and not self._bad(image)
-
-    def _bad(self, image: str) -> bool:
-        """Tell whether a filling image presses hard on some serving image."""
-        return any(
-            press.known and press.mean > AIM_LOAD
-            for (_, filling), press in self.press_by_pair.items()
-            if filling == image
-        )
+        return calm and now - vm.changed_at >= PROBE_SECONDS and self.strange(vm, image)
+
+    def strange(self, vm: Vm, image: str) -> bool:
+        """Tell whether an image was not seen yet beside one that serves on a VM."""
+        return not all(self.press(h.step.image, image).known for h in _serving(vm))
+
+    def barred(self, image: str, now: float) -> bool:
+        """Tell whether an image has pressed hard on any serving one of late.
+
+        How hard it presses grows with the load of the serving one: it may seem harmless
+        beside one image, or at one moment, and be ruinous at the next.
+        """
+        return now < self.barred_until_by_image.get(image, 0.0)
 
     def measures(self, vm: Vm, now: float) -> list[Measure]:
         """Return what to do on a VM now that its serving runs have reported."""
@@ -191,8 +209,9 @@
         worst = _worst(vm)
         if worst is None:
             return []
-        load = worst.figure / worst.step.target_seconds
+        load = load_of(worst)
         if load >= OVER_LOAD:
+            vm.over_at = now
             return self._slow(vm, worst, load, now)
         if load <= CALM_LOAD:
             return self._quicken(vm, now)
@@ -235,6 +254,11 @@
         return taken
 
 
+def load_of(hosted: Hosted) -> float:
+    """Return a serving run's reported tail latency as a share of its target."""
+    return hosted.figure / hosted.step.target_seconds
+
+
 def shares(step: Step) -> bool:
     """Tell whether tasks of a step slow others, or are slowed by them."""
     return step.fills or step.target_seconds > 0
@@ -242,7 +266,7 @@
 
 def _serving(vm: Vm) -> Iterator[Hosted]:
     for hosted in vm.hosted_by_run.values():
-        if hosted.step.target_seconds and hosted.listed and not hosted.stopping:
+        if hosted.step.target_seconds and not hosted.stopping:
             yield hosted
 
 
@@ -258,6 +282,4 @@
 
 def _worst(vm: Vm) -> Hosted | None:
     reported = [run for run in _serving(vm) if run.figure]
-    return max(
-        reported, key=lambda run: run.figure / run.step.target_seconds, default=None
-    )
+    return max(reported, key=load_of, default=None)
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -41,6 +41,8 @@
     """When its percent last changed."""
     figure: float = 0.0
     pace: int = 100
+    probing: bool = False
+    """Whether it starts at a slow pace, to see what it does to those beside it."""
 
 
 @dataclass(eq=False)
@@ -75,6 +77,9 @@
     measured_at: float = 0.0
     """When filling runs were last slowed or let on faster."""
 
+    over_at: float = -1e9
+    """When a serving run was last reported over its target."""
+
     def __repr__(self) -> str:
         """Show the VM and what it has committed."""
         return f"<Vm {self.node}: {len(self.hosted_by_run)} runs, {self.taken}>"
