--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -51,13 +51,13 @@
 """Shortest time between two measures on one VM: the first must show its effect."""
 PROBE_SECONDS = 1.2
 """For how long a VM must have been as it is before a stranger comes."""
-PROBE_PACE = 20
+PROBE_PACE = 50
 """Pace in percent of a stranger: what it presses shows, and does little harm."""
-OVER_SECONDS = 2.0
+OVER_SECONDS = 1.0
 """How long nobody is let in on a VM after a serving run there was over its target."""
-HARD_PRESS = 0.6
+HARD_PRESS = 1.5
 """Press from which an image is barred from serving ones for a while."""
-BARRED_SECONDS = 20.0
+BARRED_SECONDS = 6.0
 """For how long: as long as two swings of the load of serving tasks."""
 LEAST_PRESS = 0.1
 """What sending a filling task away is taken to spare at least."""
