--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -93,3 +93,20 @@
     And the leader is paused for 5 s
     Then it is shown as "done" at the other entry
     And no task ran twice at the same time
+
+  Scenario: The store turns one entry away
+    # The store serves the other entry and the operator, and refuses this one. Its
+    # callers were refused for seconds although their jobs could have been stored.
+    Given a deployment of 2 entries and 2 agents
+    When the store turns away the entry that does not lead
+    And a job of 2 tasks and then 1 task is handed in at that entry
+    Then its first try is accepted
+    And it is shown as "done" at the other entry
+
+  Scenario: Nobody reaches the store
+    # A caller who can't be served is told at once when to come back, and what was
+    # refused never runs.
+    Given a deployment of 1 entry and 1 agent
+    When the store refuses every call for a while
+    Then a submission is refused within 1 s, with a time to come back
+    And nothing of it was stored once the store answers again
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from standins.platform_cluster import PREFIX, PlatformCluster
+from standins.platform_cluster import PREFIX, PlatformCluster, store_host
 from standins.processes import http, wait_for
 
 SECONDS = 20.0
@@ -367,3 +367,66 @@
     context.leader.freeze()
     time.sleep(seconds)
     context.leader.thaw()
+
+
+@when("the store turns away the entry that does not lead")
+def step_turn_away(context):
+    cluster = context.cluster
+    leader = cluster.leader()
+    context.entry = next(
+        number for number, e in enumerate(cluster.entries) if e is not leader
+    )
+    cluster.store.faults(turned_away=store_host(context.entry))
+    _until_store_lost(context, context.entry)
+
+
+@when("a job of {count:d} tasks and then {second:d} task is handed in at that entry")
+def step_that_entry(context, count, second):
+    context.job = secrets.token_hex(8)
+    body = {"spec": "{}", "steps": _steps(count, second)}
+    path = PREFIX + context.job
+    context.answer = context.cluster.call("POST", path, body, entry=context.entry)
+
+
+@then("its first try is accepted")
+def step_first_try(context):
+    assert context.answer[0] == 200, context.answer
+
+
+@when("the store refuses every call for a while")
+def step_refuses(context):
+    cluster = context.cluster
+    cluster.store.faults(busy=True)
+    _until_store_lost(context, 0)
+
+
+def _until_store_lost(context, entry):
+    # An entry that has no reason to call the store notices with the next submission.
+    context.cluster.call("GET", PREFIX + secrets.token_hex(8), entry=entry)
+    url = f"http://127.0.1.{entry + 1}:{context.cluster.ports[1]}/metrics"
+    wait_for(
+        lambda: b"wagtailcleat_store_up 0.0" in http("GET", url).body,
+        SECONDS,
+        "the entry has noticed",
+    )
+
+
+@then("a submission is refused within {seconds:d} s, with a time to come back")
+def step_refused(context, seconds):
+    context.job = secrets.token_hex(8)
+    body = {"spec": "{}", "steps": _steps(1)}
+    began = time.monotonic()
+    answer = http(
+        "POST",
+        context.cluster.url(0) + PREFIX + context.job,
+        body,
+        headers={"Host": "seats.example", "Wagtailcleat-Deadline-Ms": "3000"},
+    )
+    assert time.monotonic() - began < seconds
+    assert answer.status == 503 and int(answer.headers["retry-after"]) >= 1, answer
+
+
+@then("nothing of it was stored once the store answers again")
+def step_not_stored(context):
+    context.cluster.store.faults()
+    assert not context.cluster.stored(f"wagtailcleat/jobs/{context.job}")
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -94,6 +94,7 @@
         name = f"entry-{number + 1}"
         front, ready = self.ports[2:4]
         more = {"front": f"{host}:{front}", "ready": f"{host}:{ready}"}
+        more["store"] = f"{store_host(number)}:{self.store.ready['port']}"
         settings = self._shared(name, number, host) | more
         return self._program(name, "wagtailcleat.cluster.entry_app", settings)
 
@@ -257,6 +258,11 @@
         return wait_for(find, READY_SECONDS, "an entry leads")
 
 
+def store_host(entry: int) -> str:
+    """Return the store's address that only one entry uses, of the first two."""
+    return f"127.0.2.{entry + 1}"
+
+
 def _host(number: int) -> str:
     return f"127.0.1.{number}"
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -27,6 +27,8 @@
 MAX_PAGE = 500
 MAX_WAIT_SECONDS = 30.0
 MILLISECONDS = 1000
+OWN_HOSTS = ("127.0.2.1", "127.0.2.2")
+"""Addresses for the first two entries alone, so that one can be turned away."""
 OPERATORS = ("op/", "servers/")
 
 
@@ -37,6 +39,8 @@
     """Every call is answered 503."""
     late_seconds: float = 0.0
     """Writes get no answer and are carried out after this time."""
+    turned_away: str = ""
+    """Calls to this one of its addresses are answered 503."""
     refused_bodies: bool = False
     """Every write is answered 429."""
 
@@ -83,7 +87,8 @@
     async def prepare(self) -> None:
         """Suffer the faults, or refuse."""
         await super().prepare()
-        if self.switches.now.busy and not self._finished:
+        away = self.request.host_name == self.switches.now.turned_away
+        if (self.switches.now.busy or away) and not self._finished:
             self.answer({"error": "busy"}, 503)
 
 
@@ -242,7 +247,7 @@
         ("/faults", FaultsHandler, {"switches": switches}),
         ("/record", RecordHandler, {"show": lambda: {"rows": list(state.record.rows)}}),
     ]
-    return {"port": listen(routes, port)}
+    return {"port": listen(routes, port, more_hosts=OWN_HOSTS)}
 
 
 def main(*, port: int = 0) -> None:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -5,7 +5,7 @@
 import os
 import signal
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
@@ -152,14 +152,20 @@
     """Keep requests out of stderr."""
 
 
-def listen(routes: list[Any], port: int) -> int:
-    """Serve `routes` on loopback and return the port."""
+def listen(routes: list[Any], port: int, *, more_hosts: Iterable[str] = ()) -> int:
+    """Serve `routes` on loopback and return the port.
+
+    Parameters: `more_hosts` are loopback addresses to serve too, on the same port.
+    """
     sockets = bind_sockets(port, HOST)
+    bound = int(sockets[0].getsockname()[1])
+    for host in more_hosts:
+        sockets += bind_sockets(bound, host)
     server = HTTPServer(
         Application(routes, log_function=log_nothing), max_buffer_size=BODY_LIMIT
     )
     server.add_sockets(sockets)
-    return int(sockets[0].getsockname()[1])
+    return bound
 
 
 def run(start: Callable[[], Awaitable[dict[str, Any]]]) -> None:
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -23,10 +23,12 @@
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
+    JobStored,
     KeepFollowing,
     Leads,
     Report,
     ShowState,
+    StoreJob,
     Submitted,
     TakeOver,
     WhoLeads,
@@ -77,6 +79,7 @@
                 KeepFollowing: self.leadership.keep_following,
                 TakeOver: self.leadership.take_over,
                 Submitted: self._submitted,
+                StoreJob: self._store_job,
                 ShowState: self._show_state,
                 CancelSteps: self._cancel,
                 CountWaiting: self._count,
@@ -164,6 +167,11 @@
         leader = self.leader
         return _not_leading() if leader is None else await leader.submitted(message)
 
+    async def _store_job(self, message: AnyMessage) -> AnyMessage:
+        assert isinstance(message, StoreJob)
+        outcome = await self.submissions.store(message.id, message.job)
+        return JobStored(outcome.value)
+
     async def _show_state(self, message: AnyMessage) -> AnyMessage:
         assert isinstance(message, ShowState)
         leader = self.leader
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -200,6 +200,7 @@
     program.start()
     reload = _Reload(path, settings, kind)
     program.base.supervisor.spawn("settings", reload.run)
+    program.base.supervisor.spawn("store", program.base.store.keep_looking)
     dump_on_signal(program.base.introspection)
     log.info(
         "Started",
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -40,15 +40,17 @@
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
+    JobStored,
     ShowState,
     StateShown,
+    StoreJob,
     Submitted,
     Waiting,
 )
 
 log = part_logger("submissions")
 
-LEADER_TIMEOUT = 0.6
+LEADER_TIMEOUT = 0.8
 """For an answer of the leader; after that the store is asked."""
 CANCEL_TIMEOUT = 1.2
 RETRY_SECONDS = 0.1
@@ -103,28 +105,68 @@
     async def submit(self, job: Job, *, deadline: float) -> Acceptance:
         """Store a job; the same id twice is one job.
 
+        Where the store does not serve this entry, the leader stores the job. Where
+        nobody reaches the store, the caller is told at once.
+
         Parameters: `deadline` on this process's clock.
         """
         value = encode(job)
-        key = job_key(job.id)
-        txn = Txn([Compare(key, absent=True)], {key: value})
         unknown = False
         while True:
-            outcome = await self._store.write(txn)
-            if isinstance(outcome, Written | Conflict):
+            outcome = await self._store_anywhere(job.id, value)
+            if outcome is Acceptance.ACCEPTED:
                 log.info("Accepted", extra={"job": job.id, "queue": job.queue})
-                if isinstance(outcome, Written):
-                    self._tell(Submitted(job.id, value))
-                return Acceptance.ACCEPTED
+                return outcome
             # Once an attempt may have been carried out, no later refusal undoes it.
-            unknown = unknown or isinstance(outcome, Unknown)
-            if self._clock() + RETRY_SECONDS + ANSWER_MARGIN >= deadline:
+            unknown = unknown or outcome is Acceptance.UNKNOWN
+            now = self._clock()
+            hopeless = self._store.away(now) and not unknown
+            if hopeless or now + RETRY_SECONDS + ANSWER_MARGIN >= deadline:
                 break
             await asyncio.sleep(RETRY_SECONDS)
         verdict = Acceptance.UNKNOWN if unknown else Acceptance.NOT_STORED
-        log.warning("Not accepted", extra={"job": job.id, "outcome": verdict.value})
+        log.warning(
+            "Not accepted",
+            extra={
+                "job": job.id,
+                "outcome": verdict.value,
+                "store_down": self._store.down_since is not None,
+            },
+        )
         return verdict
 
+    async def _store_anywhere(self, job: JobId, value: bytes) -> Acceptance:
+        outcome = Acceptance.NOT_STORED
+        if not self._store.away(self._clock()):
+            outcome = await self.store(job, value)
+        if outcome is Acceptance.ACCEPTED or self._leadership.leads:
+            return outcome
+        answer = await self._call(StoreJob(job, value))
+        if isinstance(answer, JobStored):
+            relayed = Acceptance(answer.outcome)
+        else:
+            lost = isinstance(answer, Lost) and answer.sent
+            relayed = Acceptance.UNKNOWN if lost else Acceptance.NOT_STORED
+        if relayed is Acceptance.NOT_STORED:
+            return outcome
+        return relayed
+
+    async def store(self, job: JobId, value: bytes) -> Acceptance:
+        """Store a job by one write of this entry's own."""
+        if self._store.away(self._clock()):
+            return Acceptance.NOT_STORED
+        key = job_key(job)
+        outcome = await self._store.write(
+            Txn([Compare(key, absent=True)], {key: value})
+        )
+        if isinstance(outcome, Written | Conflict):
+            if isinstance(outcome, Written):
+                self._tell(Submitted(job, value))
+            return Acceptance.ACCEPTED
+        if isinstance(outcome, Unknown):
+            return Acceptance.UNKNOWN
+        return Acceptance.NOT_STORED
+
     def _tell(self, message: Submitted) -> None:
         task = asyncio.create_task(self._tell_leader(message))
         self._telling.add(task)
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -5,6 +5,7 @@
 library on a connection that broke, changes nothing that was written meanwhile.
 """
 
+import asyncio
 import base64
 from dataclasses import dataclass
 from typing import Any
@@ -44,6 +45,14 @@
 """What a watch may take beyond its waiting time before it counts as silent."""
 
 
+LOOK_KEY = "wagtailcleat/look"
+LOOK_SECONDS = 0.25
+"""How often a store that does not answer is asked again: callers are refused
+meanwhile, and each look is a call that is paid for."""
+AWAY_SECONDS = 0.3
+"""How long a failure lasts before it counts as an outage, not as one lost call."""
+
+
 @dataclass
 class StoreCounts:
     """Calls of this process by what they were, for the metrics."""
@@ -79,6 +88,17 @@
         self._exchange.close()
         self._watching.close()
 
+    async def keep_looking(self) -> None:
+        """Ask for an answer now and then while there is none, for ever."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            if self.down_since is not None:
+                await self.get(LOOK_KEY)
+
+    def away(self, now: float) -> bool:
+        """Tell whether the store is known not to serve this process at present."""
+        return self.down_since is not None and now - self.down_since >= AWAY_SECONDS
+
     async def get(self, key: str) -> Found | Absent | Unavailable:
         """Return the value of `key`."""
         self.counts.reads += 1
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -27,6 +27,7 @@
     CancelSteps,
     CountWaiting,
     Follows,
+    JobStored,
     KeepFollowing,
     Leads,
     Orders,
@@ -34,6 +35,7 @@
     ReportTaken,
     ShowState,
     StateShown,
+    StoreJob,
     Submitted,
     TakeOver,
     Waiting,
@@ -525,6 +527,8 @@
     | KeepFollowing
     | Follows
     | TakeOver
+    | StoreJob
+    | JobStored
 )
 
 
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -94,6 +94,19 @@
     job: bytes
 
 
+class StoreJob(Message, frozen=True, tag="store_job"):
+    """Asks an entry that reaches the store to store a job; made once per id."""
+
+    id: JobId
+    job: bytes
+
+
+class JobStored(Message, frozen=True, tag="job_stored"):
+    """What became of `StoreJob`; `outcome` is a value of `Acceptance`."""
+
+    outcome: str
+
+
 class ShowState(Message, frozen=True, tag="show_state"):
     """Asks the leader how a job stands."""
 
