Metrics of callers and decisions, the story of a job from logs, bad input at the ports

Cause: a failed request could be followed by hand only; two fields with numbers beyond 64 bits were answered with a fault of the program (4 of 20,000 fuzzed bodies). Ruled out: other faults in 40,000 bodies decoded without a port (all of that kind).

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -9,6 +9,7 @@
 from wagtailcleat.cluster.keys import Place
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import Leadership, Office
+from wagtailcleat.cluster.measures import CallerMeasures, show_scheduler
 from wagtailcleat.cluster.operator_watch import OperatorWatch
 from wagtailcleat.cluster.program import Base, make_base, serve_metrics
 from wagtailcleat.cluster.program import main as run
@@ -86,6 +87,7 @@
             }
         )
         base.dispatch.add({Report: self._report})
+        self.measures = CallerMeasures()
         self._servers: list[HTTPServer] = []
         self._add_metrics()
 
@@ -103,6 +105,7 @@
             queues=lambda: self.operators.queues,
             clock=boot_time,
             wall_clock=wall_time,
+            note=self.measures.note,
         )
         ready = ready_server(self.ready)
         for server, address in (
@@ -194,6 +197,11 @@
         return leader.waiting(message)
 
     def _add_metrics(self) -> None:
+        self.measures.show(self.base.introspection)
+        show_scheduler(
+            self.base.introspection,
+            lambda: self.leader.scheduler if self.leader else None,
+        )
         metric = self.base.introspection.metric
         metric(
             Kind.GAUGE,
@@ -213,6 +221,12 @@
             "Version of the configuration in force here; 0: none.",
             lambda: self.operators.queues.version if self.operators.queues else 0,
         )
+        metric(
+            Kind.GAUGE,
+            "configuration_age_seconds",
+            "Seconds since the store last told what operators want.",
+            lambda: boot_time() - self.operators.heard_at,
+        )
 
 
 def _not_leading() -> Refused:
--- /dev/null
+++ b/wagtailcleat/cluster/measures.py
@@ -0,0 +1,105 @@
+"""Counters and latencies of an entry's callers, and of the scheduler that leads."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from hdrh.histogram import HdrHistogram
+
+from wagtailcleat.introspection import Introspection, Kind
+from wagtailcleat.scheduling.book import TaskState
+from wagtailcleat.scheduling.scheduler import Scheduler
+
+LONGEST_MICROSECONDS = 60_000_000
+MICROSECONDS = 1_000_000
+DIGITS = 2
+"""Significant digits kept of a latency: one percent tells what an on-call needs."""
+
+
+class CallerMeasures:
+    """How callers were served; labels are methods and status codes only."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.count_by_outcome: Counter[str] = Counter()
+        self.histogram_by_method: dict[str, HdrHistogram] = {}
+
+    def note(self, method: str, status: int, seconds: float) -> None:
+        """Count one answered call."""
+        self.count_by_outcome[f"{method} {status}"] += 1
+        histogram = self.histogram_by_method.get(method)
+        if histogram is None:
+            histogram = HdrHistogram(1, LONGEST_MICROSECONDS, DIGITS)
+            self.histogram_by_method[method] = histogram
+        histogram.record_value(int(seconds * MICROSECONDS) + 1)
+
+    def show(self, introspection: Introspection) -> None:
+        """Show the counts and latencies among the metrics."""
+        introspection.labelled(
+            Kind.COUNTER,
+            "submission_calls",
+            "Calls of submitters, by method and status.",
+            "outcome",
+            lambda: self.count_by_outcome,
+        )
+        introspection.latencies(
+            "submission_seconds",
+            "Time to answer a submitter, by method.",
+            "method",
+            lambda: self.histogram_by_method,
+        )
+
+
+def show_scheduler(
+    introspection: Introspection, scheduler: Callable[[], Scheduler | None]
+) -> None:
+    """Show what the leader decides; an entry that follows shows nothing."""
+
+    def events() -> dict[str, float]:
+        leading = scheduler()
+        return dict(leading.count_by_event) if leading else {}
+
+    introspection.labelled(
+        Kind.COUNTER,
+        "run_events",
+        "Starts, stops, paces and ends of runs since this entry began to lead.",
+        "event",
+        events,
+    )
+    introspection.labelled(
+        Kind.GAUGE,
+        "tasks",
+        "Tasks that are due, by priority of their queue and state.",
+        "state",
+        lambda: _tasks(scheduler()),
+    )
+    introspection.labelled(
+        Kind.GAUGE,
+        "cores",
+        "Cores of all VMs in touch: held, committed, and wanted by filling tasks.",
+        "kind",
+        lambda: _cores(scheduler()),
+    )
+
+
+def _tasks(scheduler: Scheduler | None) -> Mapping[str, float]:
+    counted: Counter[str] = Counter()
+    if scheduler is None:
+        return {}
+    for entry in scheduler.book.entry_by_id.values():
+        if not entry.open:
+            continue
+        for task in entry.tasks():
+            if task.state is not TaskState.SUCCEEDED:
+                counted[f"{entry.job.priority} {task.state.value}"] += 1
+    return dict(counted)
+
+
+def _cores(scheduler: Scheduler | None) -> dict[str, float]:
+    if scheduler is None:
+        return {}
+    vms = scheduler.vm_by_node.values()
+    return {
+        "held": sum(vm.capacity.cores for vm in vms),
+        "committed": sum(vm.taken.cores for vm in vms),
+        "filling": sum(vm.filling_cores for vm in vms),
+    }
--- a/wagtailcleat/cluster/operator_watch.py
+++ b/wagtailcleat/cluster/operator_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from wagtailcleat.clock import boot_time
 from wagtailcleat.ids import ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.fields import BodyError
@@ -42,6 +43,8 @@
         self.queues: QueueTable | None = None
         self.zones_out: frozenset[ZoneName] = frozenset()
         self.known = False
+        self.heard_at = 0.0
+        """When the store last told, on this VM's clock."""
         self._store = store
         self._wait_seconds = wait_seconds
         self._prefix = ZONE_OUT_PREFIX if zones_only else OPERATOR_PREFIX
@@ -62,6 +65,7 @@
                 self._prefix, self._revision, wait_seconds=self._wait_seconds
             )
             if isinstance(changes, Changes):
+                self.heard_at = boot_time()
                 for event in changes.events:
                     self._take(event.key, event.value)
                 self._revision = max(self._revision, changes.store_revision)
@@ -84,6 +88,7 @@
                 self._take_configuration(found.value)
         self._revision = listing.store_revision
         self.known = True
+        self.heard_at = boot_time()
         self._on_change()
         return True
 
--- a/wagtailcleat/operator/app.py
+++ b/wagtailcleat/operator/app.py
@@ -17,6 +17,7 @@
 from wagtailcleat.operator.configuration import apply as apply_files
 from wagtailcleat.operator.configuration import check as check_files
 from wagtailcleat.operator.exits import Exit
+from wagtailcleat.operator.explain import explain as explain_job
 from wagtailcleat.operator.jobs import (
     cancel,
     list_jobs,
@@ -55,6 +56,12 @@
 ]
 
 
+@app.command
+def explain(job: str, *files: Path) -> int:
+    """Tell the story of a job from the logs of many processes, in order of time."""
+    return explain_job(job, list(files))
+
+
 @app.command
 def check(*files: Path, json: Annotated[bool, Parameter(negative=())] = False) -> int:
     """Check inventory and rules files, offline; print every problem with its path."""
--- a/wagtailcleat/platform/fields.py
+++ b/wagtailcleat/platform/fields.py
@@ -12,6 +12,15 @@
     code = Code.INVALID
 
 
+MAX_NUMBER = 2**53
+"""Larger numbers are not exact in JSON, and fit into no field of ours."""
+
+
+def _sane(value: float) -> bool:
+    # Also false for what is no number (NaN), which Python's JSON reader lets pass.
+    return 0 <= value <= MAX_NUMBER
+
+
 def read_object(body: bytes) -> dict[str, Any]:
     """Return a JSON object.
 
@@ -39,7 +48,7 @@
 def whole(raw: dict[str, Any], name: str, *, default: int | None = None) -> int:
     """Return a field that is a whole number of 0 or more."""
     value = raw.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+    if isinstance(value, bool) or not isinstance(value, int) or not _sane(value):
         raise BodyError(f"{name}: missing or no whole number of 0 or more")
     return value
 
@@ -47,7 +56,11 @@
 def number(raw: dict[str, Any], name: str, *, default: float | None = None) -> float:
     """Return a field that is a number of 0 or more."""
     value = raw.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int | float)
+        or not _sane(value)
+    ):
         raise BodyError(f"{name}: missing or no number of 0 or more")
     return float(value)
 
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -142,13 +142,19 @@
         queues: Callable[[], QueueTable | None],
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
+        note: Callable[[str, int, float], None],
     ) -> None:
+        self._note = note
         self._desk = desk
         self._queues = queues
         self._wall_clock = wall_clock
         self._clock = clock
         self._began = clock()
 
+    def on_finish(self) -> None:
+        method = self.request.method or ""
+        self._note(method, self.get_status(), self._clock() - self._began)
+
     def prepare(self) -> None:
         table = self._queues()
         if table is None:
@@ -252,13 +258,18 @@
     queues: Callable[[], QueueTable | None],
     clock: Callable[[], float],
     wall_clock: Callable[[], float],
+    note: Callable[[str, int, float], None] = lambda method, status, seconds: None,
 ) -> HTTPServer:
-    """Return the server that callers reach."""
+    """Return the server that callers reach.
+
+    Parameters: `note` is told method, status and seconds of each call answered.
+    """
     parts = {
         "desk": desk,
         "queues": queues,
         "clock": clock,
         "wall_clock": wall_clock,
+        "note": note,
     }
     application = Application(
         [(r".*", _CallerHandler, parts)], log_function=lambda handler: None
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -103,6 +103,7 @@
         self.sharing = Sharing()
         self.vm_by_node: dict[NodeId, Vm] = {}
         self.zones_out: frozenset[ZoneName] = frozenset()
+        self.count_by_event: Counter[str] = Counter()
         self.notes: list[Note] = []
         """What happened since they were last taken out, for the log."""
         self.unheard: set[NodeId] = set()
@@ -278,6 +279,8 @@
 
     def _note(self, event: Event, run: RunKey, vm: Vm, why: str) -> None:
         self.notes.append(Note(event, run, vm.node, why))
+        counted = f"{event.value}: {why}" if event is Event.ENDED else event.value
+        self.count_by_event[counted] += 1
 
     def take_notes(self) -> list[Note]:
         """Return what happened since the last call."""
@@ -503,6 +506,7 @@
         if task.step.fills and vm.serving:
             hosted.probing = self.sharing.strange(vm, task.step.image)
         spec = task.entry.job.spec
+        self.count_by_event["Starts"] += 1
         start = Start(task.run_key, spec, task.checkpoint)
         self._outgoing(vm.node).starts.append(start)
         if task.step.target_seconds:
