--- a/features/platform/faults.feature
+++ b/features/platform/faults.feature
@@ -110,3 +110,12 @@
     When the store refuses every call for a while
     Then a submission is refused within 1 s, with a time to come back
     And nothing of it was stored once the store answers again
+
+  Scenario: The store turns the leader away
+    # The leader hands over to an entry that reaches the store, and must learn who leads
+    # now although it can't read it: its callers were refused for 9 s on a recorded day.
+    Given a deployment of 2 entries and 2 agents
+    When the store turns away the entry that leads, and the other one leads
+    And a job of 2 tasks and then 1 task is handed in at that entry
+    Then its first try is accepted
+    And it is shown as "done" at the other entry
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -430,3 +430,12 @@
 def step_not_stored(context):
     context.cluster.store.faults()
     assert not context.cluster.stored(f"wagtailcleat/jobs/{context.job}")
+
+
+@when("the store turns away the entry that leads, and the other one leads")
+def step_turn_away_leader(context):
+    cluster = context.cluster
+    leader = cluster.leader()
+    context.entry = cluster.entries.index(leader)
+    cluster.store.faults(turned_away=store_host(context.entry))
+    wait_for(lambda: cluster.leader() is not leader, SECONDS, "the other entry leads")
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
@@ -63,6 +64,8 @@
 log = part_logger("leadership")
 
 NOBODY = Leads(Epoch(0), NodeId(""), 0, "", 0)  # type: ignore[arg-type]
+TAKE_OVER_ANSWER = 0.4
+"""How long the answer to a hand-over waits for the claim: two calls to the store."""
 STRIKE_SECONDS = 8.0
 """How long an entry is silent before it is struck; cuts last less, and a restart takes
 2 s."""
@@ -97,6 +100,8 @@
     beat_revision: int
     valid_until: float
     claimed_at: float
+    announced: bool = False
+    """Whether the other entries were told."""
     laid_down: asyncio.Event = field(default_factory=asyncio.Event)
 
     def valid_for(self, now: float) -> float:
@@ -138,7 +143,9 @@
         self._started_at = clock()
         self._promised_until = clock() + LEADER_VALID
         self._told_to_claim = asyncio.Event()
-        self._entries: list[Place] = []
+        self._entry_by_address: dict[tuple[str, int], Place] = {}
+        """Entries that the store named, or that asked this one who leads."""
+        self._learned = asyncio.Condition()
         self._silent_since_by_key: dict[str, float] = {}
         self._registration = 0
         """Revision of this entry's own key in the store."""
@@ -172,13 +179,17 @@
     # ---- messages of other processes
 
     async def who_leads(self, message: AnyMessage) -> AnyMessage:
-        """Answer `WhoLeads`."""
+        """Answer `WhoLeads`, and note an entry that asks."""
+        assert isinstance(message, WhoLeads)
+        if message.host:
+            place = Place(message.host, message.port, message.incarnation)
+            self._entry_by_address[place.host, place.port] = place
         return self.leader
 
     async def leads_now(self, message: AnyMessage) -> AnyMessage:
         """Take in who leads."""
         if isinstance(message, Leads):
-            self._learn(message)
+            await self._learn(message)
         return self.leader
 
     async def keep_following(self, message: AnyMessage) -> AnyMessage:
@@ -197,8 +208,16 @@
         assert isinstance(message, TakeOver)
         if message.epoch >= self.leader.epoch and self.may_claim:
             self._told_to_claim.set()
+            await self._until_newer(message.epoch)
         return self.leader
 
+    async def _until_newer(self, epoch: Epoch) -> None:
+        # Who lays down its office may be away from the store, and learns only from
+        # this answer who leads now.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TAKE_OVER_ANSWER), self._learned:
+                await self._learned.wait_for(lambda: self.leader.epoch > epoch)
+
     async def lay_down(self) -> None:
         """Give the office to an entry that follows, before this process stops."""
         self.may_claim = False
@@ -210,9 +229,11 @@
 
     # ---- following
 
-    def _learn(self, leader: Leads) -> None:
+    async def _learn(self, leader: Leads) -> None:
         if leader.epoch > self.leader.epoch:
             self.leader = leader
+            async with self._learned:
+                self._learned.notify_all()
             log.info("Follows", extra={"epoch": leader.epoch, "leader": leader.node})
 
     async def _touch_store(self) -> None:
@@ -266,7 +287,7 @@
             return await self._claim("an earlier life of this process led")
         if sign is _Sign.DEAD and seen.leader.epoch == self.leader.epoch:
             return await self._claim("its process is dead")
-        self._learn(seen.leader)
+        await self._learn(seen.leader)
         stands = now - seen.beat_seen_at
         if stands >= CLAIM_AFTER and now >= self._promised_until:
             return await self._claim("its beat stands still")
@@ -284,9 +305,11 @@
             stream.peer_incarnation != leader.incarnation
         ):
             return _Sign.DEAD
-        answer = await stream.call(WhoLeads(), timeout=PROBE_TIMEOUT)
+        me = self._place
+        question = WhoLeads(me.host, me.port, me.incarnation)
+        answer = await stream.call(question, timeout=PROBE_TIMEOUT)
         if isinstance(answer, Leads):
-            self._learn(answer)
+            await self._learn(answer)
             if answer.epoch == leader.epoch:
                 return _Sign.LEADS if answer.node == leader.node else _Sign.SILENT
             return _Sign.LEADS if answer.epoch > leader.epoch else _Sign.DEAD
@@ -335,7 +358,7 @@
             "Claimed",
             extra={"epoch": leader.epoch, "before": seen.leader.node, "why": why},
         )
-        self._learn(leader)
+        await self._learn(leader)
         revision = outcome.store_revision
         return Office(
             leader.epoch, revision, revision, sent_at + LEADER_VALID, self._clock()
@@ -393,7 +416,7 @@
 
     async def _renew_by_word(self, office: Office) -> None:
         sent_at = self._clock()
-        others = [p for p in self._entries if p != self._place]
+        others = self._others()
         answers = await asyncio.gather(
             *(self._word(place, office.epoch) for place in others)
         )
@@ -423,7 +446,7 @@
         return None
 
     async def _hand_over(self, office: Office, *, need_store: bool) -> None:
-        for place in [p for p in self._entries if p != self._place]:
+        for place in self._others():
             if need_store:
                 word = await self._word(place, office.epoch)
                 if word is None or not _reaches_store(word):
@@ -432,8 +455,25 @@
                 place.host, place.port, TakeOver(office.epoch), timeout=PROBE_TIMEOUT
             )
             if isinstance(answer, Leads):
+                await self._learn(answer)
                 return
 
+    def _others(self) -> list[Place]:
+        me = (self._place.host, self._place.port)
+        return [p for at, p in self._entry_by_address.items() if at != me]
+
+    async def _announce(self, office: Office) -> None:
+        # An entry that is away from the store can't read who leads.
+        if office.announced:
+            return
+        office.announced = True
+        await asyncio.gather(
+            *(
+                self._peers.call(p.host, p.port, self.leader, timeout=PROBE_TIMEOUT)
+                for p in self._others()
+            )
+        )
+
     async def look_after_entries(self, office: Office) -> None:
         """Read which entries there are, and strike those that are long silent.
 
@@ -445,16 +485,20 @@
         if not isinstance(listing, Listing):
             return
         place_by_key = {f.key: decode(f.value, Place) for f in listing.found}
-        self._entries = list(place_by_key.values())
+        for place in place_by_key.values():
+            self._entry_by_address.setdefault((place.host, place.port), place)
+        await self._announce(office)
         now = self._clock()
         for key, place in place_by_key.items():
-            if place == self._place or await self._word(place, office.epoch):
+            mine = (place.host, place.port) == (self._place.host, self._place.port)
+            if mine or await self._word(place, office.epoch):
                 self._silent_since_by_key.pop(key, None)
                 continue
             since = self._silent_since_by_key.setdefault(key, now)
             if now - since >= STRIKE_SECONDS:
-                mine = Compare(LEADER_KEY, office.leader_revision)
-                await self._store.write(Txn([mine], deletes=[key]))
+                still = Compare(LEADER_KEY, office.leader_revision)
+                await self._store.write(Txn([still], deletes=[key]))
+                self._entry_by_address.pop((place.host, place.port), None)
                 log.warning("Struck a silent entry", extra={"entry": key})
 
 
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -17,7 +17,14 @@
 
 
 class WhoLeads(Message, frozen=True, tag="who_leads"):
-    """Asks an entry which entry leads, as far as it knows."""
+    """Asks an entry which entry leads, as far as it knows.
+
+    An entry that asks says where it is itself; the leader may need its word later.
+    """
+
+    host: str = ""
+    port: int = 0
+    incarnation: int = 0
 
 
 class Leads(Message, frozen=True, tag="leads"):
