Short urgent work before lasting work; VMs that run slow are passed over

Cause: checks of 2 s waited behind serving tasks for each free core and were late; a VM that turned slow or stood still kept getting work, being as empty as any. Ruled out: a reserve of cores on each VM (a lasting task that could run must run). Both new scenarios fail without the change.

--- a/features/scheduling/order.feature
+++ b/features/scheduling/order.feature
@@ -36,3 +36,18 @@
     When 2 runs in a row fail on the first VM
     And job "a" of 4 tasks comes
     Then only the second VM runs tasks
+
+  Scenario: Short urgent work goes before urgent work that lasts
+    # Serving tasks took each core that became free; short checks beside them waited for
+    # seconds and were late, though they leave again at once.
+    Given 1 VM of 8 cores
+    And job "lasting" of 2 serving tasks comes, and job "short" of 1 task with 4 cores
+    When one round has passed
+    Then job "short" runs
+
+  Scenario: A VM that turned slow is passed over
+    # A worker runs at a sixth of its speed, or stands still, and reports itself sound.
+    Given 2 VMs of 32 cores
+    When tasks on the first VM make no progress for 2 s
+    And job "a" of 4 tasks comes
+    Then none of job "a" runs on the first VM
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -667,3 +667,32 @@
             entry.state is JobState.SUCCEEDED
         )
     return done
+
+
+@given(
+    'job "{lasting}" of {count:d} serving tasks comes,'
+    ' and job "{short}" of {tasks:d} task with {cores:d} cores'
+)
+def step_lasting_and_short(context, lasting, count, short, tasks, cores):
+    context.world.submit(make_job(lasting, serving(count, cores=6.0)))
+    context.world.submit(make_job(short, plain(tasks, cores=cores)))
+
+
+@when("tasks on the first VM make no progress for {seconds:d} s")
+def step_no_progress(context, seconds):
+    # Pretended workers always report the same percent: only the first one has work.
+    world = context.world
+    workers = world.worker_by_node
+    ready = workers["vm-2"].state
+    workers["vm-2"].state = type(ready)("draining")
+    world.submit(make_job("stuck", plain(4)))
+    for _ in range(round(seconds / REPORT_SECONDS)):
+        world.round()
+    workers["vm-2"].state = ready
+    world.round()
+
+
+@then('none of job "{name}" runs on the first VM')
+def step_none_on_first(context, name):
+    nodes = context.world.running_nodes(name)
+    assert nodes and "vm-1" not in nodes, nodes
--- a/wagtailcleat/scheduling/order.py
+++ b/wagtailcleat/scheduling/order.py
@@ -12,6 +12,11 @@
 """A result is of some use until this many times its objective (the users' rule)."""
 
 
+LASTING_RANK = 1.5
+"""Tasks that last go after short ones that can still be in time: those leave again
+within seconds, while room given to a lasting task is gone for the day."""
+
+
 def chain_seconds(job: Job) -> float:
     """Return the longest chain of estimated work, in seconds."""
     longest: list[float] = []
@@ -51,7 +56,7 @@
     job = entry.job
     occurrence, number = step
     if job.steps[number].long_running:
-        return (job.priority, 0, 0.0)
+        return (job.priority, LASTING_RANK, 0.0)
     since = job.accepted_at
     if job.first_at:
         since = job.first_at + occurrence * job.interval
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -37,6 +37,8 @@
 """Share of a pool's cores that may be committed for that; beyond, waiting is right."""
 STRAINED_LOAD = 1.2
 """Predicted load of serving tasks up to which a starved job is squeezed in there."""
+PROGRESS_SECONDS = 0.5
+"""Shortest time over which progress is judged: percents are whole numbers."""
 MAX_STARTS_PER_ROUND = 400
 """Bounds the time of one round: the loop must answer reports meanwhile."""
 
@@ -218,10 +220,18 @@
                 continue
             if hosted.probing and not hosted.listed:
                 self._measure(vm, hosted, PROBE_PACE, now)
-            hosted.listed = True
-            if hosted.percent != running.percent:
+            if hosted.listed:
+                seconds = now - hosted.progressed_at
+                if seconds >= PROGRESS_SECONDS:
+                    vm.progressed(
+                        hosted.step, running.percent - hosted.percent, seconds, now
+                    )
+                    hosted.percent = running.percent
+                    hosted.progressed_at = now
+            else:
                 hosted.percent = running.percent
                 hosted.progressed_at = now
+            hosted.listed = True
             hosted.figure = running.figure
             if hosted.stopping and now - hosted.stop_at >= self._stop_again:
                 self._stop(vm, hosted, now, "still listed after a stop")
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -19,6 +19,16 @@
 """
 
 
+PERCENT = 100
+SLOW_SPEED = 0.4
+"""Speed below which a VM is passed over: estimates are off by a fifth to a half, and a
+VM that turned slow runs at a sixth or stands still."""
+SLOW_SECONDS = 2.5
+"""For how long after the last sight of it; then it is tried again."""
+SPEED_WEIGHT = 0.3
+"""Weight of one run's progress between two reports, a third of a second apart."""
+
+
 @dataclass(eq=False)
 class Hosted:
     """A run that takes room on a VM until its end is listed."""
@@ -38,7 +48,7 @@
     stop_at: float = 0.0
     percent: int = 0
     progressed_at: float = 0.0
-    """When its percent last changed."""
+    """When its percent was last judged."""
     figure: float = 0.0
     pace: int = 100
     probing: bool = False
@@ -77,6 +87,9 @@
     measured_at: float = 0.0
     """When filling runs were last slowed or let on faster."""
 
+    speed: float = 1.0
+    """Progress of short runs here, as a share of what their estimates say."""
+    speed_at: float = -1e9
     over_at: float = -1e9
     """When a serving run was last reported over its target."""
 
@@ -122,10 +135,22 @@
         )
 
     def avoided(self, now: float) -> bool:
-        """Tell whether everything started here has failed lately."""
-        return (
-            self.failures >= FAILURES_TO_AVOID and now < self.failed_at + AVOID_SECONDS
-        )
+        """Tell whether work started here has failed or stood still lately."""
+        fails = self.failures >= FAILURES_TO_AVOID
+        if fails and now < self.failed_at + AVOID_SECONDS:
+            return True
+        return self.speed < SLOW_SPEED and now < self.speed_at + SLOW_SECONDS
+
+    def progressed(self, step: Step, percent: int, seconds: float, now: float) -> None:
+        """Note by how many points a run went on in `seconds`.
+
+        Only runs that have their processors to themselves tell how fast the VM is.
+        """
+        if step.fills or step.target_seconds or step.gang or seconds <= 0:
+            return
+        speed = percent / PERCENT * step.estimate_seconds / seconds
+        self.speed += SPEED_WEIGHT * (min(speed, 1.0) - self.speed)
+        self.speed_at = now
 
     def host_run(self, hosted: Hosted) -> None:
         """Commit room to a run."""
