--- a/features/scheduling/order.feature
+++ b/features/scheduling/order.feature
@@ -41,13 +41,13 @@
     # Serving tasks took each core that became free; short checks beside them waited for
     # seconds and were late, though they leave again at once.
     Given 1 VM of 8 cores
-    And job "lasting" of 2 serving tasks comes, and job "short" of 1 task with 4 cores
+    And a lasting job and a short one come at once
     When one round has passed
     Then job "short" runs
 
   Scenario: A VM that turned slow is passed over
     # A worker runs at a sixth of its speed, or stands still, and reports itself sound.
-    Given 2 VMs of 32 cores
+    Given 2 VMs of 32 cores, the first with 32 more
     When tasks on the first VM make no progress for 2 s
     And job "a" of 4 tasks comes
     Then none of job "a" runs on the first VM
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -669,13 +669,16 @@
     return done
 
 
-@given(
-    'job "{lasting}" of {count:d} serving tasks comes,'
-    ' and job "{short}" of {tasks:d} task with {cores:d} cores'
-)
-def step_lasting_and_short(context, lasting, count, short, tasks, cores):
-    context.world.submit(make_job(lasting, serving(count, cores=6.0)))
-    context.world.submit(make_job(short, plain(tasks, cores=cores)))
+@given("a lasting job and a short one come at once")
+def step_lasting_and_short(context):
+    context.world.submit(make_job("lasting", serving(2, cores=6.0)))
+    context.world.submit(make_job("short", plain(1, cores=4.0)))
+
+
+@given("{count:d} VMs of {cores:d} cores, the first with {more:d} more")
+def step_vms_uneven(context, count, cores, more):
+    step_vms(context, count, cores)
+    context.world.worker_by_node["vm-1"].cores = cores + more
 
 
 @when("tasks on the first VM make no progress for {seconds:d} s")
