--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -44,3 +44,15 @@
     And job "a" of 1 task runs
     When it succeeds, and a new leader hears of it before the store does
     Then job "a" has succeeded without another start
+
+  Scenario: A new leader counts what still runs of a job that has ended
+    # A job is cancelled and its runs are being stopped when the leader changes. The new
+    # one knew no task of it, counted no room for its runs, and filled their cores: the
+    # worker was over its capacity until the stops were through.
+    Given 1 VM of 8 cores
+    And job "a" of 2 tasks runs
+    When job "a" is cancelled, and a new leader comes before its stops are through
+    And job "b" of 2 tasks with 4 cores comes
+    Then job "b" does not run
+    When its runs are stopped
+    Then job "b" runs
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -615,6 +615,25 @@
     world.round()
 
 
+@when('job "{name}" is cancelled, and a new leader comes before its stops are through')
+def step_cancel_new_leader(context, name):
+    world = context.world
+    world.scheduler.cancel(name, now=world.now, wall_now=world.wall_now)
+    step_new_leader(context)
+
+
+@when('job "{name}" of {count:d} tasks with {cores:d} cores comes')
+def step_cores_comes(context, name, count, cores):
+    _submit(context, name, plain(count, cores=cores))
+    context.held = context.world.decide()
+
+
+@when("its runs are stopped")
+def step_runs_stopped(context):
+    step_lists(context)
+    context.world.round()
+
+
 @when('job "{name}" of {count:d} tasks comes')
 def step_comes(context, name, count):
     step_job(context, name, count)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -245,11 +245,17 @@
         hosted = vm.hosted_by_run.get(key)
         if hosted is not None:
             return hosted
-        task = self.book.task(key.task)
-        if task is None:
+        entry = self.book.entry_by_id.get(key.task.job)
+        if entry is None or key.task.step >= len(entry.job.steps):
             return None
-        hosted = Hosted(key, task.step, now)
+        # A run of a job that ended before this leader came takes room all the same,
+        # until its end is listed; the job has no tasks in the book any more.
+        hosted = Hosted(key, entry.job.steps[key.task.step], now)
         vm.host_run(hosted)
+        task = self.book.task(key.task)
+        if task is None:
+            self._stop(vm, hosted, now, "not wanted any more")
+            return hosted
         stale = task.run > key.run and task.state is TaskState.PLACED
         if stale or not task.entry.open or task.state is TaskState.SUCCEEDED:
             self._stop(vm, hosted, now, "not wanted any more")
