A refused connection is told as one, and says nothing of what was asked

Cause: the HTTP library raises where no answer comes, whatever it is told about error codes, so that the branch for refusals was never reached; every failure counted as lost. Ruled out: a wrong error number (the exception carries it). Found while looking for other places that take a refused connection for a dead process. A start and a write of the store that are refused count as unknown, as they did in fact: after a kept connection broke the library asks once more, and only that may be refused. Test: 'A connection that is refused is told apart from an answer that is lost', seen failing (an assertion at the first step), passes now; adapter.feature 5 scenarios passed.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -18,3 +18,10 @@
     And 10000 fuzzed bodies are sent to the port of heartbeats
     Then no answer was a fault of the program
     And a job handed in afterwards is shown as "done"
+
+  Scenario: A connection that is refused is told apart from an answer that is lost
+    # A worker's process died, and its tasks waited for their leases to run out, 5 s,
+    # before they ran elsewhere: an agent that sees its own VM refuse connections to the
+    # worker's port was to give them up at once, but no refusal was ever told as one.
+    Then a call to a port of this VM that nobody listens at is told as refused
+    And a call whose connection breaks before the answer is told as lost
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -11,12 +11,12 @@
 from behave import given, then, when
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from standins.platform_cluster import HOST, PREFIX
+from standins.platform_cluster import HOST, PREFIX, free_ports
 from standins.processes import wait_for
 from wagtailcleat.ids import JobId, ServiceName
 from wagtailcleat.logs import BoundedOutput
 from wagtailcleat.operator.explain import missing, read_story, tell
-from wagtailcleat.platform.exchange import Reply
+from wagtailcleat.platform.exchange import Exchange, NoAnswer, Reply
 from wagtailcleat.platform.fields import BodyError
 from wagtailcleat.platform.heartbeats import decode_heartbeat
 from wagtailcleat.platform.runs import _run_list
@@ -47,6 +47,7 @@
     ],
 }
 IN_FLIGHT = 50
+CALL_SECONDS = 2.0
 
 
 @then(
@@ -107,6 +108,37 @@
     assert listed.running[0].key.task == ("00ff", 0, 1, 17), listed
 
 
+def _call(port):
+    async def call():
+        exchange = Exchange(f"127.0.0.1:{port}")
+        try:
+            return await exchange.call("POST", "/hold", {}, timeout=CALL_SECONDS)
+        finally:
+            exchange.close()
+
+    return call()
+
+
+@then("a call to a port of this VM that nobody listens at is told as refused")
+def step_refused(context):
+    (port,) = free_ports(1, "127.0.0.1")
+    assert asyncio.run(_call(port)) is NoAnswer.REFUSED
+
+
+@then("a call whose connection breaks before the answer is told as lost")
+def step_lost(context):
+    async def hang_up(reader, writer):
+        await reader.readline()
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+        async with server:
+            return await _call(server.sockets[0].getsockname()[1])
+
+    assert asyncio.run(run()) is NoAnswer.LOST
+
+
 @when("{count:d} fuzzed bodies are sent to the port of callers")
 def step_fuzz_callers(context, count):
     cluster = context.cluster
--- a/wagtailcleat/platform/exchange.py
+++ b/wagtailcleat/platform/exchange.py
@@ -12,18 +12,19 @@
 
 CONNECT_SECONDS = 0.5
 """Longer than any round trip of the deployments, shorter than any interval of ours."""
-FAILED = 599
-"""Code with which tornado's client marks an exchange without an answer."""
 NEVER_CONNECTED = (pycurl.E_COULDNT_CONNECT,)
 
 
 class NoAnswer(Enum):
-    """Why no answer came."""
+    """Why no answer came; what was asked may have been done, or may yet be."""
 
     REFUSED = "refused"
-    """Nobody listens there: what was asked was not done."""
+    """The connection was refused.
+
+    It says nothing of what was asked: on a kept connection that broke, the library
+    sends a request again, and only the second one may have been refused.
+    """
     LOST = "lost"
-    """What was asked may have been done, or may yet be."""
 
 
 @dataclass(frozen=True)
@@ -74,11 +75,12 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except (TimeoutError, HTTPClientError, OSError):
-            return NoAnswer.LOST
-        if response.code == FAILED:
-            refused = getattr(response.error, "errno", None) in NEVER_CONNECTED
+        except HTTPClientError as error:
+            # Raised only where no answer came: one with an error code is an answer.
+            refused = getattr(error, "errno", None) in NEVER_CONNECTED
             return NoAnswer.REFUSED if refused else NoAnswer.LOST
+        except (TimeoutError, OSError):
+            return NoAnswer.LOST
         return Reply(response.code, _object(response.body), response.headers)
 
 
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -137,7 +137,7 @@
         self.counts.writes += 1
         reply = await self._call("POST", "/kv-txn", _txn_body(txn))
         if not isinstance(reply, Reply):
-            return Unknown("no answer") if reply is NoAnswer.LOST else _unreachable()
+            return Unknown("no answer")
         if reply.code == OK:
             return Written(whole(reply.body, "rev", default=0))
         if reply.code == CONDITION_FAILED:
@@ -205,10 +205,6 @@
     return str(reply.code) if isinstance(reply, Reply) else reply.value
 
 
-def _unreachable() -> Unavailable:
-    return Unavailable("nobody listens at the store's address")
-
-
 def _exists(item: dict[str, Any]) -> bool:
     return whole(item, "rev", default=0) > 0
 
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -117,8 +117,6 @@
         if start.ticket:
             body["ticket"] = start.ticket
         reply = await self._call("/run-start", body)
-        if reply is NoAnswer.REFUSED:
-            return Refusal.UNHEALTHY
         if not isinstance(reply, Reply):
             return StartOutcome.UNKNOWN
         return _start_outcome(reply)
