Refusals prove a worker dead only where the agent's own VM refuses

What users would see: a task on two VMs. An agent took three refused connections for the end of its worker's process and reported its runs as lost, wherever the worker listens. Change: refusals count at the VM's own address only; elsewhere the leases must lapse first.

--- /dev/null
+++ b/features/steps/hosting_steps.py
@@ -0,0 +1,122 @@
+"""Steps on an agent's hold on its worker, in one process with a clock of its own."""
+
+import asyncio
+import json
+
+from behave import given, then, when
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from wagtailcleat.cluster.hosting import Hosting
+from wagtailcleat.cluster.timing import RUN_HORIZON
+from wagtailcleat.ids import ServiceName, ZoneName
+from wagtailcleat.platform.heartbeats import Heartbeat
+from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling.models import WorkerInfo, WorkerState
+
+OWN_HOST = "127.0.1.9"
+OTHER_HOST = "127.0.1.10"
+BORN = 1_800_000_000_000
+TASK = "00ff00ff00ff00ff.0.0.0"
+SECONDS = 10.0
+LOOK_SECONDS = 0.01
+
+
+class _ListHandler(RequestHandler):
+    """Lists one run."""
+
+    def post(self):
+        row = [TASK, 1, "", 10, 0]
+        body = {"clockMs": 1000, "running": [row], "finished": [], "born": BORN}
+        self.finish(json.dumps(body))
+
+
+class _HostingWorld:
+    """An agent's `Hosting` with a worker that can stop listening."""
+
+    def __init__(self, worker_host):
+        self.now = 100.0
+        self.worker_host = worker_host
+        self.loop = asyncio.new_event_loop()
+        self.hosting = Hosting(
+            clock=lambda: self.now,
+            own_host=OWN_HOST,
+            lease_limit=6.0,
+            may_start=lambda: True,
+            contact=lambda: self.now,
+            zone_out=lambda zone: False,
+            on_change=lambda: None,
+        )
+        self.loop.run_until_complete(self._begin())
+
+    async def _begin(self):
+        sockets = bind_sockets(0, self.worker_host)
+        port = sockets[0].getsockname()[1]
+        self.server = HTTPServer(Application([("/hold", _ListHandler)]))
+        self.server.add_sockets(sockets)
+        self.work = asyncio.create_task(self.hosting.run())
+        info = WorkerInfo(
+            "i-1",
+            BORN,
+            ServiceName("booking-core"),
+            ZoneName("zilina-a"),
+            WorkerState.READY,
+            Resources(8.0, 64_000, 0),
+        )
+        await self.hosting.beat(Heartbeat(info, f"{self.worker_host}:{port}", 1, 0.0))
+
+    def until(self, condition):
+        ends_at = self.loop.time() + SECONDS
+        while not condition():
+            assert self.loop.time() < ends_at, "waited in vain"
+            self.loop.run_until_complete(asyncio.sleep(LOOK_SECONDS))
+
+    def refuse(self, count):
+        async def stop():
+            self.server.stop()
+            await self.server.close_all_connections()
+
+        self.loop.run_until_complete(stop())
+        self.until(lambda: self.hosting.refusals >= count)
+
+    def close(self):
+        self.work.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+
+@given("an agent whose worker listens at its VM's address")
+def step_own(context):
+    context.hosting_world = _HostingWorld(OWN_HOST)
+    context.add_cleanup(context.hosting_world.close)
+
+
+@given("an agent whose worker listens at another address than its VM's")
+def step_other(context):
+    context.hosting_world = _HostingWorld(OTHER_HOST)
+    context.add_cleanup(context.hosting_world.close)
+
+
+@when("the worker runs a task and its port refuses {count:d} connections")
+def step_refuses(context, count):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    world.refuse(count)
+
+
+@when("the leases have surely run out")
+def step_leases_out(context):
+    context.hosting_world.now += 2 * RUN_HORIZON
+
+
+@then("the task still counts as running")
+def step_still(context):
+    assert context.hosting_world.hosting.running, "its runs were given up"
+
+
+@then("the task counts as lost")
+def step_lost(context):
+    world = context.hosting_world
+    world.until(lambda: not world.hosting.running)
+    assert world.hosting.listed, "the leader would not take this in"
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -45,6 +45,7 @@
         )
         self.hosting = Hosting(
             clock=boot_time,
+            own_host=settings.host,
             lease_limit=settings.run_lease_limit_ms / MILLISECONDS,
             may_start=self.following.may_act,
             contact=lambda: self.following.contact_at,
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.settings import split_address
 from wagtailcleat.cluster.timing import (
     CLOCK_DRIFT,
     LIST_WAIT,
@@ -90,6 +91,7 @@
         self,
         *,
         clock: Clock,
+        own_host: str,
         lease_limit: float,
         may_start: Callable[[], bool],
         contact: Callable[[], float],
@@ -98,9 +100,10 @@
     ) -> None:
         """Wire it.
 
-        Parameters: `lease_limit` is the longest lease that the platform grants;
-        `may_start` tells whether the leader's orders hold now; `contact` returns
-        when the leader was last reached; `on_change` is called when there is news.
+        Parameters: `own_host` is the address of this VM; `lease_limit` is the
+        longest lease that the platform grants; `may_start` tells whether the leader's
+        orders hold now; `contact` returns when the leader was last reached;
+        `on_change` is called when there is news.
         """
         self.info: WorkerInfo | None = None
         self.left = False
@@ -108,6 +111,7 @@
         self.unsettled_by_run: dict[RunKey, Start] = {}
         self.refusal_by_run: dict[RunKey, Refusal] = {}
         self._clock = clock
+        self._own_host = own_host
         self._lease = min(RUN_LEASE, lease_limit)
         self._may_start = may_start
         self._contact = contact
@@ -140,6 +144,11 @@
         """Ends not yet acknowledged, as last listed."""
         return self._life.ended if self._life else []
 
+    @property
+    def refusals(self) -> int:
+        """Connections that the worker's port refused in a row."""
+        return self._life.refusals if self._life else 0
+
     def silent_seconds(self, now: float) -> float:
         """Return for how long the worker has not answered; 0 while it does."""
         if self._life is None or not self._life.lists:
@@ -254,8 +263,13 @@
         return False
 
     def _note_refused(self, life: _Life) -> None:
-        # A port without a listener is no process: what it ran is gone with it.
+        # This VM's own kernel refuses only where no process listens: what the worker
+        # ran is gone with it. For any other address a network in between may refuse
+        # while the worker runs on, and its tasks would start a second time elsewhere:
+        # there its leases must lapse first.
         life.refusals += 1
+        if split_address(life.address)[0] != self._own_host:
+            return
         if life.refusals >= REFUSALS_TO_END and not life.lapsed:
             self._lose_runs(life, "nobody listens at its port")
 
