An earlier run's end that is listed again frees no task that runs

Cause: a worker lists an end until it is acknowledged; a new leader that had taken on the later run from one VM took the earlier run's end, listed again by another, for the end of the later one, and started a third. All other ends were compared with the run that is placed; the success of a task that lasts was not. Ruled out: comparing in the scheduler instead (the book decides what an end means, and frees the task itself). The property that a task runs once held in the random histories, which never held back an acknowledgement beyond a change of leader for such a task.

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -76,3 +76,14 @@
     And job "a" of 1 task with 2 attempts
     When its run fails, and a new leader restores that and hears of the end again
     Then job "a" has not failed, and runs again
+
+  Scenario: An earlier run's end that is listed again frees no task that runs
+    # Two runs of a task that lasts go on beside each other. Its first run ends, the next
+    # one starts on another VM, and the leader is replaced before the first VM's end is
+    # acknowledged. The new leader takes on the later run, then hears of the earlier one's
+    # end again: it took the task for waiting and started a third run beside the second.
+    Given 2 VMs of 32 cores
+    And job "w" of 1 serving task runs
+    And it ends well and runs again on the other VM
+    When a new leader hears of the later run first, and then of the earlier one's end
+    Then just one run of job "w" goes on, the later one
--- /dev/null
+++ b/features/steps/ended_runs_steps.py
@@ -0,0 +1,174 @@
+"""Steps on ends that are listed again, late or out of order, to a new leader."""
+
+from behave import given, then, when
+
+from features.steps.scheduling_world import (
+    REPORT_SECONDS,
+    make_job,
+    plain,
+)
+from wagtailcleat.scheduling.book import record_of
+from wagtailcleat.scheduling.models import RunEnd, WorkerState
+
+
+def _restart_leader(context):
+    """Replace the leader by one that knows what the old one would have stored."""
+    world = context.world
+    book = world.scheduler.book
+    stored = [(entry.job, record_of(entry)) for entry in book.entry_by_id.values()]
+    context.epoch = getattr(context, "epoch", 1) + 1
+    world.lead(context.epoch)
+    world.scheduler.unheard = set(world.worker_by_node)
+    for worker in world.worker_by_node.values():
+        worker.orders_taken = 0
+        worker.session += 1
+    for job, record in stored:
+        entry = world.scheduler.book.add(
+            job, now=world.now, wall_now=world.wall_now, record=record
+        )
+        entry.settled = False
+
+
+def _place_of(context):
+    """Return the only run of the scenario's job, and the worker that it is at."""
+    places = [
+        (worker, key)
+        for worker in context.world.worker_by_node.values()
+        for key in worker.running
+        if key.task.job == context.job
+    ]
+    runs = [(worker.node, str(key)) for worker, key in places]
+    assert len(places) == 1, runs
+    return places[0]
+
+
+def _run_elsewhere(context, how, checkpoint=""):
+    """End the only run, and let the next one start on the other VM.
+
+    The first VM never hears that its end was taken in, and lists it on.
+    """
+    world = context.world
+    first, key = _place_of(context)
+    first.end(key, how, checkpoint)
+    first.state = WorkerState.DRAINING
+    for worker in world.worker_by_node.values():
+        world.report(worker)
+    for node, orders in world.decide():
+        if node != first.node:
+            world.worker_by_node[node].take(orders)
+    first.state = WorkerState.READY
+    context.first = first
+    context.first_key = key
+    context.second, context.second_key = _place_of(context)
+    assert context.second is not first
+
+
+def _hear_second_first(context):
+    context.world.report(context.second)
+    context.world.report(context.first)
+
+
+def _rounds(world, count):
+    for _ in range(count):
+        world.round()
+
+
+@given('job "{name}" of {count:d} checkpointable task runs')
+def step_checkpointable(context, name, count):
+    context.job = name
+    context.world.submit(make_job(name, plain(count, checkpointable=True)))
+    _rounds(context.world, 2)
+
+
+@given('job "{name}" of {count:d} serving task runs')
+def step_serving_runs(context, name, count):
+    context.execute_steps(f'Given job "{name}" of {count} serving tasks')
+    _rounds(context.world, 2)
+
+
+@given("it ends well and runs again on the other VM")
+def step_ends_well(context):
+    _run_elsewhere(context, RunEnd.SUCCEEDED)
+
+
+@given("it fails and runs again on the other VM")
+def step_fails(context):
+    _run_elsewhere(context, RunEnd.FAILED)
+
+
+@given('it is stopped at checkpoint "{checkpoint}" and goes on, on the other VM')
+def step_goes_on(context, checkpoint):
+    _run_elsewhere(context, RunEnd.STOPPED, checkpoint)
+    second = context.second.running[context.second_key]
+    assert second.checkpoint == checkpoint, second
+
+
+@when("a new leader hears of the later run first, and then of the earlier one's end")
+def step_later_first(context):
+    _restart_leader(context)
+    _hear_second_first(context)
+
+
+@when('the later run has reached checkpoint "{checkpoint}"')
+def step_reached(context, checkpoint):
+    context.second.checkpoint_by_run[context.second_key] = checkpoint
+
+
+@when('the later run is stopped too, at checkpoint "{checkpoint}", and that is stored')
+def step_stopped_too(context, checkpoint):
+    world = context.world
+    context.second.end(context.second_key, RunEnd.STOPPED, checkpoint)
+    world.report(context.second)
+    world.commit()
+
+
+@when("a new leader hears of the earlier run's end only")
+def step_earlier_only(context):
+    _restart_leader(context)
+    context.second.ended = []
+    _hear_second_first(context)
+
+
+@when("the later run's worker crashes and comes back")
+def step_later_crashes(context):
+    context.second.reborn()
+    _rounds(context.world, 2)
+
+
+@when("the earlier run's end is listed to the same leader under another number")
+def step_other_number(context):
+    world = context.world
+    worker, key = context.first, context.first_key
+    # Its agent was killed meanwhile, and counts this end as the next one.
+    worker.ends += 1
+    (ended,) = worker.ended
+    worker.ended = [type(ended)(worker.ends, key, ended.how, ended.checkpoint)]
+    worker.session += 1
+    world.report(worker)
+
+
+@when("{seconds:d} s pass with all agents in touch")
+def step_seconds_in_touch(context, seconds):
+    _rounds(context.world, round(seconds / REPORT_SECONDS))
+
+
+@then('just one run of job "{name}" goes on, the later one')
+def step_just_one(context, name):
+    _rounds(context.world, 5)
+    worker, key = _place_of(context)
+    assert (worker, key) == (context.second, context.second_key), (worker, key)
+
+
+@then('job "{name}" goes on from checkpoint "{checkpoint}"')
+def step_from_checkpoint(context, name, checkpoint):
+    _rounds(context.world, 2)
+    worker, key = _place_of(context)
+    assert key.run > context.second_key.run, key
+    assert worker.running[key].checkpoint == checkpoint, worker.running[key]
+
+
+@then("it runs where it has not failed")
+def step_not_where_failed(context):
+    worker, key = _place_of(context)
+    assert key.run > context.second_key.run, key
+    assert worker is not context.first, worker.node
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -46,6 +46,7 @@
     acknowledged: int = 0
     figure_by_run: dict = field(default_factory=dict)
     pace_by_run: dict = field(default_factory=dict)
+    checkpoint_by_run: dict = field(default_factory=dict)
     refused: list = field(default_factory=list)
     unsettled: list = field(default_factory=list)
 
@@ -91,7 +92,12 @@
             self.rack,
         )
         running = [
-            Running(key, "", 50, self.figure_by_run.get(key, 0.0))
+            Running(
+                key,
+                self.checkpoint_by_run.get(key, ""),
+                50,
+                self.figure_by_run.get(key, 0.0),
+            )
             for key in self.running
         ]
         return Report(
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -234,8 +234,10 @@
     def _succeeded(self, task: Task, run: RunKey, now: float, wall_now: float) -> None:
         entry = task.entry
         if task.step.long_running:
-            # Such a task is owed until its job is cancelled, however it ended.
-            self.free(task, now)
+            # Such a task is owed until its job is cancelled, however it ended. An end
+            # may be listed again once the next run is placed, and that one goes on.
+            if task.run == run.run:
+                self.free(task, now)
             return
         step = (task.key.occurrence, task.key.step)
         members = entry.tasks_by_step[step] if task.step.gang else [task]
