An earlier run's end that is listed again sets no checkpoint back

Cause: the end of an earlier run is listed until it is acknowledged; to a new leader it may come after the later run's own checkpoint, from a report or from the record, and the book took whatever came last for the newest. The task, and its record, now name the run that made the checkpoint, and one of an earlier run is passed over. Ruled out: passing over ends of all runs but the placed one (after a change of leader none is placed, and the checkpoint of the last end must count).

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -87,3 +87,24 @@
     And it ends well and runs again on the other VM
     When a new leader hears of the later run first, and then of the earlier one's end
     Then just one run of job "w" goes on, the later one
+
+  Scenario: An earlier run's end that is listed again sets no checkpoint back
+    # Work that was saved is done twice. A task's first run is stopped and its next one
+    # goes on from there on another VM; after a change of leader the first one's end is
+    # listed again, later than the newer checkpoint, and was taken for the newest.
+    Given 2 VMs of 32 cores
+    And job "a" of 1 checkpointable task runs
+    And it is stopped at checkpoint "third" and goes on, on the other VM
+    When the later run has reached checkpoint "fifth"
+    And a new leader hears of the later run first, and then of the earlier one's end
+    And the later run's worker crashes and comes back
+    Then job "a" goes on from checkpoint "fifth"
+
+  Scenario: An earlier run's end that is listed again sets no stored checkpoint back
+    # The same, but both runs have ended, and of the later one only its record is left.
+    Given 2 VMs of 32 cores
+    And job "a" of 1 checkpointable task runs
+    And it is stopped at checkpoint "third" and goes on, on the other VM
+    When the later run is stopped too, at checkpoint "fifth", and that is stored
+    And a new leader hears of the earlier run's end only
+    Then job "a" goes on from checkpoint "fifth"
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -49,6 +49,8 @@
     """Runs that failed. A worker lists an end until it is acknowledged, so that a new
     leader may hear again of a failure that is stored: it must count once."""
     checkpoint: str = ""
+    checkpoint_run: int = 0
+    """The run that made it."""
     ready_at: float = 0.0
     """When it last became free to start, on the leader's clock."""
     failed_on: set[NodeId] = field(default_factory=set)
@@ -224,13 +226,24 @@
             return entry
         if how is RunEnd.FAILED and not task.step.long_running:
             self._failed(task, run.run, wall_now)
-        if checkpoint and checkpoint != task.checkpoint:
-            task.checkpoint = checkpoint
+        if self.saved(task, run.run, checkpoint):
             entry.changed()
         if task.run == run.run:
             self.free(task, now)
         return entry
 
+    def saved(self, task: Task, run: int, checkpoint: str) -> bool:
+        """Take in a checkpoint that a run made; tell whether it is new.
+
+        One that is older is passed over: the end of an earlier run may be listed again
+        after a later run has gone on from it, whose work would then be done twice.
+        """
+        if not checkpoint or run < task.checkpoint_run:
+            return False
+        new = checkpoint != task.checkpoint
+        task.checkpoint, task.checkpoint_run = checkpoint, run
+        return new
+
     def _succeeded(self, task: Task, run: RunKey, now: float, wall_now: float) -> None:
         entry = task.entry
         if task.step.long_running:
@@ -331,6 +344,7 @@
                 t.key.position,
                 sorted(t.failed_runs),
                 t.checkpoint,
+                t.checkpoint_run,
             )
             for t in tasks
             if t.state is not TaskState.SUCCEEDED and (t.failed_runs or t.checkpoint)
@@ -353,5 +367,7 @@
     for saved in record.tasks:
         tasks = entry.tasks_by_step.get((saved.occurrence, saved.step), [])
         if saved.position < len(tasks):
-            tasks[saved.position].failed_runs = set(saved.failed_runs)
-            tasks[saved.position].checkpoint = saved.checkpoint
+            task = tasks[saved.position]
+            task.failed_runs = set(saved.failed_runs)
+            task.checkpoint = saved.checkpoint
+            task.checkpoint_run = saved.checkpoint_run
--- a/wagtailcleat/scheduling/models.py
+++ b/wagtailcleat/scheduling/models.py
@@ -126,6 +126,8 @@
     failed_runs: list[int]
     """Numbers of the runs that failed by the task's fault or the worker's."""
     checkpoint: str = ""
+    checkpoint_run: int = 0
+    """The run that made the checkpoint; 0: not known."""
 
 
 class JobRecord(msgspec.Struct, array_like=True):
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -247,8 +247,8 @@
             if hosted.stopping and now - hosted.stop_at >= self._stop_again:
                 self._stop(vm, hosted, now, "still listed after a stop")
             task = self.book.task(running.key.task)
-            if running.checkpoint and task is not None and task.run == running.key.run:
-                task.checkpoint = running.checkpoint
+            if task is not None and task.run == running.key.run:
+                self.book.saved(task, running.key.run, running.checkpoint)
         for key in report.unsettled:
             # An agent may report an end while it is still in doubt of the start. Were
             # the run taken on again, the end's next listing would drop it, and its task
