A failure is held against the VM that its run was on

Cause: the book held a failure against the VM of the task's latest run. Heard of late, by a new leader, that is the VM of a later run; or none, where the failure was in the record already and only its end, listed again, could tell the VM. Ruled out: the count of failures by VM (it takes the VM of the report, and needs two). The VM's node is passed in with the end now, and noted also for a failure that is known.

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -108,3 +108,23 @@
     When the later run is stopped too, at checkpoint "fifth", and that is stored
     And a new leader hears of the earlier run's end only
     Then job "a" goes on from checkpoint "fifth"
+
+  Scenario: A failure that is heard of late is held against the VM that it happened on
+    # A task goes back to the VM that failed it. Its first run fails on one VM, the next
+    # one goes on on another; the leader is replaced before it stored that. The new one
+    # hears of the failure after the later run, and held it against the later run's VM.
+    Given 2 VMs of 32 cores
+    And job "a" of 1 task runs
+    And it fails and runs again on the other VM
+    When a leader that finds nothing of that stored hears of the later run first
+    And the later run's worker crashes and comes back
+    Then it runs where it has not failed
+
+  Scenario: A failure that is stored and listed again is held against its VM
+    # The record tells how often a task failed, not where: the new leader knows of the VM
+    # only from the end that is listed again, and passed over it as known.
+    Given 2 VMs of 32 cores
+    And job "a" of 1 task runs
+    And it fails and runs again on the other VM
+    When a new leader hears of the earlier run's end only
+    Then it runs where it has not failed
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -11,11 +11,16 @@
 from wagtailcleat.scheduling.models import RunEnd, WorkerState
 
 
-def _restart_leader(context):
+def _records(world):
+    """Return what the leader would store now, with the jobs."""
+    book = world.scheduler.book
+    return [(entry.job, record_of(entry)) for entry in book.entry_by_id.values()]
+
+
+def _restart_leader(context, stored=None):
     """Replace the leader by one that knows what the old one would have stored."""
     world = context.world
-    book = world.scheduler.book
-    stored = [(entry.job, record_of(entry)) for entry in book.entry_by_id.values()]
+    stored = stored or _records(world)
     context.epoch = getattr(context, "epoch", 1) + 1
     world.lead(context.epoch)
     world.scheduler.unheard = set(world.worker_by_node)
@@ -48,6 +53,7 @@
     The first VM never hears that its end was taken in, and lists it on.
     """
     world = context.world
+    context.stored_before = _records(world)
     first, key = _place_of(context)
     first.end(key, how, checkpoint)
     first.state = WorkerState.DRAINING
@@ -109,6 +115,12 @@
     _hear_second_first(context)
 
 
+@when("a leader that finds nothing of that stored hears of the later run first")
+def step_nothing_stored(context):
+    _restart_leader(context, context.stored_before)
+    _hear_second_first(context)
+
+
 @when('the later run has reached checkpoint "{checkpoint}"')
 def step_reached(context, checkpoint):
     context.second.checkpoint_by_run[context.second_key] = checkpoint
@@ -125,8 +137,9 @@
 @when("a new leader hears of the earlier run's end only")
 def step_earlier_only(context):
     _restart_leader(context)
-    context.second.ended = []
-    _hear_second_first(context)
+    context.second.reborn()
+    context.world.report(context.first)
+    context.world.report(context.second)
 
 
 @when("the later run's worker crashes and comes back")
@@ -169,6 +182,7 @@
 
 @then("it runs where it has not failed")
 def step_not_where_failed(context):
+    _rounds(context.world, 2)
     worker, key = _place_of(context)
     assert key.run > context.second_key.run, key
     assert worker is not context.first, worker.node
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -54,6 +54,7 @@
     ready_at: float = 0.0
     """When it last became free to start, on the leader's clock."""
     failed_on: set[NodeId] = field(default_factory=set)
+    """Where runs of it failed, as far as this leader has heard."""
 
     @property
     def run_key(self) -> RunKey:
@@ -212,9 +213,16 @@
         task.entry.begun = True
 
     def ended(
-        self, run: RunKey, how: RunEnd, checkpoint: str, *, now: float, wall_now: float
+        self,
+        run: RunKey,
+        how: RunEnd,
+        checkpoint: str,
+        *,
+        node: NodeId,
+        now: float,
+        wall_now: float,
     ) -> JobEntry | None:
-        """Take in how a run ended; return the job's entry if it is known."""
+        """Take in how a run ended at `node`; return the job's entry if it is known."""
         task = self.task(run.task)
         if task is None:
             return self.entry_by_id.get(run.task.job)
@@ -225,7 +233,7 @@
             self._succeeded(task, run, now, wall_now)
             return entry
         if how is RunEnd.FAILED and not task.step.long_running:
-            self._failed(task, run.run, wall_now)
+            self._failed(task, run.run, node, wall_now)
         if self.saved(task, run.run, checkpoint):
             entry.changed()
         if task.run == run.run:
@@ -271,12 +279,12 @@
                     if task.state is TaskState.WAITING:
                         task.ready_at = now
 
-    def _failed(self, task: Task, run: int, wall_now: float) -> None:
+    def _failed(self, task: Task, run: int, node: NodeId, wall_now: float) -> None:
+        # Records tell no VMs: of a known failure's VM a new leader learns only here.
+        task.failed_on.add(node)
         if run in task.failed_runs:
             return
         task.failed_runs.add(run)
-        if task.node is not None:
-            task.failed_on.add(task.node)
         task.entry.changed()
         if len(task.failed_runs) >= task.entry.job.attempts:
             self._end(task.entry, JobState.FAILED, wall_now)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -196,7 +196,12 @@
             task = self.book.task(ended.key.task)
             others = task is not None and task.run != ended.key.run
             entry = self.book.ended(
-                ended.key, ended.how, ended.checkpoint, now=now, wall_now=wall_now
+                ended.key,
+                ended.how,
+                ended.checkpoint,
+                node=vm.node,
+                now=now,
+                wall_now=wall_now,
             )
             if task is not None and others and task.state is TaskState.SUCCEEDED:
                 self._stop_runs([task], now)
