A leader restores progress that an earlier version stored

Cause: a task's record held how often it failed, and holds the runs that failed since failures count once by their run; the earlier number could not be read. It is read again, as that many runs of unknown number. A listed end of one of these counts once more: a leader can't tell it from a new failure. Ruled out: the number as a field of its own beside the runs (the last version stores runs in its place already). Open: an entry of the earlier version that takes over during an upgrade can't read what the new one stored; only the new version can be mended.

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -128,3 +128,14 @@
     And it fails and runs again on the other VM
     When a new leader hears of the earlier run's end only
     Then it runs where it has not failed
+
+  Scenario: A new leader restores progress that an earlier version stored
+    # After an upgrade nothing is served. Records of before hold how often a task failed,
+    # not which runs; the leader that found one could not read it, ended, and ended again
+    # after each restart.
+    Given 1 VM of 32 cores
+    And a stored job "a" of 1 task with 3 attempts, of which an earlier version counted 2
+    When a leader restores it
+    Then job "a" has not failed, and runs again
+    When its run fails, and is listed to the next leader again
+    Then job "a" has failed after 1 start
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -1,5 +1,6 @@
 """Steps on ends that are listed again, late or out of order, to a new leader."""
 
+import msgspec
 from behave import given, then, when
 
 from features.steps.scheduling_world import (
@@ -7,8 +8,9 @@
     make_job,
     plain,
 )
+from wagtailcleat.cluster.keys import decode
 from wagtailcleat.scheduling.book import record_of
-from wagtailcleat.scheduling.models import RunEnd, WorkerState
+from wagtailcleat.scheduling.models import JobRecord, JobState, RunEnd, WorkerState
 
 
 def _records(world):
@@ -186,3 +188,82 @@
     worker, key = _place_of(context)
     assert key.run > context.second_key.run, key
     assert worker is not context.first, worker.node
+
+
+# ---- what was stored
+
+
+@given(
+    'a stored job "{name}" of {count:d} task with {attempts:d} attempts,'
+    " of which an earlier version counted {failures:d}"
+)
+def step_earlier_version(context, name, count, attempts, failures):
+    context.job = name
+    job = make_job(name, plain(count), attempts=attempts)
+    row = [0, 0, 0, failures, ""]
+    context.stored = [(job, msgspec.msgpack.encode(["running", [], [row], 0.0]))]
+
+
+@when("a leader restores it")
+def step_restores(context):
+    stored = [(job, decode(data, JobRecord)) for job, data in context.stored]
+    _restart_leader(context, stored)
+    context.world.starts.clear()
+    _rounds(context.world, 2)
+
+
+@then('job "{name}" has failed after {count:d} start')
+def step_failed_after(context, name, count):
+    _rounds(context.world, 2)
+    entry = context.world.scheduler.book.entry_by_id[name]
+    assert entry.state is JobState.FAILED, entry.state
+    assert len(context.world.starts) == count, context.world.starts
+
+
+@given(
+    'job "{name}" of {attempts:d} attempts, due now, whose only task has failed once'
+)
+def step_recurring_failed(context, name, attempts):
+    world = context.world
+    context.job = name
+    world.submit(
+        make_job(
+            name,
+            plain(1),
+            attempts=attempts,
+            occurrences=2,
+            first_at=world.wall_now,
+            interval=1000.0,
+        )
+    )
+    _rounds(world, 2)
+    world.end_all(RunEnd.FAILED)
+    for worker in world.worker_by_node.values():
+        world.report(worker)
+
+
+@when(
+    "a leader whose clock is {seconds:d} s behind restores it"
+    " and hears of the end again"
+)
+def step_clock_behind(context, seconds):
+    # The world's one clock goes back; the workers' leases and reports follow it.
+    world = context.world
+    stored = _records(world)
+    world.now -= seconds
+    _restart_leader(context, stored)
+    world.starts.clear()
+
+
+@when("its run fails, and is listed to the next leader again")
+def step_fails_again(context):
+    context.world.end_all(RunEnd.FAILED)
+    for worker in context.world.worker_by_node.values():
+        context.world.report(worker)
+    _restart_leader(context)
+
+
+@when("each run that goes on fails")
+def step_each_run_fails(context):
+    context.world.end_all(RunEnd.FAILED)
+    context.world.round()
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -376,6 +376,6 @@
         tasks = entry.tasks_by_step.get((saved.occurrence, saved.step), [])
         if saved.position < len(tasks):
             task = tasks[saved.position]
-            task.failed_runs = set(saved.failed_runs)
+            task.failed_runs = saved.failures()
             task.checkpoint = saved.checkpoint
             task.checkpoint_run = saved.checkpoint_run
--- a/wagtailcleat/scheduling/models.py
+++ b/wagtailcleat/scheduling/models.py
@@ -123,12 +123,21 @@
     occurrence: int
     step: int
     position: int
-    failed_runs: list[int]
-    """Numbers of the runs that failed by the task's fault or the worker's."""
+    failed_runs: list[int] | int
+    """Numbers of the runs that failed by the task's fault or the worker's.
+
+    Earlier versions stored only how many there were.
+    """
     checkpoint: str = ""
     checkpoint_run: int = 0
     """The run that made the checkpoint; 0: not known."""
 
+    def failures(self) -> set[int]:
+        """Return the runs that failed; ones of unknown number are 0 and below."""
+        if isinstance(self.failed_runs, int):
+            return set(range(1 - self.failed_runs, 1))
+        return set(self.failed_runs)
+
 
 class JobRecord(msgspec.Struct, array_like=True):
     """What must last of a job's progress."""
