A run that was seen shows that its occurrence has begun

Cause: the next leader's wall clock may be behind that of the one before. By it an occurrence that has begun is not due and has no tasks, so that stored failures, listed ends and runs of it found none: the ends were acknowledged and forgotten. Only rows of successes in the record made their occurrence begin; each record, end and run does now. Ruled out: not acknowledging such ends (they would be listed for ever where a job is gone).

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -139,3 +139,33 @@
     Then job "a" has not failed, and runs again
     When its run fails, and is listed to the next leader again
     Then job "a" has failed after 1 start
+
+  Scenario: A failure of a job that recurs is not forgotten where the clock is behind
+    # A task fails more often than its queue allows and is started again. It belongs to an
+    # occurrence that has begun; by the clock of the next leader's VM it is not due yet,
+    # so that its stored failures and checkpoint found no task to go to.
+    Given 1 VM of 32 cores
+    And job "t" of 2 attempts recurs, and its first task runs
+    And it has failed
+    When a leader whose clock is 10 s behind restores it
+    And 12 s pass with all agents in touch
+    And each run that goes on fails
+    Then job "t" has failed after 1 start
+
+  Scenario: A success of a job that recurs is not forgotten where the clock is behind
+    # A task that was done runs once more. Its end is listed to a leader that found nothing
+    # of it stored and by whose clock the occurrence is not due: the end found no task, was
+    # acknowledged, and when the occurrence was due its task was started again.
+    Given 1 VM of 32 cores
+    And job "t" of 2 attempts recurs, and its first task runs
+    And it has succeeded
+    When a leader whose clock is 10 s behind finds nothing of that stored
+    And 12 s pass with all agents in touch
+    Then the task that has succeeded is not started again
+
+  Scenario: A run of a job that recurs goes on where the clock is behind
+    # The same with a task that still runs: it was stopped as not wanted, though well.
+    Given 1 VM of 32 cores
+    And job "t" of 2 attempts recurs, and its first task runs
+    When a leader whose clock is 10 s behind finds nothing of that stored
+    Then job "t" runs on and is not started again
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -220,50 +220,71 @@
     assert len(context.world.starts) == count, context.world.starts
 
 
-@given(
-    'job "{name}" of {attempts:d} attempts, due now, whose only task has failed once'
-)
-def step_recurring_failed(context, name, attempts):
+@when("its run fails, and is listed to the next leader again")
+def step_fails_again(context):
+    context.world.end_all(RunEnd.FAILED)
+    for worker in context.world.worker_by_node.values():
+        context.world.report(worker)
+    _restart_leader(context)
+
+
+# ---- clocks that are behind
+
+
+@given('job "{name}" of {attempts:d} attempts recurs, and its first task runs')
+def step_recurring(context, name, attempts):
     world = context.world
     context.job = name
-    world.submit(
-        make_job(
-            name,
-            plain(1),
-            attempts=attempts,
-            occurrences=2,
-            first_at=world.wall_now,
-            interval=1000.0,
-        )
+    job = make_job(
+        name,
+        plain(1),
+        attempts=attempts,
+        occurrences=2,
+        first_at=world.wall_now,
+        interval=1000.0,
     )
+    world.submit(job)
     _rounds(world, 2)
-    world.end_all(RunEnd.FAILED)
-    for worker in world.worker_by_node.values():
-        world.report(worker)
+    context.second, context.second_key = _place_of(context)
+    context.stored_before = _records(world)
 
 
-@when(
-    "a leader whose clock is {seconds:d} s behind restores it"
-    " and hears of the end again"
-)
+@given("it has {how}")
+def step_has_ended(context, how):
+    context.world.end_all(RunEnd(how))
+    context.world.report(context.second)
+
+
+@when("a leader whose clock is {seconds:d} s behind restores it")
 def step_clock_behind(context, seconds):
-    # The world's one clock goes back; the workers' leases and reports follow it.
-    world = context.world
-    stored = _records(world)
-    world.now -= seconds
-    _restart_leader(context, stored)
-    world.starts.clear()
+    _clock_behind(context, seconds, _records(context.world))
 
 
-@when("its run fails, and is listed to the next leader again")
-def step_fails_again(context):
-    context.world.end_all(RunEnd.FAILED)
-    for worker in context.world.worker_by_node.values():
-        context.world.report(worker)
-    _restart_leader(context)
+@when("a leader whose clock is {seconds:d} s behind finds nothing of that stored")
+def step_clock_behind_nothing(context, seconds):
+    stored = [(job, None) for job, _ in context.stored_before]
+    _clock_behind(context, seconds, stored)
+
+
+def _clock_behind(context, seconds, stored):
+    # The world has one clock: what counts is that it stands before the due time.
+    context.world.now -= seconds
+    _restart_leader(context, stored)
+    context.world.starts.clear()
 
 
 @when("each run that goes on fails")
 def step_each_run_fails(context):
     context.world.end_all(RunEnd.FAILED)
     context.world.round()
+
+
+@then('job "{name}" runs on and is not started again')
+def step_runs_on(context, name):
+    _rounds(context.world, 5)
+    assert _place_of(context) == (context.second, context.second_key)
+
+
+@then("the task that has succeeded is not started again")
+def step_not_again(context):
+    assert not context.world.starts, context.world.starts
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -183,11 +183,20 @@
             number = entry.occurrences_begun
             if job.first_at and wall_now < job.first_at + number * job.interval:
                 break
-            _begin(entry, number, now)
-            entry.occurrences_begun += 1
+            _begin_until(entry, number, now)
             begun = True
         return begun
 
+    def shown(self, run: RunKey, *, now: float) -> None:
+        """Note that a run was seen: its occurrence has begun, whatever the clocks say.
+
+        The wall clock of this VM may be behind that of the leader before; the run's end
+        would find no task, and the task would run again once it is due here.
+        """
+        entry = self.entry_by_id.get(run.task.job)
+        if entry is not None and entry.open:
+            _begin_until(entry, run.task.occurrence, now)
+
     def task(self, key: TaskKey) -> Task | None:
         """Return a task of a due occurrence."""
         entry = self.entry_by_id.get(key.job)
@@ -223,6 +232,7 @@
         wall_now: float,
     ) -> JobEntry | None:
         """Take in how a run ended at `node`; return the job's entry if it is known."""
+        self.shown(run, now=now)
         task = self.task(run.task)
         if task is None:
             return self.entry_by_id.get(run.task.job)
@@ -323,6 +333,14 @@
         )
 
 
+def _begin_until(entry: JobEntry, occurrence: int, now: float) -> None:
+    """Make the tasks of all occurrences up to one that has begun."""
+    last = min(occurrence, entry.job.occurrences - 1)
+    while entry.occurrences_begun <= last:
+        _begin(entry, entry.occurrences_begun, now)
+        entry.occurrences_begun += 1
+
+
 def _begin(entry: JobEntry, occurrence: int, now: float) -> None:
     for number, step in enumerate(entry.job.steps):
         keys = [
@@ -363,16 +381,15 @@
 
 def _restore(entry: JobEntry, record: JobRecord, now: float, wall_now: float) -> None:
     entry.begun = record.state is not JobState.QUEUED
+    # The wall clock of this VM may be behind that of the leader before: by it, an
+    # occurrence that has begun would not be due, and its tasks would run again.
     for occurrence, number, positions in record.succeeded:
-        # The wall clock of this VM may be behind that of the leader before: by it, an
-        # occurrence that has begun would not be due, and its tasks would run again.
-        while entry.occurrences_begun <= occurrence:
-            _begin(entry, entry.occurrences_begun, now)
-            entry.occurrences_begun += 1
+        _begin_until(entry, occurrence, now)
         tasks = entry.tasks_by_step[occurrence, number]
         for position in positions:
             entry.turn(tasks[position], TaskState.SUCCEEDED)
     for saved in record.tasks:
+        _begin_until(entry, saved.occurrence, now)
         tasks = entry.tasks_by_step.get((saved.occurrence, saved.step), [])
         if saved.position < len(tasks):
             task = tasks[saved.position]
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -272,6 +272,7 @@
         # until its end is listed; the job has no tasks in the book any more.
         hosted = Hosted(key, entry.job.steps[key.task.step], now)
         vm.host_run(hosted)
+        self.book.shown(key, now=now)
         task = self.book.task(key.task)
         if task is None:
             self._stop(vm, hosted, now, "not wanted any more")
