Random ends, listed again in any order, count each failure once

What it guards: a job shown as failed though no task failed so often, work done twice, a failure held against the wrong VM. Ends of random runs are heard by one leader after the other, in any order and more than once, with records stored and ends acknowledged between; and whole random histories of leaders, agents and workers count failures beside the book.

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -169,3 +169,10 @@
     And job "t" of 2 attempts recurs, and its first task runs
     When a leader whose clock is 10 s behind finds nothing of that stored
     Then job "t" runs on and is not started again
+
+  Scenario: Each failure counts once, however often and in whatever order it is listed
+    # A job is shown as failed though no task of it failed so often, or is tried again
+    # though one did. Ends are listed until they are acknowledged: to one leader after the
+    # other, late, twice, in another order, before and after the store has them.
+    Then in 300 random orders of listed ends each failure counts once
+    And in 120 random histories of leaders no more failures count than there were
--- /dev/null
+++ b/features/steps/ended_runs_fuzz.py
@@ -0,0 +1,251 @@
+"""Ends listed again and again, to one leader after the other, against what is true."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from features.steps.scheduling_fuzz import History
+from features.steps.scheduling_world import make_job, plain
+from wagtailcleat.cluster.keys import decode, encode
+from wagtailcleat.scheduling.book import Book, JobEntry, TaskState, record_of
+from wagtailcleat.scheduling.models import (
+    JobRecord,
+    JobState,
+    RunEnd,
+    RunKey,
+    TaskKey,
+)
+
+JOB = "j"
+TASKS = 3
+ATTEMPTS = 3
+NODES = ("vm-0", "vm-1", "vm-2")
+MOST_RUNS = 6
+CHANGES = ["store", "store", "acknowledge", "leader"]
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["submit", "round", "round", "round", "fail", "fail", "fail", "report"]
+            + ["report", "report", "commit", "commit", "leader", "leader", "deliver"]
+            + ["decide", "end", "lose", "silence", "return", "wait", "crash"]
+        ),
+        st.integers(0, 1000),
+    ),
+    min_size=30,
+    max_size=120,
+)
+"""Failures, records and changes of leader, with little between them."""
+
+
+class End(NamedTuple):
+    """One run's end, as its worker lists it until it is acknowledged."""
+
+    run: RunKey
+    how: RunEnd
+    checkpoint: str
+    node: str
+
+
+@st.composite
+def task_histories(draw, position: int) -> list[End]:
+    """Draw what became of the runs of one task: none follows the last that may."""
+    ends: list[End] = []
+    failures = 0
+    hows = [RunEnd.FAILED, RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.SUCCEEDED]
+    for run in range(1, draw(st.integers(0, MOST_RUNS)) + 1):
+        how = draw(st.sampled_from(hows))
+        saved = f"of-run-{run}" if draw(st.booleans()) else ""
+        node = draw(st.sampled_from(NODES))
+        ends.append(End(RunKey(TaskKey(JOB, 0, 0, position), run), how, saved, node))
+        failures += how is RunEnd.FAILED
+        if how is RunEnd.SUCCEEDED or failures == ATTEMPTS:
+            break
+    return ends
+
+
+@st.composite
+def listings(draw) -> tuple[list[End], list[tuple[str, int]]]:
+    """Draw all ends of a job, and in which order leaders come, hear and store."""
+    ends = [end for position in range(TASKS) for end in draw(task_histories(position))]
+    hear = st.tuples(st.just("hear"), st.integers(0, max(0, len(ends) - 1)))
+    changes = st.tuples(st.sampled_from(CHANGES), st.just(0))
+    return ends, draw(st.lists(hear | changes, min_size=10, max_size=60))
+
+
+class Listening:
+    """One job's book at one leader after the other, and the record in the store."""
+
+    def __init__(self, ends: list[End]) -> None:
+        """Begin with a leader that has heard nothing."""
+        self.ends = ends
+        self.listed = set(ends)
+        """Those that their workers have not been told to forget."""
+        self.stored: bytes | None = None
+        self.lead()
+
+    def lead(self) -> None:
+        """Replace the leader by one that knows what is stored."""
+        record = decode(self.stored, JobRecord) if self.stored else None
+        self.book = Book()
+        self.heard: set[End] = set()
+        self.durable: set[End] = set()
+        job = make_job(JOB, plain(TASKS, checkpointable=True), attempts=ATTEMPTS)
+        self.book.add(job, now=0.0, wall_now=job.accepted_at, record=record)
+
+    @property
+    def entry(self) -> JobEntry:
+        """The job as the present leader sees it."""
+        return self.book.entry_by_id[JOB]
+
+    def hear(self, end: End) -> None:
+        """Deliver an end to the present leader, if it is still listed."""
+        if end not in self.listed:
+            return
+        self.heard.add(end)
+        self.book.ended(
+            end.run, end.how, end.checkpoint, node=end.node, now=0.0, wall_now=0.0
+        )
+
+    def store(self) -> None:
+        """Store what the present leader knows."""
+        self.stored = encode(record_of(self.entry))
+        self.durable = set(self.heard)
+
+    def acknowledge(self) -> None:
+        """Let the workers forget the ends that are stored."""
+        self.listed -= self.durable
+
+    def of(self, key: TaskKey) -> list[End]:
+        """Return the true ends of a task."""
+        return [end for end in self.ends if end.run.task == key]
+
+    def failures(self, key: TaskKey) -> set[int]:
+        """Return the runs of a task that truly failed."""
+        return {end.run.run for end in self.of(key) if end.how is RunEnd.FAILED}
+
+    def check(self) -> None:
+        """Assert that no more is counted than is true."""
+        for task in self.entry.tasks():
+            assert task.failed_runs <= self.failures(task.key), task.failed_runs
+        if self.entry.state is JobState.FAILED:
+            assert self.worn_out(), "shown as failed, and no task failed so often"
+
+    def worn_out(self) -> bool:
+        """Tell whether some task truly failed as often as its queue allows."""
+        keys = [TaskKey(JOB, 0, 0, position) for position in range(TASKS)]
+        return any(len(self.failures(key)) >= ATTEMPTS for key in keys)
+
+    def check_all_heard(self) -> None:
+        """Assert that what is known is the truth, however it was told."""
+        assert self.worn_out() == (self.entry.state is JobState.FAILED)
+        if self.entry.state.final:
+            return
+        for task in self.entry.tasks():
+            ends = self.of(task.key)
+            done = any(end.how is RunEnd.SUCCEEDED for end in ends)
+            assert done == (task.state is TaskState.SUCCEEDED), task
+            if done:
+                continue
+            assert task.failed_runs == self.failures(task.key), task.failed_runs
+            saved = [end.checkpoint for end in ends if end.checkpoint]
+            assert task.checkpoint == (saved[-1] if saved else ""), task.checkpoint
+            failed = [end for end in ends if end.how is RunEnd.FAILED]
+            assert task.failed_on <= {end.node for end in failed}, task.failed_on
+            heard = {end.node for end in failed if end in self.heard}
+            assert task.failed_on >= heard, task.failed_on
+
+
+def _listen(ends: list[End], steps: list[tuple[str, int]], last: list[End]) -> None:
+    listening = Listening(ends)
+    for name, number in steps:
+        if name == "hear" and ends:
+            listening.hear(ends[number])
+        elif name == "store":
+            listening.store()
+        elif name == "acknowledge":
+            listening.acknowledge()
+        elif name == "leader":
+            listening.lead()
+        listening.check()
+    for end in last:
+        listening.hear(end)
+        listening.check()
+    listening.check_all_heard()
+
+
+class CountedHistory(History):
+    """A random history of whole leaders, agents and workers that counts failures."""
+
+    def __init__(self) -> None:
+        """Begin with no failure."""
+        super().__init__()
+        self.failed_by_task: dict[TaskKey, set[int]] = defaultdict(set)
+
+    def do_submit(self, number: int) -> None:
+        """Hand in a job whose queue allows few failures."""
+        self.jobs += 1
+        step = plain(1 + number % 4, cores=1 + number % 7)
+        attempts = 1 + number % ATTEMPTS
+        self.world.submit(make_job(f"j{self.jobs}", step, attempts=attempts))
+
+    def do_fail(self, number: int) -> None:
+        """Let one run fail, and remember it."""
+        if runs := self.runs():
+            worker, key = runs[number % len(runs)]
+            self.failed_by_task[key.task].add(key.run)
+            worker.end(key, RunEnd.FAILED)
+
+    def check(self) -> None:
+        """Assert besides that no more failures are counted than there were."""
+        super().check()
+        for entry in self.world.scheduler.book.entry_by_id.values():
+            for task in entry.tasks():
+                assert task.failed_runs <= self.failed_by_task[task.key], task
+            if entry.state is JobState.FAILED:
+                most = max(
+                    len(runs)
+                    for key, runs in self.failed_by_task.items()
+                    if key.job == entry.job.id
+                )
+                assert most >= entry.job.attempts, entry.job.id
+
+
+def _settings(count: int) -> settings:
+    return settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=[Phase.generate, Phase.shrink],
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+def run_random_listings(count: int) -> None:
+    """Play `count` random orders in which ends are heard, the same ones each time."""
+
+    @_settings(count)
+    @given(listings(), st.randoms(use_true_random=False))
+    def play(listing, random) -> None:
+        ends, steps = listing
+        last = list(ends)
+        random.shuffle(last)
+        _listen(ends, steps, last)
+
+    play()
+
+
+def run_counted_histories(count: int) -> None:
+    """Play `count` random histories of leaders and agents, the same ones each time."""
+
+    @_settings(count)
+    @given(OPERATIONS)
+    def play(operations: list) -> None:
+        history = CountedHistory()
+        for name, number in operations:
+            history.step(name, number)
+
+    play()
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -3,6 +3,10 @@
 import msgspec
 from behave import given, then, when
 
+from features.steps.ended_runs_fuzz import (
+    run_counted_histories,
+    run_random_listings,
+)
 from features.steps.scheduling_world import (
     REPORT_SECONDS,
     make_job,
@@ -288,3 +292,16 @@
 @then("the task that has succeeded is not started again")
 def step_not_again(context):
     assert not context.world.starts, context.world.starts
+
+
+# ---- at random
+
+
+@then("in {count:d} random orders of listed ends each failure counts once")
+def step_random_listings(context, count):
+    run_random_listings(count)
+
+
+@then("in {count:d} random histories of leaders no more failures count than there were")
+def step_counted_histories(context, count):
+    run_counted_histories(count)
