The log tells a failure that an earlier leader had stored

What couldn't be told: whether an end listed to a second leader had been stored by the first, or was lost with it; both are one line, 'Run ended'. Only the first kind would count twice, so that the hypotheses on a job shown as failed too early look alike in the logs. Change: a line, and a counter, 'Failure was known'; docs/OPERATIONS.md lists it. Ruled out: another 'why' of 'Run ended' (tools read it). The scenario of the double count asks for it.

--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -76,6 +76,7 @@
     And job "a" of 1 task with 2 attempts
     When its run fails, and a new leader restores that and hears of the end again
     Then job "a" has not failed, and runs again
+    And the log tells that the failure was known
 
   Scenario: An earlier run's end that is listed again frees no task that runs
     # Two runs of a task that lasts go on beside each other. Its first run ends, the next
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -194,6 +194,12 @@
     assert worker is not context.first, worker.node
 
 
+@then("the log tells that the failure was known")
+def step_log_known(context):
+    events = [note.event.value for note in context.world.scheduler.take_notes()]
+    assert events.count("Failure was known") == 1, events
+
+
 # ---- what was stored
 
 
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -58,6 +58,7 @@
     """What the scheduler came to believe or decided; each is one log line."""
 
     ENDED = "Run ended"
+    KNOWN = "Failure was known"
     NEVER_STARTED = "Run never started"
     GONE = "Run is gone"
     ADOPTED = "Run adopted"
@@ -195,6 +196,8 @@
             self._judge(vm, ended, now)
             task = self.book.task(ended.key.task)
             others = task is not None and task.run != ended.key.run
+            if task is not None and ended.key.run in task.failed_runs:
+                self._note(Event.KNOWN, ended.key, vm, "an earlier leader stored it")
             entry = self.book.ended(
                 ended.key,
                 ended.how,
