--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -49,9 +49,12 @@
     """Runs that failed. A worker lists an end until it is acknowledged, so that a new
     leader may hear again of a failure that is stored: it must count once."""
     checkpoint: str = ""
+    checkpoint_run: int = 0
+    """The run that made it."""
     ready_at: float = 0.0
     """When it last became free to start, on the leader's clock."""
     failed_on: set[NodeId] = field(default_factory=set)
+    """Where runs of it failed, as far as this leader has heard."""
 
     @property
     def run_key(self) -> RunKey:
@@ -180,11 +183,20 @@
             number = entry.occurrences_begun
             if job.first_at and wall_now < job.first_at + number * job.interval:
                 break
-            _begin(entry, number, now)
-            entry.occurrences_begun += 1
+            _begin_until(entry, number, now)
             begun = True
         return begun
 
+    def shown(self, run: RunKey, *, now: float) -> None:
+        """Note that a run was seen: its occurrence has begun, whatever the clocks say.
+
+        The wall clock of this VM may be behind that of the leader before; the run's end
+        would find no task, and the task would run again once it is due here.
+        """
+        entry = self.entry_by_id.get(run.task.job)
+        if entry is not None and entry.open:
+            _begin_until(entry, run.task.occurrence, now)
+
     def task(self, key: TaskKey) -> Task | None:
         """Return a task of a due occurrence."""
         entry = self.entry_by_id.get(key.job)
@@ -210,9 +222,17 @@
         task.entry.begun = True
 
     def ended(
-        self, run: RunKey, how: RunEnd, checkpoint: str, *, now: float, wall_now: float
+        self,
+        run: RunKey,
+        how: RunEnd,
+        checkpoint: str,
+        *,
+        node: NodeId,
+        now: float,
+        wall_now: float,
     ) -> JobEntry | None:
-        """Take in how a run ended; return the job's entry if it is known."""
+        """Take in how a run ended at `node`; return the job's entry if it is known."""
+        self.shown(run, now=now)
         task = self.task(run.task)
         if task is None:
             return self.entry_by_id.get(run.task.job)
@@ -223,19 +243,32 @@
             self._succeeded(task, run, now, wall_now)
             return entry
         if how is RunEnd.FAILED and not task.step.long_running:
-            self._failed(task, run.run, wall_now)
-        if checkpoint and checkpoint != task.checkpoint:
-            task.checkpoint = checkpoint
+            self._failed(task, run.run, node, wall_now)
+        if self.saved(task, run.run, checkpoint):
             entry.changed()
         if task.run == run.run:
             self.free(task, now)
         return entry
 
+    def saved(self, task: Task, run: int, checkpoint: str) -> bool:
+        """Take in a checkpoint that a run made; tell whether it is new.
+
+        One that is older is passed over: the end of an earlier run may be listed again
+        after a later run has gone on from it, whose work would then be done twice.
+        """
+        if not checkpoint or run < task.checkpoint_run:
+            return False
+        new = checkpoint != task.checkpoint
+        task.checkpoint, task.checkpoint_run = checkpoint, run
+        return new
+
     def _succeeded(self, task: Task, run: RunKey, now: float, wall_now: float) -> None:
         entry = task.entry
         if task.step.long_running:
-            # Such a task is owed until its job is cancelled, however it ended.
-            self.free(task, now)
+            # Such a task is owed until its job is cancelled, however it ended. An end
+            # may be listed again once the next run is placed, and that one goes on.
+            if task.run == run.run:
+                self.free(task, now)
             return
         step = (task.key.occurrence, task.key.step)
         members = entry.tasks_by_step[step] if task.step.gang else [task]
@@ -256,12 +289,12 @@
                     if task.state is TaskState.WAITING:
                         task.ready_at = now
 
-    def _failed(self, task: Task, run: int, wall_now: float) -> None:
+    def _failed(self, task: Task, run: int, node: NodeId, wall_now: float) -> None:
+        # Records tell no VMs: of a known failure's VM a new leader learns only here.
+        task.failed_on.add(node)
         if run in task.failed_runs:
             return
         task.failed_runs.add(run)
-        if task.node is not None:
-            task.failed_on.add(task.node)
         task.entry.changed()
         if len(task.failed_runs) >= task.entry.job.attempts:
             self._end(task.entry, JobState.FAILED, wall_now)
@@ -300,6 +333,14 @@
         )
 
 
+def _begin_until(entry: JobEntry, occurrence: int, now: float) -> None:
+    """Make the tasks of all occurrences up to one that has begun."""
+    last = min(occurrence, entry.job.occurrences - 1)
+    while entry.occurrences_begun <= last:
+        _begin(entry, entry.occurrences_begun, now)
+        entry.occurrences_begun += 1
+
+
 def _begin(entry: JobEntry, occurrence: int, now: float) -> None:
     for number, step in enumerate(entry.job.steps):
         keys = [
@@ -329,6 +370,7 @@
                 t.key.position,
                 sorted(t.failed_runs),
                 t.checkpoint,
+                t.checkpoint_run,
             )
             for t in tasks
             if t.state is not TaskState.SUCCEEDED and (t.failed_runs or t.checkpoint)
@@ -339,17 +381,18 @@
 
 def _restore(entry: JobEntry, record: JobRecord, now: float, wall_now: float) -> None:
     entry.begun = record.state is not JobState.QUEUED
+    # The wall clock of this VM may be behind that of the leader before: by it, an
+    # occurrence that has begun would not be due, and its tasks would run again.
     for occurrence, number, positions in record.succeeded:
-        # The wall clock of this VM may be behind that of the leader before: by it, an
-        # occurrence that has begun would not be due, and its tasks would run again.
-        while entry.occurrences_begun <= occurrence:
-            _begin(entry, entry.occurrences_begun, now)
-            entry.occurrences_begun += 1
+        _begin_until(entry, occurrence, now)
         tasks = entry.tasks_by_step[occurrence, number]
         for position in positions:
             entry.turn(tasks[position], TaskState.SUCCEEDED)
     for saved in record.tasks:
+        _begin_until(entry, saved.occurrence, now)
         tasks = entry.tasks_by_step.get((saved.occurrence, saved.step), [])
         if saved.position < len(tasks):
-            tasks[saved.position].failed_runs = set(saved.failed_runs)
-            tasks[saved.position].checkpoint = saved.checkpoint
+            task = tasks[saved.position]
+            task.failed_runs = saved.failures()
+            task.checkpoint = saved.checkpoint
+            task.checkpoint_run = saved.checkpoint_run
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -58,6 +58,7 @@
     """What the scheduler came to believe or decided; each is one log line."""
 
     ENDED = "Run ended"
+    KNOWN = "Failure was known"
     NEVER_STARTED = "Run never started"
     GONE = "Run is gone"
     ADOPTED = "Run adopted"
@@ -195,8 +196,15 @@
             self._judge(vm, ended, now)
             task = self.book.task(ended.key.task)
             others = task is not None and task.run != ended.key.run
+            if task is not None and ended.key.run in task.failed_runs:
+                self._note(Event.KNOWN, ended.key, vm, "an earlier leader stored it")
             entry = self.book.ended(
-                ended.key, ended.how, ended.checkpoint, now=now, wall_now=wall_now
+                ended.key,
+                ended.how,
+                ended.checkpoint,
+                node=vm.node,
+                now=now,
+                wall_now=wall_now,
             )
             if task is not None and others and task.state is TaskState.SUCCEEDED:
                 self._stop_runs([task], now)
@@ -247,8 +255,8 @@
             if hosted.stopping and now - hosted.stop_at >= self._stop_again:
                 self._stop(vm, hosted, now, "still listed after a stop")
             task = self.book.task(running.key.task)
-            if running.checkpoint and task is not None and task.run == running.key.run:
-                task.checkpoint = running.checkpoint
+            if task is not None and task.run == running.key.run:
+                self.book.saved(task, running.key.run, running.checkpoint)
         for key in report.unsettled:
             # An agent may report an end while it is still in doubt of the start. Were
             # the run taken on again, the end's next listing would drop it, and its task
@@ -267,6 +275,7 @@
         # until its end is listed; the job has no tasks in the book any more.
         hosted = Hosted(key, entry.job.steps[key.task.step], now)
         vm.host_run(hosted)
+        self.book.shown(key, now=now)
         task = self.book.task(key.task)
         if task is None:
             self._stop(vm, hosted, now, "not wanted any more")
