The store stand-in passes no change over that falls on the end of a watch

Seen: "A queue that the operator adds is served, one that is removed is not" failed once in 9 runs ("both entries have the new configuration: not within 2 s"), never traced. Cause: the test's stand-in. A watch whose time was up answered with the events of its last look and with the store's present revision. A change written between the two was in neither, the entry went on from that revision, and the configuration was never in force there.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -101,3 +101,11 @@
     When task "t-1" takes all cores
     And the worker is killed and started again
     Then it answers on the same port without tasks and its file still shows "t-1"
+
+  Scenario: A change that falls on the end of a watch is not passed over
+    # Now and then a configuration was never in force at an entry, though its store told
+    # it no fault. Its watch ended as the change was written: the answer showed no
+    # change, but named a revision that had it, and the entry went on from there.
+    Given a store of the platform in this process
+    When a change is written at the instant at which a watch of 2 s ends
+    Then the change is shown by that watch, or by the next from the revision it named
--- /dev/null
+++ b/features/steps/standins_store_steps.py
@@ -0,0 +1,45 @@
+"""Steps on the state of the platform's store stand-in, on virtual time."""
+
+import asyncio
+
+from behave import given, then, when
+
+from standins.platform_store import State
+from standins.virtual_time import VirtualLoop
+
+PREFIX = b"op/"
+KEY = "op/config"
+
+
+@given("a store of the platform in this process")
+def step_store(context):
+    context.loop = VirtualLoop()
+    context.add_cleanup(context.loop.end)
+    context.state = State()
+
+
+def put(state):
+    events = [state.keyspace.put(KEY.encode(), b"value", 0)]
+    state.keyspace.commit(events, "txn")
+    state.announce()
+
+
+@when("a change is written at the instant at which a watch of {seconds:d} s ends")
+def step_at_end(context, seconds):
+    async def watched():
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        watch = asyncio.create_task(context.state.changes(PREFIX, 0, seconds))
+        # The watch sets its own timer for this instant first.
+        await asyncio.sleep(0)
+        loop.call_at(ends_at, put, context.state)
+        return await watch
+
+    context.shown, context.revision = context.loop.run(watched())
+
+
+@then("the change is shown by that watch, or by the next from the revision it named")
+def step_shown(context):
+    following = context.state.changes(PREFIX, context.revision, 1.0)
+    shown = [*context.shown, *context.loop.run(following)[0]]
+    assert [item["key"] for item in shown] == [KEY], (shown, context.revision)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 from typing import Any
 
 import cyclopts
@@ -64,6 +65,34 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def changes(
+        self, prefix: bytes, after: int, seconds: float
+    ) -> tuple[list[dict[str, Any]], int]:
+        """Wait for changes under a prefix; return them and the revision they reach."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while not (events := self._events(prefix, after)) and loop.time() < end:
+            # A change may be written while the timeout is on its way here. Without
+            # another look the revision would cover it and the events would lack it.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(end - loop.time()):
+                    await self.changed.wait()
+        return events, self.keyspace.revision
+
+    def _events(self, prefix: bytes, after: int) -> list[dict[str, Any]]:
+        shown = []
+        for event in self.keyspace.since(after + 1):
+            if not event.kv.key.startswith(prefix):
+                continue
+            if event.is_delete:
+                key = event.kv.key.decode()
+                shown.append(
+                    {"key": key, "rev": event.kv.mod_revision, "tombstone": True}
+                )
+            else:
+                shown.append(_item(event.kv))
+        return shown
+
 
 def _item(found: KeyValue) -> dict[str, Any]:
     return {
@@ -152,32 +181,10 @@
         if after < self.state.forgotten:
             self.answer({"error": "forgotten"}, 410)
             return
-        loop = asyncio.get_running_loop()
-        end = loop.time() + min(wait, MAX_WAIT_SECONDS)
-        events = self._events(prefix, after)
-        while not events and loop.time() < end:
-            changed = self.state.changed
-            try:
-                async with asyncio.timeout(end - loop.time()):
-                    await changed.wait()
-            except TimeoutError:
-                break
-            events = self._events(prefix, after)
-        self.answer({"events": events, "storeRevision": self.state.keyspace.revision})
-
-    def _events(self, prefix: bytes, after: int) -> list[dict[str, Any]]:
-        shown = []
-        for event in self.state.keyspace.since(after + 1):
-            if not event.kv.key.startswith(prefix):
-                continue
-            if event.is_delete:
-                key = event.kv.key.decode()
-                shown.append(
-                    {"key": key, "rev": event.kv.mod_revision, "tombstone": True}
-                )
-            else:
-                shown.append(_item(event.kv))
-        return shown
+        events, revision = await self.state.changes(
+            prefix, after, min(wait, MAX_WAIT_SECONDS)
+        )
+        self.answer({"events": events, "storeRevision": revision})
 
 
 class TxnHandler(StoreHandler):
