A job that fails on all VMs in one moment is stopped at once

Cause: an owner weighs each end that is reported when it arrives, against the failures that are committed by then. Ends of one moment don't see each other; the job was stopped only by a later failure, and closed VMs send none. Mend: once the ends are committed, the jobs that failed among them are weighed again. The weighing at arrival stays: it stops a job in the same write as its end. Proof: the new scenario, on virtual time, failed before (job not stopped) and passes now. Ruled out: lost reports (the record held all 12 failures, 20 tasks pending, 0 assigned).

--- a/features/batch/failures.feature
+++ b/features/batch/failures.feature
@@ -18,6 +18,14 @@
     When job "ledger" of 12 tasks of "sleep:0.2" with 2 cores is submitted
     Then job "ledger" ends with 12 tasks succeeded
 
+  Scenario: All tasks of a job fail on all VMs in one moment
+    A job that can never run stays pending for half a minute, with no word on why. Its
+    tasks failed on three VMs at once, each end was weighed before the others were
+    committed, and the VMs, closed to the job, sent no more failures to weigh.
+    Given a job whose 6 tasks run on 3 VMs, as many on each
+    When the agents of all 3 VMs report in one moment that these have failed
+    Then the job is stopped, and the reason names the 3 VMs
+
   Scenario: A wave of cancellations while the store is slow
     Callers cancel many running jobs at once, each more than once. Tasks go on
     running, or a task that was being placed starts after its job was cancelled.
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -18,7 +18,7 @@
 )
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import AttemptId, VmName
+from wagtailcleat.ids import AttemptId, JobId, VmName
 from wagtailcleat.wire.messages import (
     Adopted,
     AnyMessage,
@@ -84,9 +84,31 @@
         self._ending |= attempts
         try:
             await self._shard.commit_all(events)
+            # Ends that are reported in one moment are weighed before any of them is
+            # committed. VMs that are closed to the job then send no more failures,
+            # and it would wait for their pauses although it failed everywhere.
+            stops = [stop for job in _jobs_failed(events) for stop in self._stop(job)]
+            if stops:
+                await self._shard.commit_all(stops)
         finally:
             self._ending -= attempts
 
+    def _stop(self, job_id: JobId) -> list[AnyEvent]:
+        job = self._shard.record.job_by_id.get(job_id)
+        if job is None or job.stopped or job.cancelled:
+            return []
+        return self._stop_failing(job, {})
+
+    def _stop_failing(
+        self, job: JobRecord, failures_by_vm: dict[VmName, int]
+    ) -> list[AnyEvent]:
+        """Stop a job whose tasks fail everywhere, also counting failures to come."""
+        where = _failed_everywhere(job, failures_by_vm)
+        if not where:
+            return []
+        reason = f"its tasks failed on {where} and none succeeded"
+        return [JobStopped(job.spec.id, reason, self._shard.wall_clock())]
+
     def _grants(
         self, running: list[AttemptId], ended: list[AttemptReport], fenced: bool
     ) -> AnyMessage:
@@ -185,11 +207,8 @@
             return [JobStopped(job_id, reason, shard.wall_clock())]
         # VMs close themselves to a job that fails there, so that a job of many
         # tasks may never see one of them fail on several.
-        where = _failed_everywhere(shard.record.job_by_id[job_id], task.vm)
-        if where:
-            reason = f"its tasks failed on {where} and none succeeded"
-            return [JobStopped(job_id, reason, shard.wall_clock())]
-        return []
+        job = shard.record.job_by_id[job_id]
+        return self._stop_failing(job, {task.vm: 1})
 
     async def lapse(self) -> None:
         """End the attempts whose grants have surely lapsed, forget old jobs."""
@@ -232,12 +251,21 @@
         ]
 
 
-def _failed_everywhere(job: JobRecord, vm: VmName) -> str:
-    """Return where a job's tasks failed, if on several VMs and none succeeded."""
+def _jobs_failed(events: list[AnyEvent]) -> list[JobId]:
+    failed = AttemptState.FAILED
+    ends = [e for e in events if isinstance(e, AttemptEnded) and e.state is failed]
+    return list(dict.fromkeys(job_of(end.attempt) for end in ends))
+
+
+def _failed_everywhere(job: JobRecord, failures_by_vm: dict[VmName, int]) -> str:
+    """Return where a job's tasks failed, if on several VMs and none succeeded.
+
+    Parameters: `failures_by_vm` are failures that the record does not have yet.
+    """
     if any(task.state is TaskState.SUCCEEDED for task in job.tasks):
         return ""
-    failed_on = {vm}.union(*(task.failed_on for task in job.tasks))
-    failures = 1 + sum(task.failures for task in job.tasks)
+    failed_on = set(failures_by_vm).union(*(task.failed_on for task in job.tasks))
+    failures = sum(failures_by_vm.values()) + sum(task.failures for task in job.tasks)
     if len(failed_on) < DISTINCT_FAILURES_TO_STOP or failures < FAILURES_TO_STOP:
         return ""
     return ", ".join(sorted(failed_on))
