Changes of the leader can be played on virtual time

Nothing changes for callers. Real processes on loopback can't be cut with refusals while they live, and an order can't be held up between a report and its answer, so no test played such a cut. Whether a connection is refused is asked through a function that tests replace. Ruled out: faults on real processes by ports closed and opened, which races.

--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -19,12 +19,13 @@
     """A selector that moves `now` on instead of waiting."""
 
     now = 0.0
+    settle = SETTLE_SECONDS
 
     def select(self, timeout: float | None = None) -> list[tuple[SelectorKey, int]]:
         """Return real events, or jump to the next timer."""
         events = super().select(0)
-        if not events and timeout != 0:
-            events = super().select(SETTLE_SECONDS)
+        if not events and timeout != 0 and self.settle:
+            events = super().select(self.settle)
         if events or timeout == 0:
             return events
         if timeout is None:
@@ -36,9 +37,13 @@
 class VirtualLoop(asyncio.SelectorEventLoop):
     """An event loop on the jumping clock."""
 
-    def __init__(self) -> None:
-        """Start at time 0."""
+    def __init__(self, settle: float = SETTLE_SECONDS) -> None:
+        """Start at time 0.
+
+        Parameters: `settle` in real seconds; 0 where there are no real streams.
+        """
         self._jumping = JumpingSelector()
+        self._jumping.settle = settle
         super().__init__(self._jumping)
 
     def time(self) -> float:
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -27,7 +27,12 @@
     encode,
     entry_key,
 )
-from wagtailcleat.cluster.others import Others, nobody_listens, reaches_store
+from wagtailcleat.cluster.others import (
+    Others,
+    Probe,
+    connection_refused,
+    reaches_store,
+)
 from wagtailcleat.cluster.timing import (
     CLAIM_AFTER,
     LEADER_VALID,
@@ -133,6 +138,7 @@
         peers: Peers,
         clock: Clock,
         lead: Lead,
+        refused: Probe = connection_refused,
     ) -> None:
         """Wire it; `lead` is run while this entry leads."""
         self.leader = NOBODY
@@ -149,7 +155,10 @@
         self._started_at = clock()
         self._promised_until = clock() + LEADER_VALID
         self._told_to_claim = asyncio.Event()
-        self._others = Others(place, store=store, peers=peers, clock=clock)
+        self._refused = refused
+        self._others = Others(
+            place, store=store, peers=peers, clock=clock, refused=refused
+        )
         self._learned = asyncio.Condition()
         self._wanted_since: float | None = None
         """Since when this entry would claim, but lets a larger one go first."""
@@ -322,7 +331,7 @@
             return _Sign.SILENT
         stream = await self._peers.stream(leader.host, leader.port)
         if isinstance(stream, Lost):
-            refused = await nobody_listens(leader.host, leader.port)
+            refused = await self._refused(leader.host, leader.port)
             return _Sign.DEAD if refused else _Sign.SILENT
         if stream.peer == leader.node and (
             stream.peer_incarnation != leader.incarnation
--- a/wagtailcleat/cluster/others.py
+++ b/wagtailcleat/cluster/others.py
@@ -1,6 +1,7 @@
 """The other entries: where they are, whether they live, and their word."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import ENTRY_PREFIX, LEADER_KEY, Place, decode
@@ -22,15 +23,37 @@
 STORE_AGE_UNKNOWN = 1e9
 
 Address = tuple[str, int]
+Probe = Callable[[str, int], Awaitable[bool]]
+"""Tells of a host and port whether connections to it are refused."""
+
+
+async def connection_refused(host: str, port: int) -> bool:
+    """Tell whether a connection is refused, by the peer's VM or on the way to it."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
 
 
 class Others:
     """Entries that the store named, or that asked this one who leads."""
 
     def __init__(
-        self, place: Place, *, store: KeyValueStore, peers: Peers, clock: Clock
+        self,
+        place: Place,
+        *,
+        store: KeyValueStore,
+        peers: Peers,
+        clock: Clock,
+        refused: Probe,
     ) -> None:
         """Know nobody yet; `place` is this entry's own."""
+        self._refused = refused
         self._place = place
         self._store = store
         self._peers = peers
@@ -78,7 +101,7 @@
         )
         if isinstance(answer, Follows):
             return answer if answer.epoch <= epoch else None
-        if await nobody_listens(place.host, place.port):
+        if await self._refused(place.host, place.port):
             # Its process is dead, and a new one claims nothing in its first seconds.
             return Follows(epoch, LEADER_VALID, STORE_AGE_UNKNOWN)
         return None
@@ -112,16 +135,3 @@
 def reaches_store(word: Follows) -> bool:
     """Tell whether the entry that gave its word has heard of the store lately."""
     return word.store_age < PROBE_EVERY * 2
-
-
-async def nobody_listens(host: str, port: int) -> bool:
-    """Tell whether the port surely belongs to no process."""
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
