A claim holds only for the leader it was decided about

Callers saw: two runs of one task, started 60 ms and 24 ms apart by leaders of neighbouring epochs, right after all machines had come back from a power loss. Cause: the claim read the store anew and was tied to what stood there by then. Of several entries that decided at once, each claimed over the one that had just begun. The same with a hand-over that came late; and an entry whose claim was stored, but not yet answered to it, was taken for dead since it still named the epoch before. Mend: the claim is tied to the revisions and the epoch of the decision. Ruled out: the compares themselves; each claim was the only one of its epoch.

--- /dev/null
+++ b/features/platform/takeover.feature
@@ -0,0 +1,27 @@
+Feature: One leader after the other, and at most one run of a task
+
+  Scenario: Two entries see the leader die at the same moment
+    # After a power loss several entries decided at once to replace the leader, and each
+    # claimed over the one that had just begun: two runs of a task started 60 ms apart.
+    # A claim was tied to what the store showed last, not to what it was decided on.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader dies while one entry's calls to the store take 0.1 s more
+    And 6 s pass
+    Then one claim was made
+
+  Scenario: A leader that has just claimed does not know it yet
+    # An entry's claim is stored and the answer is on its way. Another entry reads the
+    # store, asks the new leader, hears of the epoch before, and takes its process for
+    # dead: it claims over a leader that begins.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader dies, and the answer to the next claim is 0.95 s on its way
+    And 6 s pass
+    Then one claim was made
+
+  Scenario: A hand-over that comes late
+    # A leader lays down its office; one entry hears of it when another one leads
+    # already. The word is about the epoch before, and is no ground to claim the next.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader lays down its office, and the word of it reaches one entry late
+    And 6 s pass
+    Then one claim was made
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -198,6 +198,8 @@
         """Send a message and return the answer."""
         # What was sent arrives, also where its sender has stopped waiting.
         exchange = self.network.loop.create_task(self._exchange(message))
+        self.network.exchanges.add(exchange)
+        exchange.add_done_callback(self.network.exchanges.discard)
         try:
             async with asyncio.timeout(timeout):
                 return await asyncio.shield(exchange)
@@ -238,6 +240,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Begin whole."""
         self.loop = loop
+        self.exchanges: set[asyncio.Task] = set()
         self.process_by_host: dict[str, PretendedProcess] = {}
         self.cut: list[tuple[set[str], Way]] = []
         self.hold: Callable[[str, str, object], Awaitable[None]] | None = None
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -155,6 +155,8 @@
         self._started_at = clock()
         self._promised_until = clock() + LEADER_VALID
         self._told_to_claim = asyncio.Event()
+        self._laid_down_epoch = Epoch(0)
+        """The epoch that its leader has laid down in favour of this entry."""
         self._refused = refused
         self._others = Others(
             place, store=store, peers=peers, clock=clock, refused=refused
@@ -223,6 +225,7 @@
         """Claim at once: the leader has laid down its office."""
         assert isinstance(message, TakeOver)
         if message.epoch >= self.leader.epoch and self.may_claim:
+            self._laid_down_epoch = message.epoch
             self._told_to_claim.set()
             await self._until_newer(message.epoch)
         return self.leader
@@ -285,11 +288,18 @@
             except TimeoutError:
                 continue
             self._told_to_claim.clear()
-            office = await self._claim("was handed over")
+            office = await self._accept()
             if office is not None:
                 return office
 
+    async def _accept(self) -> Office | None:
+        """Claim the epoch that was laid down, unless another entry has."""
+        if not await self._read() or self._seen.leader.epoch != self._laid_down_epoch:
+            return None
+        return await self._claim("was handed over")
+
     async def _look(self) -> Office | None:
+        asked = self.leader.epoch
         sign = await self._sign()
         if sign is _Sign.LEADS or not self.may_claim:
             self._wanted_since = None
@@ -304,7 +314,7 @@
             return await self._claim_in_turn("there is none")
         if seen.leader.node == self._identity.node:
             return await self._claim("an earlier life of this process led")
-        if sign is _Sign.DEAD and seen.leader.epoch == self.leader.epoch:
+        if sign is _Sign.DEAD and seen.leader.epoch == asked:
             return await self._claim_in_turn("its process is dead")
         await self._learn(seen.leader)
         stands = now - seen.beat_seen_at
@@ -342,9 +352,11 @@
         answer = await stream.call(question, timeout=PROBE_TIMEOUT)
         if isinstance(answer, Leads):
             await self._learn(answer)
-            if answer.epoch == leader.epoch:
-                return _Sign.LEADS if answer.node == leader.node else _Sign.SILENT
-            return _Sign.LEADS if answer.epoch > leader.epoch else _Sign.DEAD
+            if answer.epoch == leader.epoch and answer.node != leader.node:
+                return _Sign.SILENT
+            # An older epoch tells nothing: a leader learns of its own only with the
+            # store's answer to its claim, when others may have read it already.
+            return _Sign.LEADS if answer.epoch >= leader.epoch else _Sign.SILENT
         return _Sign.SILENT
 
     async def _read(self) -> bool:
@@ -364,8 +376,9 @@
         return True
 
     async def _claim(self, why: str) -> Office | None:
-        if not await self._read():
-            return None
+        # Tied to the revisions that the decision was made on. Read anew here, they
+        # would be those of an entry that has begun to lead meanwhile, whose orders and
+        # agents are alive.
         seen = self._seen
         leader = Leads(
             Epoch(seen.leader.epoch + 1),
