A refused connection is not an entry's word

Callers saw: a task's runs went on in a zone that was cut off with resets, under a leader there, while they were started elsewhere by the next one. Cause: a leader away from the store asks the others for their word not to claim, and took a refused connection for the word of a dead entry. Cut off with refusals it renewed itself for ever. Mend: only an answer is a word. Price: while the store is away a dead entry denies it, and the leader acts for 2.2 s more at most, until that entry is back. Before: still acting 3 s after the cut in the scenario (seen failing); after: not.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -25,3 +25,11 @@
     When the leader lays down its office, and the word of it reaches one entry late
     And 6 s pass
     Then one claim was made
+
+  Scenario: A leader whose calls are refused has nobody's word
+    # A leader is cut from all, and the cut refuses connections. It counted each refusal
+    # as the word of an entry not to claim and went on for ever, while others claimed.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader is cut from the store and, with refusals, from all other entries
+    And 3 s pass
+    Then the leader may not act any more
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -158,9 +158,7 @@
         self._laid_down_epoch = Epoch(0)
         """The epoch that its leader has laid down in favour of this entry."""
         self._refused = refused
-        self._others = Others(
-            place, store=store, peers=peers, clock=clock, refused=refused
-        )
+        self._others = Others(place, store=store, peers=peers, clock=clock)
         self._learned = asyncio.Condition()
         self._wanted_since: float | None = None
         """Since when this entry would claim, but lets a larger one go first."""
--- a/wagtailcleat/cluster/others.py
+++ b/wagtailcleat/cluster/others.py
@@ -5,7 +5,7 @@
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import ENTRY_PREFIX, LEADER_KEY, Place, decode
-from wagtailcleat.cluster.timing import LEADER_VALID, PROBE_EVERY, PROBE_TIMEOUT
+from wagtailcleat.cluster.timing import PROBE_EVERY, PROBE_TIMEOUT
 from wagtailcleat.ids import Epoch
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -20,7 +20,6 @@
 2 s."""
 HEAVIER_FACTOR = 1.5
 """From how many times this entry's processor time another one counts as larger."""
-STORE_AGE_UNKNOWN = 1e9
 
 Address = tuple[str, int]
 Probe = Callable[[str, int], Awaitable[bool]]
@@ -50,10 +49,8 @@
         store: KeyValueStore,
         peers: Peers,
         clock: Clock,
-        refused: Probe,
     ) -> None:
         """Know nobody yet; `place` is this entry's own."""
-        self._refused = refused
         self._place = place
         self._store = store
         self._peers = peers
@@ -101,9 +98,8 @@
         )
         if isinstance(answer, Follows):
             return answer if answer.epoch <= epoch else None
-        if await self._refused(place.host, place.port):
-            # Its process is dead, and a new one claims nothing in its first seconds.
-            return Follows(epoch, LEADER_VALID, STORE_AGE_UNKNOWN)
+        # Only an answer is a word. A cut can refuse connections: a leader that takes
+        # refusals for words leads on by itself while an entry beyond the cut claims.
         return None
 
     async def strike_silent(self, epoch: Epoch, leader_revision: int) -> None:
