A leader that may not act moves no run's end

Callers saw: a task ran twice, on a cut-off VM until 26.9 s and elsewhere from 26.2 s. Cause: a leader answered reports also when its office was no longer valid, and each answer moved the end of the runs on. The next leader counts from the last moment at which the one before may act. Mend: such a leader refuses reports, and an answer without validity is no contact. Ruled out: the agent's clock of contact; it is that of sending, as it should be. The pretended store's watch lost a job that was stored as it ended; mended with it.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -33,3 +33,12 @@
     When the leader is cut from the store and, with refusals, from all other entries
     And 3 s pass
     Then the leader may not act any more
+
+  Scenario: Runs end after a leader that may not act
+    # A leader and an agent are cut off together. The leader may not act, but answered
+    # reports, and each answer let the agent's runs go on: a new leader gave them up
+    # and started their tasks elsewhere while they still ran.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And a task runs
+    When the leader and the task's agent are cut from everything else, in silence
+    Then the task ends within 8 s of the leader's last renewal
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -73,6 +74,7 @@
 
     revision: int = 0
     found_by_key: dict[str, Found] = field(default_factory=dict)
+    written: asyncio.Event = field(default_factory=asyncio.Event)
 
     def under(self, prefix: str) -> list[Found]:
         """Return the keys under a prefix."""
@@ -92,6 +94,7 @@
             shown = [self.found_by_key[k] for k in keys if k in self.found_by_key]
             return Conflict(tuple(shown))
         self.revision += 1
+        self.written.set()
         for key, value in txn.puts.items():
             self.found_by_key[key] = Found(key, value, self.revision)
         for key in txn.deletes:
@@ -160,14 +163,19 @@
         """Return what was written under a prefix since a revision."""
         if not await self._asked():
             return Unavailable("cut")
-        for _ in range(int(wait_seconds / 0.05)):
-            new = [f for f in self.keyspace.under(prefix) if f.mod_revision > revision]
-            if new:
-                break
-            await asyncio.sleep(0.05)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_seconds):
+                while not self._newer(prefix, revision):
+                    self.keyspace.written.clear()
+                    await self.keyspace.written.wait()
+        new = self._newer(prefix, revision)
         events = [Event(f.key, f.value, f.mod_revision) for f in new]
         return Changes(events, self.keyspace.revision)
 
+    def _newer(self, prefix: str, revision: int) -> Sequence[Found]:
+        under = self.keyspace.under(prefix)
+        return [found for found in under if found.mod_revision > revision]
+
 
 class PretendedStream:
     """A connection that one process has opened to another."""
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -128,6 +128,9 @@
             return False
         if not isinstance(answer, ReportTaken) or answer.epoch < self.epoch:
             return False
+        if answer.valid_seconds <= 0:
+            # It counts as no contact: a next leader may have counted from before it.
+            return False
         if answer.epoch > self.epoch:
             self._follow(answer.epoch)
         self.contact_at = sent_at
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -232,6 +232,10 @@
         assert isinstance(message, Report)
         if not self.ready:
             return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
+        if not self.acting:
+            # Runs go on for as long after an answer as a next leader waits after the
+            # last moment at which this one may act.
+            return Refused(Code.UNAVAILABLE.value, "this leader may not act now")
         session = self._session(message.node, stream)
         self.scheduler.take_report(
             message, session, now=self._now, wall_now=self._wall_clock()
