--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -42,3 +42,11 @@
     And a task runs
     When the leader and the task's agent are cut from everything else, in silence
     Then the task ends within 8 s of the leader's last renewal
+
+  Scenario: An order is taken between a report and its answer
+    # The old leader's order reaches an agent after it has made its report to the new
+    # leader, and before the answer. The new leader counted the agent as heard, with
+    # nothing running, and started the task elsewhere.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader is told to stop while an order is on its way, and the agent takes it between its report to the next leader and the answer
+    Then no task runs in two places in 8 s
--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -156,6 +156,7 @@
     world.network.hold = hold
     context.job = world.submit()
     world.until(lambda: "agent" in seen, SECONDS, "an order is on its way")
+    _grow_others(context, seen["agent"])
     world.loop.create_task(context.old.leadership.lay_down())
     world.until_led(but=context.old)
     world.until(lambda: "report" in seen, SECONDS, "the agent was heard")
@@ -164,6 +165,13 @@
     context.release_answer.set()
 
 
+def _grow_others(context, host):
+    # The next leader prefers them: what it starts again, it starts elsewhere.
+    for agent in context.world.agents:
+        if agent.host != host:
+            agent.worker.cores = 32.0
+
+
 @when("the leader is told to stop and its port closes, an order still on its way")
 def step_stop_closed(context):
     world = context.world
@@ -172,6 +180,7 @@
 
     async def hold(near, far, message):
         if isinstance(message, Orders) and message.starts and near == context.old.host:
+            _grow_others(context, far)
             held.set()
             await context.release.wait()
 
