A report counts only for the leader that its agent follows

Cause: between making its report to the new leader and reading the answer, an agent still took an order of the old one, which was on its way. The new leader counted it as heard, with nothing running, and started the task elsewhere. Mend: a report names the epoch that the agent follows. A leader takes in those made for its own; any other is answered FollowFirst, from which on the agent refuses older orders and reports again at once. Price: one round trip for each agent at a change of leaders. Ruled out: announcing the leader to the agents; an announcement can be lost.

--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from features.steps.scheduling_world import (
     WALL_START,
     PretendedWorker,
@@ -427,13 +429,15 @@
         self.spawn(self.following.run())
         self.spawn(self._renew())
 
-    def _make_report(self, *arguments) -> Report:
-        self.worker.orders_taken = arguments[-1]
-        report = self.worker.report()
-        changed = {"host": self.host, "port": PORT, "incarnation": self.incarnation}
-        if len(arguments) > 1:
-            changed["epoch"] = arguments[0]
-        return type(report)(**{**as_dict(report), **changed})
+    def _make_report(self, epoch, orders_taken: int) -> Report:
+        self.worker.orders_taken = orders_taken
+        return msgspec.structs.replace(
+            self.worker.report(),
+            host=self.host,
+            port=PORT,
+            incarnation=self.incarnation,
+            epoch=epoch,
+        )
 
     def _answered(self, report: Report) -> None:
         self.worker.refused = []
@@ -467,11 +471,6 @@
             await asyncio.sleep(RENEW_SECONDS)
 
 
-def as_dict(message) -> dict:
-    """Return a message's fields by name."""
-    return {name: getattr(message, name) for name in message.__struct_fields__}
-
-
 class TakeoverWorld:
     """Entries and agents that begin together, and the oracle of what runs."""
 
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -12,7 +12,7 @@
 from wagtailcleat.cluster.program import main as run
 from wagtailcleat.cluster.settings import AgentSettings, split_address
 from wagtailcleat.cluster.timing import ZONES_WAIT
-from wagtailcleat.ids import NodeId, ZoneName
+from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
 from wagtailcleat.platform.heartbeats import heartbeat_application
 from wagtailcleat.wire.messages import Role
@@ -77,7 +77,7 @@
         await self.base.supervisor.stop()
         self.base.close()
 
-    def _report(self, orders_taken: int) -> Report:
+    def _report(self, epoch: Epoch, orders_taken: int) -> Report:
         hosting = self.hosting
         now = boot_time()
         return Report(
@@ -96,6 +96,7 @@
             hosting.silent_seconds(now),
             hosting.lease_seconds(now),
             orders_taken,
+            epoch,
         )
 
     def _answered(self, report: Report) -> None:
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -20,6 +20,7 @@
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
 from wagtailcleat.wire.scheduling import (
+    FollowFirst,
     Leads,
     Orders,
     Report,
@@ -36,7 +37,7 @@
 """Every so many fruitless looks the store is asked too: a call there is priced."""
 
 MakeReport = Callable[[Epoch, int], Report]
-"""Makes the report to the leader of an epoch; also told the last orders taken."""
+"""Makes the report of an agent that follows an epoch and has taken orders up to one."""
 
 
 class Following:
@@ -49,7 +50,7 @@
         peers: Peers,
         clock: Clock,
         entries: list[tuple[str, int]],
-        make_report: Callable[[int], Report],
+        make_report: MakeReport,
         on_answer: Callable[[Report], None],
         on_orders: Callable[[Orders], None],
     ) -> None:
@@ -120,19 +121,21 @@
         if isinstance(stream, Lost):
             return False
         sent_at = self._clock()
-        report = self._make_report(self._orders_taken)
+        report = self._make_report(self.epoch, self._orders_taken)
         answer = await stream.call(report, timeout=REPORT_TIMEOUT)
         if isinstance(answer, Lost):
             # Orders that are held up on this connection must not be taken later.
             stream.close("a report was not answered")
             return False
-        if not isinstance(answer, ReportTaken) or answer.epoch < self.epoch:
+        if isinstance(answer, FollowFirst) and answer.epoch > self.epoch:
+            self._follow(answer.epoch)
+            self._news.set()
+            return True
+        if not isinstance(answer, ReportTaken) or answer.epoch != self.epoch:
             return False
         if answer.valid_seconds <= 0:
             # It counts as no contact: a next leader may have counted from before it.
             return False
-        if answer.epoch > self.epoch:
-            self._follow(answer.epoch)
         self.contact_at = sent_at
         self.valid_until = sent_at + answer.valid_seconds
         self._on_answer(report)
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -39,6 +39,7 @@
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
+    FollowFirst,
     Orders,
     Report,
     ReportTaken,
@@ -236,6 +237,10 @@
             # Runs go on for as long after an answer as a next leader waits after the
             # last moment at which this one may act.
             return Refused(Code.UNAVAILABLE.value, "this leader may not act now")
+        if message.epoch != self.office.epoch:
+            # It may still take an order of the leader before: one that is on its way
+            # would start what this report does not list, and it would start elsewhere.
+            return FollowFirst(self.office.epoch)
         session = self._session(message.node, stream)
         self.scheduler.take_report(
             message, session, now=self._now, wall_now=self._wall_clock()
--- a/wagtailcleat/wire/messages.py
+++ b/wagtailcleat/wire/messages.py
@@ -26,6 +26,7 @@
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
+    FollowFirst,
     Follows,
     JobStored,
     KeepFollowing,
@@ -515,6 +516,7 @@
     | Evict
     | WhoLeads
     | Leads
+    | FollowFirst
     | Report
     | ReportTaken
     | Orders
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -68,6 +68,17 @@
     """For how long what runs there may go on, at most, without a renewal."""
     orders_taken: int
     """Number of the last orders of the leader that were taken in."""
+    epoch: Epoch = Epoch(0)
+    """The epoch that the agent follows: orders of older ones are not taken any more."""
+
+
+class FollowFirst(Message, frozen=True, tag="follow_first"):
+    """Answers a report made for another epoch: it was not taken in.
+
+    The agent is to follow `epoch`, and then to report again.
+    """
+
+    epoch: Epoch
 
 
 class ReportTaken(Message, frozen=True, tag="report_taken"):
