--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -50,3 +50,13 @@
     Given 3 entries and 2 agents on virtual time, one of which leads
     When the leader is told to stop while an order is on its way, and the agent takes it between its report to the next leader and the answer
     Then no task runs in two places in 8 s
+
+  Scenario: A leader and its agent are cut off together, with refusals
+    # A zone is cut off with resets, the leader in it. A refused connection was taken
+    # for a dead leader; the next one claimed at once and waited for the agents from
+    # then on, while the old leader still let its agents' runs go on.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And a task runs
+    When the leader and the task's agent are cut from everything else, with refusals
+    Then no task runs in two places in 15 s
+    And the task runs elsewhere within 1 s
