What a new leader waits for does not rest on a refused connection

Cause: a refused connection was taken for a dead leader. The next one claimed at once and counted the agents' leases from its claim, while the old leader went on for up to 2.2 s. Jobs that it learned of later it started at once, also where the old one had them too. Mend: the office says until when an earlier leader may act (rivals_until): the claim where the leader before surely acts no more and had outlived those before it, else 2.24 s later. Agents not heard of are given up from then on, and work that an earlier leader may know waits for them. While a claim is under way or its answer lost no word is given. Refusals claim only when the beat has also stood still for 0.8 s. Ruled out: the agents' leases; they ended as promised by the last answer.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -60,3 +60,21 @@
     When the leader and the task's agent are cut from everything else, with refusals
     Then no task runs in two places in 15 s
     And the task runs elsewhere within 1 s
+
+  Scenario: A job that both leaders know is started by one
+    # The old leader is cut off with an agent and may still act when a job comes. The
+    # new leader waited for its agents with the jobs it found, but not with new ones.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And a task runs
+    When the leader and the task's agent are cut from everything else, with refusals
+    And another entry leads
+    And a job is stored and the old leader is told of it too
+    Then no task runs in two places in 15 s
+
+  Scenario: Two entries that refuse each other and both reach the store
+    # Each saw the other's port refuse, took it for dead and claimed, again and again;
+    # meanwhile neither led for long enough to start anything.
+    Given 2 entries and 1 agents on virtual time, one of which leads
+    When the entries are cut from each other, with refusals
+    And 10 s pass
+    Then no claim was made
--- a/wagtailcleat/cluster/keys.py
+++ b/wagtailcleat/cluster/keys.py
@@ -32,6 +32,13 @@
     """Cores that an entry may use: one with more of them leads with less delay."""
 
 
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """What the leader says of itself with each renewal."""
+
+    alone: bool = False
+    """Whether no earlier leader may act any more."""
+
+
 T = TypeVar("T")
 
 
@@ -45,6 +52,14 @@
     return msgspec.msgpack.decode(data, type=kind)
 
 
+def decode_beat(data: bytes) -> Beat:
+    """Return the beat of a stored form; one of another version says nothing."""
+    try:
+        return decode(data, Beat)
+    except msgspec.MsgspecError:
+        return Beat()
+
+
 def job_key(job: JobId) -> str:
     """Return the key of a job."""
     return JOB_PREFIX + job
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -153,11 +153,10 @@
         for found in jobs.found:
             if not found.key.endswith(CANCELLED):
                 job = JobId(found.key.removeprefix(JOB_PREFIX))
-                self._add(job, found.value, found_by_key.get(record_key(job)))
+                record = found_by_key.get(record_key(job))
+                self._add(job, found.value, found.mod_revision, record)
         for found in jobs.found:
-            self._take_job_key(found.key, found.value)
-        for entry in self.scheduler.book.entry_by_id.values():
-            entry.settled = not self.scheduler.unheard
+            self._take_job_key(found.key, found.value, found.mod_revision)
         self.ready = True
         log.info(
             "Restored the book",
@@ -184,23 +183,31 @@
             place.host, place.port, self._leadership.leader, timeout=ORDERS_TIMEOUT
         )
 
-    def _add(self, job: JobId, data: bytes, record: Found | None = None) -> JobEntry:
-        known = self.scheduler.book.entry_by_id.get(job)
-        if known is not None:
-            return known
-        return self.scheduler.book.add(
-            decode(data, Job),
-            now=self._now,
-            wall_now=self._wall_clock(),
-            record=decode(record.value, JobRecord) if record else None,
-            store_revision=record.mod_revision if record else 0,
-        )
+    def _add(
+        self, job: JobId, data: bytes, revision: int, record: Found | None = None
+    ) -> JobEntry:
+        """Add a job that the store got at `revision`; 0 where that is not known."""
+        entry = self.scheduler.book.entry_by_id.get(job)
+        if entry is None:
+            entry = self.scheduler.book.add(
+                decode(data, Job),
+                now=self._now,
+                wall_now=self._wall_clock(),
+                record=decode(record.value, JobRecord) if record else None,
+                store_revision=record.mod_revision if record else 0,
+            )
+            # An earlier leader may have started it at an agent not heard of yet.
+            entry.settled = not self.scheduler.unheard
+        alone_from = self.office.alone_revision
+        if alone_from is not None and revision > alone_from:
+            entry.settled = True
+        return entry
 
     # ---- what callers and agents say
 
     async def submitted(self, message: Submitted) -> AnyMessage:
         """Take in a job that an entry has just stored."""
-        self._add(message.id, message.job)
+        self._add(message.id, message.job, 0)
         self._wake.set()
         return StateShown("")
 
@@ -281,7 +288,9 @@
                 self.scheduler.lost_touch(node)
                 log.info("Agent out of touch", extra={"agent": node})
                 self._records.dirty.set()
-        for node in self.scheduler.expire(now=now, claimed_at=self.office.claimed_at):
+        for node in self.scheduler.expire(
+            now=now, rivals_until=self.office.rivals_until
+        ):
             log.warning("Gave up the runs of an agent", extra={"agent": node})
             self._records.dirty.set()
         self._log_notes()
@@ -361,19 +370,19 @@
             if isinstance(changes, Changes):
                 for event in changes.events:
                     if event.value is not None:
-                        self._take_job_key(event.key, event.value)
+                        self._take_job_key(event.key, event.value, event.mod_revision)
                 self._revision = max(self._revision, changes.store_revision)
             elif isinstance(changes, HistoryGone):
                 listing = await self._listed(JOB_PREFIX)
                 for found in listing.found:
-                    self._take_job_key(found.key, found.value)
+                    self._take_job_key(found.key, found.value, found.mod_revision)
                 self._revision = listing.store_revision
             else:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    def _take_job_key(self, key: str, value: bytes) -> None:
+    def _take_job_key(self, key: str, value: bytes, revision: int) -> None:
         if not key.endswith(CANCELLED):
-            self._add(JobId(key.removeprefix(JOB_PREFIX)), value)
+            self._add(JobId(key.removeprefix(JOB_PREFIX)), value, revision)
         else:
             job = JobId(key.removeprefix(JOB_PREFIX).removesuffix(CANCELLED))
             self.scheduler.cancel(job, now=self._now, wall_now=self._wall_clock())
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -1,10 +1,12 @@
 """Which entry leads: a key in the store that is taken over by compare-and-swap.
 
-The leader rewrites a second key, its beat. Another entry claims when it has seen the
-beat stand still for longer than a leader may act after a renewal, or at once when the
-leader's process is surely dead (nobody listens at its address, or another incarnation
-does) or has laid down its office. Leases of the store play no part: a key bound to
-one can vanish while its holder still counts on it.
+The leader rewrites a second key, its beat. Another entry claims when the leader surely
+acts no more: another incarnation answers at its address, it has laid down its office,
+or its beat was seen to stand still for longer than a leader may act after a renewal. It
+also claims soon after the leader's port refuses connections; that proves nothing, and
+such a leader counts with the one before until that one's renewals have run out
+(`Office.rivals_until`). Leases of the store play no part: a key bound to one can vanish
+while its holder still counts on it.
 
 While the store does not answer, a leader may act on the word of all other entries
 that they will not claim.
@@ -22,8 +24,10 @@
     BEAT_KEY,
     LEADER_KEY,
     LEADER_PREFIX,
+    Beat,
     Place,
     decode,
+    decode_beat,
     encode,
     entry_key,
 )
@@ -36,9 +40,12 @@
 from wagtailcleat.cluster.timing import (
     CLAIM_AFTER,
     LEADER_VALID,
+    LOOK_SOON,
     PROBE_EVERY,
     PROBE_TIMEOUT,
+    REFUSED_STANDS,
     RENEW_EVERY,
+    RIVAL_SECONDS,
     STORE_SILENT,
 )
 from wagtailcleat.ids import Epoch, NodeId
@@ -52,6 +59,7 @@
     Listing,
     Txn,
     Unavailable,
+    Unknown,
     WriteOutcome,
     Written,
 )
@@ -85,10 +93,29 @@
     """What an entry can tell of the leader's process."""
 
     LEADS = "leads"
-    DEAD = "dead"
+    REPLACED = "replaced"
+    """Another incarnation answers at its address: its process has ended."""
+    REFUSED = "refused"
+    """By its VM or by the network on the way: its process may live."""
     SILENT = "silent"
 
 
+class _Ground(Enum):
+    """Why an entry claims."""
+
+    NOBODY = "there is none"
+    OWN = "an earlier life of this process led"
+    HANDED_OVER = "was handed over"
+    REPLACED = "its process has ended"
+    STANDS = "its beat stands still"
+    REFUSED = "its port refuses connections"
+
+    @property
+    def sure(self) -> bool:
+        """Whether the leader before surely acts no more."""
+        return self is not _Ground.REFUSED
+
+
 @dataclass
 class _Seen:
     """The leader's two keys as last read."""
@@ -96,6 +123,7 @@
     leader: Leads = NOBODY
     leader_revision: int = 0
     beat_revision: int = 0
+    beat: Beat = Beat()
     beat_seen_at: float = 0.0
     """When the beat was first seen at this revision."""
 
@@ -109,6 +137,10 @@
     beat_revision: int
     valid_until: float
     claimed_at: float
+    rivals_until: float
+    """Until when a leader of an earlier epoch may act, at most."""
+    alone_revision: int | None = None
+    """What the store got after this revision, no earlier leader has acted on."""
     announced: bool = False
     """Whether the other entries were told."""
     gives_way: bool = False
@@ -160,8 +192,11 @@
         self._refused = refused
         self._others = Others(place, store=store, peers=peers, clock=clock)
         self._learned = asyncio.Condition()
+        self._look_every = PROBE_EVERY
         self._wanted_since: float | None = None
         """Since when this entry would claim, but lets a larger one go first."""
+        self._claim_sent_at: float | None = None
+        """When a claim was sent of which it is not known what became of it."""
         self._registration = 0
         """Revision of this entry's own key in the store."""
 
@@ -213,7 +248,10 @@
         assert isinstance(message, KeepFollowing)
         now = self._clock()
         age = now - self._store.answered_at if self._store.answered_at else 1e9
-        if message.epoch < self.leader.epoch or self.leads:
+        # A leader counts on it that words given to the one before are older than its
+        # claim, also where the claim's answer is late or lost.
+        claiming = self.leads or self._claim_sent_at is not None
+        if message.epoch < self.leader.epoch or claiming:
             return Follows(self.leader.epoch, 0.0, age)
         self._promised_until = max(self._promised_until, now + LEADER_VALID)
         asyncio.get_running_loop().create_task(self._touch_store())
@@ -281,7 +319,7 @@
             if office is not None:
                 return office
             try:
-                async with asyncio.timeout(PROBE_EVERY):
+                async with asyncio.timeout(self._look_every):
                     await self._told_to_claim.wait()
             except TimeoutError:
                 continue
@@ -294,34 +332,40 @@
         """Claim the epoch that was laid down, unless another entry has."""
         if not await self._read() or self._seen.leader.epoch != self._laid_down_epoch:
             return None
-        return await self._claim("was handed over")
+        return await self._claim(_Ground.HANDED_OVER)
 
     async def _look(self) -> Office | None:
         asked = self.leader.epoch
         sign = await self._sign()
+        self._look_every = LOOK_SOON if sign is _Sign.REFUSED else PROBE_EVERY
         if sign is _Sign.LEADS or not self.may_claim:
             self._wanted_since = None
             return None
         if not await self._read():
             return None
-        now = self._clock()
         seen = self._seen
         if seen.leader.epoch == 0:
-            if now - self._started_at < FIRST_CLAIM_SECONDS:
+            if self._clock() - self._started_at < FIRST_CLAIM_SECONDS:
                 return None
-            return await self._claim_in_turn("there is none")
+            return await self._claim_in_turn(_Ground.NOBODY)
         if seen.leader.node == self._identity.node:
-            return await self._claim("an earlier life of this process led")
-        if sign is _Sign.DEAD and seen.leader.epoch == asked:
-            return await self._claim_in_turn("its process is dead")
-        await self._learn(seen.leader)
-        stands = now - seen.beat_seen_at
+            return await self._claim(_Ground.OWN)
+        return await self._replace(sign if seen.leader.epoch == asked else _Sign.SILENT)
+
+    async def _replace(self, sign: _Sign) -> Office | None:
+        """Claim the office of the leader that was last read, if there is ground."""
+        now = self._clock()
+        stands = now - self._seen.beat_seen_at
+        if sign is _Sign.REPLACED:
+            return await self._claim_in_turn(_Ground.REPLACED)
         if stands >= CLAIM_AFTER and now >= self._promised_until:
-            return await self._claim_in_turn("its beat stands still")
+            return await self._claim_in_turn(_Ground.STANDS)
+        if sign is _Sign.REFUSED and stands >= REFUSED_STANDS:
+            return await self._claim_in_turn(_Ground.REFUSED)
         self._wanted_since = None
         return None
 
-    async def _claim_in_turn(self, why: str) -> Office | None:
+    async def _claim_in_turn(self, ground: _Ground) -> Office | None:
         """Claim, but first let an entry go that has more processor time."""
         now = self._clock()
         if self._wanted_since is None:
@@ -331,7 +375,7 @@
         if patient and self._others.heavier():
             return None
         self._wanted_since = None
-        return await self._claim(why)
+        return await self._claim(ground)
 
     async def _sign(self) -> _Sign:
         leader = self.leader
@@ -340,11 +384,11 @@
         stream = await self._peers.stream(leader.host, leader.port)
         if isinstance(stream, Lost):
             refused = await self._refused(leader.host, leader.port)
-            return _Sign.DEAD if refused else _Sign.SILENT
+            return _Sign.REFUSED if refused else _Sign.SILENT
         if stream.peer == leader.node and (
             stream.peer_incarnation != leader.incarnation
         ):
-            return _Sign.DEAD
+            return _Sign.REPLACED
         me = self._place
         question = WhoLeads(me.host, me.port, me.incarnation, me.weight)
         answer = await stream.call(question, timeout=PROBE_TIMEOUT)
@@ -366,14 +410,24 @@
         leader = found_by_key.get(LEADER_KEY)
         beat = found_by_key.get(BEAT_KEY)
         beat_revision = beat.mod_revision if beat else 0
-        if beat_revision != seen.beat_revision or not seen.beat_seen_at:
+        moved = beat_revision != seen.beat_revision
+        if moved or not seen.beat_seen_at:
             seen.beat_seen_at = self._clock()
         seen.beat_revision = beat_revision
+        seen.beat = decode_beat(beat.value) if beat else Beat()
         seen.leader_revision = leader.mod_revision if leader else 0
         seen.leader = decode(leader.value, Leads) if leader else NOBODY
+        await self._learn(seen.leader)
+        if moved:
+            # A claim is tied to the beat: one that was under way has failed, or shows.
+            self._claim_sent_at = None
         return True
 
-    async def _claim(self, why: str) -> Office | None:
+    async def _claim(self, ground: _Ground) -> Office | None:
+        """Claim the office of the leader that was last read."""
+        if ground is _Ground.STANDS and self._clock() < self._promised_until:
+            # It was given a word meanwhile, by which it may act.
+            return None
         # Tied to the revisions that the decision was made on. Read anew here, they
         # would be those of an entry that has begun to lead meanwhile, whose orders and
         # agents are alive.
@@ -385,28 +439,48 @@
             self._place.host,
             self._place.port,
         )
-        compares = [
-            _at_revision(LEADER_KEY, seen.leader_revision),
-            _at_revision(BEAT_KEY, seen.beat_revision),
-            Compare(entry_key(self._identity.node), self._registration),
-        ]
-        sent_at = self._clock()
-        puts = {LEADER_KEY: encode(leader), BEAT_KEY: encode(0)}
-        outcome = await self._store.write(Txn(compares, puts))
-        if not isinstance(outcome, Written):
-            outcome = await self._settle_claim(leader, outcome)
+        # That it acts no more says nothing of those before it, unless it outlived them.
+        alone = ground.sure and (seen.beat.alone or seen.leader.epoch == 0)
+        sent_at = self._claim_sent_at = self._claim_sent_at or self._clock()
+        outcome = await self._write_claim(leader, alone)
+        if not isinstance(outcome, Unknown):
+            self._claim_sent_at = None
         if not isinstance(outcome, Written):
             return None
+        now = self._clock()
         log.info(
             "Claimed",
-            extra={"epoch": leader.epoch, "before": seen.leader.node, "why": why},
+            extra={
+                "epoch": leader.epoch,
+                "before": seen.leader.node,
+                "why": ground.value,
+                "alone": alone,
+            },
         )
         await self._learn(leader)
         revision = outcome.store_revision
         return Office(
-            leader.epoch, revision, revision, sent_at + LEADER_VALID, self._clock()
+            leader.epoch,
+            revision,
+            revision,
+            sent_at + LEADER_VALID,
+            claimed_at=now,
+            rivals_until=now if alone else now + RIVAL_SECONDS,
+            alone_revision=revision if alone else None,
         )
 
+    async def _write_claim(self, leader: Leads, alone: bool) -> WriteOutcome:
+        compares = [
+            _at_revision(LEADER_KEY, self._seen.leader_revision),
+            _at_revision(BEAT_KEY, self._seen.beat_revision),
+            Compare(entry_key(self._identity.node), self._registration),
+        ]
+        puts = {LEADER_KEY: encode(leader), BEAT_KEY: encode(Beat(alone))}
+        outcome = await self._store.write(Txn(compares, puts))
+        if isinstance(outcome, Written):
+            return outcome
+        return await self._settle_claim(leader, outcome)
+
     async def _settle_claim(self, leader: Leads, outcome: WriteOutcome) -> WriteOutcome:
         # The HTTP library may send a claim twice; the second one then conflicts with
         # the first. Whose name stands in the key tells who won.
@@ -441,11 +515,15 @@
             _at_revision(LEADER_KEY, office.leader_revision),
             _at_revision(BEAT_KEY, office.beat_revision),
         ]
-        puts = {BEAT_KEY: encode(sent_at)}
-        outcome = await self._store.write(Txn(compares, puts))
+        alone = sent_at >= office.rivals_until
+        outcome = await self._store.write(
+            Txn(compares, {BEAT_KEY: encode(Beat(alone))})
+        )
         if isinstance(outcome, Written):
             office.beat_revision = outcome.store_revision
             office.valid_until = max(office.valid_until, sent_at + LEADER_VALID)
+            if alone and office.alone_revision is None:
+                office.alone_revision = outcome.store_revision
             return True
         if isinstance(outcome, Conflict):
             return self._after_conflict(office, outcome)
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -14,6 +14,15 @@
 
 Longer than `LEADER_VALID` by more than the clocks drift in that time.
 """
+REFUSED_STANDS = 0.8
+"""How long the beat must stand still where the leader's port refuses connections.
+
+Longer than `RENEW_EVERY`: two entries cut from each other by refusals, both with the
+store, would else take the office from each other again and again. What a new leader
+waits for does not rest on it.
+"""
+LOOK_SOON = 0.1
+"""How often an entry looks while the leader's port refuses connections."""
 RENEW_EVERY = 0.6
 """A third of `LEADER_VALID` and less, so that two lost renewals do no harm."""
 PROBE_EVERY = 0.4
@@ -40,6 +49,9 @@
 """
 CLOCK_DRIFT = 1.02
 """A worker's clock may be this much slow (the platform's word)."""
+RIVAL_SECONDS = LEADER_VALID * CLOCK_DRIFT
+"""How long after a claim an earlier leader may act, at most, where nothing shows that
+it acts no more: its renewals and the words given to it are older than the claim."""
 GIVE_UP_AFTER = RUN_HORIZON * CLOCK_DRIFT + 0.3
 """When a leader counts the runs of an agent as lapsed that it does not hear from."""
 WORKER_CALL = 0.35
