An agent that was started again follows no leader of before

Cause: the agent's next life knew no epoch and followed whoever it asked first. The leader before may act for 2.2 s after the claim of the next, and starts there what the next one, which has heard this agent already, starts elsewhere. Mend: for 2.24 s after its start an agent follows an epoch only if the store names it as the last, by a read begun after that start. Price: one read for each start of an agent; without the store it waits that long. Before: the restarted agent follows epoch 1 beside a leader of epoch 2 (scenario, seen failing); after: it follows 2. Ruled out: remembering the epoch; there is no disk.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -78,3 +78,12 @@
     When the entries are cut from each other, with refusals
     And 10 s pass
     Then no claim was made
+
+  Scenario: An agent that was started again does not go back to the old leader
+    # The new leader has heard an agent; its process dies, and the next one knows of no
+    # epoch. The old leader may still act, and was followed again.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader is cut from the other entries and the store, but not from agents
+    And another entry leads
+    And an agent that the new leader has heard dies, and asks the old one first
+    Then the agent carries out no order of the old leader
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -10,7 +10,12 @@
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import LEADER_KEY, decode
-from wagtailcleat.cluster.timing import LOOK_AGAIN, REPORT_EVERY, REPORT_TIMEOUT
+from wagtailcleat.cluster.timing import (
+    LOOK_AGAIN,
+    REPORT_EVERY,
+    REPORT_TIMEOUT,
+    RIVAL_SECONDS,
+)
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import Epoch
 from wagtailcleat.logs import part_logger
@@ -70,6 +75,7 @@
         self._on_orders = on_orders
         self._news = asyncio.Event()
         self._looks = 0
+        self._started_at = clock()
 
     def __repr__(self) -> str:
         """Show the epoch that is followed."""
@@ -112,8 +118,10 @@
             self._news.clear()
             if self._leader is None:
                 await self._look()
-            if self._leader is not None and not await self._report(self._leader):
-                self._leader = None
+            leader = self._leader
+            if leader is not None and not await self._report(leader):
+                if self._leader is leader:
+                    self._leader = None
                 self._news.set()
 
     async def _report(self, leader: Leads) -> bool:
@@ -127,10 +135,8 @@
             # Orders that are held up on this connection must not be taken later.
             stream.close("a report was not answered")
             return False
-        if isinstance(answer, FollowFirst) and answer.epoch > self.epoch:
-            self._follow(answer.epoch)
-            self._news.set()
-            return True
+        if isinstance(answer, FollowFirst):
+            return await self._follow(answer.epoch)
         if not isinstance(answer, ReportTaken) or answer.epoch != self.epoch:
             return False
         if answer.valid_seconds <= 0:
@@ -141,11 +147,30 @@
         self._on_answer(report)
         return True
 
-    def _follow(self, epoch: Epoch) -> None:
+    async def _follow(self, epoch: Epoch) -> bool:
+        """Follow a later epoch and report soon; tell whether it may be followed."""
+        if epoch <= self.epoch or not await self._surely_last(epoch):
+            return False
         log.info("Follows", extra={"epoch": epoch})
         self.epoch = epoch
         self._orders_taken = 0
         self.valid_until = 0.0
+        self._news.set()
+        return True
+
+    async def _surely_last(self, epoch: Epoch) -> bool:
+        # A leader may count on it that an agent it has heard takes no older orders. An
+        # earlier life of this process may have been heard just before it ended, and the
+        # leader before that one may still act: until it surely does not, the store
+        # tells which epoch is the last.
+        if self._clock() - self._started_at > RIVAL_SECONDS:
+            return True
+        found = await self._store.get(LEADER_KEY)
+        if not isinstance(found, Found):
+            return False
+        leader = decode(found.value, Leads)
+        self._learn(leader)
+        return leader.epoch == epoch
 
     def _learn(self, leader: Leads) -> None:
         if leader.epoch < max(self.epoch, 1):
