A leader that stops lays its office down in the store

Callers saw: starts stood still for seconds after a leader was told to stop, where its word to the other entries was lost. Cause: only a message said so. An entry that did not get it waited until the beat had stood still for 2.5 s, or for as long as the stopping process still answered that it led. Mend: the leader marks its beat as laid down before it tells the others; whoever asks a leader that stops hears of none, looks in the store, and may claim at once. A claim that meets a renewal under way is made once more. Ruled out: closing the port first; the office goes first.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -87,3 +87,17 @@
     And another entry leads
     And an agent that the new leader has heard dies, and asks the old one first
     Then the agent carries out no order of the old leader
+
+  Scenario: A leader is told to stop, its port closes, and an order is on its way
+    # The port of a leader that stops refuses connections while its last orders are
+    # under way. They must not start what the next leader starts elsewhere.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader is told to stop and its port closes, an order still on its way
+    Then no task runs in two places in 8 s
+
+  Scenario: A leader that stops is replaced although its word is lost
+    # A leader that was told to stop says so to the other entries. Where that does not
+    # reach them, work waited until its beat had stood still for seconds.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader is told to stop and no word of it reaches another entry
+    Then another entry leads within 1.5 s
--- a/wagtailcleat/cluster/keys.py
+++ b/wagtailcleat/cluster/keys.py
@@ -37,6 +37,8 @@
 
     alone: bool = False
     """Whether no earlier leader may act any more."""
+    laid_down: bool = False
+    """Whether it acts no more: any entry may claim."""
 
 
 T = TypeVar("T")
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -79,6 +79,10 @@
 NOBODY = Leads(Epoch(0), NodeId(""), 0, "", 0)  # type: ignore[arg-type]
 TAKE_OVER_ANSWER = 0.4
 """How long the answer to a hand-over waits for the claim: two calls to the store."""
+LAY_DOWN_SECONDS = 0.3
+"""How long a leader that stops waits for the store before it tells the others."""
+LAY_DOWN_TRIES = 2
+"""A renewal that was under way may come between once."""
 FIRST_CLAIM_SECONDS = 0.8
 """How long after its start an entry claims where nobody has led yet: all machines start
 within 0.3 s, and the largest should find itself named before the others choose."""
@@ -106,6 +110,7 @@
     NOBODY = "there is none"
     OWN = "an earlier life of this process led"
     HANDED_OVER = "was handed over"
+    LAID_DOWN = "its leader has laid it down"
     REPLACED = "its process has ended"
     STANDS = "its beat stands still"
     REFUSED = "its port refuses connections"
@@ -235,6 +240,9 @@
             self._others.note(
                 Place(message.host, message.port, message.incarnation, message.weight)
             )
+        if self.leader.node == self._identity.node and not self.may_claim:
+            # Whoever is told that it still leads would not look whether it stopped.
+            return NOBODY
         return self.leader
 
     async def leads_now(self, message: AnyMessage) -> AnyMessage:
@@ -280,8 +288,23 @@
         if office is None:
             return
         office.laid_down.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAY_DOWN_SECONDS):
+                await self._store_lay_down(office)
         await self._hand_over(office, need_store=False)
 
+    async def _store_lay_down(self, office: Office) -> None:
+        # The word to the others can be lost; the store tells whoever looks.
+        alone = self._clock() >= office.rivals_until
+        for _ in range(LAY_DOWN_TRIES):
+            outcome = await self._store.write(
+                Txn(_as_held(office), {BEAT_KEY: encode(Beat(alone, laid_down=True))})
+            )
+            if not isinstance(outcome, Conflict):
+                return
+            if not self._after_conflict(office, outcome):
+                return
+
     # ---- following
 
     async def _learn(self, leader: Leads) -> None:
@@ -330,9 +353,14 @@
 
     async def _accept(self) -> Office | None:
         """Claim the epoch that was laid down, unless another entry has."""
-        if not await self._read() or self._seen.leader.epoch != self._laid_down_epoch:
-            return None
-        return await self._claim(_Ground.HANDED_OVER)
+        for _ in range(LAY_DOWN_TRIES):
+            read = await self._read()
+            if not read or self._seen.leader.epoch != self._laid_down_epoch:
+                return None
+            office = await self._claim(_Ground.HANDED_OVER)
+            if office is not None:
+                return office
+        return None
 
     async def _look(self) -> Office | None:
         asked = self.leader.epoch
@@ -356,6 +384,8 @@
         """Claim the office of the leader that was last read, if there is ground."""
         now = self._clock()
         stands = now - self._seen.beat_seen_at
+        if self._seen.beat.laid_down:
+            return await self._claim_in_turn(_Ground.LAID_DOWN)
         if sign is _Sign.REPLACED:
             return await self._claim_in_turn(_Ground.REPLACED)
         if stands >= CLAIM_AFTER and now >= self._promised_until:
@@ -511,13 +541,9 @@
     async def _renew(self, office: Office) -> bool:
         """Renew the office; False once another entry has it."""
         sent_at = self._clock()
-        compares = [
-            _at_revision(LEADER_KEY, office.leader_revision),
-            _at_revision(BEAT_KEY, office.beat_revision),
-        ]
         alone = sent_at >= office.rivals_until
         outcome = await self._store.write(
-            Txn(compares, {BEAT_KEY: encode(Beat(alone))})
+            Txn(_as_held(office), {BEAT_KEY: encode(Beat(alone))})
         )
         if isinstance(outcome, Written):
             office.beat_revision = outcome.store_revision
@@ -603,5 +629,12 @@
             office.gives_way = True
 
 
+def _as_held(office: Office) -> list[Compare]:
+    return [
+        _at_revision(LEADER_KEY, office.leader_revision),
+        _at_revision(BEAT_KEY, office.beat_revision),
+    ]
+
+
 def _at_revision(key: str, revision: int) -> Compare:
     return Compare(key, revision, absent=revision == 0)
