An entry that was told to stop gives up the office its claim brings

Cause: it laid down what it held at that moment, which was nothing, and then led on. Mend: an office that comes to an entry that stops is laid down at once, and such an entry sends no claim. Before: no third entry led within 2 s in the scenario (seen failing); after: one does. Ruled out: cancelling the claim; the store may have taken it.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -119,6 +119,14 @@
     When the leader is told to stop and no word of it reaches another entry
     Then another entry leads within 1.5 s
 
+  Scenario: An entry is told to stop while its claim is under way
+    # The office came to an entry that was stopping already. It led on without a word
+    # until its process ended, and starts stood still until it was found dead.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader dies, and the answer to the next claim is 0.95 s on its way
+    And the entry that claims is told to stop meanwhile
+    Then a third entry leads within 2 s
+
   Scenario: Random histories with changes of leaders
     # Entries, agents, the store and the network fail in an order that the seed decides:
     # deaths, stops, cuts with refusals and in silence, messages and answers late or
--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -138,6 +138,28 @@
     context.old.kill()
 
 
+@when("the entry that claims is told to stop meanwhile")
+def step_claimer_stops(context):
+    world = context.world
+    world.until(lambda: _epoch(context) > 1, SECONDS, "a claim is stored")
+    found = world.keyspace.found_by_key[LEADER_KEY]
+    host = decode(found.value, Leads).host
+    context.claimer = world.network.process_by_host[host]
+    world.loop.create_task(context.claimer.leadership.lay_down())
+    for entry in context.others:
+        entry.store.answer_seconds = 0.0
+
+
+@then("a third entry leads within {seconds:g} s")
+def step_third(context, seconds):
+    world = context.world
+    world.until(
+        lambda: any(entry is not context.claimer for entry in world.leading()),
+        seconds,
+        "a third entry leads",
+    )
+
+
 @when("the entries are cut from each other, with refusals")
 def step_cut_entries(context):
     context.epoch = _epoch(context)
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -228,6 +228,9 @@
             self.office = office
             self.changes += 1
             log.info("Leads", extra={"epoch": office.epoch})
+            if not self.may_claim:
+                # It was told to stop while the claim was under way.
+                await self.lay_down()
             work = asyncio.create_task(self._lead(office))
             try:
                 await self._hold(office, work)
@@ -476,6 +479,8 @@
 
     async def _claim(self, ground: _Ground) -> Office | None:
         """Claim the office of the leader that was last read."""
+        if not self.may_claim:
+            return None
         if ground is _Ground.STANDS and self._clock() < self._promised_until:
             # It was given a word meanwhile, by which it may act.
             return None
