Leadership in three modules: who leads, claims, a leader's tenure

Checked: the 58 scenarios of features/scheduling and platform/takeover passed before and after. Ruled out: a class for each sign and ground; both are enums.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -8,8 +8,9 @@
 from wagtailcleat.clock import boot_time, wall_time
 from wagtailcleat.cluster.keys import Place
 from wagtailcleat.cluster.leader import Leader
-from wagtailcleat.cluster.leadership import Leadership, Office
+from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.measures import CallerMeasures, show_scheduler
+from wagtailcleat.cluster.office import Office
 from wagtailcleat.cluster.operator_watch import OperatorWatch
 from wagtailcleat.cluster.program import Base, make_base, serve_metrics
 from wagtailcleat.cluster.program import main as run
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -15,7 +15,8 @@
     decode,
     record_key,
 )
-from wagtailcleat.cluster.leadership import Leadership, Office
+from wagtailcleat.cluster.leadership import Leadership
+from wagtailcleat.cluster.office import Office
 from wagtailcleat.cluster.records import Records
 from wagtailcleat.cluster.timing import GIVE_UP_AFTER, JOBS_WAIT, STOP_AGAIN
 from wagtailcleat.errors import Code
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -13,7 +13,7 @@
     job_key,
     record_key,
 )
-from wagtailcleat.cluster.leadership import Office
+from wagtailcleat.cluster.office import Office
 from wagtailcleat.ids import JobId, NodeId
 from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES, KeyValueStore
 from wagtailcleat.scheduling.book import JobEntry, record_of
