--- a/wagtailcleat/cluster/others.py
+++ b/wagtailcleat/cluster/others.py
@@ -1,10 +1,11 @@
 """The other entries: where they are, whether they live, and their word."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import ENTRY_PREFIX, LEADER_KEY, Place, decode
-from wagtailcleat.cluster.timing import LEADER_VALID, PROBE_EVERY, PROBE_TIMEOUT
+from wagtailcleat.cluster.timing import PROBE_EVERY, PROBE_TIMEOUT
 from wagtailcleat.ids import Epoch
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -19,16 +20,35 @@
 2 s."""
 HEAVIER_FACTOR = 1.5
 """From how many times this entry's processor time another one counts as larger."""
-STORE_AGE_UNKNOWN = 1e9
 
 Address = tuple[str, int]
+Probe = Callable[[str, int], Awaitable[bool]]
+"""Tells of a host and port whether connections to it are refused."""
+
+
+async def connection_refused(host: str, port: int) -> bool:
+    """Tell whether a connection is refused, by the peer's VM or on the way to it."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
 
 
 class Others:
     """Entries that the store named, or that asked this one who leads."""
 
     def __init__(
-        self, place: Place, *, store: KeyValueStore, peers: Peers, clock: Clock
+        self,
+        place: Place,
+        *,
+        store: KeyValueStore,
+        peers: Peers,
+        clock: Clock,
     ) -> None:
         """Know nobody yet; `place` is this entry's own."""
         self._place = place
@@ -78,9 +98,8 @@
         )
         if isinstance(answer, Follows):
             return answer if answer.epoch <= epoch else None
-        if await nobody_listens(place.host, place.port):
-            # Its process is dead, and a new one claims nothing in its first seconds.
-            return Follows(epoch, LEADER_VALID, STORE_AGE_UNKNOWN)
+        # Only an answer is a word. A cut can refuse connections: a leader that takes
+        # refusals for words leads on by itself while an entry beyond the cut claims.
         return None
 
     async def strike_silent(self, epoch: Epoch, leader_revision: int) -> None:
@@ -112,16 +131,3 @@
 def reaches_store(word: Follows) -> bool:
     """Tell whether the entry that gave its word has heard of the store lately."""
     return word.store_age < PROBE_EVERY * 2
-
-
-async def nobody_listens(host: str, port: int) -> bool:
-    """Tell whether the port surely belongs to no process."""
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
