Five rare orders of events at a change of the leader, each seen failing

Callers would see a task in two places, or a leader that acts beside the next one. A step of recovery.feature is worded anew, since it took in a step of this feature; what it does is the same.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -127,6 +127,51 @@
     And the entry that claims is told to stop meanwhile
     Then a third entry leads within 2 s
 
+  Scenario: A leader gives up an agent that has gone over to the next leader
+    # An agent is out of touch with its leader; then both are on different sides of a cut.
+    # The next leader renews its runs, and the old one, which may still act, takes their
+    # leases for lapsed and starts the task on its own side.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And it has led for long
+    And a task runs
+    When its agent is out of the leader's touch for 3.9 s
+    And then the leader and the free agent are cut off from all others, with refusals
+    Then no task runs in two places in 10 s
+
+  Scenario: An agent reports before its worker has told it what runs
+    # A new leader gives up the runs of an agent that it hears of late. Each answer to a
+    # report that lists nothing let runs go on that the leader did not know of.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When an agent that does not know yet what runs has reported for 2 s
+    Then no answer counts for its runs
+
+  Scenario: An entry that was started again gives no word before it knows who leads
+    # Its earlier life had led and was heard by agents. The next one knew of no epoch and
+    # gave the leader of before, away from the store, its word not to claim: that one
+    # came back to act beside whatever the newer leader had begun.
+    Given 2 entries and 2 agents on virtual time, one of which leads
+    When the other entry is started again, and neither reaches the store
+    And 3 s pass
+    Then the leader may not act any more
+
+  Scenario: A connection to an earlier life of the leader's process
+    # The leader's VM loses power and its process comes back and leads again. An entry
+    # whose connection to the earlier life looks open took the new leader for one whose
+    # process was replaced, and claimed over it.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader's VM loses power, and an entry's connection to it looks open
+    And the leader's process is back and leads again
+    And 2 s pass
+    Then one claim was made
+
+  Scenario: A leader that has not read who the others are
+    # A leader away from the store acts by the word of each other entry. One that had not
+    # read yet which there are had nobody's word to ask for, and acted for ever.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When the leader is started again, leads, and is cut off at once with refusals
+    And 3 s pass
+    Then the leader may not act any more
+
   Scenario: Random histories with changes of leaders
     # Entries, agents, the store and the network fail in an order that the seed decides:
     # deaths, stops, cuts with refusals and in silence, messages and answers late or
--- a/features/scheduling/recovery.feature
+++ b/features/scheduling/recovery.feature
@@ -147,7 +147,7 @@
     # so that its stored failures and checkpoint found no task to go to.
     Given 1 VM of 32 cores
     And job "t" of 2 attempts recurs, and its first task runs
-    And it has failed
+    And its run has failed
     When a leader whose clock is 10 s behind restores it
     And 12 s pass with all agents in touch
     And each run that goes on fails
@@ -159,7 +159,7 @@
     # acknowledged, and when the occurrence was due its task was started again.
     Given 1 VM of 32 cores
     And job "t" of 2 attempts recurs, and its first task runs
-    And it has succeeded
+    And its run has succeeded
     When a leader whose clock is 10 s behind finds nothing of that stored
     And 12 s pass with all agents in touch
     Then the task that has succeeded is not started again
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -298,7 +298,7 @@
     context.stored_before = _records(world)
 
 
-@given("it has {how}")
+@given("its run has {how}")
 def step_has_ended(context, how):
     context.world.end_all(RunEnd(how))
     context.world.report(context.second)
