A leader gives an agent up as of its last renewal

Cause: giving up was judged by the present time, at which a next leader may have claimed and renewed those runs. As of the last renewal that was granted none had. Ruled out: the leases; they were renewed rightly, by the next leader.

--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -181,6 +181,7 @@
             revision,
             revision,
             sent_at + LEADER_VALID,
+            renewed_at=sent_at,
             claimed_at=now,
             rivals_until=now if alone else now + RIVAL_SECONDS,
             alone_revision=revision if alone else None,
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -289,8 +289,12 @@
                 self.scheduler.lost_touch(node)
                 log.info("Agent out of touch", extra={"agent": node})
                 self._records.dirty.set()
+        # Judged as of the last renewal: a next leader may have claimed since, and an
+        # agent that went over to it has its runs renewed, although this leader, which
+        # may still act, hears of it no more.
+        surely_alone = min(now, self.office.renewed_at)
         for node in self.scheduler.expire(
-            now=now, rivals_until=self.office.rivals_until
+            now=surely_alone, rivals_until=self.office.rivals_until
         ):
             log.warning("Gave up the runs of an agent", extra={"agent": node})
             self._records.dirty.set()
--- a/wagtailcleat/cluster/office.py
+++ b/wagtailcleat/cluster/office.py
@@ -16,6 +16,8 @@
     leader_revision: int
     beat_revision: int
     valid_until: float
+    renewed_at: float
+    """When the last renewal that was granted was sent: until then, none had claimed."""
     claimed_at: float
     rivals_until: float
     """Until when a leader of an earlier epoch may act, at most."""
@@ -27,6 +29,12 @@
     """Whether a larger entry should lead instead."""
     laid_down: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def renewed(self, sent_at: float, seconds: float) -> None:
+        """Note that a renewal sent at `sent_at` holds for `seconds` from then on."""
+        if seconds > 0:
+            self.renewed_at = max(self.renewed_at, sent_at)
+            self.valid_until = max(self.valid_until, sent_at + seconds)
+
     def valid_for(self, now: float) -> float:
         """Return for how many seconds the leader may still act."""
         if self.laid_down.is_set():
--- a/wagtailcleat/cluster/tenure.py
+++ b/wagtailcleat/cluster/tenure.py
@@ -100,7 +100,7 @@
         )
         if isinstance(outcome, Written):
             office.beat_revision = outcome.store_revision
-            office.valid_until = max(office.valid_until, sent_at + LEADER_VALID)
+            office.renewed(sent_at, LEADER_VALID)
             if alone and office.alone_revision is None:
                 office.alone_revision = outcome.store_revision
             return True
@@ -132,7 +132,7 @@
             return
         if len(words) == len(others):
             shortest = min((word.seconds for word in words), default=LEADER_VALID)
-            office.valid_until = max(office.valid_until, sent_at + shortest)
+            office.renewed(sent_at, shortest)
 
     def _store_long_down(self) -> bool:
         since = self._store.down_since
