Only a report that lists what runs lets runs go on

Callers would see a task in two places: an agent that was started again reports before its worker has listed anything. The answer moved the end of the leases on that it renews once it has the list, while a new leader that was never told of these runs gives them up 5.4 s after its claim. Ruled out: holding back the leader (an agent without a worker reports for ever). 'An agent reports before its worker has told it what runs' failed before (contact moved), passes now.

--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -62,7 +62,7 @@
         """Wire it; `entries` are addresses that may know the leader."""
         self.epoch = Epoch(0)
         self.contact_at = 0.0
-        """When a report that was answered was sent; 0 before the first."""
+        """When a report of what runs that was answered was sent; 0 before the first."""
         self.valid_until = 0.0
         self._leader: Leads | None = None
         self._orders_taken = 0
@@ -142,7 +142,10 @@
         if answer.valid_seconds <= 0:
             # It counts as no contact: a next leader may have counted from before it.
             return False
-        self.contact_at = sent_at
+        if report.listed:
+            # Runs may go on for as long after this as the leader counts on. It knows
+            # nothing of what runs where nothing is listed, and must not be taken to.
+            self.contact_at = sent_at
         self.valid_until = sent_at + answer.valid_seconds
         self._on_answer(report)
         return True
