An entry gives no word before it has read who leads

Callers would see two leaders act: an entry claimed, was heard by agents and died; its next life knew of no epoch and gave the leader of before, away from the store, its word. Ruled out: keeping the epoch (entries have no disk). Price: while the store is away an entry that was started again denies its word, and starts stop 2.2 s later until the store is back. 'An entry that was started again gives no word before it knows who leads' failed before, passes now.

--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -101,6 +101,11 @@
         """Show the epoch that was last read."""
         return f"<Claims after epoch {self.seen.leader.epoch}>"
 
+    @property
+    def has_read(self) -> bool:
+        """Whether this process has read who leads."""
+        return self.seen.beat_seen_at > 0.0
+
     async def register(self) -> None:
         """Name this entry in the store."""
         key = entry_key(self._identity.node)
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -182,8 +182,11 @@
         age = now - self._store.answered_at if self._store.answered_at else 1e9
         # A leader counts on it that words given to the one before are older than its
         # claim, also where the claim's answer is late or lost.
+        # The same where an earlier life of this process may have led: until the store
+        # has told who leads, this one knows no epoch that would forbid the word.
         claiming = self.leads or self._claims.sent_at is not None
-        if message.epoch < self.leader.epoch or claiming:
+        unaware = not self._claims.has_read
+        if message.epoch < self.leader.epoch or claiming or unaware:
             return Follows(self.leader.epoch, 0.0, age)
         self._promised_until = max(self._promised_until, now + LEADER_VALID)
         asyncio.get_running_loop().create_task(self._touch_store())
