Only an answer shows that the leader's process was replaced

Callers would see a leader replaced that had just come back, without a wait for it: an entry's connection to the earlier life looked open, its incarnation differed from the new leader's, and that counted as another process at the leader's address. Now the process must have answered on it, asked after the leader was known. Ruled out: comparing which incarnation is higher (they follow the time of day, which jumps).

--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -333,15 +333,18 @@
         if isinstance(stream, Lost):
             refused = await self._refused(leader.host, leader.port)
             return _Sign.REFUSED if refused else _Sign.SILENT
-        if stream.peer == leader.node and (
-            stream.peer_incarnation != leader.incarnation
-        ):
-            return _Sign.REPLACED
         me = self._place
         question = WhoLeads(me.host, me.port, me.incarnation, me.weight)
         answer = await stream.call(question, timeout=PROBE_TIMEOUT)
         if isinstance(answer, Leads):
             await self._learn(answer)
+            if stream.peer == leader.node and (
+                stream.peer_incarnation != leader.incarnation
+            ):
+                # It has answered now, so the leader's process at this address has
+                # ended. A connection alone shows nothing: one to an earlier life looks
+                # open for long where its VM lost power.
+                return _Sign.REPLACED
             if answer.epoch == leader.epoch and answer.node != leader.node:
                 return _Sign.SILENT
             # An older epoch tells nothing: a leader learns of its own only with the
