Without the names of the others a leader has nobody's word

Callers would see two leaders act: one that claimed and lost the store before it had read which entries there are asked nobody for a word, and took that for the word of all. Likewise an entry whose strike the store had not carried out was asked no more, though it may claim. Ruled out: a deployment of one entry (its first read names it, and nobody else).

--- a/wagtailcleat/cluster/others.py
+++ b/wagtailcleat/cluster/others.py
@@ -9,7 +9,7 @@
 from wagtailcleat.ids import Epoch
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
-from wagtailcleat.storage import Compare, Listing, Txn
+from wagtailcleat.storage import Compare, Listing, Txn, Written
 from wagtailcleat.wire.peers import Peers
 from wagtailcleat.wire.scheduling import Follows, KeepFollowing
 
@@ -58,6 +58,8 @@
         self._place_by_address: dict[Address, Place] = {}
         self._key_by_address: dict[Address, str] = {}
         self._silent_since_by_key: dict[str, float] = {}
+        self.known = False
+        """Whether the store has told which entries there are."""
 
     def __repr__(self) -> str:
         """Show how many are known."""
@@ -83,6 +85,7 @@
         listing = await self._store.list(ENTRY_PREFIX)
         if not isinstance(listing, Listing):
             return False
+        self.known = True
         self._key_by_address = {}
         for found in listing.found:
             place = decode(found.value, Place)
@@ -123,7 +126,10 @@
             since = self._silent_since_by_key.setdefault(key, now)
             if now - since >= STRIKE_SECONDS:
                 still = Compare(LEADER_KEY, leader_revision)
-                await self._store.write(Txn([still], deletes=[key]))
+                struck = await self._store.write(Txn([still], deletes=[key]))
+                if not isinstance(struck, Written):
+                    # It may claim, so that its word is needed on.
+                    continue
                 self._place_by_address.pop(address, None)
                 log.warning("Struck a silent entry", extra={"entry": key})
 
--- a/wagtailcleat/cluster/tenure.py
+++ b/wagtailcleat/cluster/tenure.py
@@ -119,6 +119,9 @@
         return True
 
     async def _renew_by_word(self, office: Office) -> None:
+        if not self._others.known:
+            # Nobody's word would be every word: it would act on beside a next leader.
+            return
         sent_at = self._clock()
         others = self._others.places()
         answers = await asyncio.gather(
