A leader that restores the book takes in no job by message

Cause: an entry tells the leader of a job that it has just stored. The message was taken in while the new leader still waited for the store's lists; the job was entered without its record, and the lists, which came after, passed over it as known. The next write met the record, took its revision and wrote over it. Ruled out: entering the record later (the entry may have started tasks by then). The job is not lost: the lists hold it, or the watch that goes on from their revision.

--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -199,6 +199,11 @@
 
     async def submitted(self, message: Submitted) -> AnyMessage:
         """Take in a job that an entry has just stored."""
+        if not self.ready:
+            # An earlier leader may have stored progress of it already, and the lists
+            # with both are on their way: entered without its record, the job would
+            # begin anew. The lists or the watch after them bring it.
+            return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
         self._add(message.id, message.job)
         self._wake.set()
         return StateShown("")
