A report that was held up is not taken in after a later one

Cause: a report replaces what the leader knows of its agent, and nothing told an old one from a new one. An agent whose report is not answered gives the connection up, opens another and reports there; what the first connection still carries may arrive later. To the leader that was a newer connection: runs started since were not shown, counted as gone, and started elsewhere. Reports carry a number now, and lives of an agent that were followed by another one are remembered; number 0, of a version before, is taken in as it was. Ruled out: the order in which connections were opened (the proof that ends the greeting may be held up with the report); closing the older ones (a close may be held up as well).

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -9,3 +9,25 @@
     When a leader is told of the job while it waits for the lists of the store
     And the agents report
     Then the task that has succeeded does not run again
+
+  Scenario: A report that was held up on an earlier connection
+    # A task runs twice at a time. A report gets no answer; its agent opens another
+    # connection, reports there and starts what it is told. Then the first report
+    # arrives: it shows none of that, and all of it was started elsewhere.
+    Given a leader, and a job that is stored
+    When a report is held up, and its agent reports and starts the task on another connection
+    And the report that was held up arrives
+    And the agents report
+    Then the task was started once
+
+  Scenario: A report that an earlier life of the agent made
+    # The same, and the agent was killed and has come back meanwhile: what its earlier
+    # life reported says nothing any more, and shuts nobody out.
+    Given a leader, and a job that is stored
+    When an agent's report is held up, and its next life starts the task
+    And the report that was held up arrives
+    And the agents report
+    Then the task was started once
+    When its run ends
+    And the agents report
+    Then its end is acknowledged
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -8,7 +8,9 @@
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
+    RunEnd,
     TaskKey,
+    WorkerState,
 )
 from wagtailcleat.wire.scheduling import Submitted
 
@@ -22,6 +24,12 @@
     return context.leading
 
 
+def _lead(world):
+    world.lead()
+    world.until(lambda: world.leader.ready)
+    world.rounds()
+
+
 @given("a job whose first task has succeeded, as an earlier leader stored it")
 def step_stored(context):
     world = _begin(context)
@@ -51,3 +59,65 @@
 def step_not_again(context):
     runs = [key for _, key in context.leading.runs(JOB)]
     assert FIRST not in [key.task for key in runs], runs
+
+
+@given("a leader, and a job that is stored")
+def step_leader_and_job(context):
+    world = _begin(context)
+    _lead(world)
+
+
+@when(
+    "a report is held up, and its agent reports and starts the task"
+    " on another connection"
+)
+def step_held_up(context):
+    _held_up(context, 1)
+
+
+@when("an agent's report is held up, and its next life starts the task")
+def step_next_life(context):
+    _held_up(context, 2)
+
+
+def _held_up(context, life):
+    world = context.leading
+    first, second = world.workers
+    context.old_stream = world.stream_by_node[first.node]
+    context.old_report = world.made(first)
+    world.life_by_node[first.node] = life
+    world.open(first)
+    second.state = WorkerState.DRAINING
+    world.rounds()
+    world.store_job(make_job(JOB, plain(1)))
+    world.until(lambda: world.runs(JOB))
+    context.first_runs = world.runs(JOB)
+    assert context.first_runs[0][0] == first.node, context.first_runs
+    second.state = WorkerState.READY
+    world.report(first)
+    world.report(second)
+
+
+@when("the report that was held up arrives")
+def step_arrives(context):
+    world = context.leading
+    world.report(world.workers[0], stream=context.old_stream, report=context.old_report)
+    world.pass_rounds()
+
+
+@then("the task was started once")
+def step_once(context):
+    assert context.leading.runs(JOB) == context.first_runs, context.leading.runs(JOB)
+
+
+@when("its run ends")
+def step_run_ends(context):
+    worker = context.leading.workers[0]
+    for key in list(worker.running):
+        worker.end(key, RunEnd.SUCCEEDED)
+
+
+@then("its end is acknowledged")
+def step_acknowledged(context):
+    worker = context.leading.workers[0]
+    assert worker.ends and not worker.ended, worker.ended
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from features.steps.scheduling_world import PretendedWorker
 from wagtailcleat.cluster.keys import JOB_PREFIX, LEADER_KEY, encode, record_key
 from wagtailcleat.cluster.leader import Leader
@@ -131,6 +133,8 @@
         self.store.put(LEADER_KEY, b"mine")
         self.workers = [PretendedWorker(f"vm-{n}") for n in range(1, count + 1)]
         self.streams_opened = 0
+        self.reports_made = 0
+        self.life_by_node = {}
         self.stream_by_node = {}
         self.leader = None
         self.work = None
@@ -179,9 +183,18 @@
     def report(self, worker, *, stream=None, report=None):
         """Deliver a report, on the agent's newest connection if none is given."""
         stream = stream or self.stream_by_node.get(worker.node) or self.open(worker)
-        report = report or worker.report()
+        report = report or self.made(worker)
         return self.loop.run_until_complete(self.leader.report(stream, report, None))
 
+    def made(self, worker):
+        """Return the report that an agent makes now."""
+        self.reports_made += 1
+        return msgspec.structs.replace(
+            worker.report(),
+            number=self.reports_made,
+            incarnation=self.life_by_node.get(worker.node, 1),
+        )
+
     def rounds(self, count=3):
         """Let every agent report some times, and the leader decide."""
         for _ in range(count):
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -1,5 +1,6 @@
 """`wagtailcleat-agent` on the platform: one beside each worker."""
 
+import itertools
 import sys
 
 from tornado.httpserver import HTTPServer
@@ -27,6 +28,7 @@
     def __init__(self, settings: AgentSettings) -> None:
         """Wire the parts; nothing runs yet."""
         self.settings = settings
+        self._report_numbers = itertools.count(1)
         self.base: Base = make_base(settings, Role.AGENT)
         base = self.base
         self.operators = OperatorWatch(
@@ -97,6 +99,7 @@
             hosting.silent_seconds(now),
             hosting.lease_seconds(now),
             orders_taken,
+            number=next(self._report_numbers),
         )
 
     def _answered(self, report: Report) -> None:
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -19,7 +19,7 @@
 from wagtailcleat.cluster.records import Records
 from wagtailcleat.cluster.timing import GIVE_UP_AFTER, JOBS_WAIT, STOP_AGAIN
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import JobId, NodeId, ZoneName
+from wagtailcleat.ids import Incarnation, JobId, NodeId, ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -105,6 +105,10 @@
         self._stream_by_node: dict[NodeId, Stream] = {}
         self._session_by_stream: dict[int, int] = {}
         self._sessions = 0
+        self._last_by_node: dict[NodeId, tuple[Incarnation, int]] = {}
+        """Life and number of the last report of each agent."""
+        self._past_lives: set[tuple[NodeId, Incarnation]] = set()
+        """Lives of agents that a later one has followed."""
         self._sending: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -237,6 +241,8 @@
         assert isinstance(message, Report)
         if not self.ready:
             return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
+        if self._overtaken(message):
+            return Refused(Code.CONFLICT.value, "a later report was taken in")
         session = self._session(message.node, stream)
         self.scheduler.take_report(
             message, session, now=self._now, wall_now=self._wall_clock()
@@ -247,6 +253,21 @@
         self._records.dirty.set()
         return ReportTaken(self.office.epoch, self.office.valid_for(self._now))
 
+    def _overtaken(self, report: Report) -> bool:
+        # A report may be held up on a connection that its agent has given up, and come
+        # after later ones. It does not show what was started since: those runs would
+        # count as gone, and start elsewhere while they go on.
+        if (report.node, report.incarnation) in self._past_lives:
+            return True
+        life, number = self._last_by_node.get(report.node, (report.incarnation, 0))
+        if report.incarnation != life:
+            self._past_lives.add((report.node, life))
+            number = 0
+        if 0 < report.number <= number:
+            return True
+        self._last_by_node[report.node] = (report.incarnation, report.number)
+        return False
+
     def _session(self, node: NodeId, stream: Stream) -> int:
         if self._stream_by_node.get(node) is not stream:
             self._sessions += 1
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -68,6 +68,8 @@
     """For how long what runs there may go on, at most, without a renewal."""
     orders_taken: int
     """Number of the last orders of the leader that were taken in."""
+    number: int = 0
+    """Rises with each report of one life of the agent."""
 
 
 class ReportTaken(Message, frozen=True, tag="report_taken"):
