A report that names an unknown job waits until the store has told of it

Cause: where two leaders act at once for a moment, the earlier one may start a job that was stored after the later one listed the jobs. Until the later one's watch told of it, its runs were stopped as unwanted, and its ends acknowledged as those of a job that is gone. A job is stored before it is started: a read of its key, begun after the report came, settles which of the two it is. Reports that name only known jobs, all others but these, ask for nothing. Ruled out: not acknowledging such ends (where the job is gone they would be listed for ever; a scenario asks for that); waiting for the watch (nothing says when it has told of all). Left: a job that the watch tells of before its run is listed is started at once, unless the leader holds new jobs back until it has heard of all agents.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -31,3 +31,34 @@
     When its run ends
     And the agents report
     Then its end is acknowledged
+
+  Scenario: An end of a job that the leader does not know yet
+    # A task that was done runs again. Two leaders act at the same time for a moment: the
+    # earlier one starts a job that was stored after the later one had listed the jobs.
+    # Its end is listed to the later one before its watch tells it of the job; the end
+    # was acknowledged and forgotten.
+    Given a leader whose watch on the jobs is late
+    When a job is stored, and an earlier leader's run of it ends well
+    And the agents report
+    And the watch tells of the job
+    And the agents report
+    Then the task that has succeeded does not run again
+    And its end is acknowledged
+
+  Scenario: A run of a job that the leader does not know yet
+    # A task runs twice at a time. As before, but the run goes on: it was stopped, and
+    # while it stopped, the watch told of the job and it was started elsewhere.
+    Given a leader whose watch on the jobs is late
+    When a job is stored, and an earlier leader's run of it goes on
+    And the agents report
+    And the watch tells of the job
+    And the agents report
+    Then just that run goes on
+
+  Scenario: An end of a job that is not kept any more
+    # The job was forgotten long ago, and its end is listed once more: the store has no
+    # such job, so that the end says nothing, and must not hold up the others for ever.
+    Given a leader whose watch on the jobs is late
+    When a run of a job that was forgotten ends well
+    And the agents report
+    Then its end is acknowledged
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -9,6 +9,8 @@
     JobRecord,
     JobState,
     RunEnd,
+    RunKey,
+    Start,
     TaskKey,
     WorkerState,
 )
@@ -16,6 +18,7 @@
 
 JOB = "00ff00ff00ff00ff"
 FIRST = TaskKey(JOB, 0, 0, 0)
+EARLIER_RUN = RunKey(FIRST, 1)
 
 
 def _begin(context, **more):
@@ -121,3 +124,47 @@
 def step_acknowledged(context):
     worker = context.leading.workers[0]
     assert worker.ends and not worker.ended, worker.ended
+
+
+@given("a leader whose watch on the jobs is late")
+def step_late_watch(context):
+    world = _begin(context)
+    _lead(world)
+    world.store.watched = False
+
+
+@when("a job is stored, and an earlier leader's run of it ends well")
+def step_ends(context):
+    _stored_and_runs(context)
+    context.leading.workers[0].end(EARLIER_RUN, RunEnd.SUCCEEDED)
+
+
+@when("a job is stored, and an earlier leader's run of it goes on")
+def step_goes_on(context):
+    _stored_and_runs(context)
+
+
+def _stored_and_runs(context):
+    world = context.leading
+    world.store_job(make_job(JOB, plain(1)))
+    world.workers[0].running[EARLIER_RUN] = Start(EARLIER_RUN, "x")
+
+
+@when("the watch tells of the job")
+def step_watch(context):
+    world = context.leading
+    world.store.watched = True
+    world.until(lambda: JOB in world.leader.scheduler.book.entry_by_id)
+
+
+@then("just that run goes on")
+def step_just_that(context):
+    runs = context.leading.runs(JOB)
+    assert runs == [("vm-1", EARLIER_RUN)], runs
+
+
+@when("a run of a job that was forgotten ends well")
+def step_forgotten(context):
+    worker = context.leading.workers[0]
+    worker.running[EARLIER_RUN] = Start(EARLIER_RUN, "x")
+    worker.end(EARLIER_RUN, RunEnd.SUCCEEDED)
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -13,6 +13,7 @@
     RECORD_PREFIX,
     Place,
     decode,
+    job_key,
     record_key,
 )
 from wagtailcleat.cluster.leadership import Leadership, Office
@@ -27,10 +28,12 @@
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import (
+    Absent,
     Changes,
     Found,
     HistoryGone,
     Listing,
+    Unavailable,
 )
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import AnyMessage, Refused
@@ -102,6 +105,8 @@
             on_progress=self._wake.set,
         )
         self._revision = 0
+        self._gone: set[JobId] = set()
+        """Jobs that the store does not have, although runs of them were listed."""
         self._stream_by_node: dict[NodeId, Stream] = {}
         self._session_by_stream: dict[int, int] = {}
         self._sessions = 0
@@ -241,6 +246,8 @@
         assert isinstance(message, Report)
         if not self.ready:
             return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
+        if not await self._knows_jobs(message):
+            return Refused(Code.UNAVAILABLE.value, "the store is asked for a job")
         if self._overtaken(message):
             return Refused(Code.CONFLICT.value, "a later report was taken in")
         session = self._session(message.node, stream)
@@ -253,6 +260,31 @@
         self._records.dirty.set()
         return ReportTaken(self.office.epoch, self.office.valid_for(self._now))
 
+    async def _knows_jobs(self, report: Report) -> bool:
+        """Learn of the jobs whose runs a report names; False if one is in doubt.
+
+        A leader before may have started a job that this one's watch has not told of
+        yet. Its runs would be stopped, and its ends acknowledged, as if of a job that
+        is gone: a task that has succeeded would run again, one that runs run twice.
+        """
+        keys = [running.key for running in report.running]
+        keys += [ended.key for ended in report.ended] + report.unsettled
+        known = self.scheduler.book.entry_by_id
+        for job in {key.task.job for key in keys}:
+            if job in known or job in self._gone:
+                continue
+            # It was stored before it was started, so that the store has it by now.
+            found = await self._store.get(job_key(job))
+            if isinstance(found, Unavailable):
+                return False
+            if isinstance(found, Absent):
+                self._gone.add(job)
+                continue
+            entry = self._add(job, found.value)
+            # Other runs of it may go on at agents that were not heard from.
+            entry.settled = not self.scheduler.unheard
+        return True
+
     def _overtaken(self, report: Report) -> bool:
         # A report may be held up on a connection that its agent has given up, and come
         # after later ones. It does not show what was started since: those runs would
