An agent's name in the store is changed only from the state that was known

Cause: a write that strikes an agent, and gets no answer, may be carried out seconds later. By then the agent may be back, be named again and have work: the store loses its name, the leader goes on counting on it, and a next leader does not wait for the agent before it starts that work elsewhere. Names were put and deleted on the leader's own key alone, unlike all else the leader writes; each is tied to its key's own revision now. Ruled out: waiting after a write without an answer (nothing says for how long). A write names 15 agents at the most, 31 before.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -62,3 +62,12 @@
     When a run of a job that was forgotten ends well
     And the agents report
     Then its end is acknowledged
+
+  Scenario: An agent is struck from the store late
+    # A task runs twice at a time after a change of leader. The write that strikes an
+    # agent gets no answer; the agent is back and named again, and is given work. Then
+    # the write is carried out: the next leader did not wait for the agent.
+    Given a leader whose store carries out deletes late, without an answer
+    When an agent is out of touch until it is struck, and is then back in touch
+    And the late delete is carried out
+    Then the store names each agent that may be given work
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -4,7 +4,7 @@
 
 from features.steps.leader_world import LeaderWorld
 from features.steps.scheduling_world import make_job, plain
-from wagtailcleat.cluster.keys import encode
+from wagtailcleat.cluster.keys import AGENT_PREFIX, encode
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
@@ -168,3 +168,43 @@
     worker = context.leading.workers[0]
     worker.running[EARLIER_RUN] = Start(EARLIER_RUN, "x")
     worker.end(EARLIER_RUN, RunEnd.SUCCEEDED)
+
+
+@given("a leader whose store carries out deletes late, without an answer")
+def step_late_deletes(context):
+    world = _begin(context)
+    _lead(world)
+    world.store.holds_deletes = True
+
+
+@when("an agent is out of touch until it is struck, and is then back in touch")
+def step_struck(context):
+    world = context.leading
+    worker = world.workers[0]
+    world.stream_by_node.pop(worker.node).close("cut")
+    world.until(lambda: world.store.late)
+    world.rounds()
+    vm = world.leader.scheduler.vm_by_node[worker.node]
+    world.until(lambda: vm.registered)
+
+
+@when("the late delete is carried out")
+def step_delete_late(context):
+    store = context.leading.store
+    for txn in store.late:
+        store.carry_out(txn)
+
+
+@then("the store names each agent that may be given work")
+def step_named(context):
+    world = context.leading
+    named = {
+        key.removeprefix(AGENT_PREFIX)
+        for key in world.store.found_by_key
+        if key.startswith(AGENT_PREFIX)
+    }
+    usable = {
+        node for node, vm in world.leader.scheduler.vm_by_node.items() if vm.registered
+    }
+    assert usable, "no agent may be given work"
+    assert usable <= named, usable - named
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -152,7 +152,7 @@
         agents = await self._listed(AGENT_PREFIX)
         for found in agents.found:
             node = NodeId(found.key.removeprefix(AGENT_PREFIX))
-            self._records.registered.add(node)
+            self._records.restore_agent(node, found.mod_revision)
             self.scheduler.unheard.add(node)
         jobs = await self._listed(JOB_PREFIX)
         records = await self._listed(RECORD_PREFIX)
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -18,7 +18,7 @@
 from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES, KeyValueStore
 from wagtailcleat.scheduling.book import JobEntry, record_of
 from wagtailcleat.scheduling.scheduler import Scheduler
-from wagtailcleat.storage import Compare, Conflict, Txn, Written
+from wagtailcleat.storage import Compare, Conflict, Txn, WriteOutcome, Written
 
 COMMIT_SECONDS = 0.03
 """Pause between two writes of records, which gathers the ends of that time.
@@ -31,8 +31,8 @@
 """Each record is a compare and a put; one compare more is the leader's own key."""
 JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 3
 """Each job has up to three keys."""
-AGENTS_PER_WRITE = MAX_TXN_ENTRIES - 1
-"""Each agent is a put or a delete; one compare is the leader's own key."""
+AGENTS_PER_WRITE = (MAX_TXN_ENTRIES - 1) // 2
+"""Each agent is a compare, and a put or a delete; one compare is the leader's own."""
 FORGET_SLACK = 30.0
 """How much longer than promised the state of an ended job is kept."""
 
@@ -59,6 +59,8 @@
         """Set when there may be something to write."""
         self.registered: set[NodeId] = set()
         """Agents that the store names."""
+        self._revision_by_agent: dict[NodeId, int] = {}
+        """Of each agent's key as last heard of; 0 or none: there is no such key."""
         self._office = office
         self._scheduler = scheduler
         self._store = store
@@ -71,6 +73,11 @@
         """Show how many records are to be written."""
         return f"<Records: {len(self._changed())} to write>"
 
+    def restore_agent(self, node: NodeId, store_revision: int) -> None:
+        """Note that the store names an agent."""
+        self.registered.add(node)
+        self._revision_by_agent[node] = store_revision
+
     async def until_stored(self, entry: JobEntry, timeout: float) -> bool:
         """Wait until a job's present progress is stored; False after `timeout`."""
         version = entry.version
@@ -110,10 +117,11 @@
             places = {
                 agent_key(vm.node): encode(Place(vm.host, vm.port, 0)) for vm in batch
             }
-            if isinstance(
-                await self._store.write(Txn([self._mine()], places)), Written
-            ):
-                self.registered.update(vm.node for vm in batch)
+            nodes = [vm.node for vm in batch]
+            outcome = await self._store.write(Txn(self._as_known(nodes), places))
+            self._note_agents(nodes, outcome, named=True)
+            if isinstance(outcome, Written):
+                self.registered.update(nodes)
         for vm in vms:
             vm.registered = vm.node in self.registered
         if vms:
@@ -134,15 +142,46 @@
         if not gone:
             return
         batch = gone[:AGENTS_PER_WRITE]
-        txn = Txn([self._mine()], deletes=[agent_key(node) for node in batch])
+        deletes = [agent_key(node) for node in batch]
         for node in batch:
             # From here on no start goes there until the store names it again.
             self.registered.discard(node)
             if node in self._scheduler.vm_by_node:
                 self._scheduler.vm_by_node[node].registered = False
-        if not isinstance(await self._store.write(txn), Written):
+        outcome = await self._store.write(Txn(self._as_known(batch), deletes=deletes))
+        self._note_agents(batch, outcome, named=False)
+        if not isinstance(outcome, Written):
             self.dirty.set()
 
+    def _as_known(self, nodes: list[NodeId]) -> list[Compare]:
+        # A delete without an answer may be carried out seconds later, when the agent is
+        # back, is named again and has work: the next leader would not wait for it, and
+        # would start the same work elsewhere. It must find the key as it was.
+        known = self._revision_by_agent
+        return [self._mine()] + [
+            Compare(agent_key(node), known.get(node, 0), absent=not known.get(node))
+            for node in nodes
+        ]
+
+    def _note_agents(
+        self, nodes: list[NodeId], outcome: WriteOutcome, *, named: bool
+    ) -> None:
+        if isinstance(outcome, Written):
+            revision = outcome.store_revision if named else 0
+            self._revision_by_agent.update(dict.fromkeys(nodes, revision))
+        elif isinstance(outcome, Conflict) and not self._lost_office(outcome):
+            revision_by_key = {f.key: f.mod_revision for f in outcome.current}
+            for node in nodes:
+                found = revision_by_key.get(agent_key(node), 0)
+                self._revision_by_agent[node] = found
+
+    def _lost_office(self, conflict: Conflict) -> bool:
+        revision_by_key = {f.key: f.mod_revision for f in conflict.current}
+        if revision_by_key.get(LEADER_KEY) == self._office.leader_revision:
+            return False
+        self._office.laid_down.set()
+        return True
+
     def _mine(self) -> Compare:
         return Compare(LEADER_KEY, self._office.leader_revision)
 
@@ -176,11 +215,9 @@
         versions: list[int],
         values: list[bytes],
     ) -> None:
-        found_by_key = {found.key: found for found in conflict.current}
-        mine = found_by_key.get(LEADER_KEY)
-        if mine is None or mine.mod_revision != self._office.leader_revision:
-            self._office.laid_down.set()
+        if self._lost_office(conflict):
             return
+        found_by_key = {found.key: found for found in conflict.current}
         # An earlier write without an answer took effect after all.
         for entry, version, value in zip(entries, versions, values, strict=True):
             found = found_by_key.get(record_key(entry.job.id))
