A strike of an agent that was not carried out is tried again

Cause: before the write, the agent was taken off the list that the next strike is made from; where the store refused the write or did not answer, nobody struck it any more. Ruled out: taking the agent off the list after the write (it would be given work meanwhile).

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -71,3 +71,11 @@
     When an agent is out of touch until it is struck, and is then back in touch
     And the late delete is carried out
     Then the store names each agent that may be given work
+
+  Scenario: An agent that is gone is struck although the store did not answer at first
+    # After a change of leader all work waits for an agent that is gone: the write that
+    # strikes it was not answered, and not tried again.
+    Given a leader whose store carries out deletes late, without an answer
+    When an agent is out of touch until it is to be struck
+    And the store answers again
+    Then the store does not name the agent any more
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -4,7 +4,7 @@
 
 from features.steps.leader_world import LeaderWorld
 from features.steps.scheduling_world import make_job, plain
-from wagtailcleat.cluster.keys import AGENT_PREFIX, encode
+from wagtailcleat.cluster.keys import AGENT_PREFIX, agent_key, encode
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
@@ -208,3 +208,22 @@
     }
     assert usable, "no agent may be given work"
     assert usable <= named, usable - named
+
+
+@when("an agent is out of touch until it is to be struck")
+def step_to_be_struck(context):
+    world = context.leading
+    world.stream_by_node.pop(world.workers[0].node).close("cut")
+    world.until(lambda: world.store.late)
+
+
+@when("the store answers again")
+def step_store_answers(context):
+    context.leading.store.holds_deletes = False
+
+
+@then("the store does not name the agent any more")
+def step_not_named(context):
+    world = context.leading
+    key = agent_key(world.workers[0].node)
+    world.until(lambda: key not in world.store.found_by_key)
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -133,9 +133,12 @@
         # A next leader waits for each agent that the store names before it starts
         # work that was under way: one that is gone would hold all of it up.
         idle = {vm.node for vm in self._scheduler.idle_absent()}
+        # What the store may still name counts, not what was last asked of it: a strike
+        # that was not carried out must be tried again.
+        named = [node for node, at in self._revision_by_agent.items() if at]
         gone = [
             node
-            for node in self.registered
+            for node in named
             if node in idle or node not in self._scheduler.vm_by_node
         ]
         gone = [node for node in gone if node not in self._scheduler.unheard]
@@ -152,6 +155,7 @@
         self._note_agents(batch, outcome, named=False)
         if not isinstance(outcome, Written):
             self.dirty.set()
+            await asyncio.sleep(RETRY_SECONDS)
 
     def _as_known(self, nodes: list[NodeId]) -> list[Compare]:
         # A delete without an answer may be carried out seconds later, when the agent is
