An acknowledgement that is lost is sent again

Cause: an end is acknowledged by the orders after it became durable, once. Where the connection broke under them, or the agent ended before its next list, nothing was sent again: starts and stops that are lost show in the next report, acknowledgements were not looked at. An end that is listed although it is durable shows that the worker was not told; the highest number is sent then, as with any other orders. Ruled out: sending it with each new connection only (the agent may lose it on the same one).

--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -188,6 +188,9 @@
             dropped = vm.drop_run(ended.key)
             if dropped is not None and shares(dropped.step):
                 vm.altered(now)
+            if ended.number <= ends.durable:
+                # Its acknowledgement was lost, on its way or with the agent's process.
+                self._outgoing(vm.node).acknowledged = ends.durable
             if ended.number <= ends.taken:
                 continue
             ends.taken = ended.number
