The failures of a gang's members count together

Cause: a gang fails as soon as one of its members does, but failures were counted for each member alone: where another one failed each time, a gang of 8 could fail 9 times with 2 attempts. The users' pages count them for the gang ("a task, or a gang, has failed `attempts` times"). Members share the number of their run, so that two that fail in one run are one. Ruled out: a number kept for the gang (it would count an end again that is listed again).

--- a/features/steps/late_words_steps.py
+++ b/features/steps/late_words_steps.py
@@ -1,6 +1,12 @@
 """Steps on what is lost, or comes late, between leader and agents."""
 
-from behave import then, when
+from behave import given, then, when
+
+from features.steps.scheduling_world import make_job, plain
+from wagtailcleat.scheduling.models import (
+    JobState,
+    RunEnd,
+)
 
 ROUNDS = 3
 
@@ -41,3 +47,48 @@
 def step_none_listed(context):
     listed = [w.ended for w in context.world.worker_by_node.values() if w.ended]
     assert not listed, listed
+
+
+# ---- gangs
+
+
+@given('a gang "{name}" of {count:d} tasks with {attempts:d} attempts')
+def step_gang_attempts(context, name, count, attempts):
+    context.job = name
+    context.count = count
+    context.world.submit(make_job(name, plain(count, gang=True), attempts=attempts))
+    _rounds(context.world)
+
+
+def _fail_members(context, positions):
+    """Fail some members of the gang; the others end with them."""
+    members = _members(context.world, context.job)
+    assert len(members) == context.count, members
+    for worker, key in members:
+        failed = key.task.position in positions
+        worker.end(key, RunEnd.FAILED if failed else RunEnd.BROKEN)
+    _rounds(context.world)
+
+
+@when("its first member fails, and then, in its next run, its second one")
+def step_in_turn(context):
+    _fail_members(context, {0})
+    _fail_members(context, {1})
+
+
+@when("two of its members fail in one run")
+def step_two_fail(context):
+    _fail_members(context, {0, 1})
+
+
+@then('job "{name}" has ended as failed, and runs no more')
+def step_ended_failed(context, name):
+    entry = context.world.scheduler.book.entry_by_id[name]
+    _rounds(context.world)
+    assert entry.state is JobState.FAILED, entry.state
+    assert not _members(context.world, name)
+
+
+@then("all its members run again")
+def step_all_again(context):
+    assert len(_members(context.world, context.job)) == context.count
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -296,9 +296,17 @@
             return
         task.failed_runs.add(run)
         task.entry.changed()
-        if len(task.failed_runs) >= task.entry.job.attempts:
+        if len(self._failures(task)) >= task.entry.job.attempts:
             self._end(task.entry, JobState.FAILED, wall_now)
 
+    def _failures(self, task: Task) -> set[int]:
+        """Return the failed runs that count against a task's attempts."""
+        if not task.step.gang:
+            return task.failed_runs
+        # A gang fails with any member; its members share the numbers of their runs.
+        members = task.entry.tasks_by_step[task.key.occurrence, task.key.step]
+        return set().union(*(member.failed_runs for member in members))
+
     def free(self, task: Task, now: float) -> None:
         """Let a task wait again: its latest run is gone."""
         if task.state is TaskState.PLACED:
