A run number that is known to be used is not used again

Cause: each leader has a thousand run numbers for a task, and one that starts it more often (a task that fails at once, starts that are refused) reaches into the next one's. That one learned of used numbers only from runs that go on, not from ends and not from the record. Ruled out: a bound on starts alone (starts that are refused take numbers too).

--- a/features/scheduling/late_words.feature
+++ b/features/scheduling/late_words.feature
@@ -24,3 +24,21 @@
     And a gang "g" of 3 tasks with 2 attempts
     When two of its members fail in one run
     Then all its members run again
+
+  Scenario: A leader starts a task more often than numbers were set aside for it
+    # Two runs of a task have one number. One leader starts a task that fails at once
+    # over a thousand times and reaches into the numbers of the next one, which used
+    # them again, though the end of such a run was listed to it.
+    Given 2 VMs of 32 cores
+    And job "w" of 1 serving task runs
+    And this leader has started it 1000 times more
+    When its run ends, and a new leader hears of that
+    Then no two runs of job "w" have one number
+
+  Scenario: A failure of an earlier run number counts beside a later one
+    # A task is tried more often than its queue allows: the record names a failed run that
+    # a later leader's own run has for a number, and the second failure passed for known.
+    Given 2 VMs of 32 cores
+    And job "a" of 1 task with 2 attempts, whose run 1001 has failed, as leader 1 stored
+    When leader 2 restores it, and its run fails
+    Then job "a" has ended as failed, and runs no more
--- a/features/steps/late_words_steps.py
+++ b/features/steps/late_words_steps.py
@@ -4,8 +4,10 @@
 
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.scheduling.models import (
+    JobRecord,
     JobState,
     RunEnd,
+    TaskRecord,
 )
 
 ROUNDS = 3
@@ -92,3 +94,57 @@
 @then("all its members run again")
 def step_all_again(context):
     assert len(_members(context.world, context.job)) == context.count
+
+
+# ---- run numbers
+
+
+@given("this leader has started it {count:d} times more")
+def step_started_often(context, count):
+    # Such runs failed at once: each took a number and changed nothing else.
+    world = context.world
+    (worker, key), *_ = _members(world, context.job)
+    world.scheduler.book.task(key.task).highest_run = count
+    worker.end(key, RunEnd.FAILED)
+    _rounds(world)
+    (worker, key), *_ = _members(world, context.job)
+    assert key.run == count + 1, key
+
+
+@when("its run ends, and a new leader hears of that")
+def step_ends_at_change(context):
+    world = context.world
+    ((worker, key),) = _members(world, context.job)
+    worker.end(key, RunEnd.FAILED)
+    context.execute_steps(
+        "When a new leader restores the book and hears from all agents"
+    )
+    _rounds(world)
+
+
+@then('no two runs of job "{name}" have one number')
+def step_one_number(context, name):
+    started = [key.run for _, key in context.world.starts if key.task.job == name]
+    assert len(started) == len(set(started)), started
+    assert len(_members(context.world, name)) == 1
+
+
+@given(
+    'job "{name}" of 1 task with {attempts:d} attempts, whose run {run:d} has failed,'
+    " as leader 1 stored"
+)
+def step_failed_run(context, name, attempts, run):
+    context.job = name
+    record = JobRecord(JobState.RUNNING, [], [TaskRecord(0, 0, 0, [run])])
+    context.stored = (make_job(name, plain(1), attempts=attempts), record)
+
+
+@when("leader 2 restores it, and its run fails")
+def step_restored_fails(context):
+    world = context.world
+    world.lead(2)
+    job, record = context.stored
+    world.scheduler.book.add(job, now=world.now, wall_now=world.wall_now, record=record)
+    _rounds(world)
+    world.end_all(RunEnd.FAILED)
+    _rounds(world)
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -237,6 +237,7 @@
         if task is None:
             return self.entry_by_id.get(run.task.job)
         entry = task.entry
+        task.highest_run = max(task.highest_run, run.run)
         if task.state is TaskState.SUCCEEDED or entry.state.final:
             return entry
         if how is RunEnd.SUCCEEDED:
@@ -404,3 +405,6 @@
             task.failed_runs = saved.failures()
             task.checkpoint = saved.checkpoint
             task.checkpoint_run = saved.checkpoint_run
+            # A leader that started it very often may have used numbers of this one: a
+            # failure under such a number would pass for one that is known.
+            task.highest_run = max(task.checkpoint_run, *task.failed_runs, 0)
