A stored failure of an occurrence not due is asked for without its listed end

"A failure of a job that recurs is not forgotten where the clock is behind" lists the same end again, which begins the occurrence by itself. The new scenario has the end acknowledged, so that only the record tells of it. The old scenario stays as it is: it asks for the listed end.

--- a/features/scheduling/late_words.feature
+++ b/features/scheduling/late_words.feature
@@ -42,3 +42,15 @@
     And job "a" of 1 task with 2 attempts, whose run 1001 has failed, as leader 1 stored
     When leader 2 restores it, and its run fails
     Then job "a" has ended as failed, and runs no more
+
+  Scenario: An acknowledged failure of a job that recurs, where the clock is behind
+    # A task is tried more often than its queue allows. Its failure is stored and was
+    # acknowledged, so that nothing is listed any more; by the clock of the next leader
+    # its occurrence is not due yet, and the stored failure found no task to go to.
+    Given 1 VM of 32 cores
+    And job "t" of 2 attempts recurs, and its first task runs
+    And its run has failed, and that was acknowledged
+    When a leader whose clock is 10 s behind restores it
+    And 12 s pass with all agents in touch
+    And each run that goes on fails
+    Then job "t" has failed after 1 start
--- a/features/steps/late_words_steps.py
+++ b/features/steps/late_words_steps.py
@@ -7,6 +7,8 @@
     JobRecord,
     JobState,
     RunEnd,
+    RunKey,
+    TaskKey,
     TaskRecord,
 )
 
@@ -148,3 +150,18 @@
     _rounds(world)
     world.end_all(RunEnd.FAILED)
     _rounds(world)
+
+
+# ---- occurrences
+
+
+@given("its run has failed, and that was acknowledged")
+def step_failed_acknowledged(context):
+    world = context.world
+    worker = context.second
+    worker.end(context.second_key, RunEnd.FAILED)
+    world.report(worker)
+    worker.ended = []
+    key = TaskKey(context.job, 0, 0, 0)
+    task = world.scheduler.book.task(key)
+    assert RunKey(key, context.second_key.run).run in task.failed_runs
