A run whose end had no place in its worker's list does not count as gone

Cause: a worker lists 500 ends at a time, the oldest first, until they are acknowledged; while the store is away none is. A run that ended after those is listed neither as running nor as ended, and counted as gone, or, where its start was in doubt, as never started. The adapter tells now whether an answer had a place for every end; until it has, nothing is concluded from what is not listed. A worker that is lost lists nothing any more: its list counts as whole. Ruled out: keeping what ran before at the agent (an agent that was restarted knows nothing).

--- a/features/scheduling/late_words.feature
+++ b/features/scheduling/late_words.feature
@@ -54,3 +54,26 @@
     And 12 s pass with all agents in touch
     And each run that goes on fails
     Then job "t" has failed after 1 start
+
+  Scenario: A worker has more ends than it lists at once
+    # A task that was done runs again. While the store is away no end is acknowledged; a
+    # worker lists so many at a time, and the latest are not among them. A run whose end
+    # was left out is listed nowhere, and counted as gone.
+    Given 2 VMs of 32 cores
+    And job "a" of 1 task runs
+    When its run succeeds, and its worker's list has no place for that end
+    And some rounds have passed
+    Then no second start is sent
+    When the list has a place for it
+    And some rounds have passed
+    Then job "a" has succeeded without another start
+
+  Scenario: An answer in which ends may have had no place
+    Then a list of 499 ends is taken for whole, and one of 500 is not
+
+  Scenario: A worker that is lost had more ends than it lists at once
+    # A task waits for ever: its run ended at a worker that is gone, and the list in
+    # which that end had no place stayed the last one.
+    Given an agent whose worker listens at its VM's address
+    When the worker lists 500 ends and its port refuses 5 connections
+    Then its list counts as whole once its runs count as lost
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -24,11 +24,15 @@
 
 
 class _ListHandler(RequestHandler):
-    """Lists one run."""
+    """Lists one run, and the ends that the world names."""
+
+    def initialize(self, world):
+        self.world = world
 
     def post(self):
         row = [TASK, 1, "", 10, 0]
-        body = {"clockMs": 1000, "running": [row], "finished": [], "born": BORN}
+        ends = self.world.rows
+        body = {"clockMs": 1000, "running": [row], "finished": ends, "born": BORN}
         self.finish(json.dumps(body))
 
 
@@ -38,6 +42,7 @@
     def __init__(self, worker_host):
         self.now = 100.0
         self.worker_host = worker_host
+        self.rows = []
         self.loop = asyncio.new_event_loop()
         self.hosting = Hosting(
             clock=lambda: self.now,
@@ -53,7 +58,9 @@
     async def _begin(self):
         sockets = bind_sockets(0, self.worker_host)
         port = sockets[0].getsockname()[1]
-        self.server = HTTPServer(Application([("/hold", _ListHandler)]))
+        self.server = HTTPServer(
+            Application([("/hold", _ListHandler, {"world": self})])
+        )
         self.server.add_sockets(sockets)
         self.work = asyncio.create_task(self.hosting.run())
         info = WorkerInfo(
--- a/features/steps/late_words_steps.py
+++ b/features/steps/late_words_steps.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 
 from features.steps.scheduling_world import make_job, plain
+from wagtailcleat.platform.exchange import Reply
+from wagtailcleat.platform.runs import _run_list
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
@@ -165,3 +167,51 @@
     key = TaskKey(context.job, 0, 0, 0)
     task = world.scheduler.book.task(key)
     assert RunKey(key, context.second_key.run).run in task.failed_runs
+
+
+# ---- lists that are cut
+
+
+@when("its run succeeds, and its worker's list has no place for that end")
+def step_no_place(context):
+    worker = context.world.worker_by_node[context.node]
+    for key in list(worker.running):
+        worker.end(key, RunEnd.SUCCEEDED)
+    context.left_out, worker.ended = worker.ended, []
+    worker.ends_whole = False
+
+
+@when("the list has a place for it")
+def step_place(context):
+    worker = context.world.worker_by_node[context.node]
+    worker.ended = context.left_out
+    worker.ends_whole = True
+
+
+def _end_rows(count):
+    return [
+        [n, f"00ff00ff00ff00ff.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)
+    ]
+
+
+@then("a list of {most:d} ends is taken for whole, and one of {more:d} is not")
+def step_whole(context, most, more):
+    for count, is_whole in ((most, True), (more, False)):
+        body = {"clockMs": 1000, "running": [], "finished": _end_rows(count)}
+        answer = _run_list(Reply(200, body))
+        assert answer.ends_whole is is_whole, count
+
+
+@when("the worker lists {count:d} ends and its port refuses {refused:d} connections")
+def step_lists_ends(context, count, refused):
+    world = context.hosting_world
+    world.rows = _end_rows(count)
+    world.until(lambda: not world.hosting.ends_whole)
+    world.refuse(refused)
+
+
+@then("its list counts as whole once its runs count as lost")
+def step_whole_again(context):
+    world = context.hosting_world
+    world.until(lambda: not world.hosting.running)
+    assert world.hosting.ends_whole
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -49,6 +49,8 @@
     checkpoint_by_run: dict = field(default_factory=dict)
     refused: list = field(default_factory=list)
     unsettled: list = field(default_factory=list)
+    ends_whole: bool = True
+    """Whether its list has a place for every end."""
 
     def take(self, orders: Orders) -> None:
         """Carry out orders as an agent and its worker would."""
@@ -116,6 +118,7 @@
             silent_seconds=0.0,
             lease_seconds=HORIZON,
             orders_taken=self.orders_taken,
+            ends_whole=self.ends_whole,
         )
 
 
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -100,6 +100,7 @@
             hosting.lease_seconds(now),
             orders_taken,
             number=next(self._report_numbers),
+            ends_whole=hosting.ends_whole,
         )
 
     def _answered(self, report: Report) -> None:
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -76,6 +76,8 @@
     listed_at: float = 0.0
     running: list[Running] = field(default_factory=list)
     ended: list[Ended] = field(default_factory=list)
+    ends_whole: bool = True
+    """Whether the worker had a place for every end in its list."""
     acknowledged: int = 0
     lease_until: float = 0.0
     """When the leases end at the latest, on this VM's clock."""
@@ -144,6 +146,11 @@
         """Ends not yet acknowledged, as last listed."""
         return self._life.ended if self._life else []
 
+    @property
+    def ends_whole(self) -> bool:
+        """Whether `ended` has every end."""
+        return self._life is None or self._life.ends_whole
+
     @property
     def refusals(self) -> int:
         """Connections that the worker's port refused in a row."""
@@ -295,6 +302,7 @@
         news = news or known != {running.key for running in answer.running}
         life.running = answer.running
         life.ended = answer.ended
+        life.ends_whole = answer.ends_whole
         life.lists += 1
         life.listed_at = now
         life.lapsed = False
@@ -322,6 +330,8 @@
     def _lose_runs(self, life: _Life, why: str) -> None:
         life.lapsed = True
         life.running = []
+        # Ends that had no place in its last list will not be told any more.
+        life.ends_whole = True
         log.warning("Runs are lost", extra={"worker": life.instance, "why": why})
         for task in self._work:
             task.cancel()
@@ -399,7 +409,7 @@
         wanted = life.lists + FRESH_LISTS
         async with self._listed:
             await self._listed.wait_for(
-                lambda: life.lists >= wanted or _shows(life, key)
+                lambda: _surely_listed(life, wanted) or _shows(life, key)
             )
         self.unsettled_by_run.pop(key, None)
         return _shows(life, key)
@@ -414,7 +424,7 @@
         await self._stop(key)
         wanted = life.lists + FRESH_LISTS
         async with self._listed:
-            await self._listed.wait_for(lambda: life.lists >= wanted)
+            await self._listed.wait_for(lambda: _surely_listed(life, wanted))
         if _shows(life, key):
             self.unsettled_by_run.pop(key, None)
         else:
@@ -433,6 +443,11 @@
             await life.worker.pace(pace.key, pace.percent)
 
 
+def _surely_listed(life: _Life, wanted: int) -> bool:
+    # A run whose end had no place in the list is not one that never ran.
+    return life.lists >= wanted and life.ends_whole
+
+
 def _shows(life: _Life, key: RunKey) -> bool:
     return any(running.key == key for running in life.running) or any(
         ended.key == key for ended in life.ended
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -28,6 +28,8 @@
 BAD_REQUEST = 400
 WAIT_SLACK_SECONDS = 0.4
 """What a list may take beyond its waiting time: the worker is on this VM."""
+ENDS_AT_ONCE = 500
+"""A worker lists so many ends in one answer; later ones wait for acknowledgements."""
 EXPECT_INSTANCE = "Wagtailcleat-Expect-Instance"
 
 END_BY_WORD = {
@@ -77,6 +79,8 @@
     ended: list[Ended]
     born: int
     """0 where the worker does not say."""
+    ends_whole: bool
+    """Whether `ended` surely has every end."""
 
 
 class RunWorker:
@@ -190,11 +194,13 @@
         return Stale(whole(reply.body, "clockMs") / MILLISECONDS)
     if reply.code != OK:
         return NoAnswer.LOST
+    ended = [_ended(row) for row in rows(reply.body, "finished")]
     return RunList(
         whole(reply.body, "clockMs") / MILLISECONDS,
         [_running(row) for row in rows(reply.body, "running")],
-        [_ended(row) for row in rows(reply.body, "finished")],
+        ended,
         whole(reply.body, "born", default=0),
+        len(ended) < ENDS_AT_ONCE,
     )
 
 
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -292,6 +292,9 @@
         return hosted
 
     def _drop_absent(self, vm: Vm, report: Report, now: float) -> None:
+        if not report.ends_whole:
+            # A run that is not listed may have ended: its end had no place in the list.
+            return
         shown = {running.key for running in report.running}
         shown.update(report.unsettled)
         for key, hosted in list(vm.hosted_by_run.items()):
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -70,6 +70,8 @@
     """Number of the last orders of the leader that were taken in."""
     number: int = 0
     """Rises with each report of one life of the agent."""
+    ends_whole: bool = True
+    """Whether `ended` has every end; if not, a run may be listed nowhere."""
 
 
 class ReportTaken(Message, frozen=True, tag="report_taken"):
