--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -298,9 +298,18 @@
     context.stored_before = _records(world)
 
 
-@given("its run has {how}")
-def step_has_ended(context, how):
-    context.world.end_all(RunEnd(how))
+@given("its run has failed")
+def step_has_failed(context):
+    _end(context, RunEnd.FAILED)
+
+
+@given("its run has succeeded")
+def step_has_succeeded(context):
+    _end(context, RunEnd.SUCCEEDED)
+
+
+def _end(context, how):
+    context.world.end_all(how)
     context.world.report(context.second)
 
 
--- /dev/null
+++ b/features/steps/leader_steps.py
@@ -0,0 +1,229 @@
+"""Steps on what reaches a leader late, or before it knows of it."""
+
+from behave import given, then, when
+
+from features.steps.leader_world import LeaderWorld
+from features.steps.scheduling_world import make_job, plain
+from wagtailcleat.cluster.keys import AGENT_PREFIX, agent_key, encode
+from wagtailcleat.scheduling.models import (
+    JobRecord,
+    JobState,
+    RunEnd,
+    RunKey,
+    Start,
+    TaskKey,
+    WorkerState,
+)
+from wagtailcleat.wire.scheduling import Submitted
+
+JOB = "00ff00ff00ff00ff"
+FIRST = TaskKey(JOB, 0, 0, 0)
+EARLIER_RUN = RunKey(FIRST, 1)
+
+
+def _begin(context, **more):
+    context.leading = LeaderWorld(**more)
+    context.add_cleanup(context.leading.close)
+    return context.leading
+
+
+def _lead(world):
+    world.lead()
+    world.until(lambda: world.leader.ready)
+    world.rounds()
+
+
+@given("a job whose first task has succeeded, as an earlier leader stored it")
+def step_stored(context):
+    world = _begin(context)
+    context.submitted = make_job(JOB, plain(2))
+    record = JobRecord(JobState.RUNNING, [(0, 0, [0])], [])
+    world.store_job(context.submitted, record)
+
+
+@when("a leader is told of the job while it waits for the lists of the store")
+def step_told_early(context):
+    world = context.leading
+    world.store.open.clear()
+    world.lead()
+    world.until(lambda: world.store.asked_lists)
+    message = Submitted(JOB, encode(context.submitted))
+    world.loop.run_until_complete(world.leader.submitted(message))
+    world.store.open.set()
+    world.until(lambda: world.leader.ready)
+
+
+@when("the agents report")
+def step_report(context):
+    context.leading.rounds()
+
+
+@then("the task that has succeeded does not run again")
+def step_not_again(context):
+    runs = [key for _, key in context.leading.runs(JOB)]
+    assert FIRST not in [key.task for key in runs], runs
+
+
+@given("a leader, and a job that is stored")
+def step_leader_and_job(context):
+    world = _begin(context)
+    _lead(world)
+
+
+@when(
+    "a report is held up, and its agent reports and starts the task"
+    " on another connection"
+)
+def step_held_up(context):
+    _held_up(context, 1)
+
+
+@when("an agent's report is held up, and its next life starts the task")
+def step_next_life(context):
+    _held_up(context, 2)
+
+
+def _held_up(context, life):
+    world = context.leading
+    first, second = world.workers
+    context.old_stream = world.stream_by_node[first.node]
+    context.old_report = world.made(first)
+    world.life_by_node[first.node] = life
+    world.open(first)
+    second.state = WorkerState.DRAINING
+    world.rounds()
+    world.store_job(make_job(JOB, plain(1)))
+    world.until(lambda: world.runs(JOB))
+    context.first_runs = world.runs(JOB)
+    assert context.first_runs[0][0] == first.node, context.first_runs
+    second.state = WorkerState.READY
+    world.report(first)
+    world.report(second)
+
+
+@when("the report that was held up arrives")
+def step_arrives(context):
+    world = context.leading
+    world.report(world.workers[0], stream=context.old_stream, report=context.old_report)
+    world.pass_rounds()
+
+
+@then("the task was started once")
+def step_once(context):
+    assert context.leading.runs(JOB) == context.first_runs, context.leading.runs(JOB)
+
+
+@when("its run ends")
+def step_run_ends(context):
+    worker = context.leading.workers[0]
+    for key in list(worker.running):
+        worker.end(key, RunEnd.SUCCEEDED)
+
+
+@then("its end is acknowledged")
+def step_acknowledged(context):
+    worker = context.leading.workers[0]
+    assert worker.ends and not worker.ended, worker.ended
+
+
+@given("a leader whose watch on the jobs is late")
+def step_late_watch(context):
+    world = _begin(context)
+    _lead(world)
+    world.store.watched = False
+
+
+@when("a job is stored, and an earlier leader's run of it ends well")
+def step_ends(context):
+    _stored_and_runs(context)
+    context.leading.workers[0].end(EARLIER_RUN, RunEnd.SUCCEEDED)
+
+
+@when("a job is stored, and an earlier leader's run of it goes on")
+def step_goes_on(context):
+    _stored_and_runs(context)
+
+
+def _stored_and_runs(context):
+    world = context.leading
+    world.store_job(make_job(JOB, plain(1)))
+    world.workers[0].running[EARLIER_RUN] = Start(EARLIER_RUN, "x")
+
+
+@when("the watch tells of the job")
+def step_watch(context):
+    world = context.leading
+    world.store.watched = True
+    world.until(lambda: JOB in world.leader.scheduler.book.entry_by_id)
+
+
+@then("just that run goes on")
+def step_just_that(context):
+    runs = context.leading.runs(JOB)
+    assert runs == [("vm-1", EARLIER_RUN)], runs
+
+
+@when("a run of a job that was forgotten ends well")
+def step_forgotten(context):
+    worker = context.leading.workers[0]
+    worker.running[EARLIER_RUN] = Start(EARLIER_RUN, "x")
+    worker.end(EARLIER_RUN, RunEnd.SUCCEEDED)
+
+
+@given("a leader whose store carries out deletes late, without an answer")
+def step_late_deletes(context):
+    world = _begin(context)
+    _lead(world)
+    world.store.holds_deletes = True
+
+
+@when("an agent is out of touch until it is struck, and is then back in touch")
+def step_struck(context):
+    world = context.leading
+    worker = world.workers[0]
+    world.stream_by_node.pop(worker.node).close("cut")
+    world.until(lambda: world.store.late)
+    world.rounds()
+    vm = world.leader.scheduler.vm_by_node[worker.node]
+    world.until(lambda: vm.registered)
+
+
+@when("the late delete is carried out")
+def step_delete_late(context):
+    store = context.leading.store
+    for txn in store.late:
+        store.carry_out(txn)
+
+
+@then("the store names each agent that may be given work")
+def step_named(context):
+    world = context.leading
+    named = {
+        key.removeprefix(AGENT_PREFIX)
+        for key in world.store.found_by_key
+        if key.startswith(AGENT_PREFIX)
+    }
+    usable = {
+        node for node, vm in world.leader.scheduler.vm_by_node.items() if vm.registered
+    }
+    assert usable, "no agent may be given work"
+    assert usable <= named, usable - named
+
+
+@when("an agent is out of touch until it is to be struck")
+def step_to_be_struck(context):
+    world = context.leading
+    world.stream_by_node.pop(world.workers[0].node).close("cut")
+    world.until(lambda: world.store.late)
+
+
+@when("the store answers again")
+def step_store_answers(context):
+    context.leading.store.holds_deletes = False
+
+
+@then("the store does not name the agent any more")
+def step_not_named(context):
+    world = context.leading
+    key = agent_key(world.workers[0].node)
+    world.until(lambda: key not in world.store.found_by_key)
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -13,6 +13,7 @@
     RECORD_PREFIX,
     Place,
     decode,
+    job_key,
     record_key,
 )
 from wagtailcleat.cluster.leadership import Leadership
@@ -20,7 +21,7 @@
 from wagtailcleat.cluster.records import Records
 from wagtailcleat.cluster.timing import GIVE_UP_AFTER, JOBS_WAIT, STOP_AGAIN
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import JobId, NodeId, ZoneName
+from wagtailcleat.ids import Incarnation, JobId, NodeId, ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -28,10 +29,12 @@
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import (
+    Absent,
     Changes,
     Found,
     HistoryGone,
     Listing,
+    Unavailable,
 )
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import AnyMessage, Refused
@@ -104,9 +107,15 @@
             on_progress=self._wake.set,
         )
         self._revision = 0
+        self._gone: set[JobId] = set()
+        """Jobs that the store does not have, although runs of them were listed."""
         self._stream_by_node: dict[NodeId, Stream] = {}
         self._session_by_stream: dict[int, int] = {}
         self._sessions = 0
+        self._last_by_node: dict[NodeId, tuple[Incarnation, int]] = {}
+        """Life and number of the last report of each agent."""
+        self._past_lives: set[tuple[NodeId, Incarnation]] = set()
+        """Lives of agents that a later one has followed."""
         self._sending: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -145,7 +154,7 @@
         agents = await self._listed(AGENT_PREFIX)
         for found in agents.found:
             node = NodeId(found.key.removeprefix(AGENT_PREFIX))
-            self._records.registered.add(node)
+            self._records.restore_agent(node, found.mod_revision)
             self.scheduler.unheard.add(node)
         jobs = await self._listed(JOB_PREFIX)
         records = await self._listed(RECORD_PREFIX)
@@ -208,6 +217,11 @@
 
     async def submitted(self, message: Submitted) -> AnyMessage:
         """Take in a job that an entry has just stored."""
+        if not self.ready:
+            # An earlier leader may have stored progress of it already, and the lists
+            # with both are on their way: entered without its record, the job would
+            # begin anew. The lists or the watch after them bring it.
+            return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
         self._add(message.id, message.job, 0)
         self._wake.set()
         return StateShown("")
@@ -249,6 +263,10 @@
             # It may still take an order of the leader before: one that is on its way
             # would start what this report does not list, and it would start elsewhere.
             return FollowFirst(self.office.epoch)
+        if not await self._knows_jobs(message):
+            return Refused(Code.UNAVAILABLE.value, "the store is asked for a job")
+        if self._overtaken(message):
+            return Refused(Code.CONFLICT.value, "a later report was taken in")
         session = self._session(message.node, stream)
         self.scheduler.take_report(
             message, session, now=self._now, wall_now=self._wall_clock()
@@ -259,6 +277,44 @@
         self._records.dirty.set()
         return ReportTaken(self.office.epoch, self.office.valid_for(self._now))
 
+    async def _knows_jobs(self, report: Report) -> bool:
+        """Learn of the jobs whose runs a report names; False if one is in doubt.
+
+        A leader before may have started a job that this one's watch has not told of
+        yet. Its runs would be stopped, and its ends acknowledged, as if of a job that
+        is gone: a task that has succeeded would run again, one that runs run twice.
+        """
+        keys = [running.key for running in report.running]
+        keys += [ended.key for ended in report.ended] + report.unsettled
+        known = self.scheduler.book.entry_by_id
+        for job in {key.task.job for key in keys}:
+            if job in known or job in self._gone:
+                continue
+            # It was stored before it was started, so that the store has it by now.
+            found = await self._store.get(job_key(job))
+            if isinstance(found, Unavailable):
+                return False
+            if isinstance(found, Absent):
+                self._gone.add(job)
+                continue
+            self._add(job, found.value, found.mod_revision)
+        return True
+
+    def _overtaken(self, report: Report) -> bool:
+        # A report may be held up on a connection that its agent has given up, and come
+        # after later ones. It does not show what was started since: those runs would
+        # count as gone, and start elsewhere while they go on.
+        if (report.node, report.incarnation) in self._past_lives:
+            return True
+        life, number = self._last_by_node.get(report.node, (report.incarnation, 0))
+        if report.incarnation != life:
+            self._past_lives.add((report.node, life))
+            number = 0
+        if 0 < report.number <= number:
+            return True
+        self._last_by_node[report.node] = (report.incarnation, report.number)
+        return False
+
     def _session(self, node: NodeId, stream: Stream) -> int:
         if self._stream_by_node.get(node) is not stream:
             self._sessions += 1
--- a/wagtailcleat/scheduling/book.py
+++ b/wagtailcleat/scheduling/book.py
@@ -237,6 +237,7 @@
         if task is None:
             return self.entry_by_id.get(run.task.job)
         entry = task.entry
+        task.highest_run = max(task.highest_run, run.run)
         if task.state is TaskState.SUCCEEDED or entry.state.final:
             return entry
         if how is RunEnd.SUCCEEDED:
@@ -296,9 +297,17 @@
             return
         task.failed_runs.add(run)
         task.entry.changed()
-        if len(task.failed_runs) >= task.entry.job.attempts:
+        if len(self._failures(task)) >= task.entry.job.attempts:
             self._end(task.entry, JobState.FAILED, wall_now)
 
+    def _failures(self, task: Task) -> set[int]:
+        """Return the failed runs that count against a task's attempts."""
+        if not task.step.gang:
+            return task.failed_runs
+        # A gang fails with any member; its members share the numbers of their runs.
+        members = task.entry.tasks_by_step[task.key.occurrence, task.key.step]
+        return set().union(*(member.failed_runs for member in members))
+
     def free(self, task: Task, now: float) -> None:
         """Let a task wait again: its latest run is gone."""
         if task.state is TaskState.PLACED:
@@ -396,3 +405,6 @@
             task.failed_runs = saved.failures()
             task.checkpoint = saved.checkpoint
             task.checkpoint_run = saved.checkpoint_run
+            # A leader that started it very often may have used numbers of this one: a
+            # failure under such a number would pass for one that is known.
+            task.highest_run = max(task.checkpoint_run, *task.failed_runs, 0)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -188,6 +188,9 @@
             dropped = vm.drop_run(ended.key)
             if dropped is not None and shares(dropped.step):
                 vm.altered(now)
+            if ended.number <= ends.durable:
+                # Its acknowledgement was lost, on its way or with the agent's process.
+                self._outgoing(vm.node).acknowledged = ends.durable
             if ended.number <= ends.taken:
                 continue
             ends.taken = ended.number
@@ -289,6 +292,9 @@
         return hosted
 
     def _drop_absent(self, vm: Vm, report: Report, now: float) -> None:
+        if not report.ends_whole:
+            # A run that is not listed may have ended: its end had no place in the list.
+            return
         shown = {running.key for running in report.running}
         shown.update(report.unsettled)
         for key, hosted in list(vm.hosted_by_run.items()):
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -70,6 +70,10 @@
     """Number of the last orders of the leader that were taken in."""
     epoch: Epoch = Epoch(0)
     """The epoch that the agent follows: orders of older ones are not taken any more."""
+    number: int = 0
+    """Rises with each report of one life of the agent."""
+    ends_whole: bool = True
+    """Whether `ended` has every end; if not, a run may be listed nowhere."""
 
 
 class FollowFirst(Message, frozen=True, tag="follow_first"):
