A VM whose worker fails a job's tasks lets no more of them in than may fail

Cause: the product's. An agent sees ends by looking, up to 0.1 s apart there. Where a look falls among the starts of one job, it sees 1 to 3 failures, gives their room to more tasks of that job, and these fail too before the count is 4: a job loses up to 7 tasks at a VM and not 4, so that 18 starts are possible. Mend: after a failure, tasks of the job that may yet fail (here for less than 5 s) count as if they had; after a pause one task at a time shows whether the job still fails. So no job fails more than 4 times before the VM closes to it, and with room for 4 tasks the VM starts 8 of two jobs, then at most 4 more until the third job's first failure is seen. A second scenario bounds the price: room that one failure leaves idle is used within 6 s. Ruled out: reservations that outlive the closing (they are bounded by the VM's room), restarts of the agent, learned sizes (these only grow). The listed scenario is unchanged.

--- a/features/batch/failures.feature
+++ b/features/batch/failures.feature
@@ -9,6 +9,21 @@
     Then all 6 jobs end with 8 tasks succeeded
     And "vm-1" started at most 12 tasks
 
+  Scenario: A worker fails the tasks of a job while more of that job are on their way
+    One VM's worker fails each task at once. Its agent sees some failures, gives their
+    room to the next tasks of the same job, and counts those only when they have failed
+    too. Each job loses more tasks there than it may before the VM is closed to it.
+    Given VMs "vm-1" and "vm-2", each with room for 4 tasks
+    When the worker of "vm-1" fails all it starts, and 3 jobs order tasks there, the next ones when the first have failed
+    Then the worker of "vm-1" was asked to start 12 tasks at most
+
+  Scenario: One task of a job fails beside others that run for long
+    A VM that takes no more tasks of a job until its other tasks have ended leaves room
+    idle for hours because of one failure.
+    Given VMs "vm-1" and "vm-2", each with room for 4 tasks
+    When 3 tasks of job "ledger" run at "vm-1" and one more fails
+    Then "vm-1" takes another task of job "ledger" within 6 s
+
   Scenario: A job can never run
     Every task of a job fails wherever it starts. It is tried for ever, or takes good
     VMs out of use, or ends without a word on why.
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -12,10 +12,18 @@
 
 from wagtailcleat.agent.commitments import Commitments
 from wagtailcleat.agent.eviction import to_evict
-from wagtailcleat.agent.health import Health
+from wagtailcleat.agent.health import PROVEN_SECONDS, Health
 from wagtailcleat.clock import Clock
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import AttemptId, Epoch, Incarnation, NodeId, ShardId, VmName
+from wagtailcleat.ids import (
+    AttemptId,
+    Epoch,
+    Incarnation,
+    JobId,
+    NodeId,
+    ShardId,
+    VmName,
+)
 from wagtailcleat.logs import part_logger
 from wagtailcleat.membership.view import GONE, View
 from wagtailcleat.platform.worker import (
@@ -241,7 +249,7 @@
         assert isinstance(message, Reserve)
         now = self._clock()
         why = self._why_not(message.shard, message.epoch, stream)
-        why = why or self.health.why_closed(job_of(message.attempt), now)
+        why = why or self._why_unhealthy(job_of(message.attempt), now)
         if message.attempt in self._never or message.attempt in self.attempt_by_id:
             why = why or "asked for here before"
         penalty = self.penalty(message.job_class, message.penalty)
@@ -269,6 +277,15 @@
         free = self._commitments.free(now)
         return Reserved(self._timing.reservation, free, self._incarnation, penalty)
 
+    def _why_unhealthy(self, job: JobId, now: float) -> str:
+        unproven = sum(
+            job_of(a.id) == job
+            and a.phase is not Phase.ENDED
+            and now - a.since < PROVEN_SECONDS
+            for a in self.attempt_by_id.values()
+        )
+        return self.health.why_closed(job, now, unproven)
+
     async def _make_room(self, size: Resources) -> None:
         evictable = [a.id for a in self._least_wanted() if not a.urgent]
         chosen = to_evict(self._commitments, evictable, size, self._clock())
--- a/wagtailcleat/agent/health.py
+++ b/wagtailcleat/agent/health.py
@@ -12,6 +12,8 @@
 
 JOBS_TO_CLOSE = 3
 FAILURES_TO_CLOSE_TO_JOB = 4
+PROVEN_SECONDS = 5.0
+"""A task that has run so long was not failed by a worker that fails what it starts."""
 FIRST_PAUSE_SECONDS = 30.0
 MAX_PAUSE_SECONDS = 900.0
 MAX_JOBS_KEPT = 1000
@@ -44,10 +46,21 @@
             while len(self._closed_until_by_job) > MAX_JOBS_KEPT:
                 del self._closed_until_by_job[next(iter(self._closed_until_by_job))]
 
-    def why_closed(self, job: JobId, now: float) -> str:
-        """Return why no task of `job` may start here now; empty where it may."""
+    def why_closed(self, job: JobId, now: float, unproven: int) -> str:
+        """Return why no task of `job` may start here now; empty where it may.
+
+        Parameters: `unproven` tasks of the job have been here for less than
+        `PROVEN_SECONDS`.
+        """
         if now < self.closed_until:
             return "tasks of several jobs failed here one after the other"
         if now < self._closed_until_by_job.get(job, 0.0):
             return "this job's tasks fail here"
+        # Failures are seen some time after they happen. The room that the first ones
+        # leave would go to tasks of the same job, and all of these would fail before
+        # the count closes the VM. Those that may yet fail count as if they had; after
+        # a pause one task at a time shows whether the job still fails here.
+        failures = self._failures_by_job.get(job, 0)
+        if failures and unproven >= max(FAILURES_TO_CLOSE_TO_JOB - failures, 1):
+            return "tasks of this job failed here, and others may yet"
         return ""
