Verify begins the longest features first

Seen: the features ran in order of their names, so that features/platform/faults.feature, 110 s then, was begun past the middle of the run and was the last to end, with the other three places of the pool empty at the end. Now those of 20 s and more are begun first, in a fixed order; all others follow by name. The set of features is the same: each file that is found runs, listed or not. Ruled out: recorded times of earlier runs, which a fresh clone lacks.

--- a/tools/verify.py
+++ b/tools/verify.py
@@ -24,6 +24,27 @@
 KNOWN_RED_LIMIT = 3
 MAX_PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_SECONDS = 900
+LONGEST_FIRST = (
+    "platform/store_faults",
+    "platform/adapter",
+    "requests/leaving",
+    "requests/fuzz",
+    "requests/bad_input",
+    "batch/single_run",
+    "batch/zone_out",
+    "fuzz/batch",
+    "platform/faults",
+    "batch/capacity",
+    "batch/store_outage",
+    "platform/worker_faults",
+    "batch/eviction",
+    "golden/operators",
+    "operator/faults",
+    "soak/soak",
+    "platform/whole_path",
+)
+"""Features of 20 s and more, in this order; one that is begun late ends the whole run
+late, with nothing beside it."""
 
 
 @dataclass
@@ -131,6 +152,12 @@
     return tally
 
 
+def _in_order(features: list[Path]) -> list[Path]:
+    paths = [ROOT / "features" / f"{name}.feature" for name in LONGEST_FIRST]
+    place = {path: number for number, path in enumerate(paths)}
+    return sorted(features, key=lambda f: (place.get(f, len(paths)), f))
+
+
 def main() -> int:
     """Run every check; return the process exit code."""
     known_red = _known_red()
@@ -138,7 +165,7 @@
     if len(known_red) > KNOWN_RED_LIMIT:
         print(f"FAILED: KNOWN-RED.txt has more than {KNOWN_RED_LIMIT} lines")
         total.failed += 1
-    features = sorted(ROOT.glob("features/**/*.feature"))
+    features = _in_order(list(ROOT.glob("features/**/*.feature")))
     with ThreadPoolExecutor(MAX_PARALLEL_FEATURES) as pool:
         for tally in pool.map(lambda f: _run_feature(f, known_red), features):
             total.add(tally)
