The soak can cut a zone off by refused connections, and breaks a promise with it

Now `--refusals` cuts an entry and the agent of its zone off from the store and the rest: their listeners are closed, open connections to outside are reset, those inside go on, and all processes live. In half the cuts new connections are refused on both sides. Some tasks last 16 s there. Seeds without it are drawn as before. Cause in the logs of 4014 and 4015: the leader is cut off, the other entry refuses, and "nobody listens" counts as its word that it will not claim (cluster/others.py). So the leader goes on leading for the whole cut (8.7 s and more), starts tasks, gives up the runs of the agent outside and starts them again, beside the next leader.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,10 @@
 from standins.platform_cluster import PREFIX
 
 TRIES = 6
+LONG_TASK_SECONDS = 16.0
+"""A run that began before a cut outlasts what the next leader waits for it."""
+LONG_SHARE = 0.2
+"""Of the jobs; the workers have room for all of them beside the rest."""
 
 
 @dataclass
@@ -37,12 +41,15 @@
 class Caller(threading.Thread):
     """One caller, in a thread of its own."""
 
-    def __init__(self, deployment: SoakDeployment, seed: int, number: int) -> None:
-        """Call any entry; the seed decides what."""
+    def __init__(
+        self, deployment: SoakDeployment, seed: int, number: int, *, long: bool = False
+    ) -> None:
+        """Call any entry; the seed decides what, `long` whether some tasks are long."""
         super().__init__(daemon=True)
         self.jobs: list[Submitted] = []
         self.stopping = threading.Event()
         self._deployment = deployment
+        self._long = long
         self._random = random.Random(f"callers/{seed}/{number}")
 
     def run(self) -> None:
@@ -70,6 +77,9 @@
         if len(steps) > 1:
             steps[1]["after"] = [0]
         seconds = self._random.choice([0.1, 0.4, 1.2, 2.5])
+        if self._long and self._random.random() < LONG_SHARE:
+            steps = [steps[0] | {"count": 1, "cpu": 500}]
+            seconds = LONG_TASK_SECONDS
         job = Submitted(secrets.token_hex(8), steps)
         self.jobs.append(job)
         body = {"spec": f'{{"seconds": {seconds}}}', "steps": steps}
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -27,6 +27,11 @@
         """All processes, those of the platform first."""
         return [*super().processes, *self.links.values()]
 
+    def zone_names(self, zone: int) -> list[str]:
+        """Return the names of the entries and agents in one of the zones."""
+        programs = [self.entries[zone :: len(ZONES)], self.agents[zone :: len(ZONES)]]
+        return [program.name for listed in programs for program in listed]
+
     def _shared(self, name: str, number: int, host: str) -> dict[str, Any]:
         settings = super()._shared(name, number, host)
         relay = f"{RELAY_NETWORK}.{host.rpartition('.')[2]}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,16 @@
 LONGEST_PAUSE_SECONDS = 6.0
 """Longer than a leader acts without renewing, and than runs go on without an agent."""
 
+SHORTEST_CUT_SECONDS = 6.0
+LONGEST_CUT_SECONDS = 11.0
+"""Longer than runs go on without a leader, and than the next one waits for them."""
+ZONE_CUT = "zone cut"
+ZONES_CUT = 2
+"""Each of the first so many zones has an entry and an agent."""
+REFUSALS_SHARE = 12
+"""Nearly half of all faults: most seeds see two cuts, one around the leader, and few
+other faults meanwhile, which would hide what the cut alone does."""
+
 
 @dataclass(order=True)
 class _Due:
@@ -25,8 +35,10 @@
 class Faults:
     """Strikes in an order that the seed decides; faults overlap."""
 
-    def __init__(self, deployment: SoakDeployment, seed: int) -> None:
-        """Begin with nothing wrong."""
+    def __init__(
+        self, deployment: SoakDeployment, seed: int, *, refusals: bool = False
+    ) -> None:
+        """Begin with nothing wrong; `refusals` adds zones cut off by refusals."""
         self.log: list[tuple[float, str]] = []
         """Wall clock seconds, and what was done."""
         self.killed: list[tuple[float, str]] = []
@@ -52,6 +64,8 @@
             self._configure,
             self._zone,
         ]
+        if refusals:
+            self._kinds += [self._refuse_zone] * REFUSALS_SHARE
 
     def play(self, seconds: float) -> None:
         """Strike for a while, then heal everything."""
@@ -183,6 +197,39 @@
         seconds = self._random.uniform(0.3, 4.0)
         self._strike(link.name, f"link {name} {switches}", seconds, link.faults)
 
+    def _refuse_zone(self) -> None:
+        """Cut the entry and the agent of a zone off together, by refusals.
+
+        All processes live, and those of a side go on with the connections that they
+        have among themselves. Sometimes new ones are refused on both sides.
+        """
+        inside = self._deployment.zone_names(self._random.randrange(ZONES_CUT))
+        seconds = self._random.uniform(SHORTEST_CUT_SECONDS, LONGEST_CUT_SECONDS)
+        both = self._random.random() < 0.5
+        outside = [p.name for p in self._programs() if p.name not in inside]
+        links = self._deployment.links
+        to_store = [links[f"{name}>store"] for name in inside]
+        to_peers = {name: links[f"peers>{name}"] for name in [*inside, *outside]}
+        struck = [*to_store, *to_peers.values()]
+        # What is inside lives on, and the end of a link's other fault would end this.
+        kept = {ZONE_CUT, *inside, *(link.name for link in struck)}
+        if self._struck & kept:
+            return
+        for link in to_store:
+            link.faults(refuse=True, cut=True)
+        for name, link in to_peers.items():
+            others = outside if name in inside else inside
+            link.faults(refuse=both or name in inside, reset_from=others)
+        self._struck |= kept
+
+        def heal() -> None:
+            self._struck -= kept
+            for link in struck:
+                link.faults()
+
+        what = f"refusals around {inside}{', of all new' if both else ''}"
+        self._strike(ZONE_CUT, what, seconds, heal)
+
     # ---- operators
 
     def _configure(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,21 +16,35 @@
 ENTRIES = 2
 AGENTS = 2
 CALLERS = 2
+REFUSALS = "refusals"
+"""In the list of seeds: played with zones cut off by refusals."""
 STRIKE_SECONDS = 12.0
 SETTLE_SECONDS = 40.0
 """After the last fault every accepted job must end in this time: what was under way
 at the worst waits for leases to lapse (5.4 s) twice, and there is a backlog."""
 
 
-def play(seed: int, folder: Path, seconds: float = STRIKE_SECONDS) -> list[str]:
-    """Play one seed in `folder`; return the promises that were broken."""
+def play(
+    seed: int,
+    folder: Path,
+    seconds: float = STRIKE_SECONDS,
+    *,
+    refusals: bool = False,
+) -> list[str]:
+    """Play one seed in `folder`; return the promises that were broken.
+
+    Parameters: `refusals` adds zones that are cut off by refused connections, and
+    tasks that outlast such a cut.
+    """
     deployment = SoakDeployment(folder, entries=ENTRIES, agents=AGENTS)
     try:
         deployment.until_open()
-        callers = [Caller(deployment, seed, number) for number in range(CALLERS)]
+        callers = [
+            Caller(deployment, seed, number, long=refusals) for number in range(CALLERS)
+        ]
         for caller in callers:
             caller.start()
-        faults = Faults(deployment, seed)
+        faults = Faults(deployment, seed, refusals=refusals)
         faults.play(seconds)
         for caller in callers:
             caller.stopping.set()
@@ -64,14 +78,15 @@
         ]
 
 
-def _numbers(seeds: str) -> list[int]:
+def _numbers(seeds: str, refusals: bool) -> list[tuple[int, bool]]:
     first, _, last = seeds.partition("-")
-    return list(range(int(first), int(last or first) + 1))
+    return [(seed, refusals) for seed in range(int(first), int(last or first) + 1)]
 
 
-def _listed(path: Path) -> list[int]:
+def _listed(path: Path) -> list[tuple[int, bool]]:
     lines = path.read_text().splitlines()
-    return [int(line.split("|")[0]) for line in lines if line[:1].isdigit()]
+    words = [line.split("|")[0].split() for line in lines if line[:1].isdigit()]
+    return [(int(seed), REFUSALS in more) for seed, *more in words]
 
 
 def main(
@@ -80,16 +95,19 @@
     seeds_file: Path | None = None,
     keep: Path | None = None,
     seconds: float = STRIKE_SECONDS,
+    refusals: bool = False,
 ) -> int:
     """Play seeds; the exit code is 1 where a promise was broken.
 
     Parameters: `seeds` such as `1-50`; `seeds_file` names seeds instead, one a line;
-    `keep` is a folder for the logs of failed seeds; `seconds` of faults a seed.
+    `keep` is a folder for the logs of failed seeds; `seconds` of faults a seed;
+    `refusals` cuts zones off by refused connections too.
     """
     failed = []
-    for seed in _listed(seeds_file) if seeds_file else _numbers(seeds):
+    chosen = _listed(seeds_file) if seeds_file else _numbers(seeds, refusals)
+    for seed, refused in chosen:
         with tempfile.TemporaryDirectory() as name:
-            found = play(seed, Path(name), seconds)
+            found = play(seed, Path(name), seconds, refusals=refused)
             if found and keep is not None:
                 shutil.copytree(name, keep / f"seed-{seed}", dirs_exist_ok=True)
         print(f"seed {seed}: {'; '.join(found) if found else 'ok'}", flush=True)
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,6 +1,8 @@
 """A TCP link between a listening port and a target that can fail as networks do."""
 
 import asyncio
+import socket
+import struct
 from typing import Any
 
 import cyclopts
@@ -29,6 +31,9 @@
     `silent` and `cut` act once, on the connections open at that moment: the first
     swallows their bytes for good, the second closes them. `silent_new` swallows
     those of every connection. `hold` keeps bytes back and delivers them on release.
+    While `refuse` is set nobody listens, so that new connections are refused.
+    `reset_from` resets the connections of peers that name themselves so in their
+    first bytes, new ones too.
     """
 
     silent: bool = False
@@ -36,6 +41,8 @@
     cut: bool = False
     delay_seconds: float = 0.0
     hold: bool = False
+    refuse: bool = False
+    reset_from: list[str] = []
 
 
 class Connection:
@@ -46,19 +53,52 @@
         self.client = client
         self.server = server
         self.silent = False
+        self.opening = b""
+        """The first bytes of the client."""
 
     def close(self) -> None:
         """Close both sides."""
         self.client.close()
         self.server.close()
 
+    def reset(self) -> None:
+        """Close both sides with a reset in place of a goodbye."""
+        for stream in (self.client, self.server):
+            if not stream.closed():
+                stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+        self.close()
 
-class Link(TCPServer):
+    def is_from(self, names: list[str]) -> bool:
+        """Tell whether the client named itself as one of these."""
+        return any(name.encode() in self.opening for name in names)
+
+
+class _Listener(TCPServer):
+    """Accepts for a link while it listens; one that has stopped is not used again."""
+
+    def __init__(self, link: "Link", sockets: list[socket.socket]) -> None:
+        super().__init__()
+        self._link = link
+        self.add_sockets(sockets)
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Let the link relay it."""
+        await self._link.relay(stream)
+
+
+class Link:
     """All state of the link."""
 
-    def __init__(self, target_port: int, target_host: str = HOST) -> None:
+    def __init__(
+        self, host: str, port: int, target_port: int, target_host: str = HOST
+    ) -> None:
         """Relay to a port on loopback."""
-        super().__init__()
+        sockets = bind_sockets(port, host)
+        self.host = host
+        self.port = int(sockets[0].getsockname()[1])
+        self._listener: _Listener | None = _Listener(self, sockets)
         self.target_port = target_port
         self.target_host = target_host
         self.switches = Switches(Faults)
@@ -79,7 +119,7 @@
             "swallowed_bytes": self.swallowed_bytes,
         }
 
-    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+    async def relay(self, stream: IOStream) -> None:
         """Relay one connection until both its directions have ended."""
         try:
             server = await TCPClient().connect(self.target_host, self.target_port)
@@ -109,6 +149,10 @@
         try:
             while True:
                 chunk = await source.read_bytes(CHUNK_BYTES, partial=True)
+                if source is connection.client and not connection.opening:
+                    connection.opening = chunk
+                    if connection.is_from(self.switches.now.reset_from):
+                        connection.reset()
                 await queue.put((self._due(), chunk))
         except StreamClosedError:
             await queue.put((self._due(), b""))
@@ -148,14 +192,24 @@
         for connection in list(self.connections):
             if after.cut:
                 connection.close()
+            elif connection.is_from(after.reset_from):
+                connection.reset()
             if after.silent or after.silent_new:
                 connection.silent = True
         after.cut = after.silent = False
+        self._listen(not after.refuse)
         if after.hold:
             self._released.clear()
         else:
             self._released.set()
 
+    def _listen(self, wanted: bool) -> None:
+        if self._listener is not None and not wanted:
+            self._listener.stop()
+            self._listener = None
+        elif self._listener is None and wanted:
+            self._listener = _Listener(self, bind_sockets(self.port, self.host))
+
 
 def main(
     *,
@@ -168,15 +222,13 @@
     """Relay from a loopback port to a loopback port."""
 
     async def start() -> dict[str, Any]:
-        link = Link(target_port, target_host)
-        sockets = bind_sockets(port, host)
-        link.add_sockets(sockets)
+        link = Link(host, port, target_port, target_host)
         routes = [
             ("/faults", FaultsHandler, {"switches": link.switches}),
             ("/record", RecordHandler, {"show": link.show}),
         ]
         return {
-            "port": sockets[0].getsockname()[1],
+            "port": link.port,
             "control_port": listen(routes, control_port),
         }
 
