VMs that fail all they start are left alone until one run does well

Cause: such a VM was passed over only as a preference among the VMs with room. In a full pool it alone had room, again after each failure, and it alone had changed since the last round, so each waiting task spent its attempts there. Mend: after three failures in a row nothing starts on the VM; after 6 s one run tries it. It holds while up to a quarter of the pool fails: beyond that it is likelier the work. The scenarios failed first: jobs "busy" and "builds" failed; no trial run on the first VM.

--- a/features/scheduling/order.feature
+++ b/features/scheduling/order.feature
@@ -37,6 +37,39 @@
     And job "a" of 4 tasks comes
     Then only the second VM runs tasks
 
+  Scenario: Builds wait for room rather than run where everything fails
+    # Builds of a full pool were shown as failed although nothing was wrong with them. One
+    # worker began to fail all it started, at once: so it alone had room again and again,
+    # and each waiting build spent all its attempts there, however much it was to be
+    # passed over. A preference among the VMs with room is none where only one has any.
+    Given 8 VMs of 32 cores
+    And filling tasks have taken all cores
+    And job "builds" of 12 filling tasks of image "build"
+    When the first VM fails all it starts, and 3 s pass
+    Then no job has failed
+    And the first VM started at most 12 tasks
+    When the tasks elsewhere succeed, and 3 s pass
+    Then job "builds" runs away from the first VM
+
+  Scenario: A VM where everything failed is tried with one task, then used again
+    # A sound VM after a bad spell. Were it opened at once, a VM's worth of tasks would lose
+    # an attempt each time it is looked at; were it left alone, its room would be lost.
+    Given 8 VMs of 32 cores
+    And filling tasks have taken all cores
+    And job "builds" of 12 filling tasks of image "build"
+    When the first VM fails all it starts, and 3 s pass
+    And 6 s pass in which it fails nothing
+    Then 1 task runs on the first VM
+    When that task succeeds, and 1 s passes
+    Then 8 tasks run on the first VM
+
+  Scenario: Where most VMs fail what they start they are used all the same
+    # Work that can't be done fails wherever it starts. Were VMs closed for that, what
+    # could be done would find no room anywhere.
+    Given 8 VMs of 32 cores
+    When on 4 VMs everything fails, and job "wide" of 64 filling tasks comes
+    Then job "wide" runs on all VMs
+
   Scenario: Short urgent work goes before urgent work that lasts
     # Serving tasks took each core that became free; short checks beside them waited for
     # seconds and were late, though they leave again at once.
--- a/wagtailcleat/scheduling/placing.py
+++ b/wagtailcleat/scheduling/placing.py
@@ -14,7 +14,7 @@
 from wagtailcleat.scheduling.book import Book, JobEntry, StepKey, Task, TaskState
 from wagtailcleat.scheduling.models import RunKey
 from wagtailcleat.scheduling.order import rank
-from wagtailcleat.scheduling.placement import choose
+from wagtailcleat.scheduling.placement import choose, labelled
 from wagtailcleat.scheduling.sharing import STRAINED_ADDED, Sharing
 from wagtailcleat.scheduling.vms import Hosted, Vm
 
@@ -27,6 +27,12 @@
 """
 FULL_SHARE = 0.6
 """Share of a pool's cores that may be committed for that; beyond, waiting is right."""
+MOST_SHUNNED = 0.25
+"""Share of a pool up to which nothing starts on VMs that failed all of late.
+
+Where more of them fail, it is likelier that the work fails wherever it runs, and
+closing the VMs would keep sound work waiting.
+"""
 MAX_STARTS_PER_ROUND = 400
 """Bounds the time of one round: the loop must answer reports meanwhile."""
 
@@ -72,6 +78,8 @@
         """The VMs of the pools that have changed since the last round."""
         self._committed_by_service: dict[ServiceName, float] = {}
         self._vm_by_node: dict[NodeId, Vm] = {}
+        self._shuns: dict[tuple[ServiceName, str], bool] = {}
+        """Whether VMs where all failed are left alone, by service and label."""
 
     def __repr__(self) -> str:
         """Show how much waits without room."""
@@ -107,11 +115,12 @@
         self._fresh_by_service = {}
         self._committed_by_service = {}
         self._vm_by_node = {}
+        self._shuns = {}
         seen_by_node = {}
         for vm in vms:
             self._vm_by_node[vm.node] = vm
             usable = vm.usable and vm.zone not in zones_out and now >= vm.closed_until
-            seen = vm.version, usable
+            seen = vm.version, usable and not vm.shunned(now)
             seen_by_node[vm.node] = seen
             changed = everything or seen != self._seen_by_node.get(vm.node)
             if changed:
@@ -196,7 +205,7 @@
         racks = self._racks(tasks)
 
         def lets_in(vm: Vm) -> bool:
-            if not self._granted(vm, waiting[0], now):
+            if not self._open(vm, waiting[0], now):
                 return False
             return not step.fills or self._sharing.lets_in(vm, step, now)
 
@@ -211,6 +220,23 @@
             racks[vm.rack] += 1
         return len(waiting)
 
+    def _open(self, vm: Vm, task: Task, now: float) -> bool:
+        """Tell whether a task may start on a VM, room aside."""
+        if vm.shunned(now) and self._shuns_for(task, now):
+            return False
+        return self._granted(vm, task, now)
+
+    def _shuns_for(self, task: Task, now: float) -> bool:
+        """Tell whether enough VMs are sound for a task to leave the others alone."""
+        key = task.entry.job.service, task.step.required_label
+        known = self._shuns.get(key)
+        if known is None:
+            pool = self._pool_by_service.get(key[0], [])
+            held = [vm for vm in pool if labelled(vm, task.step)]
+            shunned = sum(vm.shunned(now) for vm in held)
+            known = self._shuns[key] = shunned <= MOST_SHUNNED * len(held)
+        return known
+
     def _granted(self, vm: Vm, task: Task, now: float) -> bool:
         job = task.entry.job
         step = (task.key.occurrence, task.key.step)
@@ -240,7 +266,7 @@
         trial = _Trial(task.entry.job.id, step, squeezed=True)
         vms = self._candidates(trial, task.entry.job.service)
         racks = self._racks(tasks)
-        vms = [vm for vm in vms if self._granted(vm, task, now)]
+        vms = [vm for vm in vms if self._open(vm, task, now)]
         for calm in (lambda vm: not vm.serving, lambda vm: self._bears(vm, task)):
             vm = choose(vms, task, now=now, racks=racks, may_use=calm, squeezed=True)
             if vm is not None:
@@ -280,7 +306,7 @@
                 task,
                 now=now,
                 racks=racks,
-                may_use=lambda vm: self._granted(vm, tasks[0], now),
+                may_use=lambda vm: self._open(vm, tasks[0], now),
             )
             if vm is None:
                 break
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -13,6 +13,13 @@
 Tasks fail by their own fault at 3 to 8% of their runs, so that two in a row are
 chance in fewer than 1 of 150 cases, while a VM that fails everything shows at once.
 """
+FAILURES_TO_SHUN = 3
+"""Runs that failed in a row before nothing is started on a VM.
+
+A VM that fails all it starts is the one with room, over and over: passing it over helps
+only while others have room, and a waiting task spends all its attempts there. By chance
+three in a row come about once in 2,000 runs, and the next success ends it.
+"""
 AVOID_SECONDS = 6.0
 """How long a VM is passed over after its last failure, before it is tried again.
 
@@ -169,6 +176,21 @@
             return True
         return self.speed < SLOW_SPEED and now < self.speed_at + SLOW_SECONDS
 
+    def shunned(self, now: float) -> bool:
+        """Tell whether nothing is to be started here: all that was started failed.
+
+        After a pause one run tries the VM; others follow once it has done well, or has
+        worked on for as long as the pause.
+        """
+        if self.failures < FAILURES_TO_SHUN:
+            return False
+        if now < self.failed_at + AVOID_SECONDS:
+            return True
+        return any(
+            self.failed_at < run.ordered_at and now < run.ordered_at + AVOID_SECONDS
+            for run in self.hosted_by_run.values()
+        )
+
     def progressed(self, step: Step, percent: int, seconds: float, now: float) -> None:
         """Note by how many points a run went on in `seconds`.
 
