A worker's leave counts for the life that sent it

Callers would see a task start elsewhere while it goes on: a worker left and came back under its name, and its leave, held up, arrived after the next life's heartbeats; its runs counted as gone. Ruled out: the heartbeats, which tell lives apart already; a leave that names no life counts as before.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -17,3 +17,12 @@
     Given an agent whose worker listens at its VM's address
     When the worker runs a task and its port refuses 5 connections
     Then the task counts as lost
+
+  Scenario: A worker's leave is held up until its next life runs work
+    # A task was taken for gone and started elsewhere while it went on. A worker left
+    # and came back under its name; the word that it leaves arrived last.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and a leave of its earlier life arrives
+    Then the task still counts as running
+    When the leave of its present life arrives
+    Then its worker has left
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -11,7 +11,7 @@
 from wagtailcleat.cluster.hosting import Hosting
 from wagtailcleat.cluster.timing import RUN_HORIZON
 from wagtailcleat.ids import ServiceName, ZoneName
-from wagtailcleat.platform.heartbeats import Heartbeat
+from wagtailcleat.platform.heartbeats import Heartbeat, decode_leave
 from wagtailcleat.resources import Resources
 from wagtailcleat.scheduling.models import WorkerInfo, WorkerState
 
@@ -87,6 +87,11 @@
         self.loop.run_until_complete(stop())
         self.until(lambda: self.hosting.refusals >= count)
 
+    def leave(self, born):
+        body = json.dumps({"born": born}).encode()
+        left = self.hosting.leave("i-1", decode_leave(body))
+        self.loop.run_until_complete(left)
+
     def close(self):
         self.work.cancel()
         self.loop.run_until_complete(asyncio.sleep(0))
@@ -127,3 +132,20 @@
     world = context.hosting_world
     world.until(lambda: not world.hosting.running)
     assert world.hosting.listed, "the leader would not take this in"
+
+
+@when("the worker runs a task and a leave of its earlier life arrives")
+def step_late_leave(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    world.leave(BORN - 1000)
+
+
+@when("the leave of its present life arrives")
+def step_leave(context):
+    context.hosting_world.leave(BORN)
+
+
+@then("its worker has left")
+def step_left(context):
+    assert context.hosting_world.hosting.left
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -191,8 +191,13 @@
         if changed or new:
             self._on_change()
 
-    async def leave(self, instance: str) -> None:
-        """Note that the worker has left for good."""
+    async def leave(self, instance: str, born: int) -> None:
+        """Note that the worker has left for good, in the life that was born then."""
+        if self._life is not None and 0 < born < self._life.born:
+            # Held up on its way: the next life runs work, which would count as gone
+            # and start elsewhere while it goes on.
+            log.info("Late leave", extra={"worker": instance})
+            return
         log.info("Worker left", extra={"worker": instance})
         if self.info is not None and self.info.id == instance:
             self.info = None
--- a/wagtailcleat/platform/heartbeats.py
+++ b/wagtailcleat/platform/heartbeats.py
@@ -43,7 +43,8 @@
 
 
 Beat = Callable[[Heartbeat], Awaitable[None]]
-Leave = Callable[[str], Awaitable[None]]
+Leave = Callable[[str, int], Awaitable[None]]
+"""Takes in that a worker leaves, in the life that was born then; 0: it does not say."""
 
 
 def decode_heartbeat(instance: str, body: bytes) -> Heartbeat:
@@ -74,6 +75,14 @@
     return Heartbeat(worker, text(raw, "addr"), whole(raw, "seq"), seconds)
 
 
+def decode_leave(body: bytes) -> int:
+    """Return in which life a worker leaves; 0 where it does not say."""
+    try:
+        return whole(read_object(body), "born", default=0)
+    except BodyError:
+        return 0
+
+
 def _capacity(raw: dict[str, Any]) -> Resources:
     return Resources(
         number(raw, "cpu", default=0) / MILLICORES,
@@ -106,7 +115,7 @@
         self._leave = leave
 
     async def post(self, instance: str) -> None:
-        await self._leave(instance)
+        await self._leave(instance, decode_leave(self.request.body))
         self.finish({})
 
 
