--- /dev/null
+++ b/wagtailcleat/cluster/jobs.py
@@ -0,0 +1,159 @@
+"""The jobs as the store holds them, taken into the leader's book."""
+
+import asyncio
+from collections.abc import Callable
+
+from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.keys import (
+    CANCELLED,
+    JOB_PREFIX,
+    RECORD_PREFIX,
+    decode,
+    job_key,
+    record_key,
+)
+from wagtailcleat.cluster.office import Office
+from wagtailcleat.cluster.timing import JOBS_WAIT
+from wagtailcleat.ids import JobId
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.scheduling.book import JobEntry
+from wagtailcleat.scheduling.models import Job, JobRecord
+from wagtailcleat.scheduling.scheduler import Scheduler
+from wagtailcleat.storage import (
+    Absent,
+    Changes,
+    Found,
+    HistoryGone,
+    Listing,
+    Unavailable,
+)
+from wagtailcleat.wire.scheduling import Report
+
+RETRY_SECONDS = 0.2
+"""Pause after a call to the store that failed."""
+
+
+class Jobs:
+    """What one epoch's leader learns of jobs, from the store and by message."""
+
+    def __init__(
+        self,
+        office: Office,
+        scheduler: Scheduler,
+        *,
+        store: KeyValueStore,
+        clock: Clock,
+        wall_clock: Clock,
+        on_change: Callable[[], None],
+        on_cancel: Callable[[], None],
+    ) -> None:
+        """Wire it; `on_change` is called with each key, `on_cancel` as a job ends."""
+        self._office = office
+        self._scheduler = scheduler
+        self._store = store
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._on_change = on_change
+        self._on_cancel = on_cancel
+        self._revision = 0
+        """Of the store, up to which all is taken in."""
+        self._gone: set[JobId] = set()
+        """Jobs that the store does not have, although runs of them were listed."""
+
+    def __repr__(self) -> str:
+        """Show up to where the store is known."""
+        return f"<Jobs up to revision {self._revision}>"
+
+    async def restore(self) -> None:
+        """Take in all jobs and what is stored of their progress."""
+        jobs = await listed(self._store, JOB_PREFIX)
+        records = await listed(self._store, RECORD_PREFIX)
+        self._revision = jobs.store_revision
+        found_by_key = {found.key: found for found in records.found}
+        for found in jobs.found:
+            if not found.key.endswith(CANCELLED):
+                job = JobId(found.key.removeprefix(JOB_PREFIX))
+                record = found_by_key.get(record_key(job))
+                self.add(job, found.value, found.mod_revision, record)
+        for found in jobs.found:
+            self._take_key(found.key, found.value, found.mod_revision)
+
+    def add(
+        self, job: JobId, data: bytes, revision: int, record: Found | None = None
+    ) -> JobEntry:
+        """Add a job that the store got at `revision`; 0 where that is not known."""
+        entry = self._scheduler.book.entry_by_id.get(job)
+        if entry is None:
+            entry = self._scheduler.book.add(
+                decode(data, Job),
+                now=self._clock(),
+                wall_now=self._wall_clock(),
+                record=decode(record.value, JobRecord) if record else None,
+                store_revision=record.mod_revision if record else 0,
+            )
+            # An earlier leader may have started it at an agent not heard of yet.
+            entry.settled = not self._scheduler.unheard
+        alone_from = self._office.alone_revision
+        if alone_from is not None and revision > alone_from:
+            entry.settled = True
+        return entry
+
+    async def known(self, report: Report) -> bool:
+        """Learn of the jobs whose runs a report names; False if one is in doubt.
+
+        A leader before may have started a job that this one's watch has not told of
+        yet. Its runs would be stopped, and its ends acknowledged, as if of a job that
+        is gone: a task that has succeeded would run again, one that runs run twice.
+        """
+        keys = [running.key for running in report.running]
+        keys += [ended.key for ended in report.ended] + report.unsettled
+        known = self._scheduler.book.entry_by_id
+        for job in {key.task.job for key in keys}:
+            if job in known or job in self._gone:
+                continue
+            # It was stored before it was started, so that the store has it by now.
+            found = await self._store.get(job_key(job))
+            if isinstance(found, Unavailable):
+                return False
+            if isinstance(found, Absent):
+                self._gone.add(job)
+                continue
+            self.add(job, found.value, found.mod_revision)
+        return True
+
+    async def watch(self) -> None:
+        """Take in what is stored, for ever."""
+        while True:
+            changes = await self._store.changes(
+                JOB_PREFIX, self._revision, wait_seconds=JOBS_WAIT
+            )
+            if isinstance(changes, Changes):
+                for event in changes.events:
+                    if event.value is not None:
+                        self._take_key(event.key, event.value, event.mod_revision)
+                self._revision = max(self._revision, changes.store_revision)
+            elif isinstance(changes, HistoryGone):
+                listing = await listed(self._store, JOB_PREFIX)
+                for found in listing.found:
+                    self._take_key(found.key, found.value, found.mod_revision)
+                self._revision = listing.store_revision
+            else:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def _take_key(self, key: str, value: bytes, revision: int) -> None:
+        if not key.endswith(CANCELLED):
+            self.add(JobId(key.removeprefix(JOB_PREFIX)), value, revision)
+        else:
+            job = JobId(key.removeprefix(JOB_PREFIX).removesuffix(CANCELLED))
+            self._scheduler.cancel(job, now=self._clock(), wall_now=self._wall_clock())
+            self._on_cancel()
+        self._on_change()
+
+
+async def listed(store: KeyValueStore, prefix: str) -> Listing:
+    """Return all keys under a prefix, once the store answers."""
+    while True:
+        listing = await store.list(prefix)
+        if isinstance(listing, Listing):
+            return listing
+        await asyncio.sleep(RETRY_SECONDS)
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -6,36 +6,23 @@
 from typing import Any
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.jobs import Jobs, listed
 from wagtailcleat.cluster.keys import (
     AGENT_PREFIX,
-    CANCELLED,
-    JOB_PREFIX,
-    RECORD_PREFIX,
     Place,
     decode,
-    job_key,
-    record_key,
 )
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.office import Office
 from wagtailcleat.cluster.records import Records
-from wagtailcleat.cluster.timing import GIVE_UP_AFTER, JOBS_WAIT, STOP_AGAIN
+from wagtailcleat.cluster.report_order import ReportOrder
+from wagtailcleat.cluster.timing import GIVE_UP_AFTER, STOP_AGAIN
 from wagtailcleat.errors import Code
-from wagtailcleat.ids import Incarnation, JobId, NodeId, ZoneName
+from wagtailcleat.ids import NodeId, ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.keyvalue import KeyValueStore
-from wagtailcleat.scheduling.book import JobEntry
-from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.scheduling.scheduler import Scheduler
-from wagtailcleat.storage import (
-    Absent,
-    Changes,
-    Found,
-    HistoryGone,
-    Listing,
-    Unavailable,
-)
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import AnyMessage, Refused
 from wagtailcleat.wire.parts import Lost
@@ -106,16 +93,19 @@
             status_kept=status_kept,
             on_progress=self._wake.set,
         )
-        self._revision = 0
-        self._gone: set[JobId] = set()
-        """Jobs that the store does not have, although runs of them were listed."""
+        self._jobs = Jobs(
+            office,
+            self.scheduler,
+            store=store,
+            clock=clock,
+            wall_clock=wall_clock,
+            on_change=self._wake.set,
+            on_cancel=self._records.dirty.set,
+        )
+        self._report_order = ReportOrder()
         self._stream_by_node: dict[NodeId, Stream] = {}
         self._session_by_stream: dict[int, int] = {}
         self._sessions = 0
-        self._last_by_node: dict[NodeId, tuple[Incarnation, int]] = {}
-        """Life and number of the last report of each agent."""
-        self._past_lives: set[tuple[NodeId, Incarnation]] = set()
-        """Lives of agents that a later one has followed."""
         self._sending: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -135,7 +125,7 @@
         """Restore the book, then lead until cancelled."""
         await self._restore()
         supervisor = Supervisor(f"epoch-{self.office.epoch}")
-        supervisor.spawn("jobs", self._watch_jobs)
+        supervisor.spawn("jobs", self._jobs.watch)
         supervisor.spawn("records", self._records.run)
         supervisor.spawn("entries", self._keep_entries)
         supervisor.spawn("rounds", self._rounds)
@@ -151,22 +141,12 @@
     # ---- restoring
 
     async def _restore(self) -> None:
-        agents = await self._listed(AGENT_PREFIX)
+        agents = await listed(self._store, AGENT_PREFIX)
         for found in agents.found:
             node = NodeId(found.key.removeprefix(AGENT_PREFIX))
             self._records.restore_agent(node, found.mod_revision)
             self.scheduler.unheard.add(node)
-        jobs = await self._listed(JOB_PREFIX)
-        records = await self._listed(RECORD_PREFIX)
-        self._revision = jobs.store_revision
-        found_by_key = {found.key: found for found in records.found}
-        for found in jobs.found:
-            if not found.key.endswith(CANCELLED):
-                job = JobId(found.key.removeprefix(JOB_PREFIX))
-                record = found_by_key.get(record_key(job))
-                self._add(job, found.value, found.mod_revision, record)
-        for found in jobs.found:
-            self._take_job_key(found.key, found.value, found.mod_revision)
+        await self._jobs.restore()
         self.ready = True
         log.info(
             "Restored the book",
@@ -177,13 +157,6 @@
         )
         self._announce([decode(found.value, Place) for found in agents.found])
 
-    async def _listed(self, prefix: str) -> Listing:
-        while True:
-            listing = await self._store.list(prefix)
-            if isinstance(listing, Listing):
-                return listing
-            await asyncio.sleep(RETRY_SECONDS)
-
     def _announce(self, places: list[Place]) -> None:
         for place in places:
             self._spawn(self._tell(place))
@@ -193,26 +166,6 @@
             place.host, place.port, self._leadership.leader, timeout=ORDERS_TIMEOUT
         )
 
-    def _add(
-        self, job: JobId, data: bytes, revision: int, record: Found | None = None
-    ) -> JobEntry:
-        """Add a job that the store got at `revision`; 0 where that is not known."""
-        entry = self.scheduler.book.entry_by_id.get(job)
-        if entry is None:
-            entry = self.scheduler.book.add(
-                decode(data, Job),
-                now=self._now,
-                wall_now=self._wall_clock(),
-                record=decode(record.value, JobRecord) if record else None,
-                store_revision=record.mod_revision if record else 0,
-            )
-            # An earlier leader may have started it at an agent not heard of yet.
-            entry.settled = not self.scheduler.unheard
-        alone_from = self.office.alone_revision
-        if alone_from is not None and revision > alone_from:
-            entry.settled = True
-        return entry
-
     # ---- what callers and agents say
 
     async def submitted(self, message: Submitted) -> AnyMessage:
@@ -222,7 +175,7 @@
             # with both are on their way: entered without its record, the job would
             # begin anew. The lists or the watch after them bring it.
             return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
-        self._add(message.id, message.job, 0)
+        self._jobs.add(message.id, message.job, 0)
         self._wake.set()
         return StateShown("")
 
@@ -263,9 +216,9 @@
             # It may still take an order of the leader before: one that is on its way
             # would start what this report does not list, and it would start elsewhere.
             return FollowFirst(self.office.epoch)
-        if not await self._knows_jobs(message):
+        if not await self._jobs.known(message):
             return Refused(Code.UNAVAILABLE.value, "the store is asked for a job")
-        if self._overtaken(message):
+        if self._report_order.overtaken(message):
             return Refused(Code.CONFLICT.value, "a later report was taken in")
         session = self._session(message.node, stream)
         self.scheduler.take_report(
@@ -277,44 +230,6 @@
         self._records.dirty.set()
         return ReportTaken(self.office.epoch, self.office.valid_for(self._now))
 
-    async def _knows_jobs(self, report: Report) -> bool:
-        """Learn of the jobs whose runs a report names; False if one is in doubt.
-
-        A leader before may have started a job that this one's watch has not told of
-        yet. Its runs would be stopped, and its ends acknowledged, as if of a job that
-        is gone: a task that has succeeded would run again, one that runs run twice.
-        """
-        keys = [running.key for running in report.running]
-        keys += [ended.key for ended in report.ended] + report.unsettled
-        known = self.scheduler.book.entry_by_id
-        for job in {key.task.job for key in keys}:
-            if job in known or job in self._gone:
-                continue
-            # It was stored before it was started, so that the store has it by now.
-            found = await self._store.get(job_key(job))
-            if isinstance(found, Unavailable):
-                return False
-            if isinstance(found, Absent):
-                self._gone.add(job)
-                continue
-            self._add(job, found.value, found.mod_revision)
-        return True
-
-    def _overtaken(self, report: Report) -> bool:
-        # A report may be held up on a connection that its agent has given up, and come
-        # after later ones. It does not show what was started since: those runs would
-        # count as gone, and start elsewhere while they go on.
-        if (report.node, report.incarnation) in self._past_lives:
-            return True
-        life, number = self._last_by_node.get(report.node, (report.incarnation, 0))
-        if report.incarnation != life:
-            self._past_lives.add((report.node, life))
-            number = 0
-        if 0 < report.number <= number:
-            return True
-        self._last_by_node[report.node] = (report.incarnation, report.number)
-        return False
-
     def _session(self, node: NodeId, stream: Stream) -> int:
         if self._stream_by_node.get(node) is not stream:
             self._sessions += 1
@@ -423,33 +338,6 @@
 
     # ---- the store
 
-    async def _watch_jobs(self) -> None:
-        while True:
-            changes = await self._store.changes(
-                JOB_PREFIX, self._revision, wait_seconds=JOBS_WAIT
-            )
-            if isinstance(changes, Changes):
-                for event in changes.events:
-                    if event.value is not None:
-                        self._take_job_key(event.key, event.value, event.mod_revision)
-                self._revision = max(self._revision, changes.store_revision)
-            elif isinstance(changes, HistoryGone):
-                listing = await self._listed(JOB_PREFIX)
-                for found in listing.found:
-                    self._take_job_key(found.key, found.value, found.mod_revision)
-                self._revision = listing.store_revision
-            else:
-                await asyncio.sleep(RETRY_SECONDS)
-
-    def _take_job_key(self, key: str, value: bytes, revision: int) -> None:
-        if not key.endswith(CANCELLED):
-            self._add(JobId(key.removeprefix(JOB_PREFIX)), value, revision)
-        else:
-            job = JobId(key.removeprefix(JOB_PREFIX).removesuffix(CANCELLED))
-            self.scheduler.cancel(job, now=self._now, wall_now=self._wall_clock())
-            self._records.dirty.set()
-        self._wake.set()
-
     async def _keep_entries(self) -> None:
         while True:
             await self._leadership.look_after_entries(self.office)
