Each test run has a loopback network of its own

Suspected cause: ports are found free, given up and bound later, by all runs on the same addresses. Ruled out: the scenario itself (13 of 13 runs alone and five side by side).

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from standins.platform_cluster import HOST, PREFIX, free_ports
+from standins.platform_cluster import HOST, PREFIX, free_ports, host_of
 from standins.processes import wait_for
 from wagtailcleat.ids import JobId, ServiceName
 from wagtailcleat.logs import BoundedOutput
@@ -157,7 +157,7 @@
 @when("{count:d} fuzzed bodies are sent to the port of heartbeats")
 def step_fuzz_beats(context, count):
     cluster = context.cluster
-    control = f"http://127.0.1.2:{cluster.ports[4]}"
+    control = f"http://{host_of(2)}:{cluster.ports[4]}"
 
     def request(rng):
         path = f"/instances/x-{rng.randrange(10)}/" + rng.choice(
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from standins.platform_cluster import PREFIX, PlatformCluster, store_host
+from standins.platform_cluster import PREFIX, PlatformCluster, host_of, store_host
 from standins.processes import http, wait_for
 
 SECONDS = 20.0
@@ -277,7 +277,7 @@
 
 def _inside(context, path):
     cluster = context.cluster
-    return http("GET", f"http://127.0.1.1:{cluster.ports[1]}{path}").body
+    return http("GET", f"http://{host_of(1)}:{cluster.ports[1]}{path}").body
 
 
 # ---- faults
@@ -441,7 +441,7 @@
 def _until_store_lost(context, entry):
     # An entry that has no reason to call the store notices with the next submission.
     context.cluster.call("GET", PREFIX + secrets.token_hex(8), entry=entry)
-    url = f"http://127.0.1.{entry + 1}:{context.cluster.ports[1]}/metrics"
+    url = f"http://{host_of(entry + 1)}:{context.cluster.ports[1]}/metrics"
     wait_for(
         lambda: b"wagtailcleat_store_up 0.0" in http("GET", url).body,
         SECONDS,
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -5,10 +5,16 @@
 from typing import Any
 
 from standins.link import HOST
-from standins.platform_cluster import ZONES, PlatformCluster, Program, free_ports
+from standins.platform_cluster import (
+    NETWORK,
+    ZONES,
+    PlatformCluster,
+    Program,
+    free_ports,
+)
 from standins.processes import Process
 
-RELAY_NETWORK = "127.0.3"
+RELAY_NETWORK = f"{NETWORK}.3"
 """Peers are told addresses in here; the last number is that of the node's own."""
 LINK = "standins.link"
 
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import secrets
 import socket
 from base64 import b64decode, b64encode
@@ -19,6 +20,9 @@
 PREFIX = "/holds/"
 ADVISED = {"hint": {"decideMs": 1, "periodMs": 1, "validMs": 3000}}
 READY_SECONDS = 15.0
+NETWORK = f"127.{16 + os.getpid() % 224}"
+"""Loopback network of this test run: ports that one run has found free and not bound
+yet, or gave up for a restart, can't be taken by another run beside it."""
 STARTS_AT_ONCE = 4
 STARTED = "process: Started"
 
@@ -297,7 +301,7 @@
 
 def host_of(number: int) -> str:
     """Return the address of a node."""
-    return f"127.0.1.{number}"
+    return f"{NETWORK}.1.{number}"
 
 
 def free_ports(count: int, host: str = "") -> list[int]:
