--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -150,7 +150,7 @@
             self.now + VALID_SECONDS,
             renewed_at=self.now,
             claimed_at=self.now,
-            rivals_until=self.now,
+            predecessors_until=self.now,
         )
         self.leader = Leader(
             office,
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -159,7 +159,7 @@
 
     def decide(self) -> list:
         """Place, and return what would be sent as pairs of node and orders."""
-        self.scheduler.expire(now=self.now, rivals_until=self.claimed_at)
+        self.scheduler.expire(now=self.now, predecessors_until=self.claimed_at)
         self.scheduler.place(now=self.now, wall_now=self.wall_now)
         sent = self.scheduler.orders(now=self.now)
         self.starts += [
--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -18,7 +18,7 @@
     entry_key,
 )
 from wagtailcleat.cluster.office import Office
-from wagtailcleat.cluster.timing import LEADER_VALID, PROBE_EVERY, RIVAL_SECONDS
+from wagtailcleat.cluster.timing import LEADER_VALID, PREDECESSOR_SECONDS, PROBE_EVERY
 from wagtailcleat.ids import Epoch, NodeId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -188,7 +188,7 @@
             sent_at + LEADER_VALID,
             renewed_at=sent_at,
             claimed_at=now,
-            rivals_until=now if alone else now + RIVAL_SECONDS,
+            predecessors_until=now if alone else now + PREDECESSOR_SECONDS,
             alone_revision=revision if alone else None,
         )
 
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -12,9 +12,9 @@
 from wagtailcleat.cluster.keys import LEADER_KEY, decode
 from wagtailcleat.cluster.timing import (
     LOOK_AGAIN,
+    PREDECESSOR_SECONDS,
     REPORT_EVERY,
     REPORT_TIMEOUT,
-    RIVAL_SECONDS,
 )
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import Epoch
@@ -166,7 +166,7 @@
         # earlier life of this process may have been heard just before it ended, and the
         # leader before that one may still act: until it surely does not, the store
         # tells which epoch is the last.
-        if self._clock() - self._started_at > RIVAL_SECONDS:
+        if self._clock() - self._started_at > PREDECESSOR_SECONDS:
             return True
         found = await self._store.get(LEADER_KEY)
         if not isinstance(found, Found):
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -265,7 +265,7 @@
         # may still act, hears of it no more.
         surely_alone = min(now, self.office.renewed_at)
         for node in self.scheduler.expire(
-            now=surely_alone, rivals_until=self.office.rivals_until
+            now=surely_alone, predecessors_until=self.office.predecessors_until
         ):
             log.warning("Gave up the runs of an agent", extra={"agent": node})
             self._records.dirty.set()
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -5,8 +5,8 @@
 or its beat was seen to stand still for longer than a leader may act after a renewal. It
 also claims where the leader's port refuses connections; that proves nothing, and
 such a leader counts with the one before until that one's renewals have run out
-(`Office.rivals_until`). Leases of the store play no part: a key bound to one can vanish
-while its holder still counts on it.
+(`Office.predecessors_until`). Leases of the store play no part: a key bound to one can
+vanish while its holder still counts on it.
 
 While the store does not answer, a leader may act on the word of all other entries
 that they will not claim.
@@ -25,7 +25,7 @@
     Probe,
     connection_refused,
 )
-from wagtailcleat.cluster.tenure import LAY_DOWN_TRIES, Tenure
+from wagtailcleat.cluster.renewals import LAY_DOWN_TRIES, Renewals
 from wagtailcleat.cluster.timing import (
     CLAIM_AFTER,
     LEADER_VALID,
@@ -108,7 +108,7 @@
         self._claims = Claims(
             identity, place, store=store, clock=clock, learn=self._learn
         )
-        self._tenure = Tenure(
+        self._renewals = Renewals(
             store=store,
             peers=peers,
             others=self._others,
@@ -116,7 +116,7 @@
             leader=lambda: self.leader,
             learn=self._learn,
         )
-        self.look_after_entries = self._tenure.look_after_entries
+        self.look_after_entries = self._renewals.look_after_entries
         self._learned = asyncio.Condition()
         self._look_every = PROBE_EVERY
         self._learned_at = clock()
@@ -148,7 +148,7 @@
                 await self.lay_down()
             work = asyncio.create_task(self._lead(office))
             try:
-                await self._tenure.hold(office, work)
+                await self._renewals.hold(office, work)
             finally:
                 self.office = None
                 work.cancel()
@@ -214,7 +214,7 @@
         office = self.office
         if office is None:
             return
-        await self._tenure.lay_down(office)
+        await self._renewals.lay_down(office)
 
     # ---- following
 
--- a/wagtailcleat/cluster/office.py
+++ b/wagtailcleat/cluster/office.py
@@ -19,7 +19,7 @@
     renewed_at: float
     """When the last renewal that was granted was sent: until then, none had claimed."""
     claimed_at: float
-    rivals_until: float
+    predecessors_until: float
     """Until when a leader of an earlier epoch may act, at most."""
     alone_revision: int | None = None
     """What the store got after this revision, no earlier leader has acted on."""
--- a/wagtailcleat/cluster/tenure.py
+++ b/wagtailcleat/cluster/renewals.py
@@ -31,7 +31,7 @@
 """How long an entry leads at least before it gives way to a larger one."""
 
 
-class Tenure:
+class Renewals:
     """Holds the offices of this entry, one after the other."""
 
     def __init__(
@@ -54,7 +54,7 @@
 
     def __repr__(self) -> str:
         """Show who leads."""
-        return f"<Tenure under epoch {self._leader().epoch}>"
+        return f"<Renewals under epoch {self._leader().epoch}>"
 
     async def lay_down(self, office: Office) -> None:
         """End an office, and tell whoever may take it."""
@@ -66,7 +66,7 @@
 
     async def _store_lay_down(self, office: Office) -> None:
         # The word to the others can be lost; the store tells whoever looks.
-        alone = self._clock() >= office.rivals_until
+        alone = self._clock() >= office.predecessors_until
         for _ in range(LAY_DOWN_TRIES):
             outcome = await self._store.write(
                 Txn(_as_held(office), {BEAT_KEY: encode(Beat(alone, laid_down=True))})
@@ -94,7 +94,7 @@
     async def _renew(self, office: Office) -> bool:
         """Renew the office; False once another entry has it."""
         sent_at = self._clock()
-        alone = sent_at >= office.rivals_until
+        alone = sent_at >= office.predecessors_until
         outcome = await self._store.write(
             Txn(_as_held(office), {BEAT_KEY: encode(Beat(alone))})
         )
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -52,7 +52,7 @@
 """
 CLOCK_DRIFT = 1.02
 """A worker's clock may be this much slow (the platform's word)."""
-RIVAL_SECONDS = LEADER_VALID * CLOCK_DRIFT
+PREDECESSOR_SECONDS = LEADER_VALID * CLOCK_DRIFT
 """How long after a claim an earlier leader may act, at most, where nothing shows that
 it acts no more: its renewals and the words given to it are older than the claim."""
 GIVE_UP_AFTER = RUN_HORIZON * CLOCK_DRIFT + 0.3
--- a/wagtailcleat/scheduling/placing.py
+++ b/wagtailcleat/scheduling/placing.py
@@ -27,7 +27,7 @@
 """
 FULL_SHARE = 0.6
 """Share of a pool's cores that may be committed for that; beyond, waiting is right."""
-MOST_SHUNNED = 0.25
+MOST_QUARANTINED = 0.25
 """Share of a pool up to which nothing starts on VMs that failed all of late.
 
 Where more of them fail, it is likelier that the work fails wherever it runs, and
@@ -78,7 +78,7 @@
         """The VMs of the pools that have changed since the last round."""
         self._committed_by_service: dict[ServiceName, float] = {}
         self._vm_by_node: dict[NodeId, Vm] = {}
-        self._shuns: dict[tuple[ServiceName, str], bool] = {}
+        self._quarantines: dict[tuple[ServiceName, str], bool] = {}
         """Whether VMs where all failed are left alone, by service and label."""
 
     def __repr__(self) -> str:
@@ -115,12 +115,12 @@
         self._fresh_by_service = {}
         self._committed_by_service = {}
         self._vm_by_node = {}
-        self._shuns = {}
+        self._quarantines = {}
         seen_by_node = {}
         for vm in vms:
             self._vm_by_node[vm.node] = vm
             usable = vm.usable and vm.zone not in zones_out and now >= vm.closed_until
-            seen = vm.version, usable and not vm.shunned(now)
+            seen = vm.version, usable and not vm.quarantined(now)
             seen_by_node[vm.node] = seen
             changed = everything or seen != self._seen_by_node.get(vm.node)
             if changed:
@@ -222,19 +222,19 @@
 
     def _open(self, vm: Vm, task: Task, now: float) -> bool:
         """Tell whether a task may start on a VM, room aside."""
-        if vm.shunned(now) and self._shuns_for(task, now):
+        if vm.quarantined(now) and self._quarantines_for(task, now):
             return False
         return self._granted(vm, task, now)
 
-    def _shuns_for(self, task: Task, now: float) -> bool:
+    def _quarantines_for(self, task: Task, now: float) -> bool:
         """Tell whether enough VMs are sound for a task to leave the others alone."""
         key = task.entry.job.service, task.step.required_label
-        known = self._shuns.get(key)
+        known = self._quarantines.get(key)
         if known is None:
             pool = self._pool_by_service.get(key[0], [])
             held = [vm for vm in pool if labelled(vm, task.step)]
-            shunned = sum(vm.shunned(now) for vm in held)
-            known = self._shuns[key] = shunned <= MOST_SHUNNED * len(held)
+            quarantined = sum(vm.quarantined(now) for vm in held)
+            known = self._quarantines[key] = quarantined <= MOST_QUARANTINED * len(held)
         return known
 
     def _granted(self, vm: Vm, task: Task, now: float) -> bool:
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -346,11 +346,11 @@
         if vm is not None:
             vm.present = False
 
-    def expire(self, *, now: float, rivals_until: float) -> list[NodeId]:
+    def expire(self, *, now: float, predecessors_until: float) -> list[NodeId]:
         """Give up runs whose leases have surely lapsed; return the agents given up.
 
-        Parameters: `rivals_until` is the last moment at which an earlier leader may
-        have answered an agent that this one has not heard of.
+        Parameters: `predecessors_until` is the last moment at which an earlier leader
+        may have answered an agent that this one has not heard of.
         """
         given_up = []
         for vm in list(self.vm_by_node.values()):
@@ -361,7 +361,7 @@
             given_up.append(vm.node)
             del self.vm_by_node[vm.node]
             self.sharing.forget_vm(vm.node)
-        if self.unheard and now - rivals_until >= self._horizon:
+        if self.unheard and now - predecessors_until >= self._horizon:
             given_up += self.unheard
             self.unheard.clear()
             self._settle_if_all_heard()
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -13,7 +13,7 @@
 Tasks fail by their own fault at 3 to 8% of their runs, so that two in a row are
 chance in fewer than 1 of 150 cases, while a VM that fails everything shows at once.
 """
-FAILURES_TO_SHUN = 3
+FAILURES_TO_QUARANTINE = 3
 """Runs that failed in a row before nothing is started on a VM.
 
 A VM that fails all it starts is the one with room, over and over: passing it over helps
@@ -176,13 +176,13 @@
             return True
         return self.speed < SLOW_SPEED and now < self.speed_at + SLOW_SECONDS
 
-    def shunned(self, now: float) -> bool:
+    def quarantined(self, now: float) -> bool:
         """Tell whether nothing is to be started here: all that was started failed.
 
         After a pause one run tries the VM; others follow once it has done well, or has
         worked on for as long as the pause.
         """
-        if self.failures < FAILURES_TO_SHUN:
+        if self.failures < FAILURES_TO_QUARANTINE:
             return False
         if now < self.failed_at + AVOID_SECONDS:
             return True
