A leader that ends by an error says so

Callers would see starts stand still while one entry after the other begins to lead and ends: the error that ended it was dropped without a line.

--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -3,9 +3,9 @@
 The leader rewrites a second key, its beat. Another entry claims when the leader surely
 acts no more: another incarnation answers at its address, it has laid down its office,
 or its beat was seen to stand still for longer than a leader may act after a renewal. It
-also claims where the leader's port refuses connections; that proves nothing, and
-such a leader counts with the one before until that one's renewals have run out
-(`Office.predecessors_until`). Leases of the store play no part: a key bound to one can
+also claims where the leader's port refuses connections. That proves nothing: the new
+leader then waits until the renewals of the one before have surely run out, before it
+starts what that one may run (`Office.predecessors_until`). Leases of the store play no part: a key bound to one can
 vanish while its holder still counts on it.
 
 While the store does not answer, a leader may act on the word of all other entries
@@ -152,7 +152,9 @@
             finally:
                 self.office = None
                 work.cancel()
-                await asyncio.gather(work, return_exceptions=True)
+                (ended,) = await asyncio.gather(work, return_exceptions=True)
+                if isinstance(ended, Exception):
+                    log.error("Leading failed", exc_info=ended)
             log.info("Leads no more", extra={"epoch": office.epoch})
 
     # ---- messages of other processes
