--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -5,8 +5,8 @@
 or its beat was seen to stand still for longer than a leader may act after a renewal. It
 also claims where the leader's port refuses connections. That proves nothing: the new
 leader then waits until the renewals of the one before have surely run out, before it
-starts what that one may run (`Office.predecessors_until`). Leases of the store play no part: a key bound to one can
-vanish while its holder still counts on it.
+starts what that one may run (`Office.predecessors_until`). Leases of the store play no
+part: a key bound to one can vanish while its holder still counts on it.
 
 While the store does not answer, a leader may act on the word of all other entries
 that they will not claim.
