A worker whose process is gone is given nothing until it is back

Now a worker whose runs were given up counts as silent, and its agent refuses starts at once. Ruled out: changes of leader (epoch 1 led from -10.6 s to 8.5 s), the lists of ends. 'A worker whose process is gone is given nothing' failed first, passes; hosting 4 of 4, worker_faults 3 of 3.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -18,6 +18,17 @@
     When the worker runs a task and its port refuses 5 connections
     Then the task counts as lost
 
+  Scenario: A worker whose process is gone is given nothing
+    # Tasks of a crashed worker never ran again. Its runs were given up at once, so that
+    # the same VM looked free; they were started there, nobody answered, and the starts
+    # were in doubt for as long as the worker did not come back.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and its port refuses 5 connections
+    Then the task counts as lost
+    And the worker counts as silent
+    When a start is ordered
+    Then that start is refused at once
+
   Scenario: A worker's leave is held up until its next life runs work
     # A task was taken for gone and started elsewhere while it went on. A worker left
     # and came back under its name; the word that it leaves arrived last.
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -10,10 +10,16 @@
 
 from wagtailcleat.cluster.hosting import Hosting
 from wagtailcleat.cluster.timing import RUN_HORIZON
-from wagtailcleat.ids import ServiceName, ZoneName
+from wagtailcleat.ids import JobId, ServiceName, ZoneName
 from wagtailcleat.platform.heartbeats import Heartbeat, decode_leave
 from wagtailcleat.resources import Resources
-from wagtailcleat.scheduling.models import WorkerInfo, WorkerState
+from wagtailcleat.scheduling.models import (
+    RunKey,
+    Start,
+    TaskKey,
+    WorkerInfo,
+    WorkerState,
+)
 
 OWN_HOST = "127.0.1.9"
 OTHER_HOST = "127.0.1.10"
@@ -149,3 +155,27 @@
 @then("its worker has left")
 def step_left(context):
     assert context.hosting_world.hosting.left
+
+
+@then("the worker counts as silent")
+def step_silent(context):
+    world = context.hosting_world
+    assert world.hosting.silent_seconds(world.now) > 0.0
+
+
+@when("a start is ordered")
+def step_start(context):
+    world = context.hosting_world
+    context.start = Start(RunKey(TaskKey(JobId("aa" * 8), 0, 0, 0), 1), "")
+
+    async def order():
+        world.hosting.start(context.start)
+
+    world.loop.run_until_complete(order())
+
+
+@then("that start is refused at once")
+def step_start_refused(context):
+    world = context.hosting_world
+    world.until(lambda: not world.hosting.unsettled_by_run)
+    assert context.start.key in world.hosting.refusal_by_run
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -161,6 +161,10 @@
         if self._life is None or not self._life.lists:
             return 0.0
         silent = now - self._life.listed_at
+        if self._life.lapsed:
+            # Its runs were given up: to the leader the VM would look free, and what it
+            # started there would be in doubt until the worker comes back, if ever.
+            return max(silent, WORKER_SILENT)
         return silent if silent > WORKER_SILENT else 0.0
 
     def lease_seconds(self, now: float) -> float:
@@ -389,7 +393,7 @@
 
     async def _start(self, start: Start) -> None:
         life = self._life
-        if life is None or not life.lists or not self._startable():
+        if life is None or not life.lists or life.lapsed or not self._startable():
             self._refuse(start.key, Refusal.NOT_ALLOWED)
             return
         now = self._clock()
