Each serving job's own load is followed in time, and pairs learnt against it

Cause: the estimator took each report's swing (half of the load, period of seconds) for noise of variance 0.1, so that a pair of images took many seconds to be told apart, and harmless fillers were kept away while harmful ones came back. Now a level and a slope per serving job (Kalman, noise as observed) are shared by its tasks on all VMs, filling images count by the cores that they are reported to use, and errors of one VM are cut.

The pretended workers of the tests now report the cores that filling runs use, as real ones do.

--- a/features/scheduling/sharing.feature
+++ b/features/scheduling/sharing.feature
@@ -87,3 +87,16 @@
     # swings by half around 0.4 of their cores, and a burst of filling jobs of nine images
     # of which six press hard on two of three serving images (as fitted on users' days).
     Then in a burst beside swinging serving tasks, filling work gets on and targets hold
+
+  Scenario: Pairs that interfere are told from others while the loads of serving jobs swing
+    # Guards against slow learning: what a swing adds must not pass for a filling image.
+    Given two serving jobs on 4 VMs, with loads that swing in 10 s, each in its own phase
+    And one of three filling images adds much beside them, the others next to nothing
+    When runs of the filling images come and go on the VMs for 15 s
+    Then each filling image is known, and only the one counts as adding much
+
+  Scenario: A slow VM teaches little of a serving job that runs elsewhere too
+    # Guards against one VM's fault closing all VMs of a serving job to filling tasks.
+    Given two serving jobs on 4 VMs, with loads that swing in 10 s, each in its own phase
+    When one VM reports 5 times the load for 3 s
+    Then the load expected of both jobs is within 0.15 of their own
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -150,6 +150,7 @@
 
     def report(self, worker: PretendedWorker) -> None:
         """Deliver a worker's report."""
+        self._use_cores(worker)
         self.scheduler.take_report(
             worker.report(), worker.session, now=self.now, wall_now=self.wall_now
         )
@@ -157,6 +158,15 @@
         if vm is not None:
             vm.registered = True
 
+    def _use_cores(self, worker: PretendedWorker) -> None:
+        """Let filling runs report the cores that their pace allows them."""
+        for key in worker.running:
+            entry = self.scheduler.book.entry_by_id.get(key.task.job)
+            if entry is not None and entry.job.steps[key.task.step].fills:
+                pace = worker.pace_by_run.get(key, 100) / 100
+                cores = entry.job.steps[key.task.step].size.cores
+                worker.figure_by_run[key] = pace * cores
+
     def decide(self) -> list:
         """Place, and return what would be sent as pairs of node and orders."""
         self.scheduler.expire(now=self.now, predecessors_until=self.claimed_at)
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -10,7 +10,7 @@
     serving,
 )
 from features.steps.sharing_world import SwingingFleet
-from wagtailcleat.scheduling.press import LEAST_VARIANCE, Estimate
+from wagtailcleat.scheduling.interference import LEAST_VARIANCE, Estimate
 
 LEAST_DONE = 200
 """Of 240 tasks; the margin is for the order in which strangers come."""
@@ -115,8 +115,8 @@
 
 @then("its image is not taken to reach more than {share:g} alone")
 def step_alone(context, share):
-    presses = context.world.scheduler.sharing.presses
-    load = presses.idle("watch") / (1 - presses.base("watch"))
+    learnt = context.world.scheduler.sharing.interference
+    load = learnt.idle("watch") / (1 - learnt.base("watch"))
     assert load <= share, load
 
 
@@ -145,9 +145,9 @@
 
 
 def _know(context, image, press):
-    presses = context.world.scheduler.sharing.presses
+    learnt = context.world.scheduler.sharing.interference
     known = Estimate(press, LEAST_VARIANCE)
-    presses.press_by_pair["watch", image] = known
+    learnt.added_by_pair["watch", image] = known
 
 
 @given('a filling task of image "{image}" is known to slow nobody')
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -352,6 +352,7 @@
         Parameters: `predecessors_until` is the last moment at which an earlier leader
         may have answered an agent that this one has not heard of.
         """
+        self.sharing.interference.forget_unreported(now)
         given_up = []
         for vm in list(self.vm_by_node.values()):
             if now - vm.heard_at < self._horizon:
--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -1,39 +1,34 @@
 """Who fills beside tasks that serve, and at what pace.
 
-What a filling task adds to the strain of a serving one is known by pair of images
-(`press`) and goes from nothing to far too much. The serving ones' own strain swings so
-far that little can be added at its top: at a usual 0.55, in one report of twenty it is
-0.73, and 0.78 is the target. So filling tasks go where they add next to nothing; one
-that was never seen there may try while all is calm, one at a time. At each report those
-that press are paced after the room that is left, and while a target is missed those
-that press most leave.
+What a filling task adds to the utilization of a serving one is known by pair of images
+(`interference`) and goes from nothing to far too much. Filling tasks go where they add
+least; one whose image was not seen there yet may try while the load is low, one at a
+time. At each report those that add much are paced after the room that is left, and
+while a target is missed those that add most leave.
 """
 
-import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-from wagtailcleat.ids import NodeId
+from wagtailcleat.ids import JobId, NodeId
+from wagtailcleat.scheduling.interference import Interference, Reading
 from wagtailcleat.scheduling.models import Step
-from wagtailcleat.scheduling.press import Presses
 from wagtailcleat.scheduling.vms import Hosted, Vm
 
 FULL_PACE = 100
 MOST_ADDED = 0.12
-"""Strain that all filling tasks on a VM may add to a serving one there.
-
-Played on a heavy day and a calm one: 0.06 gives the filling class 0.18 and 0.71 of its
-worth, 0.10 0.29 and 0.90, 0.15 0.37 and 0.89; the serving class 0.88 and 0.96, 0.83 and
-0.92, 0.83 and 0.90.
-"""
+"""Utilization that all filling tasks on a VM may add to a serving one there."""
 STRAINED_ADDED = 0.2
 """The same where a job that had no turn is let in all the same."""
 AIM_LOAD = 0.8
-"""Load up to which tasks that press work on, and below which strangers may come.
-
-The rest up to 1 is for what changes between two reports: 0.3 s, and a figure is of the
-half second before.
-"""
+"""Load up to which tasks that add much work on, and below which unknown images may
+come; the rest up to 1 is for what changes between two reports."""
+AHEAD_SECONDS = 0.4
+"""How far ahead the load of serving tasks is predicted when paces are set: until the
+next report, and for an order to act."""
+RESIDUAL_WEIGHT = 0.3
+"""Weight of one report in what a VM's serving tasks have beyond what is expected."""
 OVER_LOAD = 0.95
 """Reported load from which the filling tasks that press most are sent away."""
 OVER_SECONDS = 1.0
@@ -45,9 +40,6 @@
 """Shortest time between two measures on one VM."""
 STRANGER_SECONDS = 0.7
 """Shortest time between two strangers on one VM: a report must show the first."""
-FIGURE_SECONDS = 0.4
-"""Time constant with which reports follow what works on a VM: figures are of half a
-second, and a pace takes a tenth of one to act."""
 SLOWEST_PACE = 10
 """Pace in percent below which a run is not worth its memory."""
 PACE_DOWN = 10
@@ -57,7 +49,14 @@
 PACE_RISE = 35
 """Largest step up: the load may be about to swing the other way."""
 LEAST_ADDED = 0.03
-"""Strain that a run adds below which its pace is left alone."""
+"""Utilization that a run adds below which its pace is left alone."""
+
+
+class ServingJob(NamedTuple):
+    """A job whose tasks serve, and their image."""
+
+    id: JobId
+    image: str
 
 
 @dataclass
@@ -74,10 +73,9 @@
 
     version: int = -1
     added_by_image: dict[str, float] = field(default_factory=dict)
-    """Strain that fills at full pace add, at most, by serving image."""
-    share_by_image: dict[str, float] = field(default_factory=dict)
-    """Share of the VM's cores that each filling image has worked on of late."""
-    shared_at: float = 0.0
+    """Utilization that fills at full pace add, at most, by serving image."""
+    residual_by_job: dict[JobId, float] = field(default_factory=dict)
+    """Utilization of each serving job here beyond what was expected, on average."""
     over_since: float | None = None
     over_at: float = -1e9
     stranger_at: float = -1e9
@@ -88,7 +86,7 @@
 class Sharing:
     """What was learnt of images that share VMs, and of the VMs."""
 
-    presses: Presses = field(default_factory=Presses)
+    interference: Interference = field(default_factory=Interference)
     _view_by_node: dict[NodeId, _View] = field(default_factory=dict)
 
     def forget_vm(self, node: NodeId) -> None:
@@ -100,12 +98,14 @@
     def observe(self, vm: Vm, now: float) -> None:
         """Learn from the latest report of a VM."""
         view = self._view(vm)
-        _follow(view, vm, now)
-        for hosted in _serving(vm):
-            if hosted.figure:
-                self.presses.learn(
-                    hosted.step.image, load_of(hosted), view.share_by_image
-                )
+        shares = _used_shares(vm)
+        residual_by_job = {}
+        for job, load in _reported_loads(vm):
+            reading = Reading(job.id, job.image, load, shares, now)
+            error = self.interference.learn(reading)
+            before = view.residual_by_job.get(job.id, 0.0)
+            residual_by_job[job.id] = before + RESIDUAL_WEIGHT * (error - before)
+        view.residual_by_job = residual_by_job
         over = any(load_of(hosted) >= OVER_LOAD for hosted in _serving(vm))
         if not over:
             view.over_since = None
@@ -121,7 +121,7 @@
         share = _share(vm, step)
         return max(
             (
-                self.presses.press(serving, step.image).cautious * share
+                self.interference.added(serving, step.image).cautious * share
                 for serving in self._added(vm)
             ),
             default=0.0,
@@ -139,9 +139,12 @@
         if now - view.stranger_at < STRANGER_SECONDS:
             return False
         share = _share(vm, step)
+        added_by_image = self._added(vm)
+        added = self.interference.added
         return all(
-            room >= self.presses.press(serving, step.image).cautious * share
-            for serving, room in self._room(vm, view).items()
+            room - added_by_image[job.image]
+            >= added(job.image, step.image).cautious * share
+            for job, room in self._room(vm, view, now).items()
         )
 
     def let_in(self, vm: Vm, step: Step, now: float) -> None:
@@ -152,16 +155,16 @@
     def bears(self, vm: Vm, step: Step, most: float) -> bool:
         """Tell whether one task more adds at most `most`, with those that are there."""
         share = _share(vm, step)
+        estimate = self.interference.added
         return all(
-            added + self.presses.press(serving, step.image).cautious * share <= most
+            added + estimate(serving, step.image).cautious * share <= most
             for serving, added in self._added(vm).items()
         )
 
     def strange(self, vm: Vm, image: str) -> bool:
         """Tell whether an image was not seen yet beside one that serves on a VM."""
-        return any(
-            not self.presses.press(serving, image).known for serving in self._added(vm)
-        )
+        estimate = self.interference.added
+        return any(not estimate(serving, image).known for serving in self._added(vm))
 
     # ---- pace
 
@@ -174,7 +177,7 @@
         if view.over_since is not None:
             measures = self._send_away(vm, view, fills, now)
         else:
-            measures = self._follow_load(vm, view, fills)
+            measures = self._follow_load(vm, view, fills, now)
         if measures:
             view.measured_at = now
         return measures
@@ -189,11 +192,12 @@
         image = worst.step.image
 
         def pressed(run: Hosted) -> float:
-            press = self.presses.press(image, run.step.image).cautious
+            press = self.interference.added(image, run.step.image).cautious
             return press * _share(vm, run.step) * run.pace / FULL_PACE
 
         blamed = now - view.over_since >= BLAME_SECONDS
-        too_much = -self._room_of(view, worst, self.presses.strain(image, AIM_LOAD))
+        utilization = self.interference.utilization
+        too_much = utilization(image, load_of(worst)) - utilization(image, AIM_LOAD)
         working = [run for run in fills if run.pace]
         measures: list[Measure] = []
         for run in sorted(working, key=pressed, reverse=True):
@@ -204,49 +208,38 @@
             measures.append(Measure(run, 0))
         return measures
 
-    def _follow_load(self, vm: Vm, view: _View, fills: list[Hosted]) -> list[Measure]:
-        room_by_image = self._room(vm, view)
+    def _follow_load(
+        self, vm: Vm, view: _View, fills: list[Hosted], now: float
+    ) -> list[Measure]:
+        room_by_job = self._room(vm, view, now)
         measures = []
         for run in fills:
-            pace = self._pace(vm, run, room_by_image)
+            pace = self._pace(vm, run, room_by_job)
             if pace <= run.pace - PACE_DOWN:
                 measures.append(Measure(run, pace))
             elif pace >= run.pace + PACE_UP or pace == FULL_PACE > run.pace:
                 measures.append(Measure(run, min(pace, run.pace + PACE_RISE)))
         return measures
 
-    def _room(self, vm: Vm, view: _View) -> dict[str, float]:
-        """Return the strain that may be added to what serves by itself now."""
-        room_by_image: dict[str, float] = {}
-        for hosted in _serving(vm):
-            image = hosted.step.image
-            room = self._room_of(view, hosted, self.presses.strain(image, AIM_LOAD))
-            room += self._adds_now(view, image)
-            room_by_image[image] = min(room, room_by_image.get(image, math.inf))
-        return room_by_image
-
-    def _room_of(self, view: _View, hosted: Hosted, aim: float) -> float:
-        """Return how far a serving run is below the strain `aim`; negative: above."""
-        image = hosted.step.image
-        if not hosted.figure:
-            return aim - self.presses.base(image) - self._adds_now(view, image)
-        return aim - self.presses.strain(image, load_of(hosted))
-
-    def _adds_now(self, view: _View, image: str) -> float:
-        return sum(
-            self.presses.press(image, filling).mean * share
-            for filling, share in view.share_by_image.items()
-        )
-
-    def _pace(self, vm: Vm, run: Hosted, room_by_image: dict[str, float]) -> int:
+    def _room(self, vm: Vm, view: _View, now: float) -> dict[ServingJob, float]:
+        """Return the utilization that may be added soon to each serving job's own."""
+        learnt = self.interference
+        soon = now + AHEAD_SECONDS
+        return {
+            job: learnt.utilization(job.image, AIM_LOAD)
+            - learnt.own(job.id, job.image, soon)
+            - view.residual_by_job.get(job.id, 0.0)
+            for job in {_job_of(hosted) for hosted in _serving(vm)}
+        }
+
+    def _pace(self, vm: Vm, run: Hosted, room_by_job: dict[ServingJob, float]) -> int:
         added_by_image = self._added(vm)
         share = _share(vm, run.step)
         part = 1.0
-        for serving, room in room_by_image.items():
-            press = self.presses.press(serving, run.step.image)
-            added = added_by_image.get(serving, 0.0)
-            if press.cautious * share >= LEAST_ADDED:
-                part = min(part, room / added)
+        for job, room in room_by_job.items():
+            estimate = self.interference.added(job.image, run.step.image)
+            if estimate.cautious * share >= LEAST_ADDED:
+                part = min(part, room / added_by_image[job.image])
         return max(SLOWEST_PACE, int(FULL_PACE * part))
 
     # ---- what is kept of a VM
@@ -273,30 +266,37 @@
             serving = hosted.step.image
             if serving not in view.added_by_image:
                 view.added_by_image[serving] = sum(
-                    self.presses.press(serving, image).cautious * share
+                    self.interference.added(serving, image).cautious * share
                     for image, share in share_by_image.items()
                 )
         view.version = vm.version
         return view.added_by_image
 
 
-def _follow(view: _View, vm: Vm, now: float) -> None:
-    """Let the shares of a VM's cores follow what works there, as figures do."""
-    current: dict[str, float] = {}
+def _used_shares(vm: Vm) -> dict[str, float]:
+    """Return the share of a VM's cores that each filling image uses."""
+    share_by_image: dict[str, float] = {}
+    if not vm.capacity.cores:
+        return share_by_image
     for run in vm.hosted_by_run.values():
-        if run.step.fills and run.listed:
-            share = _share(vm, run.step) * run.pace / FULL_PACE
-            current[run.step.image] = current.get(run.step.image, 0.0) + share
-    weight = 1 - math.exp(-(now - view.shared_at) / FIGURE_SECONDS)
-    view.shared_at = now
-    for image in current.keys() | view.share_by_image.keys():
-        before = view.share_by_image.get(image, 0.0)
-        view.share_by_image[image] = before + weight * (
-            current.get(image, 0.0) - before
-        )
-    view.share_by_image = {
-        image: share for image, share in view.share_by_image.items() if share > 1e-4
-    }
+        if run.step.fills and run.listed and run.figure:
+            share = run.figure / vm.capacity.cores
+            image = run.step.image
+            share_by_image[image] = share_by_image.get(image, 0.0) + share
+    return share_by_image
+
+
+def _reported_loads(vm: Vm) -> list[tuple[ServingJob, float]]:
+    """Return each serving job with the mean load that its tasks on a VM report."""
+    loads_by_job: dict[ServingJob, list[float]] = {}
+    for hosted in _serving(vm):
+        if hosted.figure:
+            loads_by_job.setdefault(_job_of(hosted), []).append(load_of(hosted))
+    return [(job, sum(loads) / len(loads)) for job, loads in loads_by_job.items()]
+
+
+def _job_of(hosted: Hosted) -> ServingJob:
+    return ServingJob(hosted.key.task.job, hosted.step.image)
 
 
 def load_of(hosted: Hosted) -> float:
