Filling tasks are paced before they are stopped, and use more of the cores that serving ones leave

And a single high report stopped runs, though reports vary by 0.08 of utilization for about a second, and the model's own error lasts: six tenths of it half a second.

Now 0.45 of serving cores count as used, the error of the last report lasts in part, paces aim at a load of 0.65, what adds next to nothing is let in always, and runs are stopped only after 0.8 s over target, those first that would add most at full pace.

--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -21,18 +21,23 @@
 """Utilization that all filling tasks on a VM may add to a serving one there."""
 STRAINED_ADDED = 0.2
 """The same where a job that had no turn is let in all the same."""
-AIM_LOAD = 0.8
+AIM_LOAD = 0.65
 """Load up to which tasks that add much work on, and below which unknown images may
 come; the rest up to 1 is for what changes between two reports."""
 AHEAD_SECONDS = 0.4
 """How far ahead the load of serving tasks is predicted when paces are set: until the
 next report, and for an order to act."""
-RESIDUAL_WEIGHT = 0.3
-"""Weight of one report in what a VM's serving tasks have beyond what is expected."""
+RESIDUAL_LASTING = 0.6
+"""Share of what a VM's serving tasks have beyond the expected that is taken to last."""
+START_PACE = 0.5
+"""Pace, as a share, that the room must allow a task that adds much to start."""
 OVER_LOAD = 0.95
 """Reported load from which the filling tasks that press most are sent away."""
 OVER_SECONDS = 1.0
 """How long nobody is let in on a VM after a serving run there was over its target."""
+STOP_SECONDS = 0.8
+"""How long a serving run may be over its target before what adds most to it leaves;
+until then it is paced."""
 BLAME_SECONDS = 1.8
 """How long a serving run may be over its target before all that fills beside it stops
 working, whatever is known of it; the users allow 4 s."""
@@ -75,7 +80,7 @@
     added_by_image: dict[str, float] = field(default_factory=dict)
     """Utilization that fills at full pace add, at most, by serving image."""
     residual_by_job: dict[JobId, float] = field(default_factory=dict)
-    """Utilization of each serving job here beyond what was expected, on average."""
+    """Utilization to expect of each serving job here beyond the job's elsewhere."""
     over_since: float | None = None
     over_at: float = -1e9
     stranger_at: float = -1e9
@@ -103,8 +108,7 @@
         for job, load in _reported_loads(vm):
             reading = Reading(job.id, job.image, load, shares, now)
             error = self.interference.learn(reading)
-            before = view.residual_by_job.get(job.id, 0.0)
-            residual_by_job[job.id] = before + RESIDUAL_WEIGHT * (error - before)
+            residual_by_job[job.id] = RESIDUAL_LASTING * error
         view.residual_by_job = residual_by_job
         over = any(load_of(hosted) >= OVER_LOAD for hosted in _serving(vm))
         if not over:
@@ -131,20 +135,27 @@
         """Tell whether a task of a filling step may start on a VM."""
         if not vm.serving:
             return True
+        if self.added(vm, step) < LEAST_ADDED and not self.strange(vm, step.image):
+            return True
         view = self._view(vm)
         if now - view.over_at < OVER_SECONDS:
             return False
-        if not self.strange(vm, step.image):
-            return self.bears(vm, step, MOST_ADDED)
-        if now - view.stranger_at < STRANGER_SECONDS:
-            return False
-        share = _share(vm, step)
+        if self.strange(vm, step.image):
+            calm = now - view.stranger_at >= STRANGER_SECONDS
+            return calm and self._has_room(vm, step, 1.0, now)
+        return self.bears(vm, step, MOST_ADDED) and self._has_room(
+            vm, step, START_PACE, now
+        )
+
+    def _has_room(self, vm: Vm, step: Step, pace: float, now: float) -> bool:
+        """Tell whether a task of a filling step could work at a pace for now."""
         added_by_image = self._added(vm)
         added = self.interference.added
+        share = pace * _share(vm, step)
         return all(
-            room - added_by_image[job.image]
-            >= added(job.image, step.image).cautious * share
-            for job, room in self._room(vm, view, now).items()
+            added_by_image[job.image] + added(job.image, step.image).cautious * share
+            <= room
+            for job, room in self._room(vm, self._view(vm), now).items()
         )
 
     def let_in(self, vm: Vm, step: Step, now: float) -> None:
@@ -174,7 +185,7 @@
         view = self._view(vm)
         if not fills or now - view.measured_at < ACT_SECONDS:
             return []
-        if view.over_since is not None:
+        if view.over_since is not None and now - view.over_since >= STOP_SECONDS:
             measures = self._send_away(vm, view, fills, now)
         else:
             measures = self._follow_load(vm, view, fills, now)
@@ -191,20 +202,21 @@
             return []
         image = worst.step.image
 
-        def pressed(run: Hosted) -> float:
-            press = self.interference.added(image, run.step.image).cautious
-            return press * _share(vm, run.step) * run.pace / FULL_PACE
+        def added(run: Hosted) -> float:
+            """Return what a run adds at full pace."""
+            estimate = self.interference.added(image, run.step.image)
+            return estimate.cautious * _share(vm, run.step)
 
         blamed = now - view.over_since >= BLAME_SECONDS
         utilization = self.interference.utilization
         too_much = utilization(image, load_of(worst)) - utilization(image, AIM_LOAD)
         working = [run for run in fills if run.pace]
         measures: list[Measure] = []
-        for run in sorted(working, key=pressed, reverse=True):
-            enough = too_much <= 0 or pressed(run) < LEAST_ADDED
+        for run in sorted(working, key=added, reverse=True):
+            enough = too_much <= 0 or added(run) < LEAST_ADDED
             if not blamed and enough and measures:
                 break
-            too_much -= pressed(run)
+            too_much -= added(run) * run.pace / FULL_PACE
             measures.append(Measure(run, 0))
         return measures
 
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -8,24 +8,16 @@
 from wagtailcleat.scheduling.models import RunKey, Step, WorkerInfo, WorkerState
 
 FAILURES_TO_AVOID = 2
-"""Runs of different tasks that failed in a row before a VM is passed over.
-
-Tasks fail by their own fault at 3 to 8% of their runs, so that two in a row are
-chance in fewer than 1 of 150 cases, while a VM that fails everything shows at once.
-"""
+"""Runs of different tasks that failed in a row before a VM is passed over; tasks fail
+by their own fault, too, but seldom twice in a row."""
 FAILURES_TO_QUARANTINE = 3
 """Runs that failed in a row before nothing is started on a VM.
 
 A VM that fails all it starts is the one with room, over and over: passing it over helps
-only while others have room, and a waiting task spends all its attempts there. By chance
-three in a row come about once in 2,000 runs, and the next success ends it.
+only while others have room, and a waiting task spends all its attempts there.
 """
 AVOID_SECONDS = 6.0
-"""How long a VM is passed over after its last failure, before it is tried again.
-
-Order of the length of the disturbances that make a VM fail all its work (4 to 7 s).
-"""
-
+"""How long a VM is passed over after its last failure, before it is tried again."""
 
 PERCENT = 100
 SLOW_SPEED = 0.4
@@ -35,12 +27,8 @@
 """For how long after the last sight of it; then it is tried again."""
 SPEED_WEIGHT = 0.3
 """Weight of one run's progress between two reports, a third of a second apart."""
-SERVING_USE = 0.7
-"""Share of its cores that a serving run is expected to use.
-
-Their load is 0.42 on average and swings by half; filling runs beside 46.8 committed of
-48 cores were seen to get 19.4.
-"""
+SERVING_USE = 0.45
+"""Share of its cores that a serving run is expected to use on average."""
 
 
 @dataclass(eq=False)
