What the leader has learnt of images is kept for the next one

Cause: pairs of images take seconds of trial to be known, in which serving tasks are harmed, and each change of leader began anew. It is advice: an unreadable value is logged and passed over. Two scenarios in leader.feature; before, there was no such key to run them on.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -79,3 +79,15 @@
     When an agent is out of touch until it is to be struck
     And the store answers again
     Then the store does not name the agent any more
+
+  Scenario: A new leader knows what the one before has learnt of images
+    # Guards against seconds of harm and idle room after each change of leader.
+    Given a leader that has learnt which images interfere
+    When the next leader begins
+    Then it knows the same images
+
+  Scenario: What an earlier version stored of images cannot be read
+    # Guards against a leader that fails on a value which is only advice.
+    Given a store whose learnt images are unreadable
+    When the next leader begins
+    Then it leads, and knows nothing of images
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -4,7 +4,8 @@
 
 from features.steps.leader_world import LeaderWorld
 from features.steps.scheduling_world import make_job, plain
-from wagtailcleat.cluster.keys import AGENT_PREFIX, agent_key, encode
+from wagtailcleat.cluster.keys import AGENT_PREFIX, LEARNT_KEY, agent_key, encode
+from wagtailcleat.scheduling.interference import Reading
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
@@ -227,3 +228,51 @@
     world = context.leading
     key = agent_key(world.workers[0].node)
     world.until(lambda: key not in world.store.found_by_key)
+
+
+READING = Reading("watch-job", "watch", 0.5, {"build": 0.1}, 100.0)
+
+
+def _learnt(world):
+    return world.leader.scheduler.sharing.interference.learnt()
+
+
+@given("a leader that has learnt which images interfere")
+def step_has_learnt(context):
+    world = _begin(context)
+    _lead(world)
+    for _ in range(20):
+        world.leader.scheduler.sharing.interference.learn(READING)
+    world.until(lambda: LEARNT_KEY in world.store.found_by_key)
+    context.learnt = _learnt(world)
+    assert context.learnt.added
+
+
+@given("a store whose learnt images are unreadable")
+def step_unreadable(context):
+    _begin(context).store.put(LEARNT_KEY, b"\xc1 not ours")
+
+
+@when("the next leader begins")
+def step_next_leader(context):
+    world = context.leading
+    if world.work is not None:
+        world.work.cancel()
+    world.lead(epoch=3)
+    world.until(lambda: world.leader.ready)
+    world.rounds()
+
+
+@then("it knows the same images")
+def step_knows(context):
+    restored = _learnt(context.leading)
+    assert [row[:3] for row in restored.added] == [
+        row[:3] for row in context.learnt.added
+    ], (restored, context.learnt)
+    assert restored.images == context.learnt.images
+
+
+@then("it leads, and knows nothing of images")
+def step_knows_nothing(context):
+    assert context.leading.leader.acting
+    assert not _learnt(context.leading).added
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -21,6 +21,7 @@
     Written,
 )
 from wagtailcleat.wire.messages import Done
+from wagtailcleat.wire.parts import Lost
 
 SECONDS = 10.0
 LOOK_SECONDS = 0.005
@@ -123,6 +124,12 @@
         return None
 
 
+class _Peers:
+    async def call(self, host, port, message, *, timeout):
+        """Reach nobody."""
+        return Lost(sent=False, reason="nobody there")
+
+
 class LeaderWorld:
     """One leader, and agents that report when they are told to."""
 
@@ -155,7 +162,7 @@
         self.leader = Leader(
             office,
             store=self.store,
-            peers=None,
+            peers=_Peers(),
             leadership=_Leadership(),
             clock=lambda: self.now,
             wall_clock=lambda: 1_800_000_000.0,
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -13,6 +13,7 @@
     decode,
 )
 from wagtailcleat.cluster.leadership import Leadership
+from wagtailcleat.cluster.learnt import keep_learnt
 from wagtailcleat.cluster.office import Office
 from wagtailcleat.cluster.records import Records
 from wagtailcleat.cluster.report_order import ReportOrder
@@ -129,6 +130,7 @@
         supervisor.spawn("records", self._records.run)
         supervisor.spawn("entries", self._keep_entries)
         supervisor.spawn("rounds", self._rounds)
+        supervisor.spawn("learnt", self._keep_learnt)
         if self._advice is not None:
             supervisor.spawn("advice", partial(self._ask_advice, self._advice))
         try:
@@ -338,6 +340,10 @@
 
     # ---- the store
 
+    async def _keep_learnt(self) -> None:
+        interference = self.scheduler.sharing.interference
+        await keep_learnt(interference, self.office, self._store)
+
     async def _keep_entries(self) -> None:
         while True:
             await self._leadership.look_after_entries(self.office)
--- a/wagtailcleat/scheduling/interference.py
+++ b/wagtailcleat/scheduling/interference.py
@@ -13,6 +13,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+import msgspec
+
 from wagtailcleat.ids import JobId
 
 FIRST_IDLE = 0.22
@@ -50,6 +52,8 @@
 FIRST_VARIANCE = 1.0
 LEAST_VARIANCE = 0.02
 """Keeps estimates open to change: what an image adds may differ within seconds."""
+RESTORED_VARIANCE = 0.1
+"""Least variance of what an earlier leader learnt: it may have changed since."""
 KNOWN_VARIANCE = 0.3
 """Below this a pair of images counts as known."""
 MAX_ADDED = 6.0
@@ -140,6 +144,15 @@
     return SLOPE_SECONDS * (1 - math.exp(-max(0.0, seconds) / SLOPE_SECONDS))
 
 
+class Learnt(msgspec.Struct, frozen=True, array_like=True):
+    """What outlasts a leader; the loads of serving jobs are told anew in seconds."""
+
+    added: list[tuple[str, str, float, float]] = []
+    """Rows of serving image, filling image, mean and variance."""
+    images: list[tuple[str, float, float]] = []
+    """Rows of serving image, idle load and mean utilization by itself."""
+
+
 @dataclass(frozen=True)
 class Reading:
     """Load of a serving job's tasks on one VM, as reported at a time."""
@@ -233,6 +246,29 @@
             if now - own.at > FORGET_SECONDS:
                 del self.own_by_job[job]
 
+    def learnt(self) -> Learnt:
+        """Return what the next leader should know."""
+        added = [
+            (serving, filling, round(part.mean, 3), round(part.variance, 3))
+            for (serving, filling), part in self.added_by_pair.items()
+        ]
+        images = [
+            (image, round(self.idle(image), 4), round(base, 3))
+            for image, base in self.base_by_image.items()
+        ]
+        return Learnt(added, images)
+
+    def restore(self, learnt: Learnt) -> None:
+        """Take over what an earlier leader learnt, where nothing is known yet."""
+        for serving, filling, mean, variance in learnt.added:
+            variance = max(variance, RESTORED_VARIANCE)
+            known = self.added_by_pair.get((serving, filling), UNKNOWN)
+            if variance < known.variance:
+                self.added_by_pair[serving, filling] = Estimate(mean, variance)
+        for image, idle, base in learnt.images:
+            self.idle_by_image[image] = min(self.idle(image), idle)
+            self.base_by_image.setdefault(image, base)
+
     def _estimate(self, serving: str, filling: str) -> Estimate:
         return self.added_by_pair.setdefault(
             (serving, filling), Estimate(FIRST_ADDED, FIRST_VARIANCE)
