The line of a start tells what decided it

Cause: from the logs it could not be told why a task started where it did: the line had a run and an agent, and a pace a number. Now a start tells its job's lateness and slack, and beside serving tasks the image that binds, what the task is expected to add, how sure that is, the room left and the age of the report; paces and stops tell the image that binds. No line more; bytes a line were not measured. The room is worked out once a report and not for each waiting task. Ruled out: a line of its own for each decision, which doubles the lines of a start.

--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -290,7 +290,10 @@
 
     def _log_orders(self, node: NodeId, orders: Orders) -> None:
         for start in orders.starts:
-            log.info("Starts", extra={"run": str(start.key), "agent": node})
+            hosted = self.scheduler.vm_by_node[node].hosted_by_run.get(start.key)
+            reason = hosted.reason.fields() if hosted and hosted.reason else {}
+            fields = {"run": str(start.key), "agent": node, **reason}
+            log.info("Starts", extra=fields)
 
     async def _send(self, stream: Stream, orders: Orders) -> None:
         answer = await stream.call(orders, timeout=ORDERS_TIMEOUT)
--- a/wagtailcleat/scheduling/order.py
+++ b/wagtailcleat/scheduling/order.py
@@ -86,14 +86,19 @@
 
 def lateness(entry: JobEntry, occurrence: int, wall_now: float) -> Lateness:
     """Tell when an occurrence can be done at best, from now on."""
+    slack = slack_seconds(entry, occurrence, wall_now)
+    if slack >= 0:
+        return Lateness.IN_TIME
+    if slack >= -(LATE_FACTOR - 1) * outlook(entry, occurrence).objective:
+        return Lateness.LATE
+    return Lateness.TOO_LATE
+
+
+def slack_seconds(entry: JobEntry, occurrence: int, wall_now: float) -> float:
+    """Return by how much an occurrence can be done before its objective, at best."""
     job = entry.job
     since = job.accepted_at
     if job.first_at:
         since = job.first_at + occurrence * job.interval
     left = outlook(entry, occurrence)
-    finish = wall_now + left.seconds
-    if finish <= since + left.objective:
-        return Lateness.IN_TIME
-    if finish <= since + LATE_FACTOR * left.objective:
-        return Lateness.LATE
-    return Lateness.TOO_LATE
+    return since + left.objective - wall_now - left.seconds
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -21,8 +21,10 @@
     RunKey,
     Start,
 )
+from wagtailcleat.scheduling.order import lateness, slack_seconds
 from wagtailcleat.scheduling.placing import Placing
-from wagtailcleat.scheduling.sharing import Sharing, shares
+from wagtailcleat.scheduling.reasons import Margin, StartReason
+from wagtailcleat.scheduling.sharing import Measure, Sharing, shares
 from wagtailcleat.scheduling.vms import Hosted, Vm
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -113,6 +115,7 @@
         """Agents that may run tasks and have not reported to this leader yet."""
         self._horizon = lease_horizon
         self._stop_again = stop_again
+        self._wall_now = 0.0
         self.advice = Advice()
         self._placing = Placing(
             epoch, self.book, self.sharing, self.advice, self._start
@@ -313,14 +316,15 @@
     def _share(self, vm: Vm, now: float) -> None:
         self.sharing.observe(vm, now)
         for measure in self.sharing.measures(vm, now):
-            self._measure(vm, measure.hosted, measure.pace, now)
+            self._measure(vm, measure, now)
 
-    def _measure(self, vm: Vm, hosted: Hosted, pace: int, now: float) -> None:
+    def _measure(self, vm: Vm, measure: Measure, now: float) -> None:
+        hosted, pace = measure.hosted, measure.pace
         if not pace and hosted.step.checkpointable:
             # It goes on from its checkpoint elsewhere, instead of holding memory here.
-            self._stop(vm, hosted, now, "it slows what serves here")
+            self._stop(vm, hosted, now, f"it slows what serves here: {measure.why}")
             return
-        self._note(Event.PACED, hosted.key, vm, str(pace))
+        self._note(Event.PACED, hosted.key, vm, f"{pace}: {measure.why}")
         hosted.pace = pace
         vm.altered(now)
         self._outgoing(vm.node).paces.append(Pace(hosted.key, pace))
@@ -418,6 +422,7 @@
 
     def place(self, *, now: float, wall_now: float) -> int:
         """Start as much waiting work as has room; return how many starts."""
+        self._wall_now = wall_now
         vms = self.vm_by_node.values()
         return self._placing.round(vms, self.zones_out, now=now, wall_now=wall_now)
 
@@ -430,6 +435,12 @@
             sent=False,
             progressed_at=now,
         )
+        occurrence = task.key.occurrence
+        hosted.reason = StartReason(
+            lateness(task.entry, occurrence, self._wall_now).name.lower(),
+            slack_seconds(task.entry, occurrence, self._wall_now),
+            self.sharing.margin(vm, task.step, now) if task.step.fills else Margin(),
+        )
         vm.host_run(hosted)
         if shares(task.step):
             vm.altered(now)
--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -15,6 +15,7 @@
 from wagtailcleat.scheduling.interference import Interference, Reading
 from wagtailcleat.scheduling.models import Step
 from wagtailcleat.scheduling.order import Lateness
+from wagtailcleat.scheduling.reasons import Margin
 from wagtailcleat.scheduling.vms import Hosted, Vm
 
 FULL_PACE = 100
@@ -72,6 +73,8 @@
 
     hosted: Hosted
     pace: int
+    why: str
+    """The serving image that binds, and how much too much or how much room there is."""
 
 
 @dataclass
@@ -81,8 +84,9 @@
     version: int = -1
     added_by_image: dict[str, float] = field(default_factory=dict)
     """Utilization that fills at full pace add, at most, by serving image."""
-    residual_by_job: dict[JobId, float] = field(default_factory=dict)
-    """Utilization to expect of each serving job here beyond the job's elsewhere."""
+    serving_jobs: set[ServingJob] = field(default_factory=set)
+    room_by_job: dict[ServingJob, float] = field(default_factory=dict)
+    """Utilization that may be added to each serving job's own until the next report."""
     over_since: float | None = None
     over_at: float = -1e9
     profiling_at: float = -1e9
@@ -106,12 +110,12 @@
         """Learn from the latest report of a VM."""
         view = self._view(vm)
         shares = _used_shares(vm)
-        residual_by_job = {}
+        view.room_by_job = {}
         for job, load in _reported_loads(vm):
             reading = Reading(job.id, job.image, load, shares, now)
             error = self.interference.learn(reading)
-            residual_by_job[job.id] = RESIDUAL_LASTING * error
-        view.residual_by_job = residual_by_job
+            room = self._room_of(job, now) - RESIDUAL_LASTING * error
+            view.room_by_job[job] = room
         over = any(load_of(hosted) >= OVER_LOAD for hosted in _serving(vm))
         if not over:
             view.over_since = None
@@ -154,6 +158,28 @@
             vm, step, START_PACE, now
         )
 
+    def margin(self, vm: Vm, step: Step, now: float) -> Margin:
+        """Return what a task of a filling step meets on a VM, for the log."""
+        room_by_job = self._room(vm, now)
+        if not room_by_job:
+            return Margin()
+        share = _share(vm, step)
+        added_by_image = self._added(vm)
+
+        def left(job: ServingJob) -> float:
+            adds = self.interference.added(job.image, step.image).cautious * share
+            return room_by_job[job] - added_by_image[job.image] - adds
+
+        job = min(room_by_job, key=left)
+        estimate = self.interference.added(job.image, step.image)
+        return Margin(
+            job.image,
+            estimate.cautious * share,
+            estimate.variance,
+            room_by_job[job] - added_by_image[job.image],
+            now - vm.listed_at,
+        )
+
     def _has_room(self, vm: Vm, step: Step, pace: float, now: float) -> bool:
         """Tell whether a task of a filling step could work at a pace for now."""
         added_by_image = self._added(vm)
@@ -162,7 +188,7 @@
         return all(
             added_by_image[job.image] + added(job.image, step.image).cautious * share
             <= room
-            for job, room in self._room(vm, self._view(vm), now).items()
+            for job, room in self._room(vm, now).items()
         )
 
     def admitted(self, vm: Vm, step: Step, now: float) -> None:
@@ -195,7 +221,7 @@
         if view.over_since is not None and now - view.over_since >= STOP_SECONDS:
             measures = self._evict(vm, view, fills, now)
         else:
-            measures = self._follow_load(vm, view, fills, now)
+            measures = self._follow_load(vm, fills, now)
         if measures:
             view.measured_at = now
         return measures
@@ -224,33 +250,42 @@
             if not blamed and enough and measures:
                 break
             too_much -= added(run) * run.pace / FULL_PACE
-            measures.append(Measure(run, 0))
+            measures.append(Measure(run, 0, f"{image} at {load_of(worst):.2f}"))
         return measures
 
-    def _follow_load(
-        self, vm: Vm, view: _View, fills: list[Hosted], now: float
-    ) -> list[Measure]:
-        room_by_job = self._room(vm, view, now)
+    def _follow_load(self, vm: Vm, fills: list[Hosted], now: float) -> list[Measure]:
+        room_by_job = self._room(vm, now)
         measures = []
         for run in fills:
             pace = self._pace(vm, run, room_by_job)
+            why = self._least_room(room_by_job)
             if pace <= run.pace - PACE_DOWN:
-                measures.append(Measure(run, pace))
+                measures.append(Measure(run, pace, why))
             elif pace >= run.pace + PACE_UP or pace == FULL_PACE > run.pace:
-                measures.append(Measure(run, min(pace, run.pace + PACE_RISE)))
+                pace = min(pace, run.pace + PACE_RISE)
+                measures.append(Measure(run, pace, why))
         return measures
 
-    def _room(self, vm: Vm, view: _View, now: float) -> dict[ServingJob, float]:
+    def _least_room(self, room_by_job: dict[ServingJob, float]) -> str:
+        if not room_by_job:
+            return "nobody serves"
+        job, room = min(room_by_job.items(), key=lambda item: item[1])
+        return f"{job.image} has room for {room:.2f}"
+
+    def _room(self, vm: Vm, now: float) -> dict[ServingJob, float]:
         """Return the utilization that may be added soon to each serving job's own."""
-        learnt = self.interference
-        soon = now + AHEAD_SECONDS
+        view = self._current(vm)
+        reported = view.room_by_job
         return {
-            job: learnt.utilization(job.image, AIM_LOAD)
-            - learnt.own(job.id, job.image, soon)
-            - view.residual_by_job.get(job.id, 0.0)
-            for job in {_job_of(hosted) for hosted in _serving(vm)}
+            job: reported[job] if job in reported else self._room_of(job, now)
+            for job in view.serving_jobs
         }
 
+    def _room_of(self, job: ServingJob, now: float) -> float:
+        """Return the room beside tasks of a serving job, by what is known elsewhere."""
+        aim = self.interference.utilization(job.image, AIM_LOAD)
+        return aim - self.interference.own(job.id, job.image, now + AHEAD_SECONDS)
+
     def _pace(self, vm: Vm, run: Hosted, room_by_job: dict[ServingJob, float]) -> int:
         added_by_image = self._added(vm)
         share = _share(vm, run.step)
@@ -267,29 +302,34 @@
         return self._view_by_node.setdefault(vm.node, _View())
 
     def _added(self, vm: Vm) -> dict[str, float]:
-        """Return what the fills at full pace add, at most, by serving image.
+        """Return what the fills at full pace add, at most, by serving image."""
+        return self._current(vm).added_by_image
 
-        Kept until the VM changes or reports: each waiting task asks for it. What is
-        learnt elsewhere meanwhile counts from the next report on.
+    def _current(self, vm: Vm) -> _View:
+        """Return what was worked out of a VM, anew once it has changed or reported.
+
+        Each waiting task asks for it. What is learnt elsewhere meanwhile counts from
+        the next report on.
         """
         view = self._view(vm)
         if view.version == vm.version:
-            return view.added_by_image
+            return view
         share_by_image: dict[str, float] = {}
         for run in _fills(vm):
             image = run.step.image
             share = _share(vm, run.step)
             share_by_image[image] = share_by_image.get(image, 0.0) + share
-        view.added_by_image = {}
-        for hosted in _serving(vm):
-            serving = hosted.step.image
-            if serving not in view.added_by_image:
-                view.added_by_image[serving] = sum(
-                    self.interference.added(serving, image).cautious * share
-                    for image, share in share_by_image.items()
-                )
+        view.serving_jobs = {_job_of(hosted) for hosted in _serving(vm)}
+        added = self.interference.added
+        view.added_by_image = {
+            serving: sum(
+                added(serving, image).cautious * share
+                for image, share in share_by_image.items()
+            )
+            for serving in {job.image for job in view.serving_jobs}
+        }
         view.version = vm.version
-        return view.added_by_image
+        return view
 
 
 def _used_shares(vm: Vm) -> dict[str, float]:
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -6,6 +6,7 @@
 from wagtailcleat.ids import NodeId, ServiceName, ZoneName
 from wagtailcleat.resources import NOTHING, ROUNDING_CORES, Resources
 from wagtailcleat.scheduling.models import RunKey, Step, WorkerInfo, WorkerState
+from wagtailcleat.scheduling.reasons import StartReason
 
 FAILURES_TO_AVOID = 2
 """Runs of different tasks that failed in a row before a VM is passed over; tasks fail
@@ -53,6 +54,8 @@
     """When its percent was last judged."""
     figure: float = 0.0
     pace: int = 100
+    reason: StartReason | None = None
+    """What decided its start, where this leader started it."""
 
 
 @dataclass(eq=False)
