--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -5,10 +5,8 @@
 its lease has surely lapsed; only then may the task start elsewhere.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
 
 from wagtailcleat.ids import Epoch, JobId, NodeId, ZoneName
 from wagtailcleat.scheduling.advice import Advice
@@ -21,7 +19,9 @@
     RunKey,
     Start,
 )
+from wagtailcleat.scheduling.notes import Event, Note
 from wagtailcleat.scheduling.order import lateness, slack_seconds
+from wagtailcleat.scheduling.outgoing import Acknowledging, Outgoing
 from wagtailcleat.scheduling.placing import Placing
 from wagtailcleat.scheduling.reasons import Margin, StartReason
 from wagtailcleat.scheduling.sharing import Measure, Sharing, shares
@@ -36,62 +36,10 @@
 Where leader and agent see it differently, as while a zone taken out is known to one of
 them, each refusal would be followed by the next start at once.
 """
-ENDS_REMEMBERED = 200
-"""Ends of a worker that are remembered: a start is in doubt for two lists, in which a
-worker ends some tens of runs at the most."""
 PROGRESS_SECONDS = 0.5
 """Shortest time over which progress is judged: percents are whole numbers."""
 
 
-@dataclass(eq=False)
-class _Acknowledging:
-    """Ends of one life of a worker that were taken in and wait to be durable."""
-
-    born: int = 0
-    taken: int = 0
-    """Ends up to this number were taken in."""
-    durable: int = 0
-    waiting: deque[tuple[int, JobEntry | None, int]] = field(default_factory=deque)
-    ended: deque[RunKey] = field(default_factory=lambda: deque(maxlen=ENDS_REMEMBERED))
-    """Runs whose ends were taken in of late."""
-
-
-class Event(Enum):
-    """What the scheduler came to believe or decided; each is one log line."""
-
-    ENDED = "Run ended"
-    KNOWN = "Failure was known"
-    NEVER_STARTED = "Run never started"
-    GONE = "Run is gone"
-    ADOPTED = "Run adopted"
-    STOPPED = "Stops"
-    PACED = "Paces"
-
-
-@dataclass(frozen=True)
-class Note:
-    """An event with what decided it."""
-
-    event: Event
-    run: RunKey
-    node: NodeId
-    why: str
-
-
-@dataclass(eq=False)
-class Outgoing:
-    """What an agent is still to be told."""
-
-    starts: list[Start] = field(default_factory=list)
-    stops: list[RunKey] = field(default_factory=list)
-    paces: list[Pace] = field(default_factory=list)
-    acknowledged: int = 0
-
-    def __bool__(self) -> bool:
-        """Whether there is anything to tell."""
-        return bool(self.starts or self.stops or self.paces or self.acknowledged)
-
-
 class Scheduler:
     """State and decisions of one leader."""
 
@@ -120,7 +68,7 @@
         self._placing = Placing(
             epoch, self.book, self.sharing, self.advice, self._start
         )
-        self._acks_by_node: dict[NodeId, _Acknowledging] = {}
+        self._acks_by_node: dict[NodeId, Acknowledging] = {}
         self._outgoing_by_node: dict[NodeId, Outgoing] = {}
 
     # ---- agents
@@ -139,9 +87,9 @@
         if report.worker is None or not report.listed:
             return
         vm.listed_at = now
-        ends = self._acks_by_node.setdefault(vm.node, _Acknowledging())
+        ends = self._acks_by_node.setdefault(vm.node, Acknowledging())
         if ends.born != report.worker.born:
-            self._acks_by_node[vm.node] = ends = _Acknowledging(report.worker.born)
+            self._acks_by_node[vm.node] = ends = Acknowledging(report.worker.born)
         self._take_ends(vm, ends, report.ended, now, wall_now)
         self._take_refusals(vm, report, now)
         self._take_running(vm, report, now)
@@ -182,7 +130,7 @@
     def _take_ends(
         self,
         vm: Vm,
-        ends: _Acknowledging,
+        ends: Acknowledging,
         listed: list[Ended],
         now: float,
         wall_now: float,
