--- a/features/scheduling/sharing.feature
+++ b/features/scheduling/sharing.feature
@@ -1,8 +1,7 @@
 Feature: Tasks that fill beside tasks that serve
 
   Scenario: A filling task that slows a serving one is sent away within a second
-    # A serving task shares its VM with a filling one whose image presses hard on it.
-    # Its users wait five times as long as they were promised.
+    # Guards against users who wait many times as long as they were promised.
     Given 1 VM of 32 cores
     And a serving task runs, at 0.3 of its target
     And a filling task of image "heavy" runs beside it
@@ -24,7 +23,7 @@
     When some rounds have passed
     Then all of job "f" runs away from the serving task
 
-  Scenario: Strangers come one at a time
+  Scenario: Unprofiled images start one at a time
     Given 1 VM of 32 cores
     And a serving task runs, at 0.3 of its target
     And jobs of filling tasks with 4 images never seen
@@ -32,8 +31,7 @@
     Then at most 1 filling task runs beside the serving one
 
   Scenario: A slow VM does not spoil what is known of an image
-    # A VM turns slow by itself. Its serving tasks are over their target although nobody
-    # fills there; were that taken for the image, nothing could fill beside it anywhere.
+    # Guards against one VM's fault closing all VMs of a serving image to filling tasks.
     Given 1 VM of 32 cores
     And a serving task runs, at 0.3 of its target
     When the serving task reports 40 times its target for 3 s
@@ -47,8 +45,7 @@
     Then the filling task is paced down and not stopped
 
   Scenario: A job that fills gets its turn while the VMs are not full
-    # The largest jobs come last in the order. At the end of a day one of them had
-    # nothing running for seconds, while fewer than half of the cores were committed.
+    # Guards against the largest jobs waiting for ever behind smaller ones.
     Given 1 VM of 32 cores
     And 8 filling tasks with 4 cores run
     And job "late" of 1 filling task of image "build"
@@ -56,17 +53,14 @@
     Then job "late" runs
 
   Scenario: Filling tasks use what serving ones leave of their cores
-    # The users' heaviest days: serving tasks commit nine tenths of nearly every VM and use
-    # less than half of it. Filling tasks waited for cores that were committed and idle,
-    # and the largest jobs were hours of work late.
+    # Guards against filling tasks that wait for cores which are committed and idle.
     Given 1 VM of 32 cores
     And 5 serving tasks of 6 cores run, at 0.4 of their target
     And a filling task of image "light" is known to slow nobody
     Then 2 more tasks of image "light" are let in
 
-  Scenario: A task that presses only a little is not sent away for one that presses hard
-    # A serving task was over its target. All that filled beside it was stopped, though
-    # one image alone was to blame, and lost its turn.
+  Scenario: A task that interferes little is not evicted for one that interferes much
+    # Guards against all fillers losing their turn for one of them.
     Given 1 VM of 32 cores
     And a serving task runs, at 0.4 of its target
     And filling tasks of images "light" and "heavy" run beside it, and are known
@@ -74,7 +68,7 @@
     Then only the task of image "heavy" is stopped
 
   Scenario: A paced task works fully again once nobody serves beside it
-    # The serving task it was slowed for had left, and it crept on at a tenth of its pace.
+    # Guards against a run that stays slowed for a serving task which has left.
     Given 1 VM of 32 cores
     And a serving task runs, at 0.3 of its target
     And a filling task without checkpoints of image "heavy" runs beside it
@@ -82,10 +76,9 @@
     And the serving task's job is cancelled and 2 s pass
     Then the filling task works at full pace
 
-  Scenario: Most of a burst of filling work is done while serving tasks are strained little
-    # The pattern: serving tasks on nine tenths of the cores of ten VMs, with a load that
-    # swings by half around 0.4 of their cores, and a burst of filling jobs of nine images
-    # of which six press hard on two of three serving images (as fitted on users' days).
+  Scenario: Most of a burst of filling work is done while serving tasks keep their targets
+    # The pattern: serving tasks on nine tenths of the cores of ten VMs, with loads that
+    # swing by half, and a burst of filling jobs of nine images, six of which interfere.
     Then in a burst beside swinging serving tasks, filling work gets on and targets hold
 
   Scenario: Pairs that interfere are told from others while the loads of serving jobs swing
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -13,7 +13,7 @@
 from wagtailcleat.scheduling.interference import LEAST_VARIANCE, Estimate
 
 LEAST_DONE = 200
-"""Of 240 tasks; the margin is for the order in which strangers come."""
+"""Of 240 tasks; the margin is for the order in which unprofiled images start."""
 LONG_AGO = 8.0
 """Seconds: more than the objective of the jobs here, less than three times that."""
 MOST_OVER = 0.03
@@ -101,7 +101,7 @@
 
 
 @given("jobs of filling tasks with {count:d} images never seen")
-def step_strangers(context, count):
+def step_unprofiled(context, count):
     context.world.now += 2.0
     for number in range(count):
         job = make_job(f"s{number}", filling(2, image=f"new-{number}"), priority=2)
@@ -146,9 +146,9 @@
         _serve_at(world, share)
 
 
-def _know(context, image, press):
+def _know(context, image, added):
     learnt = context.world.scheduler.sharing.interference
-    known = Estimate(press, LEAST_VARIANCE)
+    known = Estimate(added, LEAST_VARIANCE)
     learnt.added_by_pair["watch", image] = known
 
 
@@ -161,8 +161,8 @@
 def step_two_beside(context, light, heavy):
     world = context.world
     world.now += 2.0
-    for image, press in ((light, 0.05), (heavy, 0.8)):
-        _know(context, image, press)
+    for image, added in ((light, 0.05), (heavy, 0.8)):
+        _know(context, image, added)
         step = filling(1, image=image)
         job = make_job(image, step, priority=2, accepted_at=world.wall_now)
         world.submit(job)
@@ -231,8 +231,5 @@
 def step_swinging(context):
     fleet = SwingingFleet()
     fleet.play(seconds=30.0)
-    # Of 240 tasks 236 are done, with 0.018 of the reports over target. With nothing let
-    # in beside serving tasks, or their committed cores left idle, 72 are done; with
-    # everything let in all are, and 0.044 of the reports are over.
     assert fleet.done >= LEAST_DONE, fleet.done
     assert fleet.over_share <= MOST_OVER, fleet.over_share
--- a/features/steps/sharing_world.py
+++ b/features/steps/sharing_world.py
@@ -1,4 +1,4 @@
-"""A fleet whose serving tasks swing in load, and are pressed by what fills beside."""
+"""A fleet whose serving tasks swing in load, and are slowed by what fills beside."""
 
 import math
 
@@ -16,16 +16,15 @@
 CORES = 32.0
 SERVING_IMAGES = ("watch-a", "watch-b", "watch-c")
 TOLERANT = "watch-c"
-"""Bears everything beside it, as one of three images did."""
+"""Bears everything beside it."""
 LIGHT_IMAGES = ("fill-0", "fill-1", "fill-2")
 FILLING_IMAGES = tuple(f"fill-{number}" for number in range(9))
 IDLE = 0.22
 LOAD = 0.42
 SWING = 0.5
 SWING_SECONDS = 10.0
-HARD_PRESS = 1.2
-"""Strain that a VM full of a pressing image adds: of the pairs fitted, the median of
-those that pressed at all."""
+ADDED = 1.2
+"""Utilization that a VM full of an interfering image adds."""
 TASK_SECONDS = 3.4
 TARGET = 0.02
 
@@ -71,13 +70,13 @@
             step = self._step(key)
             if not step.target_seconds:
                 continue
-            strain = min(0.98, own + self._pressed(worker, step.image))
-            load = IDLE / (1 - strain)
+            utilization = min(0.98, own + self._added(worker, step.image))
+            load = IDLE / (1 - utilization)
             worker.figure_by_run[key] = load * TARGET
             self.reports += 1
             self.over += load > 1
 
-    def _pressed(self, worker: PretendedWorker, serving_image: str) -> float:
+    def _added(self, worker: PretendedWorker, serving_image: str) -> float:
         if serving_image == TOLERANT:
             return 0.0
         share = 0.0
@@ -86,7 +85,7 @@
             if step.fills and step.image not in LIGHT_IMAGES:
                 pace = worker.pace_by_run.get(key, 100) / 100
                 share += step.size.cores * pace / CORES
-        return HARD_PRESS * share
+        return ADDED * share
 
     def _work(self, worker: PretendedWorker) -> None:
         for key in list(worker.running):
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -25,6 +25,7 @@
 MAX_PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_SECONDS = 900
 LONGEST_FIRST = (
+    "platform/takeover",
     "platform/store_faults",
     "platform/adapter",
     "requests/leaving",
