A bench of policies for sharing VMs, on virtual time

It drives the platform's scheduler without a network: eleven VMs, nine serving jobs with loads that swing in their own phase, pairs of five and nine images drawn at random, jobs off their estimates, a burst, failures, figures of the half second before with noise, a change of leader after 20 s.

Ruled out: plots for now (a library more).

--- /dev/null
+++ b/bench/sharing.py
@@ -0,0 +1,149 @@
+"""Compares policies of sharing VMs on the platform's scheduler, by paired seeds.
+
+python -m bench.sharing --seeds 30 --json sharing.json
+"""
+
+import contextlib
+import json
+import math
+import sys
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from statistics import fmean, stdev
+from typing import Annotated
+from unittest.mock import patch
+
+import cyclopts
+
+from bench.errors import BadValueError, check_range
+from bench.report import commit
+from bench.sharing_fleet import Fleet, Outcome
+from wagtailcleat.scheduling import sharing
+from wagtailcleat.scheduling.order import Lateness
+from wagtailcleat.scheduling.scheduler import Scheduler
+
+DAY_SECONDS = 45.0
+CHANGE_AT = 20.0
+"""Seconds after which a new leader begins."""
+EXIT_BAD_VALUE = 2
+MAX_SEEDS = 200
+PROCESSES_RANGE = (1, 8)
+CONFIDENCE = 1.96
+"""Standard errors on either side: nineteen in twenty."""
+
+Prepare = Callable[[Scheduler], None]
+
+
+def _as_is(scheduler: Scheduler) -> None:
+    """Leave the scheduler as it is."""
+
+
+def _nothing_beside(scheduler: Scheduler) -> None:
+    """Let nothing fill beside what serves."""
+    scheduler.sharing.admits = (  # type: ignore[method-assign]
+        lambda vm, step, now, lateness=Lateness.IN_TIME: not vm.serving
+    )
+    scheduler.sharing.bears = (  # type: ignore[method-assign]
+        lambda vm, step, most: not vm.serving
+    )
+
+
+@contextlib.contextmanager
+def _bound(most: float) -> Iterator[Prepare]:
+    bounds = dict.fromkeys(Lateness, most)
+    with patch.object(sharing, "MOST_ADDED", bounds):
+        yield _as_is
+
+
+@contextlib.contextmanager
+def _constant(name: str, value: float) -> Iterator[Prepare]:
+    with patch.object(sharing, name, value):
+        yield _as_is
+
+
+POLICIES: dict[str, Callable[[], contextlib.AbstractContextManager[Prepare]]] = {
+    "as-is": lambda: contextlib.nullcontext(_as_is),
+    "nothing-beside": lambda: contextlib.nullcontext(_nothing_beside),
+    "bound-0.04": lambda: _bound(0.04),
+    "bound-0.12": lambda: _bound(0.12),
+    "bound-0.30": lambda: _bound(0.30),
+    "no-residual": lambda: _constant("RESIDUAL_LASTING", 0.0),
+    "stop-at-once": lambda: _constant("STOP_SECONDS", 0.0),
+    "aim-0.8": lambda: _constant("AIM_LOAD", 0.8),
+}
+
+
+def run_one(policy: str, seed: int, load: float) -> Outcome:
+    """Play one day of a fleet under a policy."""
+    with POLICIES[policy]() as prepare:
+        return Fleet(seed, prepare, load=load).play(DAY_SECONDS, change_at=CHANGE_AT)
+
+
+def compare(
+    outcomes_by_policy: dict[str, list[Outcome]],
+) -> dict[str, dict[str, float]]:
+    """Return each policy's means, and its worth less the first one's by seed."""
+    rows = {}
+    first = next(iter(outcomes_by_policy.values()))
+    for policy, outcomes in outcomes_by_policy.items():
+        less = [
+            one.worth - other.worth for one, other in zip(outcomes, first, strict=True)
+        ]
+        spread = stdev(less) / math.sqrt(len(less)) if len(less) > 1 else 0.0
+        rows[policy] = {
+            "worth": fmean(o.worth for o in outcomes),
+            "serving": fmean(o.serving for o in outcomes),
+            "filling": fmean(o.filling for o in outcomes),
+            "seconds_over": fmean(o.seconds_over for o in outcomes),
+            "stops": fmean(o.stops for o in outcomes),
+            "difference": fmean(less),
+            "plus_minus": CONFIDENCE * spread,
+        }
+    return rows
+
+
+def main(
+    *,
+    policies: Annotated[
+        tuple[str, ...], cyclopts.Parameter(consume_multiple=True)
+    ] = tuple(POLICIES),
+    seeds: int = 30,
+    load: float = 1.0,
+    processes: int = 4,
+    json_file: Annotated[Path | None, cyclopts.Parameter(name="--json")] = None,
+) -> int:
+    """Play each policy with each seed; the first policy is what others are held to."""
+    try:
+        check_range("--seeds", seeds, 1, MAX_SEEDS)
+        check_range("--processes", processes, *PROCESSES_RANGE)
+        for policy in policies:
+            if policy not in POLICIES:
+                raise BadValueError("--policies", policy, POLICIES)
+    except BadValueError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_VALUE
+    with ProcessPoolExecutor(processes) as pool:
+        futures = {
+            policy: [pool.submit(run_one, policy, n, load) for n in range(seeds)]
+            for policy in policies
+        }
+        outcomes = {p: [f.result() for f in runs] for p, runs in futures.items()}
+    rows = compare(outcomes)
+    print("policy           worth  difference       serving filling  over s  stops")
+    for policy, row in rows.items():
+        print(
+            f"{policy:15s}  {row['worth']:.3f}  {row['difference']:+.3f} "
+            f"+-{row['plus_minus']:.3f}  {row['serving']:.3f}   {row['filling']:.3f}  "
+            f"{row['seconds_over']:6.1f}  {row['stops']:5.1f}"
+        )
+    if json_file is not None:
+        told = {"commit": commit(), "seeds": seeds, "load": load, "policies": rows}
+        json_file.write_text(json.dumps(told, indent=2) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    app = cyclopts.App(help=__doc__)
+    app.default(main)
+    sys.exit(app())
