Short jobs go first, also when they are late already

Cause: jobs that were late, or past three objectives by the estimates, went behind all others of their queue. Now the order within a queue is by remaining work alone; among equals the one of most use goes first. That the lingering is the cause is suspected by mechanism, not traced.

The new scenario failed on the order before (run).

--- a/features/scheduling/order.feature
+++ b/features/scheduling/order.feature
@@ -11,7 +11,7 @@
     When the room of one task becomes free
     Then job "urgent" runs
 
-  Scenario: Work that can't be of use any more goes last
+  Scenario: Among jobs with as much left to do, one that can't be of use goes last
     Given 1 VM of 4 cores
     And job "hopeless" of 1 task that was handed in 100 s ago
     And job "fresh" of 1 task that was handed in 1 s ago
@@ -26,6 +26,15 @@
     When one round has passed
     Then job "short" runs
 
+  Scenario: A short job that is late already does not wait behind a long one
+    # Guards against late jobs that linger all day, each of them with a task admitted
+    # beside serving ones because it is starved.
+    Given 1 VM of 4 cores
+    And job "long" of 8 tasks
+    And job "hopeless" of 1 task that was handed in 100 s ago
+    When one round has passed
+    Then job "hopeless" runs
+
   Scenario: More jobs are in time than first come, first served
     Then of 30 jobs in a burst at 2.5 times the room, more are in time than in order of arrival
 
--- a/wagtailcleat/scheduling/order.py
+++ b/wagtailcleat/scheduling/order.py
@@ -1,11 +1,13 @@
 """The order in which waiting work is given room.
 
-Urgent queues go first. Within a queue the work that can still be in time goes first,
-then what can still be late, then the rest; among equals the one that has least left
-to do, because more of such jobs are in time with the same room.
+Urgent queues go first. Within a queue the job that has least left to do goes first:
+more of such jobs are in time with the same room, and those that will be late are soon
+over. Among equals the one that is of most use goes first. Tasks that last go after
+those that leave again within seconds, because room that is given to a lasting task is
+gone for the day.
 """
 
-from enum import Enum
+from enum import IntEnum
 
 from wagtailcleat.scheduling.book import JobEntry, Outlook, StepKey
 from wagtailcleat.scheduling.models import Job
@@ -14,18 +16,13 @@
 """A result is of some use until this many times its objective."""
 
 
-class Lateness(Enum):
-    """When a job can be done at best; the values rank."""
+class Lateness(IntEnum):
+    """When a job can be done at best; the first is of most use."""
 
-    IN_TIME = 1
-    LATE = 2
+    IN_TIME = 0
+    LATE = 1
     """After its objective, when its result is of less use."""
-    TOO_LATE = 3
-
-
-LASTING_RANK = 1.5
-"""Tasks that last go after short ones that can still be in time: those leave again
-within seconds, while room given to a lasting task is gone for the day."""
+    TOO_LATE = 2
 
 
 def chain_seconds(job: Job) -> float:
@@ -73,15 +70,17 @@
     )
 
 
-def rank(entry: JobEntry, step: StepKey, wall_now: float) -> tuple[float, ...]:
+def rank(
+    entry: JobEntry, step: StepKey, wall_now: float
+) -> tuple[int, bool, float, int]:
     """Return the sort key of a step that waits; the smallest goes first."""
     job = entry.job
     occurrence, number = step
     if job.steps[number].long_running:
-        return (job.priority, LASTING_RANK, 0.0)
-    late = lateness(entry, occurrence, wall_now)
+        return (job.priority, True, 0.0, Lateness.IN_TIME)
     left = outlook(entry, occurrence)
-    return (job.priority, late.value, left.core_seconds)
+    late = lateness(entry, occurrence, wall_now)
+    return (job.priority, False, left.core_seconds, late)
 
 
 def lateness(entry: JobEntry, occurrence: int, wall_now: float) -> Lateness:
