The store's line names the call and how much had come; a leader tells that it restores

What on-call saw: the line 'The store does not answer' each 1.2 s at one entry, and nothing of a leader that had led for 17 s. No change of logic.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -218,6 +218,12 @@
             "1 while this entry leads.",
             lambda: self.leader is not None,
         )
+        metric(
+            Kind.GAUGE,
+            "restoring",
+            "1 while this entry leads and does not know yet what is stored.",
+            lambda: self.leader is not None and not self.leader.ready,
+        )
         metric(
             Kind.GAUGE,
             "epoch",
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from itertools import count
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import (
@@ -15,6 +16,7 @@
 from wagtailcleat.cluster.office import Office
 from wagtailcleat.cluster.timing import JOBS_WAIT
 from wagtailcleat.ids import JobId
+from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.scheduling.book import JobEntry
 from wagtailcleat.scheduling.models import Job, JobRecord
@@ -29,6 +31,8 @@
 )
 from wagtailcleat.wire.scheduling import Report
 
+log = part_logger("leader")
+
 RETRY_SECONDS = 0.2
 """Pause after a call to the store that failed."""
 
@@ -66,8 +70,8 @@
 
     async def restore(self) -> None:
         """Take in all jobs and what is stored of their progress."""
-        jobs = await listed(self._store, JOB_PREFIX)
-        records = await listed(self._store, RECORD_PREFIX)
+        jobs = await listed(self._store, JOB_PREFIX, self._clock)
+        records = await listed(self._store, RECORD_PREFIX, self._clock)
         self._revision = jobs.store_revision
         found_by_key = {found.key: found for found in records.found}
         for found in jobs.found:
@@ -133,7 +137,7 @@
                         self._take_key(event.key, event.value, event.mod_revision)
                 self._revision = max(self._revision, changes.store_revision)
             elif isinstance(changes, HistoryGone):
-                listing = await listed(self._store, JOB_PREFIX)
+                listing = await listed(self._store, JOB_PREFIX, self._clock)
                 for found in listing.found:
                     self._take_key(found.key, found.value, found.mod_revision)
                 self._revision = listing.store_revision
@@ -150,10 +154,21 @@
         self._on_change()
 
 
-async def listed(store: KeyValueStore, prefix: str) -> Listing:
+async def listed(store: KeyValueStore, prefix: str, clock: Clock) -> Listing:
     """Return all keys under a prefix, once the store answers."""
-    while True:
+    started_at = clock()
+    for tries in count(1):
         listing = await store.list(prefix)
+        fields = {
+            "prefix": prefix,
+            "tries": tries,
+            "seconds": round(clock() - started_at, 3),
+        }
         if isinstance(listing, Listing):
+            size = sum(len(found.value) for found in listing.found)
+            fields |= {"keys": len(listing.found), "bytes": size}
+            log.info("Listed", extra=fields)
             return listing
+        log.warning("Not listed yet", extra=fields | {"why": listing.reason})
         await asyncio.sleep(RETRY_SECONDS)
+    raise AssertionError("counting has ended")
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -143,7 +143,9 @@
     # ---- restoring
 
     async def _restore(self) -> None:
-        agents = await listed(self._store, AGENT_PREFIX)
+        started_at = self._now
+        log.info("Restores the book", extra={"epoch": self.office.epoch})
+        agents = await listed(self._store, AGENT_PREFIX, self._clock)
         for found in agents.found:
             node = NodeId(found.key.removeprefix(AGENT_PREFIX))
             self._records.restore_agent(node, found.mod_revision)
@@ -155,6 +157,7 @@
             extra={
                 "jobs": len(self.scheduler.book.entry_by_id),
                 "agents": len(agents.found),
+                "seconds": round(self._now - started_at, 3),
             },
         )
         self._announce([decode(found.value, Place) for found in agents.found])
--- a/wagtailcleat/platform/exchange.py
+++ b/wagtailcleat/platform/exchange.py
@@ -42,6 +42,8 @@
     def __init__(self, address: str, *, max_clients: int = 16) -> None:
         """Call `address`, an `ip:port`."""
         self.calls = 0
+        self.failure = ""
+        """Why the last call that got no answer failed, in the library's words."""
         self._base = f"http://{address}"
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
 
@@ -77,9 +79,11 @@
             response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as error:
             # Raised only where no answer came: one with an error code is an answer.
+            self.failure = str(error)
             refused = getattr(error, "errno", None) in NEVER_CONNECTED
             return NoAnswer.REFUSED if refused else NoAnswer.LOST
-        except (TimeoutError, OSError):
+        except (TimeoutError, OSError) as error:
+            self.failure = str(error)
             return NoAnswer.LOST
         return Reply(response.code, _object(response.body), response.headers)
 
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -182,13 +182,12 @@
         reply = await self._exchange.call(
             method, path, body, timeout=self._call_seconds
         )
-        served = isinstance(reply, Reply) and reply.code not in (TOO_MANY, UNAVAILABLE)
-        self._note(served, _reason(reply))
+        self._note(f"{method} {path}", reply)
         return reply
 
-    def _note(self, served: bool, reason: str) -> None:
+    def _note(self, call: str, reply: Reply | NoAnswer) -> None:
         now = self._clock()
-        if served:
+        if isinstance(reply, Reply) and reply.code not in (TOO_MANY, UNAVAILABLE):
             self.answered_at = now
             if self.down_since is not None:
                 seconds = round(now - self.down_since, 3)
@@ -198,7 +197,9 @@
         self.counts.failed += 1
         if self.down_since is None:
             self.down_since = now
-            log.warning("The store does not answer", extra={"why": reason})
+            detail = self._exchange.failure if isinstance(reply, NoAnswer) else ""
+            fields = {"call": call, "why": _reason(reply), "detail": detail}
+            log.warning("The store does not answer", extra=fields)
 
 
 def _reason(reply: Reply | NoAnswer) -> str:
