--- /dev/null
+++ b/features/platform/slow_link.feature
@@ -0,0 +1,20 @@
+Feature: Answers of the store that take long to arrive
+
+  Scenario: A new leader reads a long list of jobs over a slow link
+    # Guards against a leader that never gets to know what is stored: work stood still.
+    Given a deployment of 2 entries and 1 agent
+    And 400 jobs of 2500 bytes that have ended are stored
+    When the leader is killed while lists leave the store at 500000 bytes a second
+    Then a job handed in at the other entry is shown as "done" within 12 s
+
+  Scenario: A list goes on for longer than a call may be silent
+    # Guards against lists that are cut off by a bound on the whole transfer.
+    Given a store that holds 900 keys of 1000 bytes
+    When lists leave it at 600000 bytes a second
+    Then all 900 keys are listed although a call may be silent for 0.5 s only
+
+  Scenario: A list falls silent
+    # Guards against waiting for ever for the rest of an answer.
+    Given a store that holds 900 keys of 1000 bytes
+    When lists fall silent after 300000 bytes
+    Then a list is given up within 2 s where a call may be silent for 0.5 s
--- /dev/null
+++ b/features/steps/slow_link_steps.py
@@ -0,0 +1,117 @@
+"""Steps on answers of the store that take long to arrive."""
+
+import asyncio
+import tempfile
+import time
+from base64 import b64encode
+from pathlib import Path
+
+from behave import given, then, when
+
+from standins.platform_cluster import PREFIX
+from standins.processes import Process, http
+from wagtailcleat.clock import boot_time
+from wagtailcleat.cluster.keys import encode, job_key, record_key
+from wagtailcleat.ids import JobId, ServiceName
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.scheduling.models import Job, JobRecord, JobState
+from wagtailcleat.storage import Listing, Unavailable
+
+SERVICE = ServiceName("booking-core")
+PUTS_PER_WRITE = 30
+
+
+def _put(store, value_by_key):
+    puts = [
+        {"key": key, "value": b64encode(value).decode()}
+        for key, value in value_by_key.items()
+    ]
+    for first in range(0, len(puts), PUTS_PER_WRITE):
+        body = {"setKeys": puts[first : first + PUTS_PER_WRITE]}
+        answer = http("POST", f"{store.url}/kv-txn", body)
+        assert answer.status == 200, answer
+
+
+@given("{count:d} jobs of {size:d} bytes that have ended are stored")
+def step_ended_jobs(context, count, size):
+    now = time.time()
+    value_by_key = {}
+    for number in range(count):
+        job = JobId(f"{number:016x}")
+        value_by_key[job_key(job)] = encode(
+            Job(job, "holds", SERVICE, "x" * size, (), now)
+        )
+        value_by_key[record_key(job)] = encode(
+            JobRecord(JobState.SUCCEEDED, ended_at=now)
+        )
+    _put(context.cluster.store, value_by_key)
+
+
+@when("the leader is killed while lists leave the store at {rate:d} bytes a second")
+def step_kill_slow(context, rate):
+    cluster = context.cluster
+    leader = cluster.leader()
+    context.entry = next(
+        n for n, entry in enumerate(cluster.entries) if entry is not leader
+    )
+    cluster.store.faults(bytes_per_second=rate)
+    leader.kill()
+
+
+@then('a job handed in at the other entry is shown as "{state}" within {seconds:g} s')
+def step_served(context, state, seconds):
+    cluster = context.cluster
+    ends_at = time.monotonic() + seconds
+    steps = [{"count": 2, "cpu": 1000, "memMb": 100, "estMs": 500}]
+    job = cluster.submit(steps, entry=context.entry, prefix=PREFIX)
+    left = ends_at - time.monotonic()
+    cluster.until_state(job, state, entry=context.entry, timeout=left)
+
+
+@given("a store that holds {count:d} keys of {size:d} bytes")
+def step_store(context, count, size):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.store = Process("store", Path(folder.name), "standins.platform_store")
+    context.add_cleanup(context.store.kill)
+    _put(context.store, {f"keys/{n:06d}": b"x" * size for n in range(count)})
+
+
+@when("lists leave it at {rate:d} bytes a second")
+def step_rate(context, rate):
+    context.store.faults(bytes_per_second=rate)
+
+
+@when("lists fall silent after {count:d} bytes")
+def step_stall(context, count):
+    context.store.faults(stall_after_bytes=count)
+
+
+def _list(context, seconds):
+    async def read():
+        address = f"127.0.0.1:{context.store.ready['port']}"
+        store = KeyValueStore(address, clock=boot_time, call_seconds=seconds)
+        try:
+            return await store.list("keys/")
+        finally:
+            store.close()
+
+    return asyncio.run(read())
+
+
+@then(
+    "all {count:d} keys are listed although a call may be silent for {seconds:g} s only"
+)
+def step_all_listed(context, count, seconds):
+    listing = _list(context, seconds)
+    assert isinstance(listing, Listing), listing
+    assert len(listing.found) == count, len(listing.found)
+
+
+@then(
+    "a list is given up within {bound:g} s where a call may be silent for {seconds:g} s"
+)
+def step_given_up(context, bound, seconds):
+    began = time.monotonic()
+    assert isinstance(_list(context, seconds), Unavailable)
+    assert time.monotonic() - began < bound
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -11,6 +11,7 @@
 
 import cyclopts
 import msgspec
+from tornado.iostream import StreamClosedError
 
 from standins.keyspace import Keyspace, KeyValue
 from standins.serving import (
@@ -26,6 +27,9 @@
 
 MAX_ENTRIES = 32
 MAX_PAGE = 500
+MAX_PAGE_BYTES = 1_000_000
+PART_SECONDS = 0.05
+"""Between two parts of an answer that leaves slowly."""
 MAX_WAIT_SECONDS = 30.0
 MILLISECONDS = 1000
 OWN_HOSTS = ("127.0.2.1", "127.0.2.2")
@@ -46,6 +50,10 @@
     """Workers that the advice service grants; asked at the store's own port."""
     refused_bodies: bool = False
     """Every write is answered 429."""
+    bytes_per_second: int = 0
+    """Lists and watches are answered at this rate; 0: at once."""
+    stall_after_bytes: int = 0
+    """Lists and watches fall silent after so many bytes; 0: never."""
 
 
 class State:
@@ -104,6 +112,18 @@
     }
 
 
+def _page(found: list[KeyValue]) -> list[dict[str, Any]]:
+    items: list[dict[str, Any]] = []
+    size = 0
+    for kv in found[:MAX_PAGE]:
+        item = _item(kv)
+        size += len(item["value"])
+        if items and size > MAX_PAGE_BYTES:
+            break
+        items.append(item)
+    return items
+
+
 def _end(prefix: str) -> bytes:
     raw = bytearray(prefix.encode())
     raw[-1] += 1
@@ -122,6 +142,26 @@
         if (self.switches.now.busy or away) and not self._finished:
             self.answer({"error": "busy"}, 503)
 
+    async def answer_slowly(self, body: Any) -> None:
+        """Answer with JSON as fast as the link of this answer is."""
+        data = msgspec.json.encode(body)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(data)))
+        part = int(self.switches.now.bytes_per_second * PART_SECONDS) or len(data)
+        stall = self.switches.now.stall_after_bytes or len(data)
+        for first in range(0, min(len(data), stall), part):
+            self.write(data[first : min(first + part, stall)])
+            with contextlib.suppress(StreamClosedError):
+                await self.flush()
+            if self.gone.is_set():
+                return
+            if first + part < len(data):
+                await asyncio.sleep(PART_SECONDS)
+        if stall < len(data):
+            await self.gone.wait()
+            return
+        self.finish()
+
 
 class AdviseHandler(StoreHandler):
     """`POST /advise`."""
@@ -153,18 +193,18 @@
 class RangeHandler(StoreHandler):
     """`GET /kv-range`."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Return a page of the keys under a prefix."""
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
         keyspace = self.state.keyspace
         start = (after + "\0" if after else prefix).encode()
         found = keyspace.range(start, _end(prefix))
-        items = [_item(kv) for kv in found[:MAX_PAGE]]
-        self.answer(
+        items = _page(found)
+        await self.answer_slowly(
             {
                 "items": items,
-                "hasMore": len(found) > MAX_PAGE,
+                "hasMore": len(found) > len(items),
                 "storeRevision": keyspace.revision,
             }
         )
@@ -184,7 +224,7 @@
         events, revision = await self.state.changes(
             prefix, after, min(wait, MAX_WAIT_SECONDS)
         )
-        self.answer({"events": events, "storeRevision": revision})
+        await self.answer_slowly({"events": events, "storeRevision": revision})
 
 
 class TxnHandler(StoreHandler):
