An answer of the store may take long as long as it goes on arriving

What callers saw: after the entries were restarted in turn nothing made progress for 15 s, and two tasks that last did not run with room for them. Cause: a call to the store had 1.0 s in all. A page of a list holds up to 1 MB, and the new leader's link carries some 480 kB/s: the page was cut off, asked for again from its start, and so for ever. The same bound was on a list of the operators' keys, so that an entry behind such a link never knew a configuration of 0.9 MB and refused all its callers. Change: reads are bounded by how long no more of the answer arrives, 1.0 s, and by 30 s in all. Writes keep their bound on the whole. Why it works: what has arrived is kept as long as there is progress, and a connection that went silent is noticed as soon as before.

--- a/features/platform/slow_link.feature
+++ b/features/platform/slow_link.feature
@@ -18,3 +18,9 @@
     Given a store that holds 900 keys of 1000 bytes
     When lists fall silent after 300000 bytes
     Then a list is given up within 2 s where a call may be silent for 0.5 s
+
+  Scenario: A configuration takes long to arrive
+    # Guards against an entry that never knows its queues: it refused all its callers.
+    Given a store that holds a configuration of 900000 bytes
+    When lists leave it at 600000 bytes a second
+    Then the configuration is known to a process where a call may be silent for 0.5 s
--- a/features/steps/slow_link_steps.py
+++ b/features/steps/slow_link_steps.py
@@ -1,6 +1,7 @@
 """Steps on answers of the store that take long to arrive."""
 
 import asyncio
+import json
 import tempfile
 import time
 from base64 import b64encode
@@ -12,13 +13,16 @@
 from standins.processes import Process, http
 from wagtailcleat.clock import boot_time
 from wagtailcleat.cluster.keys import encode, job_key, record_key
+from wagtailcleat.cluster.operator_watch import OperatorWatch
 from wagtailcleat.ids import JobId, ServiceName
 from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.platform.operators import CONFIGURATION_KEY
 from wagtailcleat.scheduling.models import Job, JobRecord, JobState
-from wagtailcleat.storage import Listing, Unavailable
+from wagtailcleat.storage import Changes, Listing, Unavailable
 
 SERVICE = ServiceName("booking-core")
 PUTS_PER_WRITE = 30
+KNOWN_SECONDS = 8.0
 
 
 def _put(store, value_by_key):
@@ -87,16 +91,44 @@
     context.store.faults(stall_after_bytes=count)
 
 
-def _list(context, seconds):
-    async def read():
+@when("it refuses each page after the first one twice")
+def step_refuse_pages(context):
+    context.store.faults(refused_pages=2)
+
+
+@then("the first page was asked for once")
+def step_first_page_once(context):
+    rows = context.store.record()["rows"]
+    assert rows.count(["list", "keys/", ""]) == 1, rows
+
+
+@given("a store that holds a configuration of {size:d} bytes")
+def step_configuration(context, size):
+    step_store(context, 0, 0)
+    value = {"version": 3, "routes": [], "services": [], "limits": {"pad": "x" * size}}
+    body = {"setKeys": [{"key": CONFIGURATION_KEY, "value": _base64(value)}]}
+    url = f"{context.store.url}/kv-txn"
+    assert http("POST", url, body, headers={"Operator": "yes"}).status == 200
+
+
+def _base64(value):
+    return b64encode(json.dumps(value).encode()).decode()
+
+
+def _ask(context, seconds, question):
+    async def ask():
         address = f"127.0.0.1:{context.store.ready['port']}"
         store = KeyValueStore(address, clock=boot_time, call_seconds=seconds)
         try:
-            return await store.list("keys/")
+            return await question(store)
         finally:
             store.close()
 
-    return asyncio.run(read())
+    return asyncio.run(ask())
+
+
+def _list(context, seconds):
+    return _ask(context, seconds, lambda store: store.list("keys/"))
 
 
 @then(
@@ -115,3 +147,31 @@
     began = time.monotonic()
     assert isinstance(_list(context, seconds), Unavailable)
     assert time.monotonic() - began < bound
+
+
+@then("a watch that waits for {seconds:g} s tells of all {count:d} keys")
+def step_watch(context, seconds, count):
+    changes = _ask(
+        context,
+        0.5,
+        lambda store: store.changes("keys/", 0, wait_seconds=seconds),
+    )
+    assert isinstance(changes, Changes), changes
+    assert len(changes.events) == count, len(changes.events)
+
+
+@then(
+    "the configuration is known to a process"
+    " where a call may be silent for {seconds:g} s"
+)
+def step_known(context, seconds):
+    async def follow(store):
+        known = asyncio.Event()
+        watch = OperatorWatch(store, wait_seconds=1.0, on_change=known.set)
+        following = asyncio.create_task(watch.run())
+        async with asyncio.timeout(KNOWN_SECONDS):
+            await known.wait()
+        following.cancel()
+        return watch.queues
+
+    assert _ask(context, seconds, follow).version == 3
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -52,6 +52,8 @@
     """Every write is answered 429."""
     bytes_per_second: int = 0
     """Lists and watches are answered at this rate; 0: at once."""
+    refused_pages: int = 0
+    """So many calls for a later page of a list are answered 503."""
     stall_after_bytes: int = 0
     """Lists and watches fall silent after so many bytes; 0: never."""
 
@@ -197,6 +199,11 @@
         """Return a page of the keys under a prefix."""
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
+        self.state.record.add("list", prefix, after)
+        if after and self.switches.now.refused_pages > 0:
+            self.switches.now.refused_pages -= 1
+            self.answer({"error": "busy"}, 503)
+            return
         keyspace = self.state.keyspace
         start = (after + "\0" if after else prefix).encode()
         found = keyspace.range(start, _end(prefix))
--- a/wagtailcleat/platform/exchange.py
+++ b/wagtailcleat/platform/exchange.py
@@ -1,18 +1,25 @@
 """One HTTP exchange with the platform: an answer, or how it failed to come."""
 
+import asyncio
 import json
+import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
 CONNECT_SECONDS = 0.5
 """Longer than any round trip of the deployments, shorter than any interval of ours."""
 NEVER_CONNECTED = (pycurl.E_COULDNT_CONNECT,)
+DOWNLOAD_SECONDS = 30.0
+"""Bound of a whole download, however steadily it goes on."""
+STALLED_BYTES_PER_SECOND = 1
+"""Below this the library ends a transfer that nobody waits for any more."""
 
 
 class NoAnswer(Enum):
@@ -65,7 +72,6 @@
         headers: dict[str, str] | None = None,
     ) -> Reply | NoAnswer:
         """Send one request; `timeout` in seconds covers all of it."""
-        self.calls += 1
         request = HTTPRequest(
             self._base + path,
             method=method,
@@ -75,8 +81,51 @@
             request_timeout=timeout,
             allow_nonstandard_methods=True,
         )
+        response = await self._fetch(request)
+        if isinstance(response, NoAnswer):
+            return response
+        return Reply(response.code, _object(response.body), response.headers)
+
+    async def download(
+        self, path: str, *, silence: float, first: float | None = None
+    ) -> Reply | NoAnswer:
+        """Get an answer that may take long to arrive.
+
+        Parameters: `silence` in seconds bounds each wait for more of the answer,
+        `first` the wait for its first part; `silence` where it is not given.
+        """
+        body = bytearray()
+        first = silence if first is None else first
+        loop = asyncio.get_running_loop()
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            async with asyncio.timeout(first) as bound:
+
+                def take(part: bytes) -> None:
+                    body.extend(part)
+                    if not bound.expired():
+                        bound.reschedule(loop.time() + silence)
+
+                request = HTTPRequest(
+                    self._base + path,
+                    connect_timeout=min(CONNECT_SECONDS, first),
+                    request_timeout=DOWNLOAD_SECONDS,
+                    streaming_callback=take,
+                    prepare_curl_callback=_end_when_stalled(first),
+                )
+                # Cancelled, the library's own future would log the error that ends it.
+                fetch = asyncio.ensure_future(self._fetch(request))
+                response = await asyncio.shield(fetch)
+        except TimeoutError:
+            self.failure = f"silent after {len(body)} bytes"
+            return NoAnswer.LOST
+        if isinstance(response, NoAnswer):
+            return response
+        return Reply(response.code, _object(bytes(body)), response.headers)
+
+    async def _fetch(self, request: HTTPRequest) -> HTTPResponse | NoAnswer:
+        self.calls += 1
+        try:
+            return await self._client.fetch(request, raise_error=False)
         except HTTPClientError as error:
             # Raised only where no answer came: one with an error code is an answer.
             self.failure = str(error)
@@ -85,7 +134,16 @@
         except (TimeoutError, OSError) as error:
             self.failure = str(error)
             return NoAnswer.LOST
-        return Reply(response.code, _object(response.body), response.headers)
+
+
+def _end_when_stalled(seconds: float) -> Callable[[pycurl.Curl], None]:
+    """Return a callback that lets the library end transfers that stand still."""
+
+    def prepare(handle: pycurl.Curl) -> None:
+        handle.setopt(pycurl.LOW_SPEED_LIMIT, STALLED_BYTES_PER_SECOND)
+        handle.setopt(pycurl.LOW_SPEED_TIME, math.ceil(seconds) + 1)
+
+    return prepare
 
 
 def _object(body: bytes | None) -> dict[str, Any]:
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -69,7 +69,8 @@
     def __init__(self, address: str, *, clock: Clock, call_seconds: float) -> None:
         """Call the store at `address`, an `ip:port`.
 
-        Parameters: `call_seconds` bounds each call but the watches.
+        Parameters: `call_seconds` bounds a write, and each wait for more of the
+        answer to a read.
         """
         self.counts = StoreCounts()
         self.down_since: float | None = None
@@ -103,7 +104,7 @@
         """Return the value of `key`."""
         self.counts.reads += 1
         path = "/kv-key?" + urlencode({"key": key})
-        reply = await self._call("GET", path)
+        reply = await self._read(path)
         if isinstance(reply, Reply) and reply.code == NOT_FOUND:
             return Absent(whole(reply.body, "storeRevision", default=0))
         if isinstance(reply, Reply) and reply.code == OK:
@@ -122,7 +123,7 @@
         while True:
             self.counts.reads += 1
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            reply = await self._call("GET", "/kv-range?" + urlencode(query))
+            reply = await self._read("/kv-range?" + urlencode(query))
             if not isinstance(reply, Reply) or reply.code != OK:
                 return Unavailable(_reason(reply))
             revision = revision or whole(reply.body, "storeRevision")
@@ -135,7 +136,7 @@
     async def write(self, txn: Txn) -> Written | Conflict | Unknown | Unavailable:
         """Carry out `txn`, all of it or nothing."""
         self.counts.writes += 1
-        reply = await self._call("POST", "/kv-txn", _txn_body(txn))
+        reply = await self._post("/kv-txn", _txn_body(txn))
         if not isinstance(reply, Reply):
             return Unknown("no answer")
         if reply.code == OK:
@@ -176,13 +177,16 @@
         except BodyError as error:
             return Unavailable(error.message)
 
-    async def _call(
-        self, method: str, path: str, body: dict[str, Any] | None = None
-    ) -> Reply | NoAnswer:
+    async def _read(self, path: str) -> Reply | NoAnswer:
+        reply = await self._exchange.download(path, silence=self._call_seconds)
+        self._note(f"GET {path}", reply)
+        return reply
+
+    async def _post(self, path: str, body: dict[str, Any]) -> Reply | NoAnswer:
         reply = await self._exchange.call(
-            method, path, body, timeout=self._call_seconds
+            "POST", path, body, timeout=self._call_seconds
         )
-        self._note(f"{method} {path}", reply)
+        self._note(f"POST {path}", reply)
         return reply
 
     def _note(self, call: str, reply: Reply | NoAnswer) -> None:
