A list goes on from the page that was lost

A list of several pages was begun anew when one page was lost, by a store that is busy or a link that loses connections; the longer the list, the less likely it ever ended. Evidence: the scenario 'A later page of a list is lost' failed before (Unavailable after one 503). Change: once the first page has come, a later one is asked for up to five times, 0.2 s apart. The revision is that of the first page as before, so that a watch from there misses nothing.

--- a/features/platform/slow_link.feature
+++ b/features/platform/slow_link.feature
@@ -19,6 +19,13 @@
     When lists fall silent after 300000 bytes
     Then a list is given up within 2 s where a call may be silent for 0.5 s
 
+  Scenario: A later page of a list is lost
+    # Guards against a list that is begun anew with each lost page and never ends.
+    Given a store that holds 900 keys of 1000 bytes
+    When it refuses each page after the first one twice
+    Then all 900 keys are listed although a call may be silent for 0.5 s only
+    And the first page was asked for once
+
   Scenario: A configuration takes long to arrive
     # Guards against an entry that never knows its queues: it refused all its callers.
     Given a store that holds a configuration of 900000 bytes
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -43,6 +43,9 @@
 INVALID = (400, 403, 413)
 WATCH_SLACK_SECONDS = 0.5
 """What a watch may take beyond its waiting time before it counts as silent."""
+PAGE_TRIES = 5
+"""How often a page of a list is asked for, once the first page has come."""
+PAGE_RETRY_SECONDS = 0.2
 
 
 LOOK_KEY = "wagtailcleat/look"
@@ -121,10 +124,8 @@
         revision = 0
         after = ""
         while True:
-            self.counts.reads += 1
-            query = {"prefix": prefix} | ({"after": after} if after else {})
-            reply = await self._read("/kv-range?" + urlencode(query))
-            if not isinstance(reply, Reply) or reply.code != OK:
+            reply = await self._page(prefix, after)
+            if not isinstance(reply, Reply) or not _is_ok(reply):
                 return Unavailable(_reason(reply))
             revision = revision or whole(reply.body, "storeRevision")
             page = [_found(item) for item in rows(reply.body, "items")]
@@ -133,6 +134,20 @@
                 return Listing(found, revision)
             after = page[-1].key
 
+    async def _page(self, prefix: str, after: str) -> Reply | NoAnswer:
+        query = {"prefix": prefix} | ({"after": after} if after else {})
+        path = "/kv-range?" + urlencode(query)
+        self.counts.reads += 1
+        reply = await self._read(path)
+        # A list that is begun anew each time a page is lost may never come to its end.
+        tries = PAGE_TRIES if after else 1
+        while tries > 1 and not _is_ok(reply):
+            tries -= 1
+            await asyncio.sleep(PAGE_RETRY_SECONDS)
+            self.counts.reads += 1
+            reply = await self._read(path)
+        return reply
+
     async def write(self, txn: Txn) -> Written | Conflict | Unknown | Unavailable:
         """Carry out `txn`, all of it or nothing."""
         self.counts.writes += 1
@@ -206,6 +221,10 @@
             log.warning("The store does not answer", extra=fields)
 
 
+def _is_ok(reply: Reply | NoAnswer) -> bool:
+    return isinstance(reply, Reply) and reply.code == OK
+
+
 def _reason(reply: Reply | NoAnswer) -> str:
     return str(reply.code) if isinstance(reply, Reply) else reply.value
 
