A watch is not cut off while its events arrive

A watch had its waiting time and 0.5 s in all, also for the transfer of its events: many changes at once, or a large configuration behind a slow link, were cut off and asked for again from the start. Evidence: the scenario 'Many changes arrive together' failed before (lost) and passes. Change: the waiting time and 0.5 s bound the first part of the answer, the bound of a call each wait for more of it.

--- a/features/platform/slow_link.feature
+++ b/features/platform/slow_link.feature
@@ -26,6 +26,12 @@
     Then all 900 keys are listed although a call may be silent for 0.5 s only
     And the first page was asked for once
 
+  Scenario: Many changes arrive together
+    # Guards against a watch that is cut off while its events arrive, again and again.
+    Given a store that holds 900 keys of 1000 bytes
+    When lists leave it at 600000 bytes a second
+    Then a watch that waits for 0.2 s tells of all 900 keys
+
   Scenario: A configuration takes long to arrive
     # Guards against an entry that never knows its queues: it refused all its callers.
     Given a store that holds a configuration of 900000 bytes
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -177,10 +177,10 @@
             "after": str(after),
             "waitMs": str(int(wait_seconds * 1000)),
         }
-        reply = await self._watching.call(
-            "GET",
+        reply = await self._watching.download(
             "/kv-watch?" + urlencode(query),
-            timeout=wait_seconds + WATCH_SLACK_SECONDS,
+            first=wait_seconds + WATCH_SLACK_SECONDS,
+            silence=self._call_seconds,
         )
         if isinstance(reply, Reply) and reply.code == HISTORY_GONE:
             return HistoryGone()
