An entry that is told who leads reads it all the same, and gives its word

Cause: an entry that is told of the leader before its first look at the store saw a leader that answers, and never read the leader's key; until it has read, it gives nobody its word. A leader that is away from the store needs every entry's word: after such a start it could not act in any outage of more than 2.2 s, and it never handed over to that entry. Change: an entry that has not read who leads reads it at its next look, whoever seems to lead.

--- /dev/null
+++ b/features/steps/restoring_steps.py
@@ -0,0 +1,98 @@
+"""Steps on a leader that takes long to restore, on virtual time."""
+
+from behave import given, then, when
+
+from features.steps.takeover_world import TakeoverWorld
+from wagtailcleat.wire.scheduling import KeepFollowing
+
+SECONDS = 20.0
+AGENTS = 3
+
+
+@given(
+    "{count:d} entries on virtual time,"
+    " the first of them {weight:d} times as large, which leads"
+)
+def step_world(context, count, weight):
+    weights = [float(weight)] + [1.0] * (count - 1)
+    world = TakeoverWorld(entries=count, agents=AGENTS, weights=weights)
+    context.world = world
+    context.add_cleanup(world.close)
+    context.large = world.until_led()
+    assert context.large is world.entries[0]
+    # Every agent is registered, and the entries know each other.
+    world.wait(2.0)
+
+
+@when("the large entry dies, and the list of jobs takes the others {seconds:g} s")
+def step_dies(context, seconds):
+    for entry in context.world.entries[1:]:
+        entry.store.jobs_seconds = seconds
+    context.large.kill()
+
+
+@when("another entry claims")
+def step_claims(context):
+    world = context.world
+
+    def claimed():
+        return any(entry.leader for entry in world.entries[1:])
+
+    world.until(claimed, SECONDS, "another entry claims")
+    context.small = next(entry for entry in world.entries[1:] if entry.leader)
+    assert not context.small.leader.ready
+
+
+@when("the large entry comes back")
+def step_back(context):
+    context.large = context.world.restart(context.large)
+
+
+@then("it leads within {seconds:g} s")
+def step_leads(context, seconds):
+    world = context.world
+    world.until(
+        lambda: context.large in world.leading(), seconds, "the large entry leads"
+    )
+
+
+@when("it has restored what is stored")
+def step_restored(context):
+    leader = context.small.leader
+    context.world.until(lambda: leader.ready, SECONDS, "the book is restored")
+
+
+@then("each agent was refused {count:d} times at most")
+def step_refused(context, count):
+    refused = context.small.refused_reports
+    assert len(refused) == AGENTS, refused
+    assert max(refused.values()) <= count, refused
+
+
+@then("each agent is heard within {seconds:g} s")
+def step_heard(context, seconds):
+    scheduler = context.small.leader.scheduler
+    context.world.until(lambda: not scheduler.unheard, seconds, "every agent is heard")
+
+
+@when("a small entry dies, comes back and is told at once who leads")
+def step_told(context):
+    world = context.world
+    small = world.entries[-1]
+    small.kill()
+    context.small = world.restart(small)
+    told = context.small.leadership.leads_now(context.large.leadership.leader)
+    world.loop.run_until_complete(told)
+
+
+@then("it gives the leader its word within {seconds:g} s")
+def step_word(context, seconds):
+    world = context.world
+    leadership = context.small.leadership
+
+    def given():
+        asked = KeepFollowing(context.large.leadership.leader.epoch)
+        word = world.loop.run_until_complete(leadership.keep_following(asked))
+        return word.seconds > 0
+
+    world.until(given, seconds, "it gives its word")
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -20,7 +21,7 @@
 )
 from standins.virtual_time import VirtualLoop
 from wagtailcleat.cluster.following import Following
-from wagtailcleat.cluster.keys import Place, encode, job_key
+from wagtailcleat.cluster.keys import JOB_PREFIX, Place, encode, job_key
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.timing import (
@@ -116,6 +117,8 @@
         """How much longer a call is on its way."""
         self.answer_seconds = 0.0
         """How much longer the answer to a write is on its way."""
+        self.jobs_seconds = 0.0
+        """How much longer the list of jobs is on its way."""
         self.down_since = None
         self.answered_at = 0.0
         self._clock = clock
@@ -145,6 +148,8 @@
         if not await self._asked():
             return Unavailable("cut")
         listing = Listing(self.keyspace.under(prefix), self.keyspace.revision)
+        if prefix == JOB_PREFIX:
+            await asyncio.sleep(self.jobs_seconds)
         await asyncio.sleep(STORE_SECONDS / 2)
         return listing
 
@@ -352,13 +357,18 @@
 class PretendedEntry(PretendedProcess):
     """An entry: its part in the leadership, and the leader while it leads."""
 
-    def __init__(self, world: "TakeoverWorld", node: str, host: str) -> None:
-        """Wire the parts."""
+    def __init__(
+        self, world: "TakeoverWorld", node: str, host: str, weight: float = 1.0
+    ) -> None:
+        """Wire the parts; `weight` is its processor time."""
         super().__init__(world, node, host)
+        self.weight = weight
+        self.refused_reports: Counter[str] = Counter()
+        """By agent, while this entry leads and restores."""
         self.leader: Leader | None = None
         self.leadership = Leadership(
             Identity(node, Role.ENTRY, self.incarnation, "s"),
-            Place(host, PORT, self.incarnation),
+            Place(host, PORT, self.incarnation, weight),
             store=self.store,
             peers=self.peers,
             clock=world.clock,
@@ -395,6 +405,8 @@
     async def _report(self, stream, message):
         if self.leader is None:
             return Refused("unavailable", "this entry does not lead")
+        if not self.leader.ready:
+            self.refused_reports[message.node] += 1
         return await self.leader.report(stream, message, None)
 
     async def _submitted(self, message):
@@ -474,8 +486,10 @@
 class TakeoverWorld:
     """Entries and agents that begin together, and the oracle of what runs."""
 
-    def __init__(self, *, entries: int, agents: int) -> None:
-        """Start everything."""
+    def __init__(
+        self, *, entries: int, agents: int, weights: Sequence[float] = ()
+    ) -> None:
+        """Start everything; `weights` are the entries' processor times."""
         self.loop = VirtualLoop(settle=0.0)
         self.keyspace = Keyspace()
         self.network = Network(self.loop)
@@ -485,8 +499,10 @@
         self.jobs = 0
         self.entry_hosts = [f"entry-host-{n}" for n in range(1, entries + 1)]
         self.entries = [
-            PretendedEntry(self, f"entry-{n}", host)
-            for n, host in enumerate(self.entry_hosts, 1)
+            PretendedEntry(self, f"entry-{n}", host, weight)
+            for n, (host, weight) in enumerate(
+                zip(self.entry_hosts, weights or [1.0] * entries, strict=True), 1
+            )
         ]
         self.agents = [
             PretendedAgent(
@@ -545,7 +561,7 @@
         """Start a killed process again."""
         if isinstance(process, PretendedEntry):
             number = self.entries.index(process)
-            new = PretendedEntry(self, process.node, process.host)
+            new = PretendedEntry(self, process.node, process.host, process.weight)
             self.entries[number] = new
             return new
         number = self.agents.index(process)
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -262,6 +262,9 @@
         asked = self.leader.epoch
         sign = await self._sign()
         self._look_every = LOOK_SOON if sign is _Sign.REFUSED else PROBE_EVERY
+        if not self._claims.has_read:
+            # Told who leads before it could read it, it would give nobody its word.
+            await self._claims.read()
         if sign is _Sign.LEADS or not self.may_claim:
             self._refused_beat = None
             self._wanted_since = None
