A leader looks after the entries while it restores, and gives way to a larger one

Cause: a leader announced itself, struck silent entries and gave way only once its book was restored. It also knew no other entry before that, so that it could not act by their word while the store is away. Change: that part of a leader's work begins with the office.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -1,5 +1,13 @@
 Feature: A leader that takes long to restore what is stored
 
+  Scenario: A larger entry comes back while a smaller one restores
+    # Guards against an office that is kept by an entry which can't do its work yet.
+    Given 3 entries on virtual time, the first of them 4 times as large, which leads
+    When the large entry dies, and the list of jobs takes the others 60 s
+    And another entry claims
+    And the large entry comes back
+    Then it leads within 20 s
+
   Scenario: An entry is told who leads before it has read it
     # Guards against a leader that may not act while the store is away, for want of the
     # word of an entry that has started since.
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -124,16 +124,18 @@
 
     async def run(self) -> None:
         """Restore the book, then lead until cancelled."""
-        await self._restore()
         supervisor = Supervisor(f"epoch-{self.office.epoch}")
-        supervisor.spawn("jobs", self._jobs.watch)
-        supervisor.spawn("records", self._records.run)
+        # Also while the book is restored: that takes long behind a slow link, and an
+        # entry that leads must not keep a larger one from leading.
         supervisor.spawn("entries", self._keep_entries)
-        supervisor.spawn("rounds", self._rounds)
-        supervisor.spawn("learnt", self._keep_learnt)
-        if self._advice is not None:
-            supervisor.spawn("advice", partial(self._ask_advice, self._advice))
         try:
+            await self._restore()
+            supervisor.spawn("jobs", self._jobs.watch)
+            supervisor.spawn("records", self._records.run)
+            supervisor.spawn("rounds", self._rounds)
+            supervisor.spawn("learnt", self._keep_learnt)
+            if self._advice is not None:
+                supervisor.spawn("advice", partial(self._ask_advice, self._advice))
             await asyncio.Event().wait()
         finally:
             await supervisor.stop()
