Agents wait for a leader that restores, and report when it says that it is ready

Cause: an agent whose report was refused looked for the leader and reported again after a few milliseconds, all agents at once, for as long as the leader restored.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -8,6 +8,15 @@
     And the large entry comes back
     Then it leads within 20 s
 
+  Scenario: Agents wait while a leader restores
+    # Guards against reports that are refused and repeated without a pause.
+    Given 3 entries on virtual time, the first of them 4 times as large, which leads
+    When the large entry dies, and the list of jobs takes the others 3 s
+    And another entry claims
+    And it has restored what is stored
+    Then each agent was refused 25 times at most
+    And each agent is heard within 0.05 s
+
   Scenario: An entry is told who leads before it has read it
     # Guards against a leader that may not act while the store is away, for want of the
     # word of an entry that has started since.
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterator
 
 from wagtailcleat.clock import Clock
@@ -74,6 +75,8 @@
         self._on_answer = on_answer
         self._on_orders = on_orders
         self._news = asyncio.Event()
+        self._announced = asyncio.Event()
+        """Set when a leader says that it leads."""
         self._looks = 0
         self._started_at = clock()
 
@@ -93,6 +96,7 @@
         """Follow a leader that announces itself."""
         assert isinstance(message, Leads)
         self._learn(message)
+        self._announced.set()
         return Done()
 
     async def orders(
@@ -137,6 +141,10 @@
             return False
         if isinstance(answer, FollowFirst):
             return await self._follow(answer.epoch)
+        if isinstance(answer, Refused) and answer.code == Code.RESTORING.value:
+            await self._until_announced()
+            self._news.set()
+            return True
         if not isinstance(answer, ReportTaken) or answer.epoch != self.epoch:
             return False
         if answer.valid_seconds <= 0:
@@ -150,6 +158,14 @@
         self._on_answer(report)
         return True
 
+    async def _until_announced(self) -> None:
+        # A leader that restores its book takes no reports yet and says when it does.
+        # All agents reporting again at once would fill the link that it restores over.
+        self._announced.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOOK_AGAIN):
+                await self._announced.wait()
+
     async def _follow(self, epoch: Epoch) -> bool:
         """Follow a later epoch and report soon; tell whether it may be followed."""
         if epoch <= self.epoch or not await self._surely_last(epoch):
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -181,7 +181,7 @@
             # An earlier leader may have stored progress of it already, and the lists
             # with both are on their way: entered without its record, the job would
             # begin anew. The lists or the watch after them bring it.
-            return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
+            return Refused(Code.RESTORING.value, "the leader is still restoring")
         self._jobs.add(message.id, message.job, 0)
         self._wake.set()
         return StateShown("")
@@ -214,7 +214,7 @@
         """Take in an agent's report; the answer lets it act for a while."""
         assert isinstance(message, Report)
         if not self.ready:
-            return Refused(Code.UNAVAILABLE.value, "the leader is still restoring")
+            return Refused(Code.RESTORING.value, "the leader is still restoring")
         if not self.acting:
             # Runs go on for as long after an answer as a next leader waits after the
             # last moment at which this one may act.
--- a/wagtailcleat/errors.py
+++ b/wagtailcleat/errors.py
@@ -14,6 +14,7 @@
     NOT_FOUND = "not_found"
     UNAUTHORIZED = "unauthorized"
     UNAVAILABLE = "unavailable"
+    RESTORING = "restoring"
     TOO_LARGE = "too_large"
     QUOTA = "quota"
     INTERNAL = "internal"
