Large records are written a few at a time

Up to 15 records went into one write, however large; a write that takes longer than the bound of a call is repeated whole, so that behind a slow link no progress of any job would be stored any more. Evidence: the scenario 'Large records change together' (20 records of 30 kB, a store that answers no write of several records above 200 kB) failed before and passes. Change: records of one write hold 128 kB in all, but for one that is larger by itself.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -23,3 +23,9 @@
     Given 3 entries on virtual time, the first of them 4 times as large, which leads
     When a small entry dies, comes back and is told at once who leads
     Then it gives the leader its word within 1 s
+
+  Scenario: Large records change together
+    # Guards against a write that is too long for its bound and is repeated for ever.
+    Given a leader whose store answers no write of several records above 200000 bytes
+    When 20 jobs have a run that ends with 30000 bytes of checkpoint
+    Then the progress of each of them is stored
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -43,6 +43,8 @@
         self.asked_lists = 0
         self.watched = True
         """Whether watches tell of anything."""
+        self.most_bytes = 0
+        """Writes of more get no answer and are not carried out; 0: any are taken."""
         self.holds_deletes = False
         """Whether a write that deletes gets no answer, and is carried out late."""
         self.late = []
@@ -80,6 +82,9 @@
         if txn.deletes and self.holds_deletes:
             self.late.append(txn)
             return Unknown("no answer")
+        size = sum(len(value) for value in txn.puts.values())
+        if self.most_bytes and len(txn.puts) > 1 and size > self.most_bytes:
+            return Unknown("no answer")
         return self.carry_out(txn)
 
     def carry_out(self, txn):
--- a/features/steps/restoring_steps.py
+++ b/features/steps/restoring_steps.py
@@ -2,7 +2,11 @@
 
 from behave import given, then, when
 
+from features.steps.leader_world import LeaderWorld
+from features.steps.scheduling_world import make_job, plain
 from features.steps.takeover_world import TakeoverWorld
+from wagtailcleat.cluster.keys import record_key
+from wagtailcleat.scheduling.models import RunEnd
 from wagtailcleat.wire.scheduling import KeepFollowing
 
 SECONDS = 20.0
@@ -96,3 +100,33 @@
         return word.seconds > 0
 
     world.until(given, seconds, "it gives its word")
+
+
+@given("a leader whose store answers no write of several records above {size:d} bytes")
+def step_leader(context, size):
+    context.leading = LeaderWorld()
+    context.add_cleanup(context.leading.close)
+    context.leading.store.most_bytes = size
+    context.leading.lead()
+    context.leading.until(lambda: context.leading.leader.ready)
+    context.leading.rounds()
+
+
+@when("{count:d} jobs have a run that ends with {size:d} bytes of checkpoint")
+def step_large(context, count, size):
+    world = context.leading
+    context.jobs = [f"{number:016x}" for number in range(count)]
+    for job in context.jobs:
+        world.store_job(make_job(job, plain(1, cores=0.5)))
+    world.until(lambda: all(world.runs(job) for job in context.jobs))
+    for worker in world.workers:
+        for key in list(worker.running):
+            worker.end(key, RunEnd.STOPPED, checkpoint="x" * size)
+    world.rounds()
+
+
+@then("the progress of each of them is stored")
+def step_stored(context):
+    world = context.leading
+    stored = world.store.found_by_key
+    world.until(lambda: all(record_key(job) in stored for job in context.jobs))
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -29,6 +29,11 @@
 """Pause after a write that failed."""
 RECORDS_PER_WRITE = (MAX_TXN_ENTRIES - 1) // 2
 """Each record is a compare and a put; one compare more is the leader's own key."""
+BYTES_PER_WRITE = 128 * 1024
+"""Records of one write in all, but for one that is larger by itself.
+
+A write that takes longer than a call may is repeated whole, and may never be answered.
+"""
 JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 3
 """Each job has up to three keys."""
 AGENTS_PER_WRITE = (MAX_TXN_ENTRIES - 1) // 2
@@ -97,7 +102,7 @@
             await self._register_agents()
             await self._strike_agents()
             while changed := self._changed():
-                if not await self._write_records(changed[:RECORDS_PER_WRITE]):
+                if not await self._write_records(changed):
                     await asyncio.sleep(RETRY_SECONDS)
             await self._forget_old()
 
@@ -189,9 +194,10 @@
     def _mine(self) -> Compare:
         return Compare(LEADER_KEY, self._office.leader_revision)
 
-    async def _write_records(self, entries: list[JobEntry]) -> bool:
+    async def _write_records(self, changed: list[JobEntry]) -> bool:
+        """Write the first of the changed records, as many as fit into one write."""
+        entries, values = _batch(changed)
         versions = [entry.version for entry in entries]
-        values = [encode(record_of(entry)) for entry in entries]
         compares = [self._mine()]
         puts = {}
         for entry, value in zip(entries, values, strict=True):
@@ -253,5 +259,18 @@
                 del book.entry_by_id[entry.job.id]
 
 
+def _batch(changed: list[JobEntry]) -> tuple[list[JobEntry], list[bytes]]:
+    """Return the first jobs whose records fit into one write, and these records."""
+    values: list[bytes] = []
+    size = 0
+    for entry in changed[:RECORDS_PER_WRITE]:
+        value = encode(record_of(entry))
+        size += len(value)
+        if values and size > BYTES_PER_WRITE:
+            break
+        values.append(value)
+    return changed[: len(values)], values
+
+
 def _keys(jobs: Iterable[JobId]) -> list[str]:
     return [key(job) for job in jobs for key in (job_key, cancel_key, record_key)]
