Steps on requests wait for the port to close and the stream to be served

Two fixed sleeps waited for something that can be seen. The step that stops an entry slept through the balancer's notice; it now waits until the entry refuses connections, and leaves the half-sent body alone for 0.3 s from then on, as long as before. The step that settles over a newer stream slept 10 ms so that the agent had the older one; it now asks for a state dump over it, whose answer shows that the agent serves it.

Left as they are, since they are the length of a fault: the link silent or holding back for the seconds that the step names.

features/requests/answers.feature twice: 8 scenarios passed, 0 failed, each time. features/requests/leaving.feature twice: 4 scenarios passed, 0 failed, each time. Trials on a scratch copy of the tree: with an entry that closes all connections as it begins to drain, "An entry is stopped under load" fails (the half-sent body is answered by nothing); with an agent that leaves older streams open, the two scenarios that settle a request fail.

--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -12,10 +12,12 @@
 from standins.cluster import Cluster, ServiceOptions, VmOptions
 from standins.processes import HttpError, Stream, http, wait_for
 from wagtailcleat.clock import boot_time
+from wagtailcleat.wire.messages import Dump, DumpState
 from wagtailcleat.wire.parts import Lost
 
 PATIENCE = 15
 KEPT_SECONDS = 3.0
+HALF_SENT_SECONDS = 0.3
 TIMING = {
     "reservation": 0.5,
     "grant": 3.0,
@@ -226,7 +228,8 @@
         older = Peer("peer-1", 1, context.agent_port)
         newer = Peer("peer-1", 1, context.agent_port)
         given_up = await older.stream()
-        await asyncio.sleep(0.01)
+        # An answer shows that the agent serves this stream before the newer one opens.
+        assert isinstance(await older.call(DumpState(["node"])), Dump)
         if first is not None:
             await first(older, incarnation, request_id)
         answers = [await newer.call(settle(incarnation, request_id))]
@@ -450,6 +453,15 @@
     return upload
 
 
+def refuses(port):
+    """Tell whether connections to a port of this machine are refused."""
+    try:
+        socket.create_connection(("127.0.0.1", port)).close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
 @when(
     "callers post without pause, a watcher reads events and the first entry is stopped"
 )
@@ -469,7 +481,9 @@
             return answer.status == 503
 
         wait_for(red, PATIENCE, "the health check is red")
-        time.sleep(TIMING["balancer_notice"] + 0.3)
+        wait_for(lambda: refuses(port), PATIENCE, "the entry takes no connection")
+        # For so long the entry leaves a connection alone whose body is on its way.
+        time.sleep(HALF_SENT_SECONDS)
         upload.sendall(b"67890")
         context.uploaded = upload.recv(65_536)
         upload.close()
