The leader's world waits until the leader has decided a round

After reports it slept for 40 ms, as eight looks, and took it for granted that the leader had decided meanwhile. It now also waits until the leader has decided at least one round since, counted by its questions for the zones out, and lets the tasks run that send what was decided. The eight looks stay, because some scenarios check that nothing starts in them.

Left as they are: the look of 5 ms that `until` repeats, and the pretended store's watch, which looks for events until there are some.

--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -145,6 +145,8 @@
         self.stream_by_node = {}
         self.leader = None
         self.work = None
+        self.rounds_decided = 0
+        """How many rounds the leaders have decided, while they were acting."""
         self.now = 100.0
 
     def lead(self, epoch=2):
@@ -167,10 +169,15 @@
             clock=lambda: self.now,
             wall_clock=lambda: 1_800_000_000.0,
             status_kept=1000.0,
-            zones_out=frozenset,
+            zones_out=self._zones_out,
         )
         self.work = self.loop.create_task(self.leader.run())
 
+    def _zones_out(self):
+        # A leader asks for these once in each round.
+        self.rounds_decided += 1
+        return frozenset()
+
     def store_job(self, job: Job, record: JobRecord | None = None):
         """Store a job, with its progress if there is any."""
         self.store.put(JOB_PREFIX + job.id, encode(job))
@@ -220,8 +227,12 @@
 
     def pass_rounds(self):
         """Let the leader decide a few times without a report."""
+        before = self.rounds_decided
         for _ in range(LOOKS):
             self.pause()
+        self.until(lambda: self.rounds_decided > before)
+        # What the last round decided is sent by tasks of its own.
+        self.pause()
 
     def runs(self, job):
         """Return what runs of a job."""
