The hosting world waits until its cancelled task has ended

It yielded once to the event loop (a sleep of 0 s) and closed it, whether or not the task had ended by then. It now waits for the task itself.

--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -100,7 +100,7 @@
 
     def close(self):
         self.work.cancel()
-        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.run_until_complete(asyncio.gather(self.work, return_exceptions=True))
         self.loop.close()
 
 
