A transfer that nobody waits for any more is ended

What callers would see: after a store was silent for some seconds, calls of all kinds wait for many more seconds for a connection, the leader's renewals among them. Cause: a read that was given up kept its connection until the library found it slower than 1 byte a second, which it judges over several seconds, or for 30 s where bytes go on; reads still in the library's queue were sent although nobody waited. A read whose caller was cancelled raised an error in the event loop with each part that still came. Change: the library asks at each part, and once a second, whether the transfer is still waited for; one still in the queue is not sent.

--- a/features/platform/slow_link.feature
+++ b/features/platform/slow_link.feature
@@ -37,3 +37,17 @@
     Given a store that holds a configuration of 900000 bytes
     When lists leave it at 600000 bytes a second
     Then the configuration is known to a process where a call may be silent for 0.5 s
+
+  Scenario: Who has asked for a list is gone
+    # Guards against faults that are logged for each part of an answer nobody waits for.
+    Given a store that holds 900 keys of 1000 bytes
+    When lists leave it at 200000 bytes a second
+    And a list is cancelled after 0.3 s
+    Then nothing more of it is heard of
+
+  Scenario: A store falls silent for many callers
+    # Guards against a renewal that waits behind reads which nobody waits for any more.
+    Given a store that holds 900 keys of 1000 bytes
+    When lists fall silent after 300000 bytes
+    And 48 lists are given up where a call may be silent for 0.5 s
+    Then a write is answered within 2 s
--- a/features/steps/slow_link_steps.py
+++ b/features/steps/slow_link_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import tempfile
 import time
 from base64 import b64encode
@@ -18,7 +19,7 @@
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.platform.operators import CONFIGURATION_KEY
 from wagtailcleat.scheduling.models import Job, JobRecord, JobState
-from wagtailcleat.storage import Changes, Listing, Unavailable
+from wagtailcleat.storage import Changes, Listing, Txn, Unavailable, Written
 
 SERVICE = ServiceName("booking-core")
 PUTS_PER_WRITE = 30
@@ -175,3 +176,59 @@
         return watch.queues
 
     assert _ask(context, seconds, follow).version == 3
+
+
+class _Kept(logging.Handler):
+    """Keeps what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(record.getMessage())
+
+
+@when("a list is cancelled after {seconds:g} s")
+def step_cancel_list(context, seconds):
+    kept = _Kept()
+    loggers = [logging.getLogger(name) for name in ("tornado.application", "asyncio")]
+    for logger in loggers:
+        logger.addHandler(kept)
+
+    async def cancel(store):
+        listing = asyncio.create_task(store.list("keys/"))
+        await asyncio.sleep(seconds)
+        listing.cancel()
+        await asyncio.sleep(1.5)
+
+    try:
+        _ask(context, 0.5, cancel)
+    finally:
+        for logger in loggers:
+            logger.removeHandler(kept)
+    context.logged = kept.lines
+
+
+@then("nothing more of it is heard of")
+def step_nothing_heard(context):
+    assert not context.logged, context.logged[:3]
+
+
+@when("{count:d} lists are given up where a call may be silent for {seconds:g} s")
+def step_many_given_up(context, count, seconds):
+    async def give_up(store):
+        lists = [store.list("keys/") for _ in range(count)]
+        for listing in await asyncio.gather(*lists):
+            assert isinstance(listing, Unavailable), listing
+        began = time.monotonic()
+        outcome = await store.write(Txn([], {"other": b"x"}))
+        return outcome, time.monotonic() - began
+
+    context.outcome, context.seconds = _ask(context, seconds, give_up)
+
+
+@then("a write is answered within {bound:g} s")
+def step_write_answered(context, bound):
+    assert isinstance(context.outcome, Written), context.outcome
+    assert context.seconds < bound, context.seconds
--- a/wagtailcleat/platform/exchange.py
+++ b/wagtailcleat/platform/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -18,8 +17,9 @@
 NEVER_CONNECTED = (pycurl.E_COULDNT_CONNECT,)
 DOWNLOAD_SECONDS = 30.0
 """Bound of a whole download, however steadily it goes on."""
-STALLED_BYTES_PER_SECOND = 1
-"""Below this the library ends a transfer that nobody waits for any more."""
+LOOK_SECONDS = 60
+"""For the library's own look at the speed of a transfer. While it is to look, it also
+asks once a second whether a transfer that stands still should go on."""
 
 
 class NoAnswer(Enum):
@@ -95,14 +95,15 @@
         `first` the wait for its first part; `silence` where it is not given.
         """
         body = bytearray()
+        waiting = True
         first = silence if first is None else first
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(first) as bound:
 
                 def take(part: bytes) -> None:
-                    body.extend(part)
-                    if not bound.expired():
+                    if waiting and not bound.expired():
+                        body.extend(part)
                         bound.reschedule(loop.time() + silence)
 
                 request = HTTPRequest(
@@ -110,7 +111,7 @@
                     connect_timeout=min(CONNECT_SECONDS, first),
                     request_timeout=DOWNLOAD_SECONDS,
                     streaming_callback=take,
-                    prepare_curl_callback=_end_when_stalled(first),
+                    prepare_curl_callback=_while_true(lambda: waiting),
                 )
                 # Cancelled, the library's own future would log the error that ends it.
                 fetch = asyncio.ensure_future(self._fetch(request))
@@ -118,6 +119,8 @@
         except TimeoutError:
             self.failure = f"silent after {len(body)} bytes"
             return NoAnswer.LOST
+        finally:
+            waiting = False
         if isinstance(response, NoAnswer):
             return response
         return Reply(response.code, _object(bytes(body)), response.headers)
@@ -136,12 +139,17 @@
             return NoAnswer.LOST
 
 
-def _end_when_stalled(seconds: float) -> Callable[[pycurl.Curl], None]:
-    """Return a callback that lets the library end transfers that stand still."""
+def _while_true(wanted: Callable[[], bool]) -> Callable[[pycurl.Curl], None]:
+    """Return a callback that lets the library end a transfer that is not wanted."""
 
     def prepare(handle: pycurl.Curl) -> None:
-        handle.setopt(pycurl.LOW_SPEED_LIMIT, STALLED_BYTES_PER_SECOND)
-        handle.setopt(pycurl.LOW_SPEED_TIME, math.ceil(seconds) + 1)
+        if not wanted():
+            # It was still in the queue of the library.
+            raise TimeoutError("nobody waits for it any more")
+        handle.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+        handle.setopt(pycurl.LOW_SPEED_TIME, LOOK_SECONDS)
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: 0 if wanted() else 1)
 
     return prepare
 
