A leader that may not act any more sends agents to look for the next one

What callers would see: work at an agent is not counted and starts elsewhere once the agent is given up, for as long as a replaced leader goes on restoring. Cause: agents stay with a leader that says that it restores. One that is cut off from the store and from the entries says so for as long as the cut lasts; the next leader tells each registered agent once, and an agent that missed that word stayed. Change: a leader says that it restores only while it may act; else its refusal is the usual one, which sends agents to look.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -29,3 +29,11 @@
     Given a leader whose store answers no write of several records above 200000 bytes
     When 20 jobs have a run that ends with 30000 bytes of checkpoint
     Then the progress of each of them is stored
+
+  Scenario: A leader that restores was replaced, and does not know it
+    # Guards against an agent that stays with a leader which another one has replaced.
+    Given 3 entries on virtual time, the first of them 4 times as large, which leads
+    When the large entry dies, and the list of jobs takes the others 60 s
+    And another entry claims
+    And it is cut off from the store and the entries, and the third one leads
+    Then an agent that was not told of that is heard by it within 3 s
--- a/features/steps/restoring_steps.py
+++ b/features/steps/restoring_steps.py
@@ -1,5 +1,7 @@
 """Steps on a leader that takes long to restore, on virtual time."""
 
+import asyncio
+
 from behave import given, then, when
 
 from features.steps.leader_world import LeaderWorld
@@ -7,7 +9,7 @@
 from features.steps.takeover_world import TakeoverWorld
 from wagtailcleat.cluster.keys import record_key
 from wagtailcleat.scheduling.models import RunEnd
-from wagtailcleat.wire.scheduling import KeepFollowing
+from wagtailcleat.wire.scheduling import KeepFollowing, Leads
 
 SECONDS = 20.0
 AGENTS = 3
@@ -130,3 +132,31 @@
     world = context.leading
     stored = world.store.found_by_key
     world.until(lambda: all(record_key(job) in stored for job in context.jobs))
+
+
+@when("it is cut off from the store and the entries, and the third one leads")
+def step_cut_off(context):
+    world = context.world
+    small = context.small
+    third = next(e for e in world.entries if e.alive and e is not small)
+    third.store.jobs_seconds = 0.0
+    small.store.reached = False
+    agent = context.agent = world.agents[0]
+
+    async def hold(near, far, message):
+        between = {near, far} <= set(world.entry_hosts) and small.host in (near, far)
+        untold = far == agent.host and isinstance(message, Leads) and near == third.host
+        if between or (untold and message.node == third.node):
+            await asyncio.Event().wait()
+
+    world.network.hold = hold
+    context.third = third
+    world.until(lambda: third in world.leading(), SECONDS, "the third entry leads")
+
+
+@then("an agent that was not told of that is heard by it within {seconds:g} s")
+def step_untold_heard(context, seconds):
+    unheard = context.third.leader.scheduler.unheard
+    context.world.until(
+        lambda: context.agent.node not in unheard, seconds, "the agent is heard"
+    )
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -213,9 +213,11 @@
     ) -> AnyMessage:
         """Take in an agent's report; the answer lets it act for a while."""
         assert isinstance(message, Report)
-        if not self.ready:
+        if not self.ready and self.office.valid_for(self._now) > 0:
             return Refused(Code.RESTORING.value, "the leader is still restoring")
         if not self.acting:
+            # Agents stay with a leader that restores; once it may not act, another one
+            # may have replaced it, and they must look who leads.
             # Runs go on for as long after an answer as a next leader waits after the
             # last moment at which this one may act.
             return Refused(Code.UNAVAILABLE.value, "this leader may not act now")
