--- a/features/steps/restoring_steps.py
+++ b/features/steps/restoring_steps.py
@@ -1,13 +1,16 @@
 """Steps on a leader that takes long to restore, on virtual time."""
 
+import asyncio
+
 from behave import given, then, when
 
+from features.steps.leader_world import SECONDS as LEADER_SECONDS
 from features.steps.leader_world import LeaderWorld
 from features.steps.scheduling_world import make_job, plain
 from features.steps.takeover_world import TakeoverWorld
 from wagtailcleat.cluster.keys import record_key
 from wagtailcleat.scheduling.models import RunEnd
-from wagtailcleat.wire.scheduling import KeepFollowing
+from wagtailcleat.wire.scheduling import KeepFollowing, Leads
 
 SECONDS = 20.0
 AGENTS = 3
@@ -130,3 +133,64 @@
     world = context.leading
     stored = world.store.found_by_key
     world.until(lambda: all(record_key(job) in stored for job in context.jobs))
+
+
+@when("it is cut off from the store and the entries, and the third one leads")
+def step_cut_off(context):
+    world = context.world
+    small = context.small
+    third = next(e for e in world.entries if e.alive and e is not small)
+    third.store.jobs_seconds = 0.0
+    small.store.reached = False
+    agent = context.agent = world.agents[0]
+
+    async def hold(near, far, message):
+        between = {near, far} <= set(world.entry_hosts) and small.host in (near, far)
+        untold = far == agent.host and isinstance(message, Leads) and near == third.host
+        if between or (untold and message.node == third.node):
+            await asyncio.Event().wait()
+
+    world.network.hold = hold
+    context.third = third
+    world.until(lambda: third in world.leading(), SECONDS, "the third entry leads")
+
+
+@then("an agent that was not told of that is heard by it within {seconds:g} s")
+def step_untold_heard(context, seconds):
+    unheard = context.third.leader.scheduler.unheard
+    context.world.until(
+        lambda: context.agent.node not in unheard, seconds, "the agent is heard"
+    )
+
+
+@given("a leader whose store answers no write above {size:d} bytes")
+def step_leader_small_writes(context, size):
+    step_leader(context, size)
+    context.leading.store.single_too = True
+
+
+@when(
+    "a job's run ends with {size:d} bytes of checkpoint"
+    " and {count:d} others with {small:d} bytes"
+)
+def step_one_large(context, size, count, small):
+    world = context.leading
+    jobs = [f"{number:016x}" for number in range(count + 1)]
+    for job in jobs:
+        world.store_job(make_job(job, plain(1, cores=0.5)))
+    world.until(lambda: all(world.runs(job) for job in jobs))
+    context.others = jobs[1:]
+    for worker in world.workers:
+        for key in list(worker.running):
+            length = size if key.task.job == jobs[0] else small
+            worker.end(key, RunEnd.STOPPED, checkpoint="x" * length)
+    world.rounds()
+
+
+@then("the progress of the {count:d} others is stored within {seconds:g} s")
+def step_others_stored(context, count, seconds):
+    assert seconds == LEADER_SECONDS
+    world = context.leading
+    assert len(context.others) == count
+    stored = world.store.found_by_key
+    world.until(lambda: all(record_key(job) in stored for job in context.others))
