After an outage records go out in full writes again

Change: after a write that was carried out, what all records that wait have failed alike is forgiven. Why it works: a record that is never taken shares its failures with fewer and fewer others.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -43,3 +43,10 @@
     Given a leader whose store answers no write above 200000 bytes
     When a job's run ends with 300000 bytes of checkpoint and 20 others with 10 bytes
     Then the progress of the 20 others is stored within 10 s
+
+  Scenario: Many records wait for the store to answer again
+    # Guards against a write for each record after an outage.
+    Given a leader whose store answers no write above 200000 bytes
+    When 40 jobs have a run that ends, and 12 writes are not answered
+    And the store takes all writes again
+    Then the progress of each of them is stored with 8 writes at most
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -47,6 +47,7 @@
         """Writes of more get no answer and are not carried out; 0: any are taken."""
         self.single_too = False
         """Whether this holds for a write of a single key too."""
+        self.refused_writes = 0
         self.holds_deletes = False
         """Whether a write that deletes gets no answer, and is carried out late."""
         self.late = []
@@ -87,6 +88,7 @@
         size = sum(len(value) for value in txn.puts.values())
         bounded = self.single_too or len(txn.puts) > 1
         if self.most_bytes and bounded and size > self.most_bytes:
+            self.refused_writes += 1
             return Unknown("no answer")
         return self.carry_out(txn)
 
--- a/features/steps/restoring_steps.py
+++ b/features/steps/restoring_steps.py
@@ -117,11 +117,19 @@
 
 @when("{count:d} jobs have a run that ends with {size:d} bytes of checkpoint")
 def step_large(context, count, size):
+    _run_jobs(context, count)
+    _end_runs(context.leading, size)
+
+
+def _run_jobs(context, count):
     world = context.leading
     context.jobs = [f"{number:016x}" for number in range(count)]
     for job in context.jobs:
         world.store_job(make_job(job, plain(1, cores=0.5)))
     world.until(lambda: all(world.runs(job) for job in context.jobs))
+
+
+def _end_runs(world, size):
     for worker in world.workers:
         for key in list(worker.running):
             worker.end(key, RunEnd.STOPPED, checkpoint="x" * size)
@@ -194,3 +202,27 @@
     assert len(context.others) == count
     stored = world.store.found_by_key
     world.until(lambda: all(record_key(job) in stored for job in context.others))
+
+
+@when("{count:d} jobs have a run that ends, and {writes:d} writes are not answered")
+def step_outage(context, count, writes):
+    _run_jobs(context, count)
+    world = context.leading
+    world.store.most_bytes = 1
+    world.store.single_too = True
+    _end_runs(world, 10)
+    world.until(lambda: world.store.refused_writes >= writes)
+
+
+@when("the store takes all writes again")
+def step_takes_again(context):
+    store = context.leading.store
+    store.most_bytes = 0
+    context.revision = store.revision
+
+
+@then("the progress of each of them is stored with {count:d} writes at most")
+def step_stored_together(context, count):
+    step_stored(context)
+    writes = context.leading.store.revision - context.revision
+    assert writes <= count, writes
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -116,15 +116,31 @@
         return [entry for entry in entries if entry.version > entry.committed]
 
     def _next(self, changed: list[JobEntry]) -> list[JobEntry]:
-        """Return those that have failed least, fewer at once the more they failed.
-
-        A record that the store does not take must not hold up the others.
-        """
+        """Return those that have failed least, fewer at once the more they failed."""
+        # A record that the store does not take must not hold up the others.
         failures = self._failures_by_job
         least = min(failures.get(entry.job.id, 0) for entry in changed)
         following = [e for e in changed if failures.get(e.job.id, 0) == least]
         return following[: max(1, RECORDS_PER_WRITE >> least)]
 
+    def _count_failures(self, entries: list[JobEntry], *, failed: bool) -> None:
+        failures = self._failures_by_job
+        for entry in entries:
+            if failed:
+                failures[entry.job.id] = failures.get(entry.job.id, 0) + 1
+            else:
+                failures.pop(entry.job.id, None)
+
+    def _forgive_failures(self) -> None:
+        # What all records have failed alike was the store's fault, not theirs: after an
+        # outage they go out in full writes again.
+        failures = self._failures_by_job
+        jobs = [entry.job.id for entry in self._changed()]
+        least = min((failures.get(job, 0) for job in jobs), default=0)
+        self._failures_by_job = {
+            job: count - least for job, count in failures.items() if count > least
+        }
+
     async def _register_agents(self) -> None:
         vms = [
             vm
@@ -221,16 +237,14 @@
             compares.append(Compare(key, revision, absent=revision == 0))
             puts[key] = value
         outcome = await self._store.write(Txn(compares, puts))
-        for entry in entries:
-            if isinstance(outcome, Written | Conflict):
-                self._failures_by_job.pop(entry.job.id, None)
-            else:
-                failures = self._failures_by_job.get(entry.job.id, 0)
-                self._failures_by_job[entry.job.id] = failures + 1
+        self._count_failures(
+            entries, failed=not isinstance(outcome, Written | Conflict)
+        )
         if isinstance(outcome, Written):
             for entry, version in zip(entries, versions, strict=True):
                 entry.store_revision = outcome.store_revision
                 self._scheduler.committed(entry, version)
+            self._forgive_failures()
             await self._tell_committed()
             return True
         if isinstance(outcome, Conflict):
