A scenario that fails: reports with checkpoints over a slow link

56 agents with 40 runs of 1000 bytes of checkpoint each, entries that receive 625000 bytes a second (5 Mbit/s): 2240 of 2240 runs have lapsed 10 s after a change of leaders; with 10 bytes of checkpoint each the same scenario passes. Each report tells every checkpoint anew, is bounded as a whole (0.8 s) and is sent again whole. The model carries reports that were given up to their end.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -50,3 +50,10 @@
     When 40 jobs have a run that ends, and 12 writes are not answered
     And the store takes all writes again
     Then the progress of each of them is stored with 8 writes at most
+
+  Scenario: Reports with checkpoints come over a slow link
+    # Guards against runs that lapse because all reports together take longer than one may.
+    Given 3 entries on virtual time with 56 agents, each of which runs 40 tasks
+    And each task has a checkpoint of 1000 bytes, and entries receive 625000 bytes a second
+    When the leader of all of them dies
+    Then none of the runs has lapsed after 10 s
--- a/features/steps/restoring_steps.py
+++ b/features/steps/restoring_steps.py
@@ -8,7 +8,7 @@
 from features.steps.leader_world import LeaderWorld
 from features.steps.scheduling_world import make_job, plain
 from features.steps.takeover_world import TakeoverWorld
-from wagtailcleat.cluster.keys import record_key
+from wagtailcleat.cluster.keys import encode, record_key
 from wagtailcleat.scheduling.models import RunEnd
 from wagtailcleat.wire.scheduling import KeepFollowing, Leads
 
@@ -226,3 +226,52 @@
     step_stored(context)
     writes = context.leading.store.revision - context.revision
     assert writes <= count, writes
+
+
+@given(
+    "{count:d} entries on virtual time with {agents:d} agents,"
+    " each of which runs 40 tasks"
+)
+def step_many_agents(context, count, agents):
+    world = context.world = TakeoverWorld(entries=count, agents=agents)
+    context.add_cleanup(world.close)
+    context.leader = world.until_led()
+    world.wait(2.0)
+    for _ in range(agents):
+        world.submit(count=40, cores=0.2)
+    world.until(lambda: len(world.running()) == 40 * agents, SECONDS, "all run")
+
+
+@given(
+    "each task has a checkpoint of {size:d} bytes,"
+    " and entries receive {rate:d} bytes a second"
+)
+def step_checkpoints(context, size, rate):
+    world = context.world
+    for agent, key in world.running():
+        agent.worker.checkpoint_by_run[key] = "x" * size
+    free_at = dict.fromkeys(world.entry_hosts, 0.0)
+
+    async def hold(near, far, message):
+        if far in free_at:
+            free_at[far] = (
+                max(free_at[far], world.clock()) + len(encode(message)) / rate
+            )
+            await asyncio.sleep(free_at[far] - world.clock())
+
+    world.network.hold = hold
+
+
+@when("the leader of all of them dies")
+def step_leader_dies(context):
+    context.leader.kill()
+
+
+@then("none of the runs has lapsed after {seconds:g} s")
+def step_none_lapsed(context, seconds):
+    world = context.world
+    context.world.until_led(but=context.leader)
+    runs = len(world.running())
+    world.wait(seconds)
+    left = len(world.running())
+    assert left == runs, f"{runs - left} of {runs} runs have lapsed"
