Messages are split by conversation

Each conversation now has a module: handshake, results, dumps, requests, membership, configuration, jobs, attempts, takeover; task_ids builds and parses ids. messages.py keeps the union AnyMessage only. Importers name the new modules; nothing is re-exported.

--- a/bench/batch.py
+++ b/bench/batch.py
@@ -41,14 +41,9 @@
 from wagtailcleat.membership.view import View
 from wagtailcleat.resources import Resources
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import (
-    AnyMessage,
-    CancelJob,
-    JobSpec,
-    RenewGrants,
-    SubmitJob,
-    TaskSpec,
-)
+from wagtailcleat.wire.attempts import RenewGrants
+from wagtailcleat.wire.jobs import CancelJob, JobSpec, SubmitJob, TaskSpec
+from wagtailcleat.wire.messages import AnyMessage
 
 SHARD = ShardId(0)
 LAG_SECONDS = 2.0
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -33,7 +33,9 @@
 from wagtailcleat.routing.choose import chooser
 from wagtailcleat.routing.latency import EndpointRecord, Endpoints
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import AnyMessage, Member, MemberState, Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.membership import Member, MemberState
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.request_ids import RequestIds
 
 FIRST_PORT = 1000
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -10,8 +10,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 from wagtailcleat.agent.endpoint import EndpointAnswer, EndpointFailed
-from wagtailcleat.wire.messages import AnyMessage, Member, ServiceRequest
+from wagtailcleat.wire.membership import Member
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost, Parts
+from wagtailcleat.wire.requests import ServiceRequest
 
 SILENCE_SECONDS = 1.0
 """After how long a silent stream is given up: `timing.ping` + `timing.silence`."""
--- a/bench/slopes/held.py
+++ b/bench/slopes/held.py
@@ -30,15 +30,11 @@
 from wagtailcleat.configuration.parts import InForce, cut
 from wagtailcleat.ids import Incarnation, JobId, NodeId, Revision, ShardId, VmName
 from wagtailcleat.resources import Resources
+from wagtailcleat.wire.attempts import AttemptState
+from wagtailcleat.wire.configuration import ConfigurationDelta
 from wagtailcleat.wire.frames import Frame, Kind, encode
-from wagtailcleat.wire.messages import (
-    AttemptState,
-    ConfigurationDelta,
-    JobSpec,
-    TaskSpec,
-    attempt_id,
-    task_id,
-)
+from wagtailcleat.wire.jobs import JobSpec, TaskSpec
+from wagtailcleat.wire.task_ids import attempt_id, task_id
 
 VMS_A_SERVICE = 100
 TEAMS = 68
--- a/bench/slopes/mesh.py
+++ b/bench/slopes/mesh.py
@@ -16,15 +16,9 @@
 from wagtailcleat.membership.view import View
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.frames import Frame, Kind, encode
-from wagtailcleat.wire.messages import (
-    PROTOCOL_VERSION,
-    AnyMessage,
-    Hello,
-    Member,
-    MemberState,
-    Proof,
-    Role,
-)
+from wagtailcleat.wire.handshake import PROTOCOL_VERSION, Hello, Proof, Role
+from wagtailcleat.wire.membership import Member, MemberState
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import NONCE_BYTES
 
--- a/bench/slopes/spread.py
+++ b/bench/slopes/spread.py
@@ -10,7 +10,7 @@
 from bench.virtual_time import run_virtual
 from wagtailcleat.configuration.models import Configuration
 from wagtailcleat.ids import Revision
-from wagtailcleat.wire.messages import MemberState
+from wagtailcleat.wire.membership import MemberState
 
 STEP_SECONDS = 0.02
 IDLE_SECONDS = 30.0
--- a/bench/slopes/streams.py
+++ b/bench/slopes/streams.py
@@ -8,8 +8,11 @@
 
 from wagtailcleat.ids import Incarnation, NodeId
 from wagtailcleat.process import bind, bound_port
-from wagtailcleat.wire.messages import AnyMessage, Done, DumpState, Role
+from wagtailcleat.wire.dumps import DumpState
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.peers import Identity, Listener, Peers
+from wagtailcleat.wire.results import Done
 from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
 
 HOST = "127.0.0.1"
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -17,8 +17,8 @@
 from standins.processes import http, wait_for
 from wagtailcleat.entry.watchers import EventCutter
 from wagtailcleat.wire.frames import FrameReader
-from wagtailcleat.wire.messages import Refused
 from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.results import Refused
 
 PATIENCE = 15
 AT_ONCE = 40
--- a/features/steps/batch_closing_steps.py
+++ b/features/steps/batch_closing_steps.py
@@ -10,7 +10,8 @@
 from standins.in_process_agents import AgentsDeployment
 from wagtailcleat.configuration.writer import write
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import Reserve, Reserved, Start, attempt_id, task_id
+from wagtailcleat.wire.attempts import Reserve, Reserved, Start
+from wagtailcleat.wire.task_ids import attempt_id, task_id
 
 SHARD = 0
 WAVES = (3, 4)
--- a/features/steps/batch_failures_steps.py
+++ b/features/steps/batch_failures_steps.py
@@ -8,15 +8,9 @@
 from standins.in_process_agents import AgentsDeployment
 from wagtailcleat.batch.record import Assigned, JobAccepted
 from wagtailcleat.configuration.writer import write
-from wagtailcleat.wire.messages import (
-    AttemptReport,
-    AttemptState,
-    JobSpec,
-    RenewGrants,
-    TaskSpec,
-    attempt_id,
-    task_id,
-)
+from wagtailcleat.wire.attempts import AttemptReport, AttemptState, RenewGrants
+from wagtailcleat.wire.jobs import JobSpec, TaskSpec
+from wagtailcleat.wire.task_ids import attempt_id, task_id
 
 SHARD = 0
 JOB = f"{SHARD}.{TEAM.name}.broken"
--- a/features/steps/batch_fuzz_steps.py
+++ b/features/steps/batch_fuzz_steps.py
@@ -27,14 +27,8 @@
 from wagtailcleat.batch.shards import find_shard, make_job_id
 from wagtailcleat.configuration.writer import Accepted, write
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import (
-    CancelJob,
-    JobAccount,
-    JobSpec,
-    Refused,
-    SubmitJob,
-    TaskSpec,
-)
+from wagtailcleat.wire.jobs import CancelJob, JobAccount, JobSpec, SubmitJob, TaskSpec
+from wagtailcleat.wire.results import Refused
 
 QUIET_SECONDS = 120.0
 SETTLE_ROUND_SECONDS = 3.0
--- a/features/steps/batch_large_steps.py
+++ b/features/steps/batch_large_steps.py
@@ -8,14 +8,9 @@
 from wagtailcleat.batch.record import Assigned, AttemptEnded, JobAccepted
 from wagtailcleat.configuration.keys import shard_log, shard_snapshot
 from wagtailcleat.configuration.writer import write
-from wagtailcleat.wire.messages import (
-    AttemptState,
-    JobSpec,
-    SubmitJob,
-    TaskSpec,
-    attempt_id,
-    task_id,
-)
+from wagtailcleat.wire.attempts import AttemptState
+from wagtailcleat.wire.jobs import JobSpec, SubmitJob, TaskSpec
+from wagtailcleat.wire.task_ids import attempt_id, task_id
 
 SHARD = 0
 
--- a/features/steps/batch_late_order_steps.py
+++ b/features/steps/batch_late_order_steps.py
@@ -4,7 +4,7 @@
 from batch_world import TASK, TIMING
 from behave import then, when
 
-from wagtailcleat.wire.messages import (
+from wagtailcleat.wire.attempts import (
     AttemptReport,
     AttemptState,
     Reserve,
--- a/features/steps/batch_record_steps.py
+++ b/features/steps/batch_record_steps.py
@@ -13,7 +13,9 @@
     restore,
 )
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import AttemptState, JobSpec, TaskSpec, attempt_id
+from wagtailcleat.wire.attempts import AttemptState
+from wagtailcleat.wire.jobs import JobSpec, TaskSpec
+from wagtailcleat.wire.task_ids import attempt_id
 
 JOB = "0.travel-desk.ledger"
 START = 1_800_000_000.0
--- a/features/steps/batch_restart_steps.py
+++ b/features/steps/batch_restart_steps.py
@@ -7,15 +7,9 @@
 from standins.worker_tasks import StartRequest
 from wagtailcleat.configuration.writer import write
 from wagtailcleat.ids import JobId
-from wagtailcleat.wire.messages import (
-    AttemptReport,
-    Behind,
-    Done,
-    JobSpec,
-    Start,
-    SubmitJob,
-    TaskSpec,
-)
+from wagtailcleat.wire.attempts import AttemptReport, Start
+from wagtailcleat.wire.jobs import Behind, JobSpec, SubmitJob, TaskSpec
+from wagtailcleat.wire.results import Done
 
 LEASE_SECONDS = 30.0
 EPOCH = 1
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -23,7 +23,7 @@
 from wagtailcleat.ids import AttemptId, ServiceName, TeamName
 from wagtailcleat.resources import Resources
 from wagtailcleat.routing.latency import EndpointRecord
-from wagtailcleat.wire.messages import Load
+from wagtailcleat.wire.requests import Load
 
 SERVICE = ServiceName("booking-core")
 TEAM = TeamName("travel-desk")
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -20,8 +20,8 @@
     Unknown,
     Written,
 )
-from wagtailcleat.wire.messages import Done
 from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.results import Done
 
 SECONDS = 10.0
 LOOK_SECONDS = 0.005
--- a/features/steps/lost_exchanges_steps.py
+++ b/features/steps/lost_exchanges_steps.py
@@ -20,7 +20,7 @@
     _bucket,
     _fingerprint,
 )
-from wagtailcleat.wire.messages import MemberState
+from wagtailcleat.wire.membership import MemberState
 
 SEED = 1
 SHARDS = 8
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -42,9 +42,10 @@
     Unknown,
     Written,
 )
-from wagtailcleat.wire.messages import Refused, Role
+from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Identity
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     KeepFollowing,
     Leads,
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -12,15 +12,12 @@
 from standins.cluster import SECRET, Cluster
 from standins.processes import Process
 from wagtailcleat.ids import Incarnation, NodeId, RequestId, ServiceName
-from wagtailcleat.wire.messages import (
-    AnyMessage,
-    Refused,
-    Role,
-    ServiceRequest,
-    Settle,
-)
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Identity, Peers
+from wagtailcleat.wire.requests import ServiceRequest, Settle
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
 
 CALL_SECONDS = 15.0
--- a/standins/in_process_nodes.py
+++ b/standins/in_process_nodes.py
@@ -11,7 +11,7 @@
 from wagtailcleat.configuration.models import Configuration
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.settings import AgentSettings, EntrySettings
-from wagtailcleat.wire.messages import Role
+from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.streams import Stream
 
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -35,21 +35,13 @@
 )
 from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import AgentSettings
-from wagtailcleat.wire.messages import (
-    AnyMessage,
-    CancelJob,
-    Done,
-    ListJobs,
-    Member,
-    Members,
-    MemberState,
-    NotOwner,
-    RenewGrants,
-    Role,
-    ShowJob,
-    StepDown,
-    SubmitJob,
-)
+from wagtailcleat.wire.attempts import RenewGrants
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.jobs import CancelJob, ListJobs, NotOwner, ShowJob, SubmitJob
+from wagtailcleat.wire.membership import Member, Members, MemberState
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.results import Done
+from wagtailcleat.wire.takeover import StepDown
 
 log = part_logger("agent")
 
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -35,28 +35,25 @@
 )
 from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import (
-    Adopt,
-    Adopted,
-    AnyMessage,
+from wagtailcleat.wire.attempts import (
     AttemptReport,
     AttemptState,
-    Done,
     Evict,
     Grants,
-    Member,
     NoRoom,
-    Refused,
     Release,
     RenewGrants,
     Reserve,
     Reserved,
     Start,
-    job_of,
-    shard_of,
 )
+from wagtailcleat.wire.membership import Member
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Done, Refused
 from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.takeover import Adopt, Adopted
+from wagtailcleat.wire.task_ids import job_of, shard_of
 
 log = part_logger("attempts")
 
--- a/wagtailcleat/agent/endpoint.py
+++ b/wagtailcleat/agent/endpoint.py
@@ -18,7 +18,7 @@
 
 from wagtailcleat.curl import never_repeat
 from wagtailcleat.headers import REQUEST_ID, forwarded
-from wagtailcleat.wire.messages import Header, ServiceRequest
+from wagtailcleat.wire.requests import Header, ServiceRequest
 
 CONNECT_SECONDS = 1.0
 CHECK_SECONDS = 1.0
--- a/wagtailcleat/agent/ledger.py
+++ b/wagtailcleat/agent/ledger.py
@@ -17,8 +17,9 @@
 
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import RequestId
-from wagtailcleat.wire.messages import Answer, Refused
 from wagtailcleat.wire.request_ids import is_keyed, series_and_number
+from wagtailcleat.wire.requests import Answer
+from wagtailcleat.wire.results import Refused
 
 MAX_KEPT = 100_000
 MAX_SERIES = 10_000
--- a/wagtailcleat/agent/services.py
+++ b/wagtailcleat/agent/services.py
@@ -20,20 +20,20 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.routing.admission import Refuse, Slots, Wait
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import (
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.request_ids import is_keyed
+from wagtailcleat.wire.requests import (
     WRONG_INCARNATION,
     Answer,
-    AnyMessage,
     Header,
     Load,
     Part,
     PartsEnd,
-    Refused,
     Running,
     ServiceRequest,
     Settle,
 )
-from wagtailcleat.wire.request_ids import is_keyed
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.streams import Outlet, Stream
 
 log = part_logger("services")
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -19,16 +19,11 @@
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import AttemptId, JobId, VmName
-from wagtailcleat.wire.messages import (
-    Adopted,
-    AnyMessage,
-    AttemptReport,
-    AttemptState,
-    Grants,
-    Refused,
-    RenewGrants,
-    job_of,
-)
+from wagtailcleat.wire.attempts import AttemptReport, AttemptState, Grants, RenewGrants
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.results import Refused
+from wagtailcleat.wire.takeover import Adopted
+from wagtailcleat.wire.task_ids import job_of
 
 FAILURES_TO_STOP = 6
 KEEP_ENDED_SECONDS = 86_400.0
--- a/wagtailcleat/batch/holders.py
+++ b/wagtailcleat/batch/holders.py
@@ -13,9 +13,11 @@
 from wagtailcleat.ids import Epoch, Incarnation, NodeId, ShardId
 from wagtailcleat.platform.store import Store
 from wagtailcleat.storage import Absent, Compare, Found, Txn, Unavailable, Written
-from wagtailcleat.wire.messages import Done, Member, StepDown
+from wagtailcleat.wire.membership import Member
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Done
+from wagtailcleat.wire.takeover import StepDown
 
 CALL_SECONDS = 1.0
 
--- a/wagtailcleat/batch/owner.py
+++ b/wagtailcleat/batch/owner.py
@@ -14,14 +14,9 @@
 from wagtailcleat.batch.shard import Shard
 from wagtailcleat.batch.submissions import Submissions
 from wagtailcleat.batch.takeover import Takeover
-from wagtailcleat.wire.messages import (
-    AnyMessage,
-    CancelJob,
-    ListJobs,
-    RenewGrants,
-    ShowJob,
-    SubmitJob,
-)
+from wagtailcleat.wire.attempts import RenewGrants
+from wagtailcleat.wire.jobs import CancelJob, ListJobs, ShowJob, SubmitJob
+from wagtailcleat.wire.messages import AnyMessage
 
 
 class Owner:
--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -39,7 +39,9 @@
     Written,
 )
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import Done, Member, MemberState, StepDown
+from wagtailcleat.wire.membership import Member, MemberState
+from wagtailcleat.wire.results import Done
+from wagtailcleat.wire.takeover import StepDown
 
 log = part_logger("ownership")
 
--- a/wagtailcleat/batch/placement.py
+++ b/wagtailcleat/batch/placement.py
@@ -8,7 +8,8 @@
 from wagtailcleat.ids import NodeId, VmName
 from wagtailcleat.membership.view import View
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import JobSpec, Member, MemberState
+from wagtailcleat.wire.jobs import JobSpec
+from wagtailcleat.wire.membership import Member, MemberState
 
 SAMPLE = 8
 HINT_SECONDS = 10.0
--- a/wagtailcleat/batch/placer.py
+++ b/wagtailcleat/batch/placer.py
@@ -26,19 +26,19 @@
 from wagtailcleat.configuration.models import team_named
 from wagtailcleat.ids import AttemptId, JobId, TaskId, TeamName
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import (
+from wagtailcleat.wire.attempts import (
     AttemptReport,
-    Done,
-    JobSpec,
-    Member,
     NoRoom,
     Release,
     Reserve,
     Reserved,
     Start,
-    attempt_id,
 )
+from wagtailcleat.wire.jobs import JobSpec
+from wagtailcleat.wire.membership import Member
 from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.results import Done
+from wagtailcleat.wire.task_ids import attempt_id
 
 MAX_PLACED_AT_ONCE = 32
 RESERVE_TRIES = 4
--- a/wagtailcleat/batch/record.py
+++ b/wagtailcleat/batch/record.py
@@ -9,13 +9,9 @@
 
 from wagtailcleat.ids import AttemptId, Incarnation, JobId, NodeId, TaskId, VmName
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import (
-    AttemptState,
-    JobSpec,
-    attempt_id,
-    job_of,
-    task_id,
-)
+from wagtailcleat.wire.attempts import AttemptState
+from wagtailcleat.wire.jobs import JobSpec
+from wagtailcleat.wire.task_ids import attempt_id, job_of, task_id
 
 
 class TaskState(Enum):
--- a/wagtailcleat/batch/submissions.py
+++ b/wagtailcleat/batch/submissions.py
@@ -10,18 +10,18 @@
 from wagtailcleat.batch.shards import name_of
 from wagtailcleat.configuration.models import team_named
 from wagtailcleat.errors import Code
-from wagtailcleat.wire.messages import (
-    AnyMessage,
+from wagtailcleat.wire.jobs import (
     Behind,
     CancelJob,
     JobAccount,
     JobAccounts,
     JobSpec,
     ListJobs,
-    Refused,
     ShowJob,
     SubmitJob,
 )
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.results import Refused
 
 MAX_TASKS_A_SHARD = 20_000
 MAX_JOBS_A_SHARD = 2_000
--- a/wagtailcleat/batch/takeover.py
+++ b/wagtailcleat/batch/takeover.py
@@ -7,7 +7,7 @@
 from wagtailcleat.batch.shard import CALL_SECONDS, Shard
 from wagtailcleat.ids import AttemptId, NodeId
 from wagtailcleat.logs import part_logger
-from wagtailcleat.wire.messages import Adopt, Adopted, StepDown
+from wagtailcleat.wire.takeover import Adopt, Adopted, StepDown
 
 log = part_logger("takeover")
 
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -16,7 +16,7 @@
 from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
 from wagtailcleat.platform.heartbeats import heartbeat_application
-from wagtailcleat.wire.messages import Role
+from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.scheduling import Leads, Orders, Report
 
 MILLISECONDS = 1000
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -22,7 +22,9 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.submissions import caller_server, ready_server
-from wagtailcleat.wire.messages import AnyMessage, Refused, Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -22,9 +22,10 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.storage import Found
-from wagtailcleat.wire.messages import AnyMessage, Done, Refused
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Done, Refused
 from wagtailcleat.wire.scheduling import (
     FollowFirst,
     Leads,
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -25,9 +25,10 @@
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import AnyMessage, Refused
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -31,7 +31,7 @@
     run_to_end,
 )
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import Role
+from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.peers import Identity, Listener, Peers
 from wagtailcleat.wire.streams import StreamTiming
 
--- a/wagtailcleat/configuration/parts.py
+++ b/wagtailcleat/configuration/parts.py
@@ -20,7 +20,7 @@
 )
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import Revision
-from wagtailcleat.wire.messages import ConfigurationDelta, ConfigurationPart
+from wagtailcleat.wire.configuration import ConfigurationDelta, ConfigurationPart
 
 ZONES_OUT = "zones_out"
 RULES = "rules"
--- a/wagtailcleat/entry/admin_base.py
+++ b/wagtailcleat/entry/admin_base.py
@@ -30,7 +30,8 @@
 from wagtailcleat.membership.gossip import Gossiper
 from wagtailcleat.membership.view import View
 from wagtailcleat.platform.store import Store
-from wagtailcleat.wire.messages import Dump, DumpState, Member
+from wagtailcleat.wire.dumps import Dump, DumpState
+from wagtailcleat.wire.membership import Member
 from wagtailcleat.wire.peers import Peers
 
 log = part_logger("admin")
--- a/wagtailcleat/entry/admin_views.py
+++ b/wagtailcleat/entry/admin_views.py
@@ -12,7 +12,8 @@
 from wagtailcleat.entry.context import write_refusal
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import NodeId, TeamName
-from wagtailcleat.wire.messages import JobAccounts, ListJobs, Member
+from wagtailcleat.wire.jobs import JobAccounts, ListJobs
+from wagtailcleat.wire.membership import Member
 
 
 class NodesHandler(AdminHandler):
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -30,7 +30,8 @@
 )
 from wagtailcleat.routing.choose import chooser
 from wagtailcleat.settings import EntrySettings
-from wagtailcleat.wire.messages import MemberState, Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.membership import MemberState
 from wagtailcleat.wire.request_ids import RequestIds
 
 log = part_logger("entry")
--- a/wagtailcleat/entry/callers.py
+++ b/wagtailcleat/entry/callers.py
@@ -32,8 +32,8 @@
     Rejected,
     RequestOutcome,
 )
-from wagtailcleat.wire.messages import Answer
 from wagtailcleat.wire.parts import Lost
+from wagtailcleat.wire.requests import Answer
 
 log = part_logger("callers")
 
--- a/wagtailcleat/entry/jobs.py
+++ b/wagtailcleat/entry/jobs.py
@@ -19,23 +19,23 @@
 from wagtailcleat.ids import JobId, ShardId, TeamName
 from wagtailcleat.membership.view import View
 from wagtailcleat.resources import Accelerators, Cores, MemoryMb, Resources
-from wagtailcleat.wire.messages import (
-    AnyMessage,
+from wagtailcleat.wire.jobs import (
     Behind,
     CancelJob,
     JobAccount,
     JobAccounts,
     JobSpec,
     ListJobs,
-    Member,
     NotOwner,
-    Refused,
     ShowJob,
     SubmitJob,
     TaskSpec,
 )
+from wagtailcleat.wire.membership import Member
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Refused
 
 CALL_SECONDS = 6.0
 OWNER_WAIT_SECONDS = 2.0
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -23,20 +23,20 @@
 from wagtailcleat.routing.choose import Choose, candidates
 from wagtailcleat.routing.latency import EndpointRecord, Endpoints
 from wagtailcleat.routing.retries import MAX_TRIES, RetryBudget
-from wagtailcleat.wire.messages import (
+from wagtailcleat.wire.membership import Member
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.parts import Lost, Parts
+from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.request_ids import Home, RequestIds
+from wagtailcleat.wire.requests import (
     WRONG_INCARNATION,
     Answer,
-    AnyMessage,
     Header,
-    Member,
-    Refused,
     Running,
     ServiceRequest,
     Settle,
 )
-from wagtailcleat.wire.parts import Lost, Parts
-from wagtailcleat.wire.peers import Peers
-from wagtailcleat.wire.request_ids import Home, RequestIds
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.streams import Stream
 
 FIRST_RETRY_AFTER_SECONDS = 0.5
--- a/wagtailcleat/entry/watchers.py
+++ b/wagtailcleat/entry/watchers.py
@@ -14,7 +14,7 @@
 from wagtailcleat.headers import LAST_EVENT_ID
 from wagtailcleat.ids import NodeId
 from wagtailcleat.logs import part_logger
-from wagtailcleat.wire.messages import Part, PartsEnd
+from wagtailcleat.wire.requests import Part, PartsEnd
 
 log = part_logger("watchers")
 
--- a/wagtailcleat/membership/gossip.py
+++ b/wagtailcleat/membership/gossip.py
@@ -15,20 +15,18 @@
 from wagtailcleat.membership.view import BUCKETS, View
 from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import (
-    AnyMessage,
+from wagtailcleat.wire.configuration import ConfigurationDelta, PullConfiguration
+from wagtailcleat.wire.membership import (
     CompareViews,
-    ConfigurationDelta,
-    Done,
     Gossip,
     Member,
     Members,
     MemberState,
     Probe,
-    PullConfiguration,
-    Refused,
 )
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Done, Refused
 
 log = part_logger("membership")
 
--- a/wagtailcleat/membership/identity.py
+++ b/wagtailcleat/membership/identity.py
@@ -12,13 +12,8 @@
 
 from wagtailcleat.errors import IdentityError
 from wagtailcleat.membership.view import View
-from wagtailcleat.wire.messages import (
-    CompareViews,
-    Dump,
-    DumpState,
-    Member,
-    Members,
-)
+from wagtailcleat.wire.dumps import Dump, DumpState
+from wagtailcleat.wire.membership import CompareViews, Member, Members
 from wagtailcleat.wire.peers import Peers
 
 ASK_SECONDS = 2.0
--- a/wagtailcleat/membership/view.py
+++ b/wagtailcleat/membership/view.py
@@ -15,7 +15,8 @@
 
 from wagtailcleat.ids import NodeId, ServiceName, ShardId
 from wagtailcleat.resources import Resources
-from wagtailcleat.wire.messages import Member, MemberState, Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.membership import Member, MemberState
 
 BUCKETS = 64
 SUM_MASK = 0xFFFFFFFF
--- a/wagtailcleat/metrics.py
+++ b/wagtailcleat/metrics.py
@@ -4,7 +4,7 @@
 
 from wagtailcleat.introspection import Introspection, Kind
 from wagtailcleat.node import Node
-from wagtailcleat.wire.messages import MemberState
+from wagtailcleat.wire.membership import MemberState
 
 
 def add_node_metrics(introspection: Introspection, node: Node) -> None:
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -24,7 +24,8 @@
 from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import AgentSettings, EntrySettings
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import Member, MemberState, Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.membership import Member, MemberState
 from wagtailcleat.wire.peers import Identity, Listener, Peers
 
 LEAVE_SECONDS = 2.0
--- a/wagtailcleat/outcomes.py
+++ b/wagtailcleat/outcomes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from wagtailcleat.errors import Code
-from wagtailcleat.wire.messages import Answer
+from wagtailcleat.wire.requests import Answer
 
 
 @dataclass(frozen=True)
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -21,7 +21,9 @@
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import AnyMessage, Dump, DumpState, Refused
+from wagtailcleat.wire.dumps import Dump, DumpState
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
 
 log = part_logger("process")
--- a/wagtailcleat/routing/choose.py
+++ b/wagtailcleat/routing/choose.py
@@ -7,7 +7,7 @@
 from wagtailcleat.configuration.models import Configuration, zone_is_out
 from wagtailcleat.ids import NodeId
 from wagtailcleat.routing.latency import Endpoints
-from wagtailcleat.wire.messages import Member, MemberState
+from wagtailcleat.wire.membership import Member, MemberState
 
 MAX_EJECTED_SHARE = 0.5
 MAX_COMPARED = 16
--- a/wagtailcleat/routing/latency.py
+++ b/wagtailcleat/routing/latency.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from wagtailcleat.ids import NodeId
-from wagtailcleat.wire.messages import Load
+from wagtailcleat.wire.requests import Load
 
 EWMA_SECONDS = 5.0
 LEAST_LATENCY_SECONDS = 0.001
--- a/wagtailcleat/wire/parts.py
+++ b/wagtailcleat/wire/parts.py
@@ -4,7 +4,8 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
-from wagtailcleat.wire.messages import AnyMessage, Part, PartsEnd
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.requests import Part, PartsEnd
 
 PART_BYTES = 65_536
 PARTS_WINDOW = 32
--- a/wagtailcleat/wire/peers.py
+++ b/wagtailcleat/wire/peers.py
@@ -18,13 +18,8 @@
 from wagtailcleat.ids import Incarnation, NodeId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.wire.frames import Frame, FrameReader, Kind, encode
-from wagtailcleat.wire.messages import (
-    PROTOCOL_VERSION,
-    AnyMessage,
-    Hello,
-    Proof,
-    Role,
-)
+from wagtailcleat.wire.handshake import PROTOCOL_VERSION, Hello, Proof, Role
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost, Parts
 from wagtailcleat.wire.streams import READ_BYTES, Handler, Stream, StreamTiming
 
--- a/wagtailcleat/wire/streams.py
+++ b/wagtailcleat/wire/streams.py
@@ -24,15 +24,8 @@
 from wagtailcleat.errors import Code, FrameError
 from wagtailcleat.logs import part_logger
 from wagtailcleat.wire.frames import Frame, FrameReader, Kind, encode
-from wagtailcleat.wire.messages import (
-    Answer,
-    AnyMessage,
-    Hello,
-    Part,
-    PartsEnd,
-    Refused,
-    ServiceRequest,
-)
+from wagtailcleat.wire.handshake import Hello
+from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import (
     PART_BYTES,
     PARTS_GRANTED,
@@ -41,6 +34,8 @@
     Parts,
     pieces,
 )
+from wagtailcleat.wire.requests import Answer, Part, PartsEnd, ServiceRequest
+from wagtailcleat.wire.results import Refused
 
 log = part_logger("wire")
 
