Streams are split into writer, calls of either side, and keepalive

wire/streams.py held a class of 400 lines. A stream now consists of a FrameWriter (buffers, limits, closing), OutboundCalls, InboundCalls and a Keepalive; Outlet has its module, and limits.py the timeouts and the limit of calls. Stream reads frames and passes them on. The parts refer to the writer and not back to the stream, so a closed stream is still freed without the cycle collector (checked by weak references, as before). docs/PROMISES.md names the module that numbers calls. Comments and docstrings use the field's terms.

The bytes on the wire are the same: 360 encoded frames of all 60 messages, and a scripted conversation before and after (calls, bodies and answers in parts, a window of parts, time-outs, cancels, pings, leaving, garbage, silence), whose bytes by connection, results and log lines are equal.

--- a/bench/slopes/streams.py
+++ b/bench/slopes/streams.py
@@ -10,10 +10,12 @@
 from wagtailcleat.process import bind, bound_port
 from wagtailcleat.wire.dumps import DumpState
 from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.limits import StreamTiming
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.peers import Identity, Listener, Peers
 from wagtailcleat.wire.results import Done
-from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
+from wagtailcleat.wire.streams import Stream
 
 HOST = "127.0.0.1"
 SECRET = "a secret of the bench only"
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -13,12 +13,14 @@
 from standins.processes import Process
 from wagtailcleat.ids import Incarnation, NodeId, RequestId, ServiceName
 from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.limits import StreamTiming
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Identity, Peers
 from wagtailcleat.wire.requests import ServiceRequest, Settle
 from wagtailcleat.wire.results import Refused
-from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
+from wagtailcleat.wire.streams import Stream
 
 CALL_SECONDS = 15.0
 PAUSE_SECONDS = 0.005
--- a/wagtailcleat/agent/attempts.py
+++ b/wagtailcleat/agent/attempts.py
@@ -49,9 +49,10 @@
 )
 from wagtailcleat.wire.membership import Member
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.peers import Peers
 from wagtailcleat.wire.results import Done, Refused
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 from wagtailcleat.wire.takeover import Adopt, Adopted
 from wagtailcleat.wire.task_ids import job_of, shard_of
 
--- a/wagtailcleat/agent/services.py
+++ b/wagtailcleat/agent/services.py
@@ -21,6 +21,7 @@
 from wagtailcleat.routing.admission import Refuse, Slots, Wait
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.request_ids import is_keyed
 from wagtailcleat.wire.requests import (
     WRONG_INCARNATION,
@@ -34,7 +35,7 @@
     Settle,
 )
 from wagtailcleat.wire.results import Refused
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("services")
 
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -24,6 +24,7 @@
 from wagtailcleat.platform.submissions import caller_server, ready_server
 from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
@@ -38,7 +39,7 @@
     TakeOver,
     WhoLeads,
 )
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("entry")
 
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -23,6 +23,7 @@
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.storage import Found
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
 from wagtailcleat.wire.results import Done, Refused
@@ -34,7 +35,7 @@
     ReportTaken,
     WhoLeads,
 )
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("following")
 
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -26,6 +26,7 @@
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
 from wagtailcleat.wire.results import Refused
@@ -41,7 +42,7 @@
     Submitted,
     Waiting,
 )
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("leader")
 
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -32,8 +32,8 @@
 )
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.limits import StreamTiming
 from wagtailcleat.wire.peers import Identity, Listener, Peers
-from wagtailcleat.wire.streams import StreamTiming
 
 log = part_logger("process")
 
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -22,9 +22,11 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.settings import Timing
 from wagtailcleat.wire.dumps import Dump, DumpState
+from wagtailcleat.wire.limits import StreamTiming
 from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.results import Refused
-from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("process")
 
--- a/wagtailcleat/wire/peers.py
+++ b/wagtailcleat/wire/peers.py
@@ -19,9 +19,10 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.wire.frames import Frame, FrameReader, Kind, encode
 from wagtailcleat.wire.handshake import PROTOCOL_VERSION, Hello, Proof, Role
+from wagtailcleat.wire.limits import StreamTiming
 from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost, Parts
-from wagtailcleat.wire.streams import READ_BYTES, Handler, Stream, StreamTiming
+from wagtailcleat.wire.streams import READ_BYTES, Handler, Stream
 
 log = part_logger("wire")
 
