--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -22,7 +22,10 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.submissions import caller_server, ready_server
-from wagtailcleat.wire.messages import AnyMessage, Refused, Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
@@ -36,7 +39,7 @@
     TakeOver,
     WhoLeads,
 )
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("entry")
 
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -25,9 +25,11 @@
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import AnyMessage, Refused
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
@@ -40,7 +42,7 @@
     Submitted,
     Waiting,
 )
-from wagtailcleat.wire.streams import Outlet, Stream
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("leader")
 
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -31,9 +31,9 @@
     run_to_end,
 )
 from wagtailcleat.supervise import Supervisor
-from wagtailcleat.wire.messages import Role
+from wagtailcleat.wire.handshake import Role
+from wagtailcleat.wire.limits import StreamTiming
 from wagtailcleat.wire.peers import Identity, Listener, Peers
-from wagtailcleat.wire.streams import StreamTiming
 
 log = part_logger("process")
 
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -21,8 +21,12 @@
 from wagtailcleat.introspection import Introspection
 from wagtailcleat.logs import part_logger
 from wagtailcleat.settings import Timing
-from wagtailcleat.wire.messages import AnyMessage, Dump, DumpState, Refused
-from wagtailcleat.wire.streams import Outlet, Stream, StreamTiming
+from wagtailcleat.wire.dumps import Dump, DumpState
+from wagtailcleat.wire.limits import StreamTiming
+from wagtailcleat.wire.messages import AnyMessage
+from wagtailcleat.wire.outlet import Outlet
+from wagtailcleat.wire.results import Refused
+from wagtailcleat.wire.streams import Stream
 
 log = part_logger("process")
 
