--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -12,7 +12,7 @@
 from standins.cluster import Cluster, ServiceOptions, VmOptions
 from standins.processes import HttpError, Stream, http, wait_for
 from wagtailcleat.clock import boot_time
-from wagtailcleat.wire.messages import Dump, DumpState
+from wagtailcleat.wire.dumps import Dump, DumpState
 from wagtailcleat.wire.parts import Lost
 
 PATIENCE = 15
