A job's story says how late it was and where it lost its time

Cause: no line told a job's objective, so the logs could not say whether a job that its caller found late was late, nor which of its hundreds of lines to look between. Change: `leader: Starts` tells `due`, the seconds until the objective (not for tasks that last); decisions are unchanged. `wagtailcleat explain` says how long before or after its objective the last run ended, and the three largest falls of the slack between lines.

--- a/features/platform/explain.feature
+++ b/features/platform/explain.feature
@@ -12,6 +12,24 @@
       | leader: Run adopted       |
       | leader: Run ended         |
 
+  Scenario: The story of a late job says how late it was
+    # The lines told neither the objective nor the end of a job, so nobody could say from
+    # the logs whether a caller who found it late was right.
+    Given a deployment of 2 entries and 1 agent
+    When a job of 4 tasks of 3 s and then 2 tasks is handed in at the other entry
+    And it has ended as "done" at the other entry
+    Then its story says that it ended more than 2 s and less than 15 s after its objective
+
+  Scenario: The story says between which lines a job lost its time
+    Given log lines of a job that waited 1 s, then lost 8 s in a step and 2 s in the next
+    Then its story says that it ended 7.0 s after its objective
+    And it says first that 8.0 s were lost from "00:00:02" to "00:00:10"
+    And it says next that 2.0 s were lost from "00:00:12" to "00:00:16"
+
+  Scenario: A job without an objective has no lateness in its story
+    Given log lines of job "a1" with a torn line and a foreign line
+    Then its story says nothing of an objective
+
   Scenario: Torn and foreign lines are counted and passed over
     Given log lines of job "a1" with a torn line and a foreign line
     Then its story has 2 lines of its own and 2 that could not be read
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import random
+import re
 import secrets
 import time
 
@@ -278,6 +279,76 @@
     assert any(run in text for text in missing(context.story))
 
 
+def _timed(seconds, message, **fields):
+    moment = f"2026-01-01 00:00:{seconds:02d},000"
+    return json.dumps({"time": moment, "message": message, "node": "entry-1"} | fields)
+
+
+@given(
+    "log lines of a job that waited 1 s, then lost 8 s in a step and 2 s in the next"
+)
+def step_lost_time(context):
+    # Two steps of 2 s each; the objective is 8 s after it was accepted.
+    first, again, second = (f"a1/0/{place}" for place in ("0/0#1", "0/0#2", "1/0#1"))
+    lines = [
+        _timed(1, "submissions: Accepted", job="a1"),
+        _timed(2, "leader: Starts", run=first, slack=3.0, due=7.0),
+        _timed(8, "leader: Run is gone", run=first, why="a crash"),
+        _timed(10, "leader: Starts", run=again, slack=-5.0, due=-1.0),
+        _timed(12, "leader: Run ended", run=again, why="succeeded"),
+        _timed(12, "leader: Starts", run=second, slack=-5.0, due=-3.0),
+        _timed(16, "leader: Run ended", run=second, why="succeeded"),
+    ]
+    context.story = read_story("a1", lines)
+
+
+def _after_objective(story):
+    found = [re.search(r"([0-9.]+) s after its objective", t) for t in tell(story)]
+    return [float(match[1]) for match in found if match]
+
+
+@then("its story says that it ended {seconds:g} s after its objective")
+def step_late_by(context, seconds):
+    assert _after_objective(context.story) == [seconds], list(tell(context.story))
+
+
+@then(
+    "its story says that it ended more than {least:g} s and less than {most:g} s"
+    " after its objective"
+)
+def step_late_between(context, least, most):
+    lines = [
+        json.dumps(line)
+        for process in [*context.cluster.entries, *context.cluster.agents]
+        for line in process.log_lines()
+    ]
+    story = read_story(context.job, lines)
+    (late,) = _after_objective(story)
+    assert least < late < most, list(tell(story))
+
+
+@then('it says first that {seconds:g} s were lost from "{start}" to "{end}"')
+def step_lost_first(context, seconds, start, end):
+    _lost(context, 0, seconds, start, end)
+
+
+@then('it says next that {seconds:g} s were lost from "{start}" to "{end}"')
+def step_lost_next(context, seconds, start, end):
+    _lost(context, 1, seconds, start, end)
+
+
+def _lost(context, position, seconds, start, end):
+    told = [text for text in tell(context.story) if "lost" in text]
+    text = told[position]
+    assert f"lost {seconds:.1f} s" in text, told
+    assert f"{start},000 and" in text and f"{end},000" in text, told
+
+
+@then("its story says nothing of an objective")
+def step_no_objective(context):
+    assert not any("objective" in text for text in tell(context.story))
+
+
 @given("a log whose reader stalls")
 def step_stalled(context):
     context.reader, writer = os.pipe()
--- a/wagtailcleat/operator/explain.py
+++ b/wagtailcleat/operator/explain.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from wagtailcleat.operator.exits import Exit
+from wagtailcleat.operator.lost_time import tell_lost_time
 
 BACKGROUND = (
     "leadership:",
@@ -113,13 +114,14 @@
 
 
 def tell(story: Story) -> Iterator[str]:
-    """Yield the story in order of time, then what is missing from it."""
+    """Yield the story in order of time, where time was lost, then what is missing."""
     lines = [(line, " ") for line in story.own]
     lines += [(line, "~") for line in story.background]
     lines.sort(key=lambda row: str(row[0]["time"]))
     for line, mark in lines:
         more = " ".join(f"{k}={v}" for k, v in line.items() if k not in SHOWN)
         yield f"{mark} {line['time']} {line.get('node')} {line['message']} {more}"
+    yield from tell_lost_time(story.own)
     yield from missing(story)
     if story.unreadable:
         yield f"! {story.unreadable} lines could not be read and were passed over"
--- a/wagtailcleat/scheduling/order.py
+++ b/wagtailcleat/scheduling/order.py
@@ -95,9 +95,14 @@
 
 def slack_seconds(entry: JobEntry, occurrence: int, wall_now: float) -> float:
     """Return by how much an occurrence can be done before its objective, at best."""
+    left = outlook(entry, occurrence)
+    return due_seconds(entry, occurrence, wall_now) - left.seconds
+
+
+def due_seconds(entry: JobEntry, occurrence: int, wall_now: float) -> float:
+    """Return how long it is until the objective of an occurrence."""
     job = entry.job
     since = job.accepted_at
     if job.first_at:
         since = job.first_at + occurrence * job.interval
-    left = outlook(entry, occurrence)
-    return since + left.objective - wall_now - left.seconds
+    return since + outlook(entry, occurrence).objective - wall_now
--- a/wagtailcleat/scheduling/reasons.py
+++ b/wagtailcleat/scheduling/reasons.py
@@ -25,6 +25,8 @@
     """When its job can be done at best."""
     slack: float
     """Seconds that its job has beyond the work that is left; negative: late."""
+    due: float | None
+    """Seconds until the objective of its job; none where its step runs for ever."""
     margin: Margin
 
     def fields(self) -> dict[str, str | float]:
@@ -33,6 +35,8 @@
             "lateness": self.lateness,
             "slack": round(self.slack, 2),
         }
+        if self.due is not None:
+            told["due"] = round(self.due, 2)
         if self.margin.beside:
             told["beside"] = self.margin.beside
             for name in ("adds", "variance", "room", "age"):
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -20,7 +20,7 @@
     Start,
 )
 from wagtailcleat.scheduling.notes import Event, Note
-from wagtailcleat.scheduling.order import lateness, slack_seconds
+from wagtailcleat.scheduling.order import due_seconds, lateness, slack_seconds
 from wagtailcleat.scheduling.outgoing import Acknowledging, Outgoing
 from wagtailcleat.scheduling.placing import Placing
 from wagtailcleat.scheduling.reasons import Margin, StartReason
@@ -387,6 +387,9 @@
         hosted.reason = StartReason(
             lateness(task.entry, occurrence, self._wall_now).name.lower(),
             slack_seconds(task.entry, occurrence, self._wall_now),
+            None
+            if task.step.long_running
+            else due_seconds(task.entry, occurrence, self._wall_now),
             self.sharing.margin(vm, task.step, now) if task.step.fills else Margin(),
         )
         vm.host_run(hosted)
