--- a/features/platform/explain.feature
+++ b/features/platform/explain.feature
@@ -26,6 +26,13 @@
     And it says first that 8.0 s were lost from "00:00:02" to "00:00:10"
     And it says next that 2.0 s were lost from "00:00:12" to "00:00:16"
 
+  Scenario: A run that was lost with its worker is told from one that is not accounted for
+    # After a loss of power the story only said that no line tells how the run ended; the
+    # next life of its worker, which is why, stood unmarked among other lines.
+    Given log lines of two runs that started again, one after its worker began anew
+    Then it says that run "a1/0/0/0#1" was lost with its worker
+    And it says that run "a1/0/0/1#1" has no end
+
   Scenario: A job without an objective has no lateness in its story
     Given log lines of job "a1" with a torn line and a foreign line
     Then its story says nothing of an objective
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -276,12 +276,13 @@
 
 @then('it says that run "{run}" has no end')
 def step_no_end(context, run):
-    assert any(run in text for text in missing(context.story))
+    told = list(missing(context.story))
+    assert any(run in text and "how it ended" in text for text in told), told
 
 
 def _timed(seconds, message, **fields):
     moment = f"2026-01-01 00:00:{seconds:02d},000"
-    return json.dumps({"time": moment, "message": message, "node": "entry-1"} | fields)
+    return {"time": moment, "message": message, "node": "entry-1"} | fields
 
 
 @given(
@@ -299,7 +300,30 @@
         _timed(12, "leader: Starts", run=second, slack=-5.0, due=-3.0),
         _timed(16, "leader: Run ended", run=second, why="succeeded"),
     ]
-    context.story = read_story("a1", lines)
+    context.story = read_story("a1", map(json.dumps, lines))
+
+
+@given("log lines of two runs that started again, one after its worker began anew")
+def step_lost_runs(context):
+    began, starts = "hosting: Worker began", "leader: Starts"
+    lines = [
+        _timed(1, began, born=5) | {"node": "agent-1"},
+        _timed(1, began, born=6) | {"node": "agent-2"},
+        _timed(9, starts, run="a1/0/0/0#1", agent="agent-1"),
+        _timed(9, starts, run="a1/0/0/1#1", agent="agent-2"),
+        _timed(12, began, born=7) | {"node": "agent-1"},
+        # The agent alone was started again; its worker is the one it had.
+        _timed(12, began, born=6) | {"node": "agent-2"},
+        _timed(14, starts, run="a1/0/0/0#2", agent="agent-1"),
+        _timed(14, starts, run="a1/0/0/1#2", agent="agent-2"),
+    ]
+    context.story = read_story("a1", map(json.dumps, lines))
+
+
+@then('it says that run "{run}" was lost with its worker')
+def step_lost_with_worker(context, run):
+    told = list(missing(context.story))
+    assert any(run in text and "was lost" in text for text in told), told
 
 
 def _after_objective(story):
--- a/wagtailcleat/operator/explain.py
+++ b/wagtailcleat/operator/explain.py
@@ -25,6 +25,7 @@
     "process:",
 )
 """Beginnings of messages that may explain what happened to any job at that time."""
+WORKER_BEGAN = "Worker began"
 SHOWN = ("time", "level", "message", "node")
 AROUND_SECONDS = 2.0
 """How long before the job's first line background is shown."""
@@ -36,6 +37,8 @@
 
     own: list[dict[str, Any]] = field(default_factory=list)
     background: list[dict[str, Any]] = field(default_factory=list)
+    births: list[dict[str, Any]] = field(default_factory=list)
+    """The lines of all agents that tell a life of their worker."""
     unreadable: int = 0
 
 
@@ -60,20 +63,24 @@
     """Return the lines of `job`, and the background of those who touched it."""
     story = Story()
     for text in lines:
-        line = _parsed(text)
+        line = parsed(text)
         if line is None:
             story.unreadable += bool(text.strip())
         elif _names(line, job):
             story.own.append(line)
         elif str(line["message"]).startswith(BACKGROUND):
             story.background.append(line)
+            if _ends(line, WORKER_BEGAN):
+                story.births.append(line)
+    story.births.sort(key=lambda line: str(line["time"]))
     story.own.sort(key=lambda line: str(line["time"]))
     if story.own:
         story.background = _near(story)
     return story
 
 
-def _parsed(text: str) -> dict[str, Any] | None:
+def parsed(text: str) -> dict[str, Any] | None:
+    """Return the fields of one line of a log; None if it can't be read."""
     # A collector may put its own columns before the JSON object.
     start = text.find("{")
     if start < 0:
@@ -132,14 +139,46 @@
     messages = [str(line["message"]) for line in story.own]
     if not any(m.endswith("Accepted") for m in messages):
         yield "! no entry's log says that it was accepted"
-    started = {line["run"] for line in story.own if _ends(line, "Starts")}
+    starts = {line["run"]: line for line in story.own if _ends(line, "Starts")}
     closed = {
         line["run"]
         for line in story.own
         if _ends(line, "Run ended", "Run never started", "Run is gone")
     }
-    for run in sorted(started - closed):
-        yield f"! {run} was started; no line says how it ended"
+    for run in sorted(starts.keys() - closed):
+        birth = _next_birth(story, starts[run], _next_start(starts, run))
+        if birth is None:
+            yield f"! {run} was started; no line says how it ended"
+            continue
+        yield (
+            f"! {run} was lost: the worker of {birth['node']} began anew"
+            f" at {birth['time']}"
+        )
+
+
+def _next_start(starts: dict[str, dict[str, Any]], run: str) -> str:
+    """Return when the next run of the same task started; empty if none did."""
+    task, began = run.split("#")[0], str(starts[run]["time"])
+    later = [
+        str(line["time"])
+        for other, line in starts.items()
+        if other.split("#")[0] == task and str(line["time"]) > began
+    ]
+    return min(later, default="")
+
+
+def _next_birth(
+    story: Story, start: dict[str, Any], until: str
+) -> dict[str, Any] | None:
+    """Return the line of the next life of a run's worker before `until`."""
+    births = [line for line in story.births if line.get("node") == start.get("agent")]
+    began = str(start["time"])
+    known = [line.get("born") for line in births if str(line["time"]) <= began]
+    for line in births:
+        anew = line.get("born") not in known
+        if anew and began < str(line["time"]) < until:
+            return line
+    return None
 
 
 def _ends(line: dict[str, Any], *endings: str) -> bool:
--- a/wagtailcleat/operator/lost_time.py
+++ b/wagtailcleat/operator/lost_time.py
@@ -53,7 +53,7 @@
 
 def _points(lines: Sequence[Line]) -> list[Point]:
     starts = [
-        Point(line, _moment(line), float(line["slack"]))
+        Point(line, moment(line), float(line["slack"]))
         for line in lines
         if _is(line, "Starts") and "due" in line
     ]
@@ -61,17 +61,23 @@
     points = [*starts]
     accepted = [line for line in lines if _is(line, "Accepted")]
     if accepted and _occurrence(first.line) == "0":
-        waited = (first.moment - _moment(accepted[0])).total_seconds()
-        points.insert(0, Point(accepted[0], _moment(accepted[0]), first.slack + waited))
+        waited = (first.moment - moment(accepted[0])).total_seconds()
+        points.insert(0, Point(accepted[0], moment(accepted[0]), first.slack + waited))
     ends = [line for line in lines if _is(line, "Run ended")]
     if ends:
         objective = last.moment + timedelta(seconds=float(last.line["due"]))
-        moment = _moment(ends[-1])
-        points.append(Point(ends[-1], moment, (objective - moment).total_seconds()))
+        left = objective - moment(ends[-1])
+        points.append(Point(ends[-1], moment(ends[-1]), left.total_seconds()))
     return points
 
 
-def _moment(line: Line) -> datetime:
+def moment(line: Line) -> datetime:
+    """Return the time of a line.
+
+    Raises:
+        ValueError: it is in another format.
+
+    """
     return datetime.strptime(str(line["time"]), TIME_FORMAT)
 
 
