A job's story shows outages that began before it, and silent streams

Change: `explain` shows an outage of a touched process that is still open two seconds before the first line, and streams that went silent.

--- a/features/platform/explain.feature
+++ b/features/platform/explain.feature
@@ -33,6 +33,14 @@
     Then it says that run "a1/0/0/0#1" was lost with its worker
     And it says that run "a1/0/0/1#1" has no end
 
+  Scenario: An outage that began long before the job stands in its story
+    # Of an entry that had been without its store for some seconds, the story of a refused
+    # job did not show since when and why; nor that its streams to others were silent.
+    Given log lines of a job refused 9 s after its entry lost the store and a stream
+    Then its story shows "store: The store does not answer" of "00:00:01"
+    And its story shows "wire: A stream went silent" of "00:00:09"
+    But its story shows no line of "00:00:03"
+
   Scenario: A job without an objective has no lateness in its story
     Given log lines of job "a1" with a torn line and a foreign line
     Then its story says nothing of an objective
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -320,6 +320,34 @@
     context.story = read_story("a1", map(json.dumps, lines))
 
 
+@given("log lines of a job refused 9 s after its entry lost the store and a stream")
+def step_lost_before(context):
+    away, back = "store: The store does not answer", "store: The store answers again"
+    lines = [
+        _timed(1, away, why="lost"),
+        # An outage of another entry, and one that was over: neither explains it.
+        _timed(3, away, why="lost") | {"node": "entry-2"},
+        _timed(3, away, why="lost") | {"node": "agent-1"},
+        _timed(4, back) | {"node": "agent-1"},
+        _timed(9, "wire: A stream went silent", peer="entry-2"),
+        _timed(10, "submissions: Not accepted", job="a1", outcome="not_stored"),
+        _timed(11, "leader: Starts", run="a1/0/0/0#1", agent="agent-1"),
+    ]
+    context.story = read_story("a1", map(json.dumps, lines))
+
+
+@then('its story shows "{message}" of "{moment}"')
+def step_shows(context, message, moment):
+    told = list(tell(context.story))
+    assert any(message in text and f"{moment},000" in text for text in told), told
+
+
+@then('its story shows no line of "{moment}"')
+def step_shows_none(context, moment):
+    told = list(tell(context.story))
+    assert not any(f"{moment},000" in text for text in told), told
+
+
 @then('it says that run "{run}" was lost with its worker')
 def step_lost_with_worker(context, run):
     told = list(missing(context.story))
--- a/wagtailcleat/operator/explain.py
+++ b/wagtailcleat/operator/explain.py
@@ -17,6 +17,7 @@
 BACKGROUND = (
     "leadership:",
     "store:",
+    "wire: A stream went silent",
     "leader: Agent",
     "leader: Gave up",
     "leader: Restored",
@@ -25,10 +26,12 @@
     "process:",
 )
 """Beginnings of messages that may explain what happened to any job at that time."""
+STORE_LOST = "The store does not answer"
+STORE_BACK = "The store answers again"
 WORKER_BEGAN = "Worker began"
 SHOWN = ("time", "level", "message", "node")
 AROUND_SECONDS = 2.0
-"""How long before the job's first line background is shown."""
+"""How long before the job's first line background is shown, but for open outages."""
 
 
 @dataclass
@@ -102,13 +105,22 @@
 def _near(story: Story) -> list[dict[str, Any]]:
     touched = {str(line.get("node")) for line in story.own}
     touched |= {str(line["agent"]) for line in story.own if "agent" in line}
-    first, last = str(story.own[0]["time"]), str(story.own[-1]["time"])
-    return [
-        line
-        for line in story.background
-        if {str(line.get("node")), str(line.get("agent"))} & touched
-        and _shifted(first) <= str(line["time"]) <= last
-    ]
+    since = _shifted(str(story.own[0]["time"]))
+    last = str(story.own[-1]["time"])
+    background = sorted(story.background, key=lambda line: str(line["time"]))
+    away_by_node: dict[str, dict[str, Any]] = {}
+    near = []
+    for line in background:
+        moment, node = str(line["time"]), str(line.get("node"))
+        if not {node, str(line.get("agent"))} & touched or moment > last:
+            continue
+        if moment >= since:
+            near.append(line)
+        elif _ends(line, STORE_LOST):
+            away_by_node[node] = line
+        elif _ends(line, STORE_BACK, "process: Started"):
+            away_by_node.pop(node, None)
+    return [*away_by_node.values(), *near]
 
 
 def _shifted(moment: str) -> str:
