Split an agent's batch attempts into modules with one job each

Change: attempt_table, shard_owners, attempt_handlers, attempt_recovery, task_monitor, grant_renewal and evictor hold one of these each; attempts.py wires them and is what the agent calls. Renamed to the field's terms: hand_on -> drain, look_soon -> request_poll, _knows -> accept, _never -> tombstones, _take_over -> adopt. The control of interference is set by a method rather than by assigning two attributes. Messages, logs, metrics, constants and the order of steps stay.

--- a/bench/batch.py
+++ b/bench/batch.py
@@ -186,7 +186,7 @@
             model = self.made.agent_by_vm[vm]
             agent.zone_out = model.member.zone in zones
             model.closed_because = "its zone is out" if agent.zone_out else ""
-            agent.attempts.look_soon()
+            agent.attempts.request_poll()
 
     def free_cores(self) -> float:
         """Return the cores that services leave, where tasks may run."""
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -178,7 +178,7 @@
         try:
             async with asyncio.timeout(self._settings.timing.drain):
                 await self.services.drained()
-                await self.attempts.hand_on("its VM is being replaced")
+                await self.attempts.drain("its VM is being replaced")
         except TimeoutError:
             log.warning("Not everything was drained in time")
         await self.ownership.give_up()
@@ -262,7 +262,7 @@
             if self._worker_capacity is not None:
                 held.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
                 held.known = True
-        self.attempts.look_soon()
+        self.attempts.request_poll()
 
     def _free(self) -> Resources:
         return self.commitments.free(self.node.clock())
--- a/wagtailcleat/agent/neighbours.py
+++ b/wagtailcleat/agent/neighbours.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from wagtailcleat.agent.attempts import Attempt, Attempts
+from wagtailcleat.agent.attempt_table import Attempt
+from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
 from wagtailcleat.agent.interference import (
     Evict,
@@ -44,8 +45,7 @@
         self._worker = worker
         self._used_by_attempt: dict[AttemptId, Resources] = {}
         self._window_by_service: dict[ServiceName, TailWindow] = {}
-        attempts.refuses = self.refuses
-        attempts.penalty = self.penalty
+        attempts.limit_interference(self.refuses, self.penalty)
 
     async def run(self) -> None:
         """Look and act, until cancelled."""
