Split an agent's service requests into modules with one job each

Change: service_instance, service_admission, service_requests and service_watches hold one of these each; services.py wires them, configures and drains. ServiceDesk is ServiceInstance, desk_by_service instance_by_service; enter, leave and give_back of a slot are acquire, release and release_unused. The relay is a class in place of five nested functions. Messages, logs, metrics and limits stay.

--- a/bench/batch.py
+++ b/bench/batch.py
@@ -249,11 +249,11 @@
     def _let_interfere(
         self, agent: AgentModel, worker: WorkerModel, commitments: Commitments
     ) -> None:
-        desk = agent.desk
-        number = self._services.index(desk.service.name)
+        instance = agent.instance
+        number = self._services.index(instance.service.name)
 
         def pressure() -> float:
-            load = min(1.0, desk.slots.in_use / self.made.profile.slots)
+            load = min(1.0, instance.slots.in_use / self.made.profile.slots)
             return worker.pressure(number, load, commitments.for_services.cores)
 
         agent.endpoint.pressure = pressure
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -7,7 +7,8 @@
 from bench.fakes import EndpointModel, Network, PeersModel, Server
 from bench.policies import Policy
 from bench.profiles import Profile
-from wagtailcleat.agent.services import ServiceDesk, Services
+from wagtailcleat.agent.service_instance import ServiceInstance
+from wagtailcleat.agent.services import Services
 from wagtailcleat.clock import Clock
 from wagtailcleat.configuration.models import (
     Configuration,
@@ -70,9 +71,9 @@
     closed_because: str = ""
 
     @property
-    def desk(self) -> ServiceDesk:
+    def instance(self) -> ServiceInstance:
         """The agent's only service."""
-        return next(iter(self.services.desk_by_service.values()))
+        return next(iter(self.services.instance_by_service.values()))
 
 
 @dataclass
@@ -229,10 +230,10 @@
         max_answer_bytes=1 << 20,
         kept_answer_bytes=32 << 20,
     )
-    desk = ServiceDesk(service, model)  # type: ignore[arg-type]
+    instance = ServiceInstance(service, model)  # type: ignore[arg-type]
     if not policy.limits:
-        desk.slots.slots = NO_LIMIT
-    services.desk_by_service[ServiceName(service.name)] = desk
+        instance.slots.slots = NO_LIMIT
+    services.instance_by_service[ServiceName(service.name)] = instance
     handlers = services.handlers()
 
     async def handle(message: AnyMessage) -> AnyMessage:
--- a/wagtailcleat/agent/metrics.py
+++ b/wagtailcleat/agent/metrics.py
@@ -55,40 +55,40 @@
 
 def _add_services(introspection: Introspection, services: Services) -> None:
     labelled = introspection.labelled
-    desks = services.desk_by_service
+    instances = services.instance_by_service
     labelled(
         Kind.GAUGE,
         "service_requests_in_flight",
         "Requests that hold a slot, by service.",
         "service",
-        lambda: {name: desk.slots.in_use for name, desk in desks.items()},
+        lambda: {name: instance.slots.in_use for name, instance in instances.items()},
     )
     labelled(
         Kind.GAUGE,
         "service_requests_queued",
         "Requests that wait for a slot, by service.",
         "service",
-        lambda: {name: desk.slots.queued for name, desk in desks.items()},
+        lambda: {name: instance.slots.queued for name, instance in instances.items()},
     )
     labelled(
         Kind.COUNTER,
         "service_requests_refused",
         "Requests refused as not run, by service.",
         "service",
-        lambda: {name: desk.refused for name, desk in desks.items()},
+        lambda: {name: instance.refused for name, instance in instances.items()},
     )
     labelled(
         Kind.COUNTER,
         "service_requests_failed",
         "Requests that the endpoint failed, by service.",
         "service",
-        lambda: {name: desk.failed for name, desk in desks.items()},
+        lambda: {name: instance.failed for name, instance in instances.items()},
     )
     introspection.latencies(
         "service_request_seconds",
         "From a slot to the endpoint's answer, by service.",
         "service",
-        lambda: {name: desk.latencies for name, desk in desks.items()},
+        lambda: {name: instance.latencies for name, instance in instances.items()},
     )
 
 
--- a/wagtailcleat/agent/neighbours.py
+++ b/wagtailcleat/agent/neighbours.py
@@ -64,7 +64,7 @@
     def refuses(self, job_class: str, size: Resources) -> str:
         """Return why a task of that class is not taken beside the services."""
         return self.control.refusal(
-            list(self._services.desk_by_service),
+            list(self._services.instance_by_service),
             self.neighbours(),
             job_class,
             size.cores,
@@ -76,7 +76,7 @@
         Parameters: `told` is what the owner knows of it, taken where nothing is
         known here; so a new agent does not learn anew what others have.
         """
-        services = self._services.desk_by_service
+        services = self._services.instance_by_service
         if told is not None:
             self.control.tell(services, job_class, told)
         return self.control.known_penalty(services, job_class)
@@ -128,12 +128,12 @@
 
     def _tails(self) -> dict[ServiceName, Tail]:
         tails = {}
-        for name, desk in self._services.desk_by_service.items():
+        for name, instance in self._services.instance_by_service.items():
             window = self._window_by_service.get(name)
-            if window is None or window.histogram is not desk.latencies:
-                window = TailWindow(desk.latencies)
+            if window is None or window.histogram is not instance.latencies:
+                window = TailWindow(instance.latencies)
                 self._window_by_service[name] = window
-            tails[name] = window.look(desk.service.latency_target_seconds)
+            tails[name] = window.look(instance.service.latency_target_seconds)
         return tails
 
     async def _carry_out(self, step: Step) -> None:
--- /dev/null
+++ b/wagtailcleat/agent/service_watches.py
@@ -0,0 +1,121 @@
+"""Relays event streams from an endpoint to callers that watch, part by part."""
+
+import asyncio
+
+from wagtailcleat.agent.endpoint import EndpointFailed, Watching
+from wagtailcleat.agent.service_admission import ServiceAdmission
+from wagtailcleat.agent.service_instance import (
+    RETRY_AFTER_SECONDS,
+    ServiceInstance,
+    endpoint_refusal,
+)
+from wagtailcleat.errors import Code
+from wagtailcleat.ids import ServiceName
+from wagtailcleat.wire.messages import (
+    Answer,
+    AnyMessage,
+    Header,
+    Part,
+    PartsEnd,
+    Refused,
+    ServiceRequest,
+)
+from wagtailcleat.wire.streams import Outlet
+
+MAX_PARTS_QUEUED = 256
+
+
+class ServiceWatches:
+    """The event streams open at this agent."""
+
+    def __init__(
+        self,
+        instance_by_service: dict[ServiceName, ServiceInstance],
+        admission: ServiceAdmission,
+    ) -> None:
+        """Relay from the endpoints of `instance_by_service`."""
+        self._instance_by_service = instance_by_service
+        self._admission = admission
+        self._ending = asyncio.Event()
+
+    def end_all(self) -> None:
+        """End all event streams; their callers resume elsewhere."""
+        self._ending.set()
+
+    async def serve(self, message: ServiceRequest, outlet: Outlet) -> AnyMessage:
+        """Relay the endpoint's events to `outlet` until either side ends."""
+        refusal = self._admission.refusal(message.service)
+        if refusal is not None:
+            return refusal
+        instance = self._instance_by_service[message.service]
+        if instance.watchers >= instance.max_watchers:
+            reason = "all connections are taken"
+            return Refused(Code.NOT_RUN.value, reason, RETRY_AFTER_SECONDS)
+        instance.watchers += 1
+        try:
+            return await _Relay(instance, message, outlet, self._ending).run()
+        finally:
+            instance.watchers -= 1
+
+
+class _Relay:
+    """One event stream, with a queue between the endpoint and a slower caller."""
+
+    def __init__(
+        self,
+        instance: ServiceInstance,
+        message: ServiceRequest,
+        outlet: Outlet,
+        ending: asyncio.Event,
+    ) -> None:
+        self._instance = instance
+        self._message = message
+        self._outlet = outlet
+        self._ending = ending
+        self._items: asyncio.Queue[Answer | Part | EndpointFailed | None] = (
+            asyncio.Queue()
+        )
+        self._watching = Watching(self._on_head, self._on_data)
+
+    async def run(self) -> AnyMessage:
+        """Relay head and parts; return what ends the stream."""
+        reading = asyncio.create_task(self._read())
+        ending = asyncio.create_task(self._await_ending())
+        try:
+            return await self._forward()
+        finally:
+            self._watching.abort()
+            reading.cancel()
+            ending.cancel()
+
+    async def _forward(self) -> AnyMessage:
+        headed = False
+        while True:
+            item = await self._items.get()
+            if isinstance(item, Answer):
+                headed = True
+                await self._outlet.head(item)
+            elif isinstance(item, Part):
+                await self._outlet.part(item)
+            elif headed:
+                return PartsEnd(whole=item is None)
+            else:
+                return endpoint_refusal(item)
+
+    def _on_head(self, status: int, headers: list[Header]) -> None:
+        load = self._instance.load()
+        self._items.put_nowait(Answer(status, headers, b"", load, parts=True))
+
+    def _on_data(self, data: bytes) -> None:
+        if self._items.qsize() < MAX_PARTS_QUEUED:
+            self._items.put_nowait(Part(data))
+        else:
+            self._watching.abort()
+
+    async def _read(self) -> None:
+        endpoint = self._instance.endpoint
+        self._items.put_nowait(await endpoint.watch(self._message, self._watching))
+
+    async def _await_ending(self) -> None:
+        await self._ending.wait()
+        self._items.put_nowait(EndpointFailed(True, "the agent leaves"))
