--- a/bench/batch.py
+++ b/bench/batch.py
@@ -181,7 +181,7 @@
             model = self.made.agent_by_vm[vm]
             agent.zone_out = model.member.zone in zones
             model.closed_because = "its zone is out" if agent.zone_out else ""
-            agent.attempts.look_soon()
+            agent.attempts.request_poll()
 
     def free_cores(self) -> float:
         """Return the cores that services leave, where tasks may run."""
@@ -244,11 +244,11 @@
     def _let_interfere(
         self, agent: AgentModel, worker: WorkerModel, commitments: Commitments
     ) -> None:
-        desk = agent.desk
-        number = self._services.index(desk.service.name)
+        instance = agent.instance
+        number = self._services.index(instance.service.name)
 
         def pressure() -> float:
-            load = min(1.0, desk.slots.in_use / self.made.profile.slots)
+            load = min(1.0, instance.slots.in_use / self.made.profile.slots)
             return worker.pressure(number, load, commitments.for_services.cores)
 
         agent.endpoint.pressure = pressure
