--- a/features/platform/explain.feature
+++ b/features/platform/explain.feature
@@ -13,8 +13,7 @@
       | leader: Run ended         |
 
   Scenario: The story of a late job says how late it was
-    # The lines told neither the objective nor the end of a job, so nobody could say from
-    # the logs whether a caller who found it late was right.
+    # Guards against a late job whose logs don't tell that it was late.
     Given a deployment of 2 entries and 1 agent
     When a job of 4 tasks of 3 s and then 2 tasks is handed in at the other entry
     And it has ended as "done" at the other entry
@@ -27,15 +26,13 @@
     And it says next that 2.0 s were lost from "00:00:12" to "00:00:16"
 
   Scenario: A run that was lost with its worker is told from one that is not accounted for
-    # After a loss of power the story only said that no line tells how the run ended; the
-    # next life of its worker, which is why, stood unmarked among other lines.
+    # Guards against a run without an end whose story hides that its worker began anew.
     Given log lines of two runs that started again, one after its worker began anew
     Then it says that run "a1/0/0/0#1" was lost with its worker
     And it says that run "a1/0/0/1#1" has no end
 
   Scenario: An outage that began long before the job stands in its story
-    # Of an entry that had been without its store for some seconds, the story of a refused
-    # job did not show since when and why; nor that its streams to others were silent.
+    # Guards against a refusal whose story leaves out the outage it came from.
     Given log lines of a job refused 9 s after its entry lost the store and a stream
     Then its story shows "store: The store does not answer" of "00:00:01"
     And its story shows "wire: A stream went silent" of "00:00:09"
--- a/features/platform/metrics.feature
+++ b/features/platform/metrics.feature
@@ -1,8 +1,7 @@
 Feature: The metrics of a process stay bounded
 
   Scenario: 400 queues are served, and no queue or job becomes a series of the metrics
-    # A label value for each queue or job is a time series of each, and monitoring turns a
-    # process with too many of them away.
+    # Guards against a process that monitoring turns away for too many time series.
     Given a deployment of 2 entries and 1 agent
     When the operator opens 400 queues
     Then within 5 s both entries serve the last of them
@@ -11,7 +10,7 @@
     And no metric of any process has more than 24 series
 
   Scenario: Made-up methods of callers become one series of the metrics
-    # A caller's method was a label value: each new one added a series and a histogram.
+    # Guards against callers that add time series by methods of their own.
     Given a deployment of 1 entry and 1 agent
     When a caller sends 400 made-up methods
     Then no metric of any process has more than 24 series
