--- a/features/steps/slow_link_steps.py
+++ b/features/steps/slow_link_steps.py
@@ -12,44 +12,19 @@
 
 from standins.platform_cluster import PREFIX
 from standins.processes import Process, http
+from standins.stored_jobs import put, store_ended_jobs
 from wagtailcleat.clock import boot_time
-from wagtailcleat.cluster.keys import encode, job_key, record_key
 from wagtailcleat.cluster.operator_watch import OperatorWatch
-from wagtailcleat.ids import JobId, ServiceName
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.platform.operators import CONFIGURATION_KEY
-from wagtailcleat.scheduling.models import Job, JobRecord, JobState
 from wagtailcleat.storage import Changes, Listing, Txn, Unavailable, Written
 
-SERVICE = ServiceName("booking-core")
-PUTS_PER_WRITE = 30
 KNOWN_SECONDS = 8.0
 
 
-def _put(store, value_by_key):
-    puts = [
-        {"key": key, "value": b64encode(value).decode()}
-        for key, value in value_by_key.items()
-    ]
-    for first in range(0, len(puts), PUTS_PER_WRITE):
-        body = {"setKeys": puts[first : first + PUTS_PER_WRITE]}
-        answer = http("POST", f"{store.url}/kv-txn", body)
-        assert answer.status == 200, answer
-
-
 @given("{count:d} jobs of {size:d} bytes that have ended are stored")
 def step_ended_jobs(context, count, size):
-    now = time.time()
-    value_by_key = {}
-    for number in range(count):
-        job = JobId(f"{number:016x}")
-        value_by_key[job_key(job)] = encode(
-            Job(job, "holds", SERVICE, "x" * size, (), now)
-        )
-        value_by_key[record_key(job)] = encode(
-            JobRecord(JobState.SUCCEEDED, ended_at=now)
-        )
-    _put(context.cluster.store, value_by_key)
+    store_ended_jobs(context.cluster.store, count, size)
 
 
 @when("the leader is killed while lists leave the store at {rate:d} bytes a second")
@@ -79,7 +54,7 @@
     context.add_cleanup(folder.cleanup)
     context.store = Process("store", Path(folder.name), "standins.platform_store")
     context.add_cleanup(context.store.kill)
-    _put(context.store, {f"keys/{n:06d}": b"x" * size for n in range(count)})
+    put(context.store, {f"keys/{n:06d}": b"x" * size for n in range(count)})
 
 
 @when("lists leave it at {rate:d} bytes a second")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from soak.deployment import SoakDeployment
 from standins.processes import Process
@@ -18,9 +19,24 @@
 ZONE_CUT = "zone cut"
 ZONES_CUT = 2
 """Each of the first so many zones has an entry and an agent."""
-REFUSALS_SHARE = 12
-"""Nearly half of all faults: most seeds see two cuts, one around the leader, and few
-other faults meanwhile, which would hide what the cut alone does."""
+FREQUENT = 12
+"""How many times a kind of fault that is emphasised stands among the others.
+
+Nearly half of all faults: most seeds see two cuts, one around the leader, and few
+other faults meanwhile, which would hide what the cut alone does.
+"""
+SLOWEST_BYTES_PER_SECOND = 200_000
+FASTEST_BYTES_PER_SECOND = 800_000
+
+
+class Emphasis(Enum):
+    """A kind of fault that comes often; each has seeds of its own."""
+
+    NONE = ""
+    REFUSALS = "refusals"
+    """Zones are cut off by refused connections."""
+    SLOW_ANSWERS = "slow-answers"
+    """Long answers of the store take seconds to arrive, or fall silent midway."""
 
 
 @dataclass(order=True)
@@ -36,9 +52,12 @@
     """Strikes in an order that the seed decides; faults overlap."""
 
     def __init__(
-        self, deployment: SoakDeployment, seed: int, *, refusals: bool = False
+        self,
+        deployment: SoakDeployment,
+        seed: int,
+        emphasis: Emphasis = Emphasis.NONE,
     ) -> None:
-        """Begin with nothing wrong; `refusals` adds zones cut off by refusals."""
+        """Begin with nothing wrong."""
         self.log: list[tuple[float, str]] = []
         """Wall clock seconds, and what was done."""
         self.killed: list[tuple[float, str]] = []
@@ -64,8 +83,10 @@
             self._configure,
             self._zone,
         ]
-        if refusals:
-            self._kinds += [self._refuse_zone] * REFUSALS_SHARE
+        if emphasis is Emphasis.REFUSALS:
+            self._kinds += [self._refuse_zone] * FREQUENT
+        elif emphasis is Emphasis.SLOW_ANSWERS:
+            self._kinds += [self._slow_answers] * FREQUENT
 
     def play(self, seconds: float) -> None:
         """Strike for a while, then heal everything."""
@@ -179,6 +200,18 @@
         seconds = self._random.uniform(0.5, 4.0)
         self._strike(store.name, f"store {switches}", seconds, store.faults)
 
+    def _slow_answers(self) -> None:
+        store = self._free([self._deployment.store])
+        if store is None:
+            return
+        rate = self._random.randint(SLOWEST_BYTES_PER_SECOND, FASTEST_BYTES_PER_SECOND)
+        switches = {"bytes_per_second": rate}
+        if self._random.random() < 0.25:
+            switches["stall_after_bytes"] = rate
+        store.faults(**switches)
+        seconds = self._random.uniform(2.0, 6.0)
+        self._strike(store.name, f"store {switches}", seconds, store.faults)
+
     def _link(self) -> None:
         name = self._random.choice(sorted(self._deployment.links))
         link = self._deployment.links[name]
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,14 +10,16 @@
 
 from soak.callers import Caller
 from soak.deployment import SoakDeployment
-from soak.faults import Faults
+from soak.faults import Emphasis, Faults
 from soak.judge import problems
+from standins.stored_jobs import store_ended_jobs
 
 ENTRIES = 2
 AGENTS = 2
 CALLERS = 2
-REFUSALS = "refusals"
-"""In the list of seeds: played with zones cut off by refusals."""
+ENDED_JOBS = 300
+ENDED_JOB_BYTES = 3_000
+"""Stored before a seed with slow answers, so that a list takes seconds to arrive."""
 STRIKE_SECONDS = 12.0
 SETTLE_SECONDS = 40.0
 """After the last fault every accepted job must end in this time: what was under way
@@ -29,22 +31,25 @@
     folder: Path,
     seconds: float = STRIKE_SECONDS,
     *,
-    refusals: bool = False,
+    emphasis: Emphasis = Emphasis.NONE,
 ) -> list[str]:
     """Play one seed in `folder`; return the promises that were broken.
 
-    Parameters: `refusals` adds zones that are cut off by refused connections, and
-    tasks that outlast such a cut.
+    Parameters: an `emphasis` on refusals comes with tasks that outlast a cut, one on
+    slow answers with many jobs that have ended.
     """
     deployment = SoakDeployment(folder, entries=ENTRIES, agents=AGENTS)
+    long = emphasis is Emphasis.REFUSALS
     try:
         deployment.until_open()
+        if emphasis is Emphasis.SLOW_ANSWERS:
+            store_ended_jobs(deployment.store, ENDED_JOBS, ENDED_JOB_BYTES)
         callers = [
-            Caller(deployment, seed, number, long=refusals) for number in range(CALLERS)
+            Caller(deployment, seed, number, long=long) for number in range(CALLERS)
         ]
         for caller in callers:
             caller.start()
-        faults = Faults(deployment, seed, refusals=refusals)
+        faults = Faults(deployment, seed, emphasis)
         faults.play(seconds)
         for caller in callers:
             caller.stopping.set()
@@ -78,15 +83,15 @@
         ]
 
 
-def _numbers(seeds: str, refusals: bool) -> list[tuple[int, bool]]:
+def _numbers(seeds: str, emphasis: Emphasis) -> list[tuple[int, Emphasis]]:
     first, _, last = seeds.partition("-")
-    return [(seed, refusals) for seed in range(int(first), int(last or first) + 1)]
+    return [(seed, emphasis) for seed in range(int(first), int(last or first) + 1)]
 
 
-def _listed(path: Path) -> list[tuple[int, bool]]:
+def _listed(path: Path) -> list[tuple[int, Emphasis]]:
     lines = path.read_text().splitlines()
     words = [line.split("|")[0].split() for line in lines if line[:1].isdigit()]
-    return [(int(seed), REFUSALS in more) for seed, *more in words]
+    return [(int(seed), Emphasis(" ".join(more))) for seed, *more in words]
 
 
 def main(
@@ -95,19 +100,19 @@
     seeds_file: Path | None = None,
     keep: Path | None = None,
     seconds: float = STRIKE_SECONDS,
-    refusals: bool = False,
+    emphasis: Emphasis = Emphasis.NONE,
 ) -> int:
     """Play seeds; the exit code is 1 where a promise was broken.
 
     Parameters: `seeds` such as `1-50`; `seeds_file` names seeds instead, one a line;
     `keep` is a folder for the logs of failed seeds; `seconds` of faults a seed;
-    `refusals` cuts zones off by refused connections too.
+    `emphasis` makes one kind of fault frequent.
     """
     failed = []
-    chosen = _listed(seeds_file) if seeds_file else _numbers(seeds, refusals)
-    for seed, refused in chosen:
+    chosen = _listed(seeds_file) if seeds_file else _numbers(seeds, emphasis)
+    for seed, chosen_emphasis in chosen:
         with tempfile.TemporaryDirectory() as name:
-            found = play(seed, Path(name), seconds, refusals=refused)
+            found = play(seed, Path(name), seconds, emphasis=chosen_emphasis)
             if found and keep is not None:
                 shutil.copytree(name, keep / f"seed-{seed}", dirs_exist_ok=True)
         print(f"seed {seed}: {'; '.join(found) if found else 'ok'}", flush=True)
