Ends of a worker's new life are not acknowledged by the count of the one before

Cause: the leader knows a worker's new life from the first report that names it, but its count of durable ends still was that of the life before until the first list came. Orders sent in between (here a stop) named the new life and the old count: the agent acknowledged up to 7, and the worker forgot the first seven ends of its new life before anybody had read them. The scenario 'A worker begins anew, and its agent has no list of it yet' failed before. Change: orders acknowledge only ends of the life that they name.

--- a/features/scheduling/late_words.feature
+++ b/features/scheduling/late_words.feature
@@ -66,3 +66,14 @@
     Given an agent whose worker listens at its VM's address
     When the worker lists 500 ends and its port refuses 5 connections
     Then its list counts as whole once its runs count as lost
+
+  Scenario: A worker begins anew, and its agent has no list of it yet
+    # Guards against a finished task that runs again: its end was acknowledged unread.
+    Given 1 VM of 32 cores
+    And job "a" of 1 task runs
+    And its run has succeeded, and that was acknowledged
+    And job "b" of 1 task runs
+    When its worker begins anew, and the first report of that has no list
+    And job "b" is cancelled
+    And some rounds have passed
+    Then no end of the worker's new life was acknowledged
--- a/features/steps/late_words_steps.py
+++ b/features/steps/late_words_steps.py
@@ -215,3 +215,34 @@
     world = context.hosting_world
     world.until(lambda: not world.hosting.running)
     assert world.hosting.ends_whole
+
+
+# ---- a worker's next life
+
+
+@given("its run has succeeded, and that was acknowledged")
+def step_succeeded_acknowledged(context):
+    world = context.world
+    world.end_all()
+    _rounds(world)
+    (worker,) = world.worker_by_node.values()
+    assert worker.acknowledged == 1, worker
+
+
+@when("its worker begins anew, and the first report of that has no list")
+def step_begins_unlisted(context):
+    (worker,) = context.world.worker_by_node.values()
+    worker.reborn()
+    worker.unlisted = True
+
+
+@when('job "{name}" is cancelled')
+def step_cancelled(context, name):
+    world = context.world
+    world.scheduler.cancel(name, now=world.now, wall_now=world.wall_now)
+
+
+@then("no end of the worker's new life was acknowledged")
+def step_none_acknowledged(context):
+    (worker,) = context.world.worker_by_node.values()
+    assert worker.acknowledged == 0, worker.acknowledged
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -38,6 +38,8 @@
     left: bool = False
     unknown: bool = False
     """Whether the agent was started again and has not heard of its worker."""
+    unlisted: bool = False
+    """Whether the agent has heard of its worker, and has no list of it yet."""
     orders_taken: int = 0
     running: dict = field(default_factory=dict)
     """Starts by run key."""
@@ -110,9 +112,9 @@
             port=1,
             worker=None if self.left or self.unknown else info,
             left=self.left,
-            listed=not (self.left or self.unknown),
-            running=[] if self.unknown else running,
-            ended=[] if self.unknown else list(self.ended),
+            listed=not (self.left or self.unknown or self.unlisted),
+            running=[] if self.unknown or self.unlisted else running,
+            ended=[] if self.unknown or self.unlisted else list(self.ended),
             unsettled=list(self.unsettled),
             refused=list(self.refused),
             silent_seconds=0.0,
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -430,11 +430,17 @@
                 self._still_wanted(vm, outgoing.starts, now),
                 outgoing.stops,
                 outgoing.paces,
-                self._acks_by_node[node].durable if node in self._acks_by_node else 0,
+                self._acknowledged(vm.node, vm.worker.born),
             )
             sent.append((vm, orders))
         return sent
 
+    def _acknowledged(self, node: NodeId, born: int) -> int:
+        """Return up to which number ends of a worker's life are durable."""
+        ends = self._acks_by_node.get(node)
+        # The numbers of its next life begin anew, before its ends are first listed.
+        return ends.durable if ends is not None and ends.born == born else 0
+
     def _still_wanted(self, vm: Vm, starts: list[Start], now: float) -> list[Start]:
         wanted = []
         for start in starts:
