Split the agent's composition root from leaving, shards and its HTTP server

Change: departure, shard_hosting and state_server hold one of these each; app.py wires them. The agent's second copy of the resources by name is gone. Log names and messages, the state dump and the metrics stay.

--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -6,58 +6,34 @@
 
 import cyclopts
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
 
 from wagtailcleat.agent.attempts import Attempts
 from wagtailcleat.agent.commitments import Commitments
+from wagtailcleat.agent.departure import announce_leave, flush_answers
 from wagtailcleat.agent.interference import Interference
-from wagtailcleat.agent.metrics import add_agent_metrics
+from wagtailcleat.agent.metrics import add_agent_metrics, by_resource
 from wagtailcleat.agent.neighbours import NeighbourWatch
 from wagtailcleat.agent.services import Services
-from wagtailcleat.batch.holders import Holder, read_epoch
-from wagtailcleat.batch.journal import Journal
-from wagtailcleat.batch.owner import Owner
-from wagtailcleat.batch.ownership import Ownership
-from wagtailcleat.batch.shard import Shard
+from wagtailcleat.agent.shard_hosting import ShardHosting
+from wagtailcleat.agent.state_server import state_application
+from wagtailcleat.batch.holders import read_epoch
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.models import placed, zone_is_out
 from wagtailcleat.daemon import run_daemon
-from wagtailcleat.ids import ShardId, VmName, ZoneName
-from wagtailcleat.introspection import Introspection
+from wagtailcleat.ids import VmName, ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.metrics import add_node_metrics
 from wagtailcleat.node import Node, make_node
 from wagtailcleat.platform.worker import Worker, WorkerUnreachable
-from wagtailcleat.process import (
-    bind,
-    bound_port,
-)
+from wagtailcleat.process import bind, bound_port
 from wagtailcleat.resources import NOTHING, Resources
 from wagtailcleat.settings import AgentSettings
-from wagtailcleat.wire.messages import (
-    AnyMessage,
-    CancelJob,
-    Done,
-    ListJobs,
-    Member,
-    Members,
-    MemberState,
-    NotOwner,
-    RenewGrants,
-    Role,
-    ShowJob,
-    StepDown,
-    SubmitJob,
-)
+from wagtailcleat.wire.messages import Role
 
 log = part_logger("agent")
 
 CAPACITY_RETRY_SECONDS = 1.0
-ANNOUNCE_SECONDS = 1.0
-ANSWERS_SENT_SECONDS = 2.0
-ANSWERS_POLL_SECONDS = 0.01
-OWNERS_ORDERS = (SubmitJob, ShowJob, ListJobs, CancelJob, RenewGrants)
 
 app = cyclopts.App(name="wagtailcleat-agent", help=__doc__)
 
@@ -73,7 +49,6 @@
         wall_clock: Clock = wall_time,
     ) -> None:
         """Wire everything; nothing runs yet."""
-        self._wall_clock = wall_clock
         self.commitments = Commitments()
         self.leaving = False
         self.node: Node = make_node(
@@ -118,24 +93,14 @@
             self.services,
             self.worker,
         )
-        self.ownership = Ownership(
-            node.store,
-            node.view,
-            node.supervisor.supervisor("ownership"),
-            shards=settings.shards,
-            clock=node.clock,
-            timing=settings.timing,
-            rng=node.rng("ownership"),
-            make_owner=self._make_owner,
-            announce=self._announce_shards,
-            closed=self.closed,
-            may_own=self._may_own,
+        self._shards = ShardHosting(
+            node, settings, wall_clock=wall_clock, closed=self.closed
         )
+        self.ownership = self._shards.ownership
         node.dispatch.add(self.services.handlers())
         node.dispatch.add(self.attempts.handlers())
-        node.dispatch.add_plain(dict.fromkeys(OWNERS_ORDERS, self._owners_order))
-        node.dispatch.add_plain({StepDown: self._step_down})
-        node.gossiper.on_configuration(self._configured)
+        node.dispatch.add_plain(self._shards.by_message())
+        node.gossiper.on_configuration(self._apply_configuration)
         self._add_sections()
 
     def closed(self) -> str:
@@ -156,7 +121,7 @@
     def start(self) -> dict[str, int]:
         """Serve; return the ports."""
         node = self.node
-        server = HTTPServer(_state_application(node.introspection))
+        server = HTTPServer(state_application(node.introspection))
         sockets = bind(self._settings.host, self._settings.http_port)
         server.add_sockets(sockets)  # type: ignore[arg-type]
         node.start()
@@ -170,68 +135,31 @@
         return {"peer_port": node.view.me.port, "http_port": bound_port(sockets)}
 
     async def stop(self) -> None:
-        """Announce the leave, finish requests, hand tasks and shards on, then end."""
+        """Announce the leave, finish requests, evict tasks, give shards up, end."""
         self.leaving = True
         self.services.note_closed()
         log.info("Leaving")
-        stay_until = await self._announce_leave()
+        timing = self._settings.timing
+        stay_until = await announce_leave(self.node, timing)
         try:
-            async with asyncio.timeout(self._settings.timing.drain):
+            async with asyncio.timeout(timing.drain):
                 await self.services.drained()
                 await self.attempts.drain("its VM is being replaced")
         except TimeoutError:
             log.warning("Not everything was drained in time")
         await self.ownership.give_up()
         await asyncio.sleep(stay_until - self.node.clock())
-        await self._answers_sent()
+        await flush_answers(self.node)
         await self.node.leave()
         self.services.close()
         self.worker.close()
 
-    async def _announce_leave(self) -> float:
-        # Entries hear it over the streams they hold, at once: what they sent before
-        # they acknowledged it came before the acknowledgement, so after that none
-        # of them has a request on its way here.
-        node = self.node
-        node.view.change_me(node.clock(), state=MemberState.LEAVING)
-        news = Members([], [node.view.me])
-        entries = [s for s in node.listener.streams if s.peer_role is Role.ENTRY]
-        told = [stream.call(news, timeout=ANNOUNCE_SECONDS) for stream in entries]
-        announced_at = node.clock()
-        try:
-            async with asyncio.timeout(ANNOUNCE_SECONDS):
-                answers = await asyncio.gather(*told, node.gossiper.announce())
-        except TimeoutError:
-            answers = [None]
-        if all(isinstance(answer, Done) for answer in answers[: len(told)]):
-            return announced_at
-        # An entry that did not acknowledge may have written requests into a silent
-        # connection. It finds that out and asks here what became of them; if this
-        # process were gone by then, nobody could tell that they have not run.
-        log.warning("Not every entry acknowledged that this agent leaves")
-        timing = self._settings.timing
-        return announced_at + timing.silence + 3 * timing.ping + timing.connect
-
-    async def _answers_sent(self) -> None:
-        # An answer that has left the services may still be in a stream's buffer;
-        # closing the stream would lose it, and its caller be told nothing for sure.
-        for stream in list(self.node.listener.streams):
-            stream.go_away()
-        try:
-            async with asyncio.timeout(ANSWERS_SENT_SECONDS):
-                while self.node.listener.streams:  # noqa: ASYNC110
-                    await asyncio.sleep(ANSWERS_POLL_SECONDS)
-        except TimeoutError:
-            log.warning("Not every answer has left this process")
-
-    # ---- what runs
-
     async def _read_capacity(self) -> None:
         while True:
             capacity = await self.worker.capacity()
             if not isinstance(capacity, WorkerUnreachable):
                 self._worker_capacity = capacity
-                self._configured()
+                self._apply_configuration()
                 return
             await asyncio.sleep(CAPACITY_RETRY_SECONDS)
 
@@ -244,84 +172,42 @@
             await asyncio.sleep(self._settings.timing.endpoint_check)
 
     async def _run_attempts(self) -> None:
-        # What runs is watched and renewed from the start: its grants may be short.
+        # Grants of recovered tasks may be short: they are renewed from the start.
         attempts = self.attempts
         await asyncio.gather(attempts.rebuild(), attempts.watch(), attempts.renew())
 
-    def _configured(self) -> None:
+    def _apply_configuration(self) -> None:
         configuration = self.node.in_force.configuration
         on_vm = placed(configuration, VmName(self._settings.vm))
-        held = self.commitments
+        commitments = self.commitments
         if on_vm is None:
             self.services.configure([])
-            held.capacity, held.for_services = NOTHING, NOTHING
-            held.known = configuration.revision > 0
+            commitments.capacity, commitments.for_services = NOTHING, NOTHING
+            commitments.known = configuration.revision > 0
         else:
             self.services.configure(on_vm.services)
-            held.for_services = on_vm.for_services
+            commitments.for_services = on_vm.for_services
             if self._worker_capacity is not None:
-                held.capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
-                held.known = True
+                capacity = on_vm.vm.capacity.smaller(self._worker_capacity)
+                commitments.capacity = capacity
+                commitments.known = True
         self.attempts.request_poll()
 
     def _free(self) -> Resources:
         return self.commitments.free(self.node.clock())
 
-    # ---- shards
-
-    def _make_owner(
-        self, shard: ShardId, journal: Journal, earlier: list[Holder]
-    ) -> Owner:
-        node = self.node
-        held = Shard(
-            shard,
-            self._settings.shards,
-            journal,
-            node.view,
-            node.in_force,
-            node.peers,
-            node.clock,
-            self._wall_clock,
-            self._settings.timing,
-            node.rng(f"shard/{shard}"),
-            self.ownership.may_grant_until,
-        )
-        return Owner(held, earlier)
-
-    def _may_own(self, member: Member) -> bool:
-        # An agent in a zone that is out takes no shards: were it counted among
-        # those that should, a shard might be left without an owner.
-        return not zone_is_out(self.node.in_force.configuration, member.zone)
-
-    def _announce_shards(self) -> None:
-        shards = sorted(self.ownership.owner_by_shard)
-        change = self.node.change_me
-        self.node.supervisor.once("announce", lambda: change(shards=shards))
-
-    async def _owners_order(self, message: AnyMessage) -> AnyMessage:
-        shard = message.spec.shard if isinstance(message, SubmitJob) else message.shard  # type: ignore[union-attr]
-        owner = self.ownership.owner_by_shard.get(shard)
-        if owner is None:
-            known = self.node.view.owner(shard)
-            return NotOwner(known.node if known else "")
-        return await owner.order(message)
-
-    async def _step_down(self, message: AnyMessage) -> AnyMessage:
-        assert isinstance(message, StepDown)
-        return self.ownership.step_down(message)
-
     def _add_sections(self) -> None:
         add = self.node.introspection.add
         add("vm", lambda: self._settings.vm)
         add("closed", self.closed)
         add("requests_in_flight", lambda: self.services.in_flight)
         add("tasks_running", lambda: len(self.attempts.running()))
-        add("free", lambda: _resources(self._free()))
+        add("free", lambda: by_resource(self._free()))
         add("services", self.services.dump)
         add("ledger", lambda: len(self.services.ledger))
         add("attempts", self.attempts.dump)
         add("neighbours", self.neighbours.dump)
-        add("shards", self._shards)
+        add("shards", self._shards.dump)
         add_node_metrics(self.node.introspection, self.node)
         add_agent_metrics(
             self.node.introspection,
@@ -333,43 +219,6 @@
             self.node.clock,
         )
 
-    def _shards(self) -> dict[str, object]:
-        owners = self.ownership.owner_by_shard
-        return {str(shard): owner.dump() for shard, owner in owners.items()}
-
-
-def _resources(amount: Resources) -> dict[str, object]:
-    return {
-        "cores": amount.cores,
-        "memory_mb": amount.memory_mb,
-        "accelerators": amount.accelerators,
-    }
-
-
-class _StateHandler(RequestHandler):
-    def initialize(self, introspection: Introspection) -> None:
-        self._introspection = introspection
-
-    def get(self) -> None:
-        """Answer with the state dump."""
-        self.set_header("Content-Type", "application/json")
-        self.finish(self._introspection.text() + "\n")
-
-
-class _MetricsHandler(_StateHandler):
-    def get(self) -> None:
-        """Answer with all metrics of this process."""
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(self._introspection.metrics())
-
-
-def _state_application(introspection: Introspection) -> Application:
-    own = {"introspection": introspection}
-    return Application(
-        [(r"/state", _StateHandler, own), (r"/metrics", _MetricsHandler, own)],
-        log_function=lambda _: None,
-    )
-
 
 @app.default
 def run(
--- a/wagtailcleat/agent/metrics.py
+++ b/wagtailcleat/agent/metrics.py
@@ -42,14 +42,14 @@
         "capacity",
         "What the VM holds: cores, megabytes, accelerators.",
         "resource",
-        lambda: _by_resource(commitments.capacity),
+        lambda: by_resource(commitments.capacity),
     )
     labelled(
         Kind.GAUGE,
         "free",
         "What of the VM is committed to nothing: cores, megabytes, accelerators.",
         "resource",
-        lambda: _by_resource(commitments.free(clock())),
+        lambda: by_resource(commitments.free(clock())),
     )
 
 
@@ -113,7 +113,8 @@
     )
 
 
-def _by_resource(amount: Resources) -> Mapping[str, float]:
+def by_resource(amount: Resources) -> Mapping[str, float]:
+    """Return an amount by the name of the resource."""
     return {
         "cores": amount.cores,
         "memory_mb": amount.memory_mb,
