--- a/bench/troubled.py
+++ b/bench/troubled.py
@@ -7,13 +7,14 @@
 tasks, which last, had to be started again.
 """
 
-import argparse
 import random
 from collections import defaultdict
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+import cyclopts
+
 from wagtailcleat.operator.explain import parsed
 from wagtailcleat.operator.lost_time import moment
 
@@ -74,26 +75,26 @@
     return took - stretch * sum(longest.values()) - target
 
 
-def main() -> None:
-    """List them, and pick some."""
-    options = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    options.add_argument("logs", nargs="+", type=Path)
-    options.add_argument("--objective", action="append", default=[])
-    options.add_argument("--seed", type=int, default=0)
-    options.add_argument("--pick", type=int, default=10)
-    given = options.parse_args()
-    rows = (text.split(":") for text in given.objective)
+def main(
+    logs: list[Path], *, objective: tuple[str, ...] = (), seed: int = 0, pick: int = 10
+) -> None:
+    """List the requests of `logs` that went wrong, and pick some.
+
+    Parameters: each `objective` is a queue with its stretch and target, as
+    `QUEUE:STRETCH:TARGET`; `seed` decides which are picked, `pick` how many.
+    """
+    rows = (text.split(":") for text in objective)
     objectives = {queue: (float(s), float(t)) for queue, s, t in rows}
     listed = [
         f"{job} {path.name} {', '.join(found)}"
-        for path in given.logs
+        for path in logs
         for job, lines in lines_by_job(path).items()
         if (found := list(symptoms(lines, objectives)))
     ]
-    print(f"{len(listed)} requests; picked with seed {given.seed}:")
-    for row in random.Random(given.seed).sample(sorted(listed), given.pick):
+    print(f"{len(listed)} requests; picked with seed {seed}:")
+    for row in random.Random(seed).sample(sorted(listed), pick):
         print(row)
 
 
 if __name__ == "__main__":
-    main()
+    cyclopts.run(main)
