--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -56,8 +56,9 @@
 ADVICE_LOOK_SECONDS = 0.05
 """Pause before looking again whether a step waits for advice."""
 ENTRIES_SECONDS = 5.0
-ENTRIES_SOON_SECONDS = 0.5
-"""The same while the book is restored."""
+"""How often a leader looks after the other entries."""
+ENTRIES_RESTORING_SECONDS = 0.5
+"""How often it does while its book is restored."""
 
 
 class Leader:
@@ -129,8 +130,7 @@
     async def run(self) -> None:
         """Restore the book, then lead until cancelled."""
         supervisor = Supervisor(f"epoch-{self.office.epoch}")
-        # Also while the book is restored: that takes long behind a slow link, and an
-        # entry that leads must not keep a larger one from leading.
+        # Restoring takes long behind a slow link; a larger entry may lead meanwhile.
         supervisor.spawn("entries", self._keep_entries)
         try:
             await self._restore()
@@ -220,8 +220,7 @@
         if not self.ready and self.office.valid_for(self._now) > 0:
             return Refused(Code.RESTORING.value, "the leader is still restoring")
         if not self.acting:
-            # Agents stay with a leader that restores; once it may not act, another one
-            # may have replaced it, and they must look who leads.
+            # Another leader may have replaced this one, so agents must look who leads.
             # Runs go on for as long after an answer as a next leader waits after the
             # last moment at which this one may act.
             return Refused(Code.UNAVAILABLE.value, "this leader may not act now")
@@ -362,4 +361,5 @@
         while True:
             ready = self.ready
             await self._leadership.look_after_entries(self.office, restored=ready)
-            await asyncio.sleep(ENTRIES_SECONDS if ready else ENTRIES_SOON_SECONDS)
+            pause = ENTRIES_SECONDS if ready else ENTRIES_RESTORING_SECONDS
+            await asyncio.sleep(pause)
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -2,7 +2,7 @@
 
 The leader rewrites a second key, its beat. Another entry claims when the leader surely
 acts no more: another incarnation answers at its address, it has laid down its office,
-or its beat was seen to stand still for longer than a leader may act after a renewal. It
+or its beat has stood still for longer than a leader may act after a renewal. It
 also claims where the leader's port refuses connections. That proves nothing: the new
 leader then waits until the renewals of the one before have surely run out, before it
 starts what that one may run (`Office.predecessors_until`). Leases of the store play no
@@ -263,7 +263,7 @@
         sign = await self._sign()
         self._look_every = LOOK_SOON if sign is _Sign.REFUSED else PROBE_EVERY
         if not self._claims.has_read:
-            # Told who leads before it could read it, it would give nobody its word.
+            # Until it has read who leads, this entry promises nothing to a leader.
             await self._claims.read()
         if sign is _Sign.LEADS or not self.may_claim:
             self._refused_beat = None
--- a/wagtailcleat/platform/exchange.py
+++ b/wagtailcleat/platform/exchange.py
@@ -17,9 +17,12 @@
 NEVER_CONNECTED = (pycurl.E_COULDNT_CONNECT,)
 DOWNLOAD_SECONDS = 30.0
 """Bound of a whole download, however steadily it goes on."""
-LOOK_SECONDS = 60
-"""For the library's own look at the speed of a transfer. While it is to look, it also
-asks once a second whether a transfer that stands still should go on."""
+SPEED_CHECK_SECONDS = 60
+"""For the library's own check of the speed of a transfer.
+
+While that is on, it calls the progress callback once a second, also for a transfer that
+stands still.
+"""
 
 
 class NoAnswer(Enum):
@@ -111,7 +114,7 @@
                     connect_timeout=min(CONNECT_SECONDS, first),
                     request_timeout=DOWNLOAD_SECONDS,
                     streaming_callback=take,
-                    prepare_curl_callback=_while_true(lambda: waiting),
+                    prepare_curl_callback=_while_wanted(lambda: waiting),
                 )
                 # Cancelled, the library's own future would log the error that ends it.
                 fetch = asyncio.ensure_future(self._fetch(request))
@@ -139,7 +142,7 @@
             return NoAnswer.LOST
 
 
-def _while_true(wanted: Callable[[], bool]) -> Callable[[pycurl.Curl], None]:
+def _while_wanted(wanted: Callable[[], bool]) -> Callable[[pycurl.Curl], None]:
     """Return a callback that lets the library end a transfer that is not wanted."""
 
     def prepare(handle: pycurl.Curl) -> None:
@@ -147,7 +150,7 @@
             # It was still in the queue of the library.
             raise TimeoutError("nobody waits for it any more")
         handle.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-        handle.setopt(pycurl.LOW_SPEED_TIME, LOOK_SECONDS)
+        handle.setopt(pycurl.LOW_SPEED_TIME, SPEED_CHECK_SECONDS)
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: 0 if wanted() else 1)
 
