Reports send each checkpoint until it was taken in, as many as the link bears

Callers saw: after the death of a leader behind a link of 5 Mbit/s all work under way lapsed and ran again, where tasks have checkpoints of some size.

Cause: each report told every checkpoint of its VM anew. 56 agents of 40 runs with 1,000 bytes each are 2.4 MB together, 3.8 s of that link; a report may take 0.8 s, so that all timed out, were repeated whole and filled the link for good.

Change: wagtailcleat/cluster/checkpoint_delta.py leaves out what the leader of this epoch has answered for, and bounds the rest by a window that follows the link: 1 kB first, doubled on quick answers, halved on slow ones, none after a loss. Why it holds: a leader keeps checkpoints by task, and an empty one changes nothing there; the list of runs, which renews leases, is always whole; an end whose checkpoint has no room is kept back with those after it, and its run is listed as unsettled, so its room and task are held. Ruled out: reports cut into parts that each renew a part of the leases: the list alone is 2.8 kB of an agent, 157 kB for all, 0.25 s of the link.

--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.checkpoint_delta import CheckpointDelta
 from wagtailcleat.cluster.keys import LEADER_KEY, decode
 from wagtailcleat.cluster.timing import (
     LOOK_AGAIN,
@@ -74,6 +75,7 @@
         self._clock = clock
         self._entries = list(entries)
         self._make_report = make_report
+        self._delta = CheckpointDelta()
         self._on_answer = on_answer
         self._on_orders = on_orders
         self._news = asyncio.Event()
@@ -135,9 +137,11 @@
         if isinstance(stream, Lost):
             return False
         sent_at = self._clock()
-        report = self._make_report(self.epoch, self._orders_taken)
+        whole = self._make_report(self.epoch, self._orders_taken)
+        report = self._delta.shorten(whole)
         answer = await stream.call(report, timeout=REPORT_TIMEOUT)
         if isinstance(answer, Lost):
+            self._delta.lost()
             # Orders that are held up on this connection must not be taken later.
             stream.close("a report was not answered")
             return False
@@ -157,6 +161,7 @@
             # nothing of what runs where nothing is listed, and must not be taken to.
             self.contact_at = sent_at
         self.valid_until = sent_at + answer.valid_seconds
+        self._delta.answered(report, seconds=self._clock() - sent_at)
         self._on_answer(report)
         return True
 
