Tasks of one step share the look at the VMs

Callers saw: jobs handed in during a burst of wide ones waited, and agents lost the leader.

Cause: a round looked at each VM for each waiting task of a step. A step of 60 tasks on 160 VMs was 9,600 scores, and grew with tasks times VMs; at a target of 1,000 starts a second on 1,100 VMs that is over a million a second.

Change: scheduling/placement.Candidates scores each VM once for a step, keeps the scores in a heap and scores anew only the VM that was given a task. Tasks that failed somewhere, and steps that want one rack, have a heap of their own (Kind). Why it holds: a score depends on the VM, the task's kind and nothing else that changes within a round.

--- /dev/null
+++ b/features/steps/bursts_steps.py
@@ -0,0 +1,178 @@
+"""Steps on bursts of wide jobs, and on rounds that are out of time."""
+
+import random
+from collections import Counter
+from unittest import mock
+
+from behave import given, then, when
+
+from features.steps.scheduling_world import SERVICE, make_job, plain, serving
+from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling import placement
+from wagtailcleat.scheduling.book import Book
+from wagtailcleat.scheduling.models import WorkerInfo, WorkerState
+from wagtailcleat.scheduling.placement import Candidates, choose
+from wagtailcleat.scheduling.vms import Hosted, Vm
+
+
+@when('job "{name}" of {count:d} tasks with {cores:d} cores is placed')
+def step_placed(context, name, count, cores):
+    world = context.world
+    world.submit(make_job(name, plain(count, cores=cores)))
+    score = mock.Mock(side_effect=placement._score)
+    with mock.patch.object(placement, "_score", score):
+        world.round()
+    context.scored = score.call_count
+
+
+@then('{count:d} tasks of job "{name}" run')
+def step_run(context, count, name):
+    assert len(context.world.running_nodes(name)) == count
+
+
+@then("its VMs were scored {count:d} times at most")
+def step_scored(context, count):
+    assert context.scored <= count, context.scored
+
+
+@given("{jobs:d} jobs of {count:d} tasks with {cores:d} cores wait")
+def step_wait(context, jobs, count, cores):
+    for number in range(jobs):
+        context.world.submit(make_job(f"j-{number}", plain(count, cores=cores)))
+
+
+@given('job "{name}" of {count:d} task with {cores:d} cores runs')
+def step_runs(context, name, count, cores):
+    context.world.submit(make_job(name, plain(count, cores=cores)))
+    context.world.round()
+    assert len(context.world.running_nodes(name)) == count
+
+
+def _round(context, in_time):
+    world = context.world
+    for worker in world.worker_by_node.values():
+        world.report(worker)
+    context.whole = world.scheduler.place(
+        now=world.now, wall_now=world.wall_now, in_time=in_time
+    )
+    for vm, orders in world.scheduler.orders(now=world.now):
+        world.worker_by_node[vm.node].take(orders)
+
+
+@when("a round has time for one job only")
+def step_short_round(context):
+    _round(context, lambda: False)
+
+
+@when("a round has time for all")
+def step_whole_round(context):
+    _round(context, lambda: True)
+
+
+@when('job "{name}" ends')
+def step_ends(context, name):
+    context.world.end_all(job=name)
+
+
+@when("rounds have time for one job only, {count:d} of them")
+def step_short_rounds(context, count):
+    for _ in range(count):
+        _round(context, lambda: False)
+
+
+@then("{count:d} tasks run and the round was not whole")
+def step_running_not_whole(context, count):
+    assert _running(context) == count
+    assert not context.whole
+
+
+@then("{count:d} tasks run and the round was whole")
+def step_running_whole(context, count):
+    assert _running(context) == count
+    assert context.whole
+
+
+def _running(context):
+    return sum(len(w.running) for w in context.world.worker_by_node.values())
+
+
+@then("in {count:d} random fleets both choose the same VMs")
+def step_same(context, count):
+    for seed in range(count):
+        single = _chosen_one_by_one(*_fleet(random.Random(seed)))
+        shared = _chosen_together(*_fleet(random.Random(seed)))
+        assert single == shared, (seed, single, shared)
+
+
+def _fleet(chance):
+    """Return VMs that are partly used, and the tasks of a step that wait."""
+    vms = [_vm(chance, number) for number in range(chance.randint(1, 12))]
+    more = {
+        "max_per_vm": chance.choice((0, 0, 1, 2)),
+        "required_label": chance.choice(("", "", "a")),
+        "affinity_rack": chance.choice(("", "r1")),
+        "same_rack": chance.random() < 0.3,
+    }
+    kind = chance.choice((plain, serving))
+    step = kind(chance.randint(1, 20), cores=chance.choice((1.0, 4.0, 9.0)), **more)
+    entry = Book().add(make_job("job", step), now=0.0, wall_now=0.0)
+    tasks = entry.tasks_by_step[0, 0]
+    for task in tasks:
+        if chance.random() < 0.2:
+            task.failed_on.add(chance.choice(vms).node)
+    return vms, tasks
+
+
+def _vm(chance, number):
+    info = WorkerInfo(
+        f"i-{number}",
+        1,
+        SERVICE,
+        "zilina-a",
+        WorkerState.READY,
+        Resources(chance.choice((8.0, 16.0, 32.0)), 64_000, 0),
+        chance.choice((("a",), ("b",))),
+        chance.choice(("r1", "r2", "r3")),
+        chance.choice((0.0, 0.0, 1.5)),
+    )
+    vm = Vm(f"vm-{number}", "127.0.0.1", 1, "zilina-a", 0.0, worker=info)
+    used = plain(1, cores=float(chance.randint(0, 8)))
+    other = Book().add(make_job(f"used-{number}", used), now=0.0, wall_now=0.0)
+    _host(vm, other.tasks_by_step[0, 0][0])
+    return vm
+
+
+def _host(vm, task):
+    vm.host_run(Hosted(task.run_key, task.step, 0.0))
+
+
+def _chosen_one_by_one(vms, tasks):
+    racks = Counter()
+    chosen = []
+    for task in tasks:
+        vm = choose(vms, task, now=0.0, racks=racks)
+        if vm is None:
+            break
+        _host(vm, task)
+        racks[vm.rack] += 1
+        chosen.append(vm.node)
+    return chosen
+
+
+def _chosen_together(vms, tasks):
+    racks = Counter()
+    chosen = []
+    by_kind = {}
+    for task in tasks:
+        kind = placement.kind_of(task, racks)
+        if kind not in by_kind:
+            by_kind[kind] = Candidates(vms, task, now=0.0, racks=racks)
+        vm = by_kind[kind].best()
+        if vm is None:
+            break
+        _host(vm, task)
+        racks[vm.rack] += 1
+        chosen.append(vm.node)
+        for candidates in by_kind.values():
+            candidates.changed(vm)
+    return chosen
--- a/wagtailcleat/scheduling/placing.py
+++ b/wagtailcleat/scheduling/placing.py
@@ -13,7 +13,13 @@
 from wagtailcleat.scheduling.book import Book, JobEntry, StepKey, Task, TaskState
 from wagtailcleat.scheduling.models import RunKey
 from wagtailcleat.scheduling.order import lateness, rank
-from wagtailcleat.scheduling.placement import choose, labelled
+from wagtailcleat.scheduling.placement import (
+    Candidates,
+    Kind,
+    choose,
+    kind_of,
+    labelled,
+)
 from wagtailcleat.scheduling.sharing import STARVED_ADDED, Sharing
 from wagtailcleat.scheduling.vms import Hosted, Vm
 
@@ -34,7 +40,7 @@
 closing the VMs would keep sound work waiting.
 """
 MAX_STARTS_PER_ROUND = 400
-"""Bounds the time of one round: the loop must answer reports meanwhile."""
+"""Bounds the orders that leave together."""
 
 StartRun = Callable[[Vm, Task, int, float], None]
 """Starts a run with a number on a VM, at a time."""
@@ -65,6 +71,8 @@
         self._sharing = sharing
         self._advice = advice
         self._start = start
+        self.cut_short = False
+        """Whether the last round ended before it had looked at all that waits."""
         self._round = 0
         self._wall_now = 0.0
         self._zones_out: frozenset[ZoneName] = frozenset()
@@ -93,16 +101,23 @@
         *,
         now: float,
         wall_now: float,
+        in_time: Callable[[], bool] = lambda: True,
     ) -> int:
-        """Start as much waiting work as has room; return how many starts."""
+        """Start as much waiting work as has room; return how many starts.
+
+        Parameters: `in_time` tells between two steps whether the round may go on. What
+        is left then keeps its turn for the next round, and `cut_short` is set.
+        """
         self._round += 1
         self._wall_now = wall_now
         self._look_at(vms, zones_out, now)
         started = 0
+        self.cut_short = False
         for entry, step in self._ranked(now, wall_now):
-            started += self._place_step(entry, step, now)
-            if started >= MAX_STARTS_PER_ROUND:
+            if started >= MAX_STARTS_PER_ROUND or (started and not in_time()):
+                self.cut_short = True
                 break
+            started += self._place_step(entry, step, now)
         return started
 
     # ---- the VMs
@@ -216,8 +231,8 @@
         def interference(vm: Vm) -> float:
             return self._sharing.added(vm, step)
 
-        for started, task in enumerate(waiting):
-            vm = choose(
+        def candidates(task: Task) -> Candidates:
+            return Candidates(
                 vms,
                 task,
                 now=now,
@@ -225,10 +240,19 @@
                 may_use=admits,
                 interference=interference,
             )
+
+        by_kind: dict[Kind, Candidates] = {}
+        for started, task in enumerate(waiting):
+            kind = kind_of(task, racks)
+            if kind not in by_kind:
+                by_kind[kind] = candidates(task)
+            vm = by_kind[kind].best()
             if vm is None:
                 return started
             self._start(vm, task, self._next_run(task), now)
             racks[vm.rack] += 1
+            for others in by_kind.values():
+                others.changed(vm)
         return len(waiting)
 
     def _open(self, vm: Vm, task: Task, now: float) -> bool:
