Starts leave the leader at half the rate of its link at most

Cause: a start carries the job's spec, about 0.9 kB with it. The leader there has a link of 2 Mbit/s: the 233 starts of its first round are some 0.2 MB, 0.8 s of that link. Pings and answers queued behind them; streams fall silent after 0.75 s, so 8 of 18 agents were out of touch at 39.7 s and 36 ordered runs were gone.

Change: scheduling/outgoing.StartBudget, a token bucket filled at half of the rate that the settings name for the link (new setting link_mbps, rendered from the platform's), holding 0.1 s. Starts beyond it stay in the leader, in their order; stops, paces and acknowledgements do not wait. Why it holds: a start that was not sent keeps its room and is dropped where its job is cancelled, as before. On links of 200 Mbit/s the bound is 12 MB/s and binds nothing.

Tests: three scenarios of features/scheduling/bursts; with the bucket switched off three fail.

--- a/features/scheduling/bursts.feature
+++ b/features/scheduling/bursts.feature
@@ -29,3 +29,27 @@
     And job "full" ends
     And rounds have time for one job only, 3 of them
     Then 3 tasks run and the round was whole
+
+  Scenario: Starts leave no faster than the leader's link bears
+    # Guards against agents that lose the leader behind the starts of a burst.
+    Given 4 VMs of 32 cores whose leader may send 100000 bytes of starts a second
+    And job "old" of 4 tasks with 1 cores runs
+    And 5 jobs of 20 tasks with 1 cores wait
+    When each start is 1000 bytes long, and orders leave each 0.02 s
+    Then no 0.1 s carried more than 22000 bytes of starts
+    And 104 tasks run within 1.5 s
+
+  Scenario: Stops do not wait behind the starts of a burst
+    # Guards against cancelled work that runs on while a burst goes out.
+    Given 4 VMs of 32 cores whose leader may send 100000 bytes of starts a second
+    And job "old" of 4 tasks with 1 cores runs
+    And 5 jobs of 20 tasks with 1 cores wait
+    When a round is placed, and job "old" is cancelled while starts are held back
+    Then the 4 stops leave at once
+
+  Scenario: A start that is held back is not sent after its job is cancelled
+    # Guards against a cancelled job that starts when the link has room again.
+    Given 4 VMs of 32 cores whose leader may send 100000 bytes of starts a second
+    And 5 jobs of 20 tasks with 1 cores wait
+    When a round is placed, and all jobs are cancelled while starts are held back
+    Then no start leaves after that, and nothing keeps its room
--- a/features/steps/bursts_steps.py
+++ b/features/steps/bursts_steps.py
@@ -4,9 +4,17 @@
 from collections import Counter
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
-from features.steps.scheduling_world import SERVICE, make_job, plain, serving
+from features.steps.scheduling_world import (
+    SERVICE,
+    PretendedWorker,
+    SchedulingWorld,
+    make_job,
+    plain,
+    serving,
+)
 from wagtailcleat.resources import Resources
 from wagtailcleat.scheduling import placement
 from wagtailcleat.scheduling.book import Book
@@ -14,6 +22,8 @@
 from wagtailcleat.scheduling.placement import Candidates, choose
 from wagtailcleat.scheduling.vms import Hosted, Vm
 
+START_BYTES = 1000
+
 
 @when('job "{name}" of {count:d} tasks with {cores:d} cores is placed')
 def step_placed(context, name, count, cores):
@@ -41,13 +51,6 @@
         context.world.submit(make_job(f"j-{number}", plain(count, cores=cores)))
 
 
-@given('job "{name}" of {count:d} task with {cores:d} cores runs')
-def step_runs(context, name, count, cores):
-    context.world.submit(make_job(name, plain(count, cores=cores)))
-    context.world.round()
-    assert len(context.world.running_nodes(name)) == count
-
-
 def _round(context, in_time):
     world = context.world
     for worker in world.worker_by_node.values():
@@ -176,3 +179,110 @@
         for candidates in by_kind.values():
             candidates.changed(vm)
     return chosen
+
+
+@given(
+    "{count:d} VMs of {cores:d} cores whose leader may send {rate:d} bytes of starts"
+    " a second"
+)
+def step_slow_link(context, count, cores, rate):
+    workers = [PretendedWorker(f"vm-{n + 1}", cores=cores) for n in range(count)]
+    context.world = SchedulingWorld(workers, start_bytes_per_second=rate)
+
+
+def _lengthen_specs(world):
+    for entry in world.scheduler.book.open_by_id.values():
+        entry.job = msgspec.structs.replace(entry.job, spec="x" * START_BYTES)
+
+
+@given('job "{name}" of {count:d} task with {cores:d} cores runs')
+@given('job "{name}" of {count:d} tasks with {cores:d} cores runs')
+def step_large_runs(context, name, count, cores):
+    world = context.world
+    world.submit(make_job(name, plain(count, cores=cores)))
+    while len(world.running_nodes(name)) < count:
+        world.round()
+
+
+def _send(context):
+    """Let orders leave and be carried out; return them."""
+    world = context.world
+    sent = world.scheduler.orders(now=world.now)
+    for vm, orders in sent:
+        world.worker_by_node[vm.node].take(orders)
+    return [orders for _, orders in sent]
+
+
+@when("each start is {size:d} bytes long, and orders leave each {pause:g} s")
+def step_leave(context, size, pause):
+    assert size == START_BYTES
+    world = context.world
+    _lengthen_specs(world)
+    world.scheduler.place(now=world.now, wall_now=world.wall_now)
+    context.began = world.now
+    context.bytes_at = []
+    while True:
+        orders = _send(context)
+        sent = sum(len(start.spec) for order in orders for start in order.starts)
+        context.bytes_at.append((world.now, sent))
+        if not world.scheduler.holds_starts:
+            break
+        world.now += pause
+        assert world.now < context.began + 10
+
+
+@then("no {seconds:g} s carried more than {size:d} bytes of starts")
+def step_rate(context, seconds, size):
+    for begin, _ in context.bytes_at:
+        carried = sum(n for at, n in context.bytes_at if begin <= at < begin + seconds)
+        assert carried <= size, (begin, carried)
+
+
+@then("{count:d} tasks run within {seconds:g} s")
+def step_run_within(context, count, seconds):
+    assert _running(context) == count, _running(context)
+    assert context.world.now - context.began <= seconds
+
+
+@when('a round is placed, and job "{name}" is cancelled while starts are held back')
+def step_cancel_one(context, name):
+    _place_and_hold(context)
+    context.world.scheduler.cancel(
+        name, now=context.world.now, wall_now=context.world.wall_now
+    )
+    context.orders = _send(context)
+
+
+def _place_and_hold(context):
+    world = context.world
+    _lengthen_specs(world)
+    world.scheduler.place(now=world.now, wall_now=world.wall_now)
+    _send(context)
+    assert world.scheduler.holds_starts
+
+
+@then("the {count:d} stops leave at once")
+def step_stops(context, count):
+    stops = [key for orders in context.orders for key in orders.stops]
+    assert len(stops) == count, stops
+    assert not any(orders.starts for orders in context.orders)
+
+
+@when("a round is placed, and all jobs are cancelled while starts are held back")
+def step_cancel_all(context):
+    _place_and_hold(context)
+    world = context.world
+    for job in list(world.scheduler.book.open_by_id):
+        world.scheduler.cancel(job, now=world.now, wall_now=world.wall_now)
+
+
+@then("no start leaves after that, and nothing keeps its room")
+def step_nothing_left(context):
+    world = context.world
+    for _ in range(10):
+        world.now += 0.5
+        assert not any(orders.starts for orders in _send(context))
+        for worker in world.worker_by_node.values():
+            world.report(worker)
+    hosted = {vm.node: vm.hosted_by_run for vm in world.scheduler.vm_by_node.values()}
+    assert not any(hosted.values()), hosted
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -1,5 +1,6 @@
 """A scheduler with pretended agents and workers, for steps without processes."""
 
+import math
 from dataclasses import dataclass, field
 
 from wagtailcleat.resources import Resources
@@ -127,8 +128,15 @@
 class SchedulingWorld:
     """A scheduler, its pretended workers, and the present time."""
 
-    def __init__(self, workers: list[PretendedWorker], *, epoch: int = 1) -> None:
+    def __init__(
+        self,
+        workers: list[PretendedWorker],
+        *,
+        epoch: int = 1,
+        start_bytes_per_second: float = math.inf,
+    ) -> None:
         """Let every worker report once."""
+        self.start_bytes_per_second = start_bytes_per_second
         self.now = 100.0
         self.worker_by_node = {worker.node: worker for worker in workers}
         self.starts: list = []
@@ -143,7 +151,12 @@
 
     def lead(self, epoch: int) -> None:
         """Begin as a new leader that knows nothing."""
-        self.scheduler = Scheduler(epoch, lease_horizon=HORIZON, stop_again=STOP_AGAIN)
+        self.scheduler = Scheduler(
+            epoch,
+            lease_horizon=HORIZON,
+            stop_again=STOP_AGAIN,
+            start_bytes_per_second=self.start_bytes_per_second,
+        )
         self.claimed_at = self.now
 
     def submit(self, job: Job):
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -49,6 +49,7 @@
 STOP_MARGIN = 1.0
 """Seconds before the end of the grace at which this process ends by itself."""
 QUIET_SECONDS = 0.1
+BYTES_PER_MEGABIT = 125_000
 
 
 class Entry:
@@ -160,6 +161,7 @@
             status_kept=self.settings.status_kept,
             zones_out=lambda: self.operators.zones_out,
             advice=self.advice,
+            link_bytes_per_second=self.settings.link_mbps * BYTES_PER_MEGABIT,
         )
         self.leader = leader
         try:
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -1,6 +1,7 @@
 """The leader at work: jobs from the store and reports in, orders and records out."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any
@@ -51,6 +52,10 @@
 PLACING_SECONDS = 0.05
 """How long one round places work: reports and pings wait for it to end, and the peers
 of a slow VM would take its silence for a lost connection."""
+LINK_SHARE_OF_STARTS = 0.5
+"""Share of the link's rate; the rest is for pings, answers, callers and the store."""
+HELD_SECONDS = 0.02
+"""Pause before starts that were held back are looked at again."""
 IDLE_SECONDS = 0.25
 """Longest time between two rounds: jobs become due and leases lapse unannounced."""
 RETRY_SECONDS = 0.2
@@ -79,13 +84,17 @@
         status_kept: float,
         zones_out: Callable[[], frozenset[ZoneName]],
         advice: AdviceService | None = None,
+        link_bytes_per_second: float = math.inf,
     ) -> None:
         """Wire it; `status_kept` in seconds."""
         self._advice = advice
         self._zones_out = zones_out
         self.office = office
         self.scheduler = Scheduler(
-            office.epoch, lease_horizon=GIVE_UP_AFTER, stop_again=STOP_AGAIN
+            office.epoch,
+            lease_horizon=GIVE_UP_AFTER,
+            stop_again=STOP_AGAIN,
+            start_bytes_per_second=LINK_SHARE_OF_STARTS * link_bytes_per_second,
         )
         self.ready = False
         self._store = store
@@ -299,6 +308,8 @@
             self._log_orders(vm.node, orders)
             if vm.node in self._stream_by_node:
                 self._spawn(self._send(self._stream_by_node[vm.node], orders))
+        if self.scheduler.holds_starts:
+            asyncio.get_running_loop().call_later(HELD_SECONDS, self._wake.set)
 
     def _log_notes(self) -> None:
         for note in self.scheduler.take_notes():
--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -50,6 +50,8 @@
     """Share of a core's time that this process may use."""
     cpu_speed: Positive = 1.0
     """How many times as fast as a usual core that one is."""
+    link_mbps: Positive = 1_000.0
+    """What the link of this VM carries, in megabits a second."""
 
 
 class AgentSettings(Shared, frozen=True, kw_only=True):
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 its lease has surely lapsed; only then may the task start elsewhere.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -21,7 +22,7 @@
 )
 from wagtailcleat.scheduling.notes import Event, Note
 from wagtailcleat.scheduling.order import due_seconds, lateness, slack_seconds
-from wagtailcleat.scheduling.outgoing import Acknowledging, Outgoing
+from wagtailcleat.scheduling.outgoing import Acknowledging, Outgoing, StartBudget
 from wagtailcleat.scheduling.placing import Placing
 from wagtailcleat.scheduling.reasons import Margin, StartReason
 from wagtailcleat.scheduling.sharing import Measure, Sharing, shares
@@ -44,12 +45,18 @@
     """State and decisions of one leader."""
 
     def __init__(
-        self, epoch: Epoch, *, lease_horizon: float, stop_again: float
+        self,
+        epoch: Epoch,
+        *,
+        lease_horizon: float,
+        stop_again: float,
+        start_bytes_per_second: float = math.inf,
     ) -> None:
         """Begin with no VM and no job.
 
         Parameters, in seconds: `lease_horizon` for how long runs may go on at an
         agent after its last report; `stop_again` after which a stop is repeated.
+        `start_bytes_per_second` bounds the starts that leave.
         """
         self.epoch = epoch
         self.book = Book()
@@ -61,6 +68,8 @@
         """What happened since they were last taken out, for the log."""
         self.unheard: set[NodeId] = set()
         """Agents that may run tasks and have not reported to this leader yet."""
+        self.holds_starts = False
+        """Whether starts wait for the link to bear them."""
         self._horizon = lease_horizon
         self._stop_again = stop_again
         self._wall_now = 0.0
@@ -70,6 +79,7 @@
         )
         self._acks_by_node: dict[NodeId, Acknowledging] = {}
         self._outgoing_by_node: dict[NodeId, Outgoing] = {}
+        self._start_budget = StartBudget(start_bytes_per_second)
 
     # ---- agents
 
@@ -423,8 +433,13 @@
         entry.committed = max(entry.committed, version)
 
     def orders(self, *, now: float) -> list[tuple[Vm, Orders]]:
-        """Return what each agent in touch is to be told now, and count it as sent."""
+        """Return what each agent in touch is to be told now, and count it as sent.
+
+        Starts beyond what the link bears stay for a later call; `holds_starts` tells.
+        """
         self._acknowledge()
+        self._start_budget.fill(now)
+        self.holds_starts = False
         sent = []
         for node, outgoing in list(self._outgoing_by_node.items()):
             vm = self.vm_by_node.get(node)
@@ -433,8 +448,10 @@
                 continue
             if not outgoing or not vm.present:
                 continue
+            self._hold_starts(node, outgoing)
+            if not outgoing:
+                continue
             vm.orders_sent += 1
-            del self._outgoing_by_node[node]
             orders = Orders(
                 self.epoch,
                 vm.orders_sent,
@@ -447,6 +464,15 @@
             sent.append((vm, orders))
         return sent
 
+    def _hold_starts(self, node: NodeId, outgoing: Outgoing) -> None:
+        """Take an agent's orders out, but the starts that the link does not bear."""
+        del self._outgoing_by_node[node]
+        count = self._start_budget.spend(outgoing.starts)
+        if count < len(outgoing.starts):
+            self._outgoing_by_node[node] = Outgoing(starts=outgoing.starts[count:])
+            outgoing.starts = outgoing.starts[:count]
+            self.holds_starts = True
+
     def _acknowledged(self, node: NodeId, born: int) -> int:
         """Return up to which number ends of a worker's life are durable."""
         ends = self._acks_by_node.get(node)
