--- a/bench/costs.py
+++ b/bench/costs.py
@@ -16,12 +16,12 @@
 
 import cyclopts
 
+from bench.fit import Line, fit
 from bench.load import drive
 from bench.profiles import TATRASTART, Profile
 from bench.real import TEAM, cluster_of, ready, scaled
 from bench.report import commit, write_json
 from bench.services import Arrival
-from bench.slopes.fit import Line, fit
 from standins.cluster import Cluster
 from standins.processes import Process, http, wait_for
 
--- a/bench/slopes/mesh.py
+++ b/bench/mesh.py
@@ -29,6 +29,8 @@
 HELLO_TRIPS = 3
 MAC_BYTES = 32
 SERVICES = ("booking-core",)
+STEP_SECONDS = 0.02
+PATIENCE_SECONDS = 120.0
 
 
 def member(number: int, zones: int = 5) -> Member:
@@ -197,3 +199,13 @@
         size = len(encode(frame))
         source.bytes_out += size
         target.bytes_in += size
+
+
+async def until(mesh: Mesh, condition: Callable[[], bool]) -> float:
+    """Wait until `condition` holds; return the seconds, or the patience."""
+    began = mesh.clock()
+    for _ in range(round(PATIENCE_SECONDS / STEP_SECONDS)):
+        if condition():
+            break
+        await asyncio.sleep(STEP_SECONDS)
+    return mesh.clock() - began
--- a/features/steps/lost_exchanges_steps.py
+++ b/features/steps/lost_exchanges_steps.py
@@ -7,8 +7,7 @@
 from behave import given, then, when
 from msgspec.structs import replace
 
-from bench.slopes.mesh import Mesh, member
-from bench.slopes.spread import until
+from bench.mesh import Mesh, member, until
 from bench.virtual_time import run_virtual
 from wagtailcleat.configuration.models import Configuration
 from wagtailcleat.ids import Revision, ShardId
