A leader gives way only to an entry that the store serves now

Cause: a leader that is away from the store asks each entry for its word. One entry was gone, so the answers were judged 0.6 s after they were given: 'the store answered me 0.4 s ago' passed for 'it answers me now'. It laid its office down and found nobody to take it. Beside it, the same class: entries asked the store only after they had told how long ago it answered; with questions 1.2 s apart (one entry gone) the age was never under 0.8 s, so that a leader that alone was away from the store never handed over, while its questions kept the others from claiming. Ruled out: a store that serves some entries (all 35 logged its silence by 18.032 s).

Change: cluster/renewals decides as answers come and compares with the moment the question was sent; an entry that is asked touches the store first, for 0.3 s at most; the office is laid down only to tell one entry.

Tests: two scenarios of features/platform/takeover, both seen failing on the code before.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -67,6 +67,19 @@
     And a job is stored and the old leader is told of it too
     Then no task runs in two places in 15 s
 
+  Scenario: The store is away for all while one entry is gone
+    # Guards against a leader that gives way to entries that don't reach the store either.
+    Given 5 entries and 3 agents on virtual time, one of which leads
+    And each entry reads the store five times a second
+    When another entry is gone in silence, and the store is away for all 1 s later
+    Then the leader acts for 1.8 s more, and leads on once the store is back
+
+  Scenario: The store is away for the leader alone while one entry is gone
+    # Guards against a leader that keeps its office although others could lead.
+    Given 5 entries and 3 agents on virtual time, one of which leads
+    When another entry is gone in silence, and the store is away for the leader
+    Then another entry leads within 3 s
+
   Scenario: Two entries that refuse each other and both reach the store
     # Guards against two entries that depose each other in turn, so that nothing starts.
     Given 2 entries and 1 agents on virtual time, one of which leads
--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -8,7 +8,7 @@
 from features.steps.takeover_histories import play_histories
 from features.steps.takeover_world import TakeoverWorld, Way
 from wagtailcleat.cluster.keys import LEADER_KEY, decode, encode, job_key
-from wagtailcleat.cluster.timing import STEADY_SECONDS
+from wagtailcleat.cluster.timing import RENEW_EVERY, STEADY_SECONDS
 from wagtailcleat.storage import Txn
 from wagtailcleat.wire.scheduling import (
     Leads,
@@ -338,3 +338,54 @@
 @then("no task ran in two places, and work started again after each")
 def step_histories_held(context):
     assert not context.broken, context.broken
+
+
+def _lose_another(context):
+    """Cut an entry that doesn't lead off from everything, in silence."""
+    world = context.world
+    gone = next(entry for entry in world.entries if entry is not context.old)
+    gone.store.reached = False
+    world.network.cut.append(({gone.host}, Way.SILENT))
+    return gone
+
+
+@given("each entry reads the store five times a second")
+def step_read_often(context):
+    async def read(store):
+        while True:
+            await store.get(LEADER_KEY)
+            await asyncio.sleep(0.2)
+
+    for entry in context.world.entries:
+        entry.spawn(read(entry.store))
+
+
+@when("another entry is gone in silence, and the store is away for all 1 s later")
+def step_store_away(context):
+    _lose_another(context)
+    context.world.wait(1.0)
+    for entry in context.world.entries:
+        entry.store.reached = False
+
+
+@when("another entry is gone in silence, and the store is away for the leader")
+def step_store_away_from_leader(context):
+    _lose_another(context)
+    context.world.wait(1.0)
+    context.old.store.reached = False
+
+
+@then("the leader acts for {seconds:g} s more, and leads on once the store is back")
+def step_acts_on(context, seconds):
+    world = context.world
+    ends_at = world.clock() + seconds
+    # Its last renewal may be a renewal's interval old.
+    ends_at -= RENEW_EVERY
+    while world.clock() < ends_at:
+        assert world.leading() == [context.old], world.leading()
+        world.wait(0.05)
+    world.wait(RENEW_EVERY)
+    for entry in world.entries:
+        entry.store.reached = True
+    world.wait(RENEW_EVERY * 2)
+    assert world.leading() == [context.old], world.leading()
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+import math
 from enum import Enum
 
 from wagtailcleat.clock import Clock
@@ -51,6 +52,8 @@
 
 log = part_logger("leadership")
 
+TOUCH_SECONDS = 0.3
+"""How long an entry that is asked for its word waits for the store at most."""
 TAKE_OVER_ANSWER = 0.4
 """How long the answer to a hand-over waits for the claim: two calls to the store."""
 FIRST_CLAIM_SECONDS = 0.8
@@ -181,7 +184,6 @@
         """Give the leader the word not to claim, unless a newer epoch is known."""
         assert isinstance(message, KeepFollowing)
         now = self._clock()
-        age = now - self._store.answered_at if self._store.answered_at else 1e9
         # A leader counts on it that words given to the one before are older than its
         # claim, also where the claim's answer is late or lost.
         # The same where an earlier life of this process may have led: until the store
@@ -189,10 +191,17 @@
         claiming = self.leads or self._claims.sent_at is not None
         unaware = not self._claims.has_read
         if message.epoch < self.leader.epoch or claiming or unaware:
-            return Follows(self.leader.epoch, 0.0, age)
+            return Follows(self.leader.epoch, 0.0, self._store_age())
         self._promised_until = max(self._promised_until, now + LEADER_VALID)
-        asyncio.get_running_loop().create_task(self._touch_store())
-        return Follows(message.epoch, LEADER_VALID, age)
+        # The leader gives way only to an entry that the store has answered since it
+        # last failed the leader itself.
+        await self._touch_store()
+        return Follows(message.epoch, LEADER_VALID, self._store_age())
+
+    def _store_age(self) -> float:
+        """Return how many seconds ago the store last answered this entry."""
+        answered_at = self._store.answered_at
+        return self._clock() - answered_at if answered_at else math.inf
 
     async def take_over(self, message: AnyMessage) -> AnyMessage:
         """Claim at once: the leader has laid down its office."""
@@ -230,7 +239,9 @@
 
     async def _touch_store(self) -> None:
         if self._clock() - self._store.answered_at > PROBE_EVERY:
-            await self._store.get(LEADER_KEY)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TOUCH_SECONDS):
+                    await self._store.get(LEADER_KEY)
 
     async def _follow(self) -> Office:
         while True:
--- a/wagtailcleat/cluster/renewals.py
+++ b/wagtailcleat/cluster/renewals.py
@@ -6,7 +6,7 @@
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.claims import Learn, at_revision
-from wagtailcleat.cluster.keys import BEAT_KEY, LEADER_KEY, Beat, encode
+from wagtailcleat.cluster.keys import BEAT_KEY, LEADER_KEY, Beat, Place, encode
 from wagtailcleat.cluster.office import Office
 from wagtailcleat.cluster.others import Others, reaches_store
 from wagtailcleat.cluster.timing import (
@@ -15,11 +15,12 @@
     RENEW_EVERY,
     STORE_SILENT,
 )
+from wagtailcleat.ids import Epoch
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.storage import Compare, Conflict, Txn, Written
 from wagtailcleat.wire.peers import Peers
-from wagtailcleat.wire.scheduling import Leads, TakeOver
+from wagtailcleat.wire.scheduling import Follows, Leads, TakeOver
 
 log = part_logger("leadership")
 
@@ -126,22 +127,56 @@
             return
         sent_at = self._clock()
         others = self._others.places()
-        answers = await asyncio.gather(
-            *(self._others.word(place, office.epoch) for place in others)
-        )
-        words = [answer for answer in answers if answer is not None]
-        if self._store_long_down() and any(reaches_store(word) for word in words):
-            log.info("Another entry reaches the store", extra={"epoch": office.epoch})
-            office.laid_down.set()
-            await self._hand_over(office, need_store=True)
+        words = await self._words(office, others, sent_at)
+        if office.laid_down.is_set() or len(words) < len(others):
             return
-        if len(words) == len(others):
-            shortest = min((word.seconds for word in words), default=LEADER_VALID)
-            office.renewed(sent_at, shortest)
+        shortest = min((word.seconds for word in words), default=LEADER_VALID)
+        office.renewed(sent_at, shortest)
+
+    async def _words(
+        self, office: Office, others: list[Place], sent_at: float
+    ) -> list[Follows]:
+        """Return the words that the others give; hand over to one with the store.
 
-    def _store_long_down(self) -> bool:
+        One that is gone keeps its answer back until the question times out. What the
+        others have said decides without it.
+        """
+        asked = [
+            asyncio.create_task(self._placed_word(place, office.epoch))
+            for place in others
+        ]
+        words = []
+        try:
+            for answer in asyncio.as_completed(asked):
+                place, word = await answer
+                if word is None:
+                    continue
+                words.append(word)
+                if self._alone_away(word, sent_at):
+                    fields = {"epoch": office.epoch, "to": place.host}
+                    log.info("Another entry reaches the store", extra=fields)
+                    if await self._hand_to(office, place):
+                        break
+        finally:
+            for task in asked:
+                task.cancel()
+        return words
+
+    async def _placed_word(
+        self, place: Place, epoch: Epoch
+    ) -> tuple[Place, Follows | None]:
+        return place, await self._others.word(place, epoch)
+
+    def _alone_away(self, word: Follows, sent_at: float) -> bool:
+        """Tell whether the store serves an entry, and has not served this one for long.
+
+        The store must have answered the entry after it first failed this one: while
+        it is away for all, each entry heard of it a moment ago when it is asked.
+        """
         since = self._store.down_since
-        return since is not None and self._clock() - since > STORE_SILENT
+        if since is None or sent_at - since < STORE_SILENT:
+            return False
+        return word.store_age < sent_at - since
 
     async def _hand_over(
         self, office: Office, *, need_store: bool, heavier: bool = False
@@ -151,14 +186,20 @@
                 word = await self._others.word(place, office.epoch)
                 if word is None or not reaches_store(word):
                     continue
-            office.laid_down.set()
-            answer = await self._peers.call(
-                place.host, place.port, TakeOver(office.epoch), timeout=PROBE_TIMEOUT
-            )
-            if isinstance(answer, Leads):
-                await self._learn(answer)
+            if await self._hand_to(office, place):
                 return
 
+    async def _hand_to(self, office: Office, place: Place) -> bool:
+        """Lay the office down in favour of an entry; tell whether one has claimed."""
+        office.laid_down.set()
+        answer = await self._peers.call(
+            place.host, place.port, TakeOver(office.epoch), timeout=PROBE_TIMEOUT
+        )
+        if not isinstance(answer, Leads):
+            return False
+        await self._learn(answer)
+        return True
+
     async def _announce(self, office: Office) -> None:
         # An entry that is away from the store can't read who leads.
         if office.announced:
