--- a/wagtailcleat/scheduling/placing.py
+++ b/wagtailcleat/scheduling/placing.py
@@ -218,43 +218,42 @@
     def _place_on(
         self, vms: list[Vm], tasks: list[Task], waiting: list[Task], now: float
     ) -> int:
-        step = waiting[0].step
         racks = self._racks(tasks)
-        first = waiting[0]
-        late = lateness(first.entry, first.key.occurrence, self._wall_now)
-
-        def admits(vm: Vm) -> bool:
-            if not self._open(vm, first, now):
-                return False
-            return not step.fills or self._sharing.admits(vm, step, now, late)
-
-        def interference(vm: Vm) -> float:
-            return self._sharing.added(vm, step)
-
-        def candidates(task: Task) -> Candidates:
-            return Candidates(
-                vms,
-                task,
-                now=now,
-                racks=racks,
-                may_use=admits,
-                interference=interference,
-            )
-
-        by_kind: dict[Kind, Candidates] = {}
+        candidates_by_kind: dict[Kind, Candidates] = {}
         for started, task in enumerate(waiting):
             kind = kind_of(task, racks)
-            if kind not in by_kind:
-                by_kind[kind] = candidates(task)
-            vm = by_kind[kind].best()
+            if kind not in candidates_by_kind:
+                candidates_by_kind[kind] = self._scored(vms, task, racks, now)
+            vm = candidates_by_kind[kind].best()
             if vm is None:
                 return started
             self._start(vm, task, self._next_run(task), now)
             racks[vm.rack] += 1
-            for others in by_kind.values():
-                others.changed(vm)
+            for candidates in candidates_by_kind.values():
+                candidates.changed(vm)
         return len(waiting)
 
+    def _scored(
+        self, vms: list[Vm], task: Task, racks: Counter[str], now: float
+    ) -> Candidates:
+        """Score the VMs that may be given a task, and others of its kind."""
+        step = task.step
+        late = lateness(task.entry, task.key.occurrence, self._wall_now)
+
+        def admits(vm: Vm) -> bool:
+            if not self._open(vm, task, now):
+                return False
+            return not step.fills or self._sharing.admits(vm, step, now, late)
+
+        return Candidates(
+            vms,
+            task,
+            now=now,
+            racks=racks,
+            may_use=admits,
+            interference=lambda vm: self._sharing.added(vm, step),
+        )
+
     def _open(self, vm: Vm, task: Task, now: float) -> bool:
         """Tell whether a task may start on a VM, room aside."""
         if vm.quarantined(now) and self._quarantines_for(task, now):
