--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -12,6 +12,7 @@
 from wagtailcleat.ids import Epoch, JobId, NodeId, ZoneName
 from wagtailcleat.scheduling.advice import Advice
 from wagtailcleat.scheduling.book import Book, JobEntry, Task, TaskState
+from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.models import (
     Ended,
     Pace,
@@ -22,7 +23,7 @@
 )
 from wagtailcleat.scheduling.notes import Event, Note
 from wagtailcleat.scheduling.order import due_seconds, lateness, slack_seconds
-from wagtailcleat.scheduling.outgoing import Acknowledging, Outgoing, StartBudget
+from wagtailcleat.scheduling.outgoing import Acknowledging
 from wagtailcleat.scheduling.placing import Placing
 from wagtailcleat.scheduling.reasons import Margin, StartReason
 from wagtailcleat.scheduling.sharing import Measure, Sharing, shares
@@ -68,8 +69,6 @@
         """What happened since they were last taken out, for the log."""
         self.unheard: set[NodeId] = set()
         """Agents that may run tasks and have not reported to this leader yet."""
-        self.holds_starts = False
-        """Whether starts wait for the link to bear them."""
         self._horizon = lease_horizon
         self._stop_again = stop_again
         self._wall_now = 0.0
@@ -77,9 +76,7 @@
         self._placing = Placing(
             epoch, self.book, self.sharing, self.advice, self._start
         )
-        self._acks_by_node: dict[NodeId, Acknowledging] = {}
-        self._outgoing_by_node: dict[NodeId, Outgoing] = {}
-        self._start_budget = StartBudget(start_bytes_per_second)
+        self._dispatch = Dispatch(epoch, start_bytes_per_second)
 
     # ---- agents
 
@@ -97,12 +94,10 @@
         if report.worker is None or not report.listed:
             return
         vm.listed_at = now
-        ends = self._acks_by_node.setdefault(vm.node, Acknowledging())
-        if ends.born != report.worker.born:
-            self._acks_by_node[vm.node] = ends = Acknowledging(report.worker.born)
+        ends = self._dispatch.acknowledging(vm.node, report.worker.born)
         self._take_ends(vm, ends, report.ended, now, wall_now)
         self._take_refusals(vm, report, now)
-        self._take_running(vm, report, now)
+        self._take_running(vm, ends, report, now)
         self._drop_absent(vm, report, now)
         self._heard(vm.node)
         self._share(vm, now)
@@ -151,7 +146,7 @@
                 vm.altered(now)
             if ended.number <= ends.durable:
                 # Its acknowledgement was lost, on its way or with the agent's process.
-                self._outgoing(vm.node).acknowledged = ends.durable
+                self._dispatch.outgoing(vm.node).acknowledged = ends.durable
             if ended.number <= ends.taken:
                 continue
             ends.taken = ended.number
@@ -199,11 +194,13 @@
                 self.advice.withdraw(key.task.job, step, vm)
             self._free(key, now)
 
-    def _take_running(self, vm: Vm, report: Report, now: float) -> None:
+    def _take_running(
+        self, vm: Vm, ends: Acknowledging, report: Report, now: float
+    ) -> None:
         for running in report.running:
             hosted = self._host(vm, running.key, now)
             if hosted is None:
-                self._outgoing(vm.node).stops.append(running.key)
+                self._dispatch.outgoing(vm.node).stops.append(running.key)
                 continue
             if hosted.listed:
                 seconds = now - hosted.progressed_at
@@ -227,7 +224,7 @@
             # An agent may report an end while it is still in doubt of the start. Were
             # the run taken on again, the end's next listing would drop it, and its task
             # would wait for a run that is over.
-            if key not in self._acks_by_node[vm.node].ended:
+            if key not in ends.ended:
                 self._host(vm, key, now)
 
     def _host(self, vm: Vm, key: RunKey, now: float) -> Hosted | None:
@@ -285,7 +282,7 @@
         self._note(Event.PACED, hosted.key, vm, f"{pace}: {measure.why}")
         hosted.pace = pace
         vm.altered(now)
-        self._outgoing(vm.node).paces.append(Pace(hosted.key, pace))
+        self._dispatch.outgoing(vm.node).paces.append(Pace(hosted.key, pace))
 
     def _note(self, event: Event, run: RunKey, vm: Vm, why: str) -> None:
         self.notes.append(Note(event, run, vm.node, why))
@@ -371,10 +368,7 @@
         hosted.stopping = True
         hosted.stop_at = now
         vm.altered(now)
-        self._outgoing(vm.node).stops.append(hosted.key)
-
-    def _outgoing(self, node: NodeId) -> Outgoing:
-        return self._outgoing_by_node.setdefault(node, Outgoing())
+        self._dispatch.outgoing(vm.node).stops.append(hosted.key)
 
     # ---- decisions
 
@@ -424,7 +418,7 @@
         step = (task.key.occurrence, task.key.step)
         ticket = self.advice.ticket(task.key.job, step, vm, now)
         start = Start(task.run_key, spec, task.checkpoint, ticket)
-        self._outgoing(vm.node).starts.append(start)
+        self._dispatch.outgoing(vm.node).starts.append(start)
 
     # ---- what goes out
 
@@ -437,72 +431,14 @@
 
         Starts beyond what the link bears stay for a later call; `holds_starts` tells.
         """
-        self._acknowledge()
-        self._start_budget.fill(now)
-        self.holds_starts = False
-        sent = []
-        for node, outgoing in list(self._outgoing_by_node.items()):
-            vm = self.vm_by_node.get(node)
-            if vm is None or vm.worker is None:
-                del self._outgoing_by_node[node]
-                continue
-            if not outgoing or not vm.present:
-                continue
-            self._hold_starts(node, outgoing)
-            if not outgoing:
-                continue
-            vm.orders_sent += 1
-            orders = Orders(
-                self.epoch,
-                vm.orders_sent,
-                vm.worker.born,
-                self._still_wanted(vm, outgoing.starts, now),
-                outgoing.stops,
-                outgoing.paces,
-                self._acknowledged(vm.node, vm.worker.born),
-            )
-            sent.append((vm, orders))
-        return sent
-
-    def _hold_starts(self, node: NodeId, outgoing: Outgoing) -> None:
-        """Take an agent's orders out, but the starts that the link does not bear."""
-        del self._outgoing_by_node[node]
-        count = self._start_budget.spend(outgoing.starts)
-        if count < len(outgoing.starts):
-            self._outgoing_by_node[node] = Outgoing(starts=outgoing.starts[count:])
-            outgoing.starts = outgoing.starts[:count]
-            self.holds_starts = True
-
-    def _acknowledged(self, node: NodeId, born: int) -> int:
-        """Return up to which number ends of a worker's life are durable."""
-        ends = self._acks_by_node.get(node)
-        # The numbers of its next life begin anew, before its ends are first listed.
-        return ends.durable if ends is not None and ends.born == born else 0
-
-    def _still_wanted(self, vm: Vm, starts: list[Start], now: float) -> list[Start]:
-        wanted = []
-        for start in starts:
-            hosted = vm.hosted_by_run.get(start.key)
-            if hosted is None:
-                continue
-            if hosted.stopping:
-                vm.drop_run(start.key)
-                self._free(start.key, now)
-                continue
-            hosted.sent = True
-            hosted.order = vm.orders_sent
-            hosted.session = vm.session
-            wanted.append(start)
-        return wanted
-
-    def _acknowledge(self) -> None:
-        for node, ends in self._acks_by_node.items():
-            before = ends.durable
-            while ends.waiting:
-                number, entry, version = ends.waiting[0]
-                if entry is not None and entry.committed < version:
-                    break
-                ends.waiting.popleft()
-                ends.durable = number
-            if ends.durable > before:
-                self._outgoing(node).acknowledged = ends.durable
+
+        def withdraw(vm: Vm, run: RunKey) -> None:
+            vm.drop_run(run)
+            self._free(run, now)
+
+        return self._dispatch.orders(self.vm_by_node, withdraw, now=now)
+
+    @property
+    def holds_starts(self) -> bool:
+        """Whether starts wait for the link to bear them."""
+        return self._dispatch.holds_starts
