A leader asks the store once more before it hands over

Change: before the office is laid down the store is asked once more, for 0.1 s at most. A leader that alone is cut off hands over that much later.

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -80,6 +80,12 @@
     When another entry is gone in silence, and the store is away for the leader
     Then another entry leads within 3 s
 
+  Scenario: The store comes back for all, and the others hear of it first
+    # Guards against a change of leaders at the end of each outage.
+    Given 5 entries and 3 agents on virtual time, one of which leads
+    When the store is away for all for 1 s, and comes back as the leader asks for words
+    Then the leader has led on 2 s later
+
   Scenario: Two entries that refuse each other and both reach the store
     # Guards against two entries that depose each other in turn, so that nothing starts.
     Given 2 entries and 1 agents on virtual time, one of which leads
--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -11,6 +11,7 @@
 from wagtailcleat.cluster.timing import RENEW_EVERY, STEADY_SECONDS
 from wagtailcleat.storage import Txn
 from wagtailcleat.wire.scheduling import (
+    KeepFollowing,
     Leads,
     Orders,
     ReportTaken,
@@ -389,3 +390,30 @@
         entry.store.reached = True
     world.wait(RENEW_EVERY * 2)
     assert world.leading() == [context.old], world.leading()
+
+
+@when(
+    "the store is away for all for {seconds:g} s, and comes back as the leader asks"
+    " for words"
+)
+def step_back_between(context, seconds):
+    world = context.world
+    for entry in world.entries:
+        entry.store.reached = False
+    world.wait(seconds)
+
+    async def hold(near, far, message):
+        if isinstance(message, KeepFollowing):
+            for entry in world.entries:
+                entry.store.reached = True
+
+    world.network.hold = hold
+    world.until(lambda: context.old.store.reached, SECONDS, "it asks for words")
+
+
+@then("the leader has led on {seconds:g} s later")
+def step_led_on(context, seconds):
+    epoch = context.old.leadership.leader.epoch
+    context.world.wait(seconds)
+    assert context.world.leading() == [context.old]
+    assert _epoch(context) == epoch
--- a/wagtailcleat/cluster/renewals.py
+++ b/wagtailcleat/cluster/renewals.py
@@ -28,6 +28,8 @@
 """How long a leader that stops waits for the store before it tells the others."""
 LAY_DOWN_TRIES = 2
 """A renewal that was under way may come between once."""
+LAST_LOOK_SECONDS = 0.1
+"""How long a leader that would hand over waits for the store once more."""
 GIVE_WAY_SECONDS = 10.0
 """How long an entry leads at least before it gives way to a larger one."""
 GIVE_WAY_RESTORING_SECONDS = 1.5
@@ -152,7 +154,7 @@
                 if word is None:
                     continue
                 words.append(word)
-                if self._alone_away(word, sent_at):
+                if self._alone_away(word, sent_at) and not await self._served_again():
                     fields = {"epoch": office.epoch, "to": place.host}
                     log.info("Another entry reaches the store", extra=fields)
                     if await self._hand_to(office, place):
@@ -178,6 +180,13 @@
             return False
         return word.store_age < sent_at - since
 
+    async def _served_again(self) -> bool:
+        """Ask the store once more: it may be back for all, and others heard first."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_LOOK_SECONDS):
+                await self._store.get(BEAT_KEY)
+        return self._store.down_since is None
+
     async def _hand_over(
         self, office: Office, *, need_store: bool, heavier: bool = False
     ) -> None:
