Store the checkpoints of running tasks before a loss of power can take them

Cause: a record was written only when one of its job's runs ended. Checkpoints that reports brought in between were known to the leader and the worker alone, so a loss of power of all VMs threw the work away.

Ruled out: a key of all checkpoints (a second place to restore from); a fixed interval (a narrow job would cost as many writes as a wide one). The way that stood is kept for ends.

The token bucket of starts is now a type of its own.

--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -124,9 +124,11 @@
             lease,
             self.scheduler,
             store=store,
+            clock=clock,
             wall_clock=wall_clock,
             status_kept=status_kept,
             on_progress=self._wake.set,
+            link_bytes_per_second=link_bytes_per_second,
         )
         self._jobs = Jobs(
             lease,
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -22,6 +23,7 @@
 from wagtailcleat.ids import JobId, NodeId
 from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES, KeyValueStore
 from wagtailcleat.scheduling.job_table import JobEntry, record_of
+from wagtailcleat.scheduling.progress import CheckpointSaver
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import Compare, Conflict, Txn, WriteOutcome, Written
 
@@ -66,15 +68,17 @@
         scheduler: Scheduler,
         *,
         store: KeyValueStore,
+        clock: Clock,
         wall_clock: Clock,
         status_kept: float,
         on_progress: Callable[[], None],
+        link_bytes_per_second: float = math.inf,
     ) -> None:
         """Create it with nothing to write.
 
         Parameters: `status_kept` is how long the state of an ended job is kept, in
         seconds; `on_progress` is called when ends may be acknowledged, or agents may
-        be given work.
+        be given work; `link_bytes_per_second` is the rate of this VM's link.
         """
         self.dirty = asyncio.Event()
         """Set when there may be something to write."""
@@ -85,7 +89,9 @@
         self._lease = lease
         self._scheduler = scheduler
         self._store = store
+        self._clock = clock
         self._wall_clock = wall_clock
+        self._checkpoint_saver = CheckpointSaver(link_bytes_per_second)
         self._status_kept = status_kept
         self._on_progress = on_progress
         self._committed = asyncio.Condition()
@@ -122,6 +128,8 @@
             await asyncio.sleep(COMMIT_INTERVAL_SECONDS)
             await self._register_agents()
             await self._deregister_agents()
+            open_jobs = self._scheduler.job_table.open_by_id.values()
+            self._checkpoint_saver.mark_due(open_jobs, self._clock())
             while changed := self._changed():
                 if not await self._write_records(self._next_batch(changed)):
                     # The next iteration registers and deregisters agents even so.
--- a/wagtailcleat/scheduling/dispatch.py
+++ b/wagtailcleat/scheduling/dispatch.py
@@ -8,10 +8,12 @@
 from wagtailcleat.ids import Epoch, NodeId
 from wagtailcleat.scheduling.models import RunKey, Start
 from wagtailcleat.scheduling.outgoing import (
+    BURST_SECONDS,
     EndTracker,
     PendingOrders,
-    StartBudget,
+    take_starts,
 )
+from wagtailcleat.scheduling.token_bucket import TokenBucket
 from wagtailcleat.scheduling.vms import Vm
 from wagtailcleat.wire.scheduling import Orders
 
@@ -25,14 +27,16 @@
     def __init__(self, epoch: Epoch, start_bytes_per_second: float) -> None:
         """Create orders of the leader of `epoch`.
 
-        Parameters: `start_bytes_per_second` is the rate limit of the `StartBudget`.
+        Parameters: `start_bytes_per_second` limits the rate of starts.
         """
         self.holds_starts = False
         """Whether the rate limit holds back some starts."""
         self._epoch = epoch
         self._tracker_by_node: dict[NodeId, EndTracker] = {}
         self._pending_by_node: dict[NodeId, PendingOrders] = {}
-        self._start_budget = StartBudget(start_bytes_per_second)
+        self._start_budget = TokenBucket(
+            start_bytes_per_second, burst_seconds=BURST_SECONDS
+        )
 
     def __repr__(self) -> str:
         """Show the number of agents with pending orders."""
@@ -89,7 +93,7 @@
     def _take_orders(self, node: NodeId, pending: PendingOrders) -> None:
         """Remove an agent's pending orders, except starts beyond the rate limit."""
         del self._pending_by_node[node]
-        count = self._start_budget.spend(pending.starts)
+        count = take_starts(pending.starts, self._start_budget)
         if count < len(pending.starts):
             self._pending_by_node[node] = PendingOrders(starts=pending.starts[count:])
             pending.starts = pending.starts[:count]
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -103,6 +103,8 @@
     """Number of tasks without a run, including those of steps that are not ready."""
     placed_tasks: int = 0
     """Number of tasks that have a run."""
+    unsaved_core_seconds: float = 0.0
+    """Work in checkpoints that came since the last change to be stored."""
     remaining_work_by_occurrence: dict[int, RemainingWork] = field(default_factory=dict)
     """A cache that `ranking` fills; an entry is dropped when a task succeeds."""
 
@@ -126,8 +128,9 @@
             yield from tasks
 
     def mark_changed(self) -> None:
-        """Record that the job has a change to be stored."""
+        """Record that the job has a change to be stored, with its checkpoints."""
         self.version += 1
+        self.unsaved_core_seconds = 0.0
 
     def set_task_state(self, task: Task, state: TaskState) -> None:
         """Set a task's state and update the counts."""
--- a/wagtailcleat/scheduling/outgoing.py
+++ b/wagtailcleat/scheduling/outgoing.py
@@ -1,6 +1,6 @@
 """Orders that wait to be sent to an agent, and the state of its acknowledgements.
 
-`Dispatch` keeps these for each agent, and one `StartBudget` for all of them.
+`Dispatch` keeps these for each agent, and one budget of bytes for all of them.
 """
 
 from collections import deque
@@ -9,6 +9,7 @@
 
 from wagtailcleat.scheduling.job_table import JobEntry
 from wagtailcleat.scheduling.models import Pace, RunKey, Start
+from wagtailcleat.scheduling.token_bucket import TokenBucket
 
 MAX_RECENT_ENDS = 200
 """Enough for the ends that a worker lists while a start is in doubt.
@@ -56,40 +57,14 @@
 """Approximate size of a start without its spec and checkpoint."""
 
 
-class StartBudget:
-    """A token bucket that limits the bytes of starts on the leader's link.
+def take_starts(starts: Sequence[Start], budget: TokenBucket) -> int:
+    """Return how many of the starts may be sent now, and deduct their bytes.
 
     Starts carry the specs of jobs. More of them than the link can carry would delay the
     pings and answers queued behind them, and agents would consider the leader lost.
     """
-
-    def __init__(self, bytes_per_second: float) -> None:
-        """Start with a full bucket; an infinite rate means no limit."""
-        self._rate = bytes_per_second
-        self._capacity = bytes_per_second * BURST_SECONDS
-        self._available = self._capacity
-        self._refilled_at: float | None = None
-
-    def __repr__(self) -> str:
-        """Show the available bytes."""
-        return f"<StartBudget {self._available:.0f} of {self._capacity:.0f} bytes>"
-
-    def refill(self, now: float) -> None:
-        """Add the tokens for the time since the last call."""
-        if self._refilled_at is not None and now > self._refilled_at:
-            gained = self._rate * (now - self._refilled_at)
-            self._available = min(self._capacity, self._available + gained)
-        self._refilled_at = now
-
-    def spend(self, starts: Sequence[Start]) -> int:
-        """Return how many of the starts may be sent now, and deduct their bytes.
-
-        The last one may exceed the available bytes.
-        """
-        for count, start in enumerate(starts):
-            if self._available <= 0:
-                return count
-            self._available -= (
-                len(start.spec) + len(start.checkpoint) + START_OVERHEAD_BYTES
-            )
-        return len(starts)
+    for count, start in enumerate(starts):
+        if budget.is_empty:
+            return count
+        budget.spend(len(start.spec) + len(start.checkpoint) + START_OVERHEAD_BYTES)
+    return len(starts)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -21,13 +21,19 @@
     Refusal,
     RunEnd,
     RunKey,
+    Running,
     Start,
 )
 from wagtailcleat.scheduling.outgoing import EndTracker
 from wagtailcleat.scheduling.placement_rounds import PlacementRounds
 from wagtailcleat.scheduling.ranking import due_seconds, lateness, slack_seconds
 from wagtailcleat.scheduling.reasons import Margin, StartReason
-from wagtailcleat.scheduling.sharing import PaceAction, Sharing, affects_sharing
+from wagtailcleat.scheduling.sharing import (
+    FULL_PACE,
+    PaceAction,
+    Sharing,
+    affects_sharing,
+)
 from wagtailcleat.scheduling.vms import HostedRun, Vm
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -226,11 +232,7 @@
             hosted.measurement = running.measurement
             if hosted.stopping and now - hosted.stop_at >= self._stop_retry_seconds:
                 self._stop(vm, hosted, now, "still listed after a stop")
-            task = self.job_table.find_task(running.key.task)
-            if task is not None and task.run == running.key.run:
-                self.job_table.update_checkpoint(
-                    task, running.key.run, running.checkpoint
-                )
+            self._take_checkpoint(hosted, running, now)
         for key in report.unsettled:
             # An agent may report an end while the start is still in doubt. If the run
             # were adopted again, its task would wait for a run that has ended: the next
@@ -238,6 +240,18 @@
             if key not in tracker.recent_runs:
                 self._adopt(vm, key, now)
 
+    def _take_checkpoint(self, hosted: HostedRun, running: Running, now: float) -> None:
+        task = self.job_table.find_task(running.key.task)
+        if task is None or task.run != running.key.run:
+            return
+        if not self.job_table.update_checkpoint(
+            task, running.key.run, running.checkpoint
+        ):
+            return
+        used_cores = hosted.step.size.cores * hosted.pace / FULL_PACE
+        task.entry.unsaved_core_seconds += used_cores * (now - hosted.checkpoint_at)
+        hosted.checkpoint_at = now
+
     def _adopt(self, vm: Vm, key: RunKey, now: float) -> HostedRun | None:
         hosted = vm.hosted_by_run.get(key)
         if hosted is not None:
@@ -247,7 +261,7 @@
             return None
         # A run of a job that ended under an earlier leader occupies resources until its
         # end is listed, although the job has no tasks in the table any more.
-        hosted = HostedRun(key, entry.job.steps[key.task.step], now)
+        hosted = HostedRun(key, entry.job.steps[key.task.step], now, checkpoint_at=now)
         vm.host_run(hosted)
         self.job_table.begin_occurrence_of(key, now=now)
         task = self.job_table.find_task(key.task)
@@ -409,6 +423,7 @@
             now,
             sent=False,
             progressed_at=now,
+            checkpoint_at=now,
         )
         occurrence = task.key.occurrence
         hosted.reason = StartReason(
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -62,6 +62,8 @@
     """Progress of the run when it was last measured."""
     progressed_at: float = 0.0
     """When its progress was last measured."""
+    checkpoint_at: float = 0.0
+    """When its last new checkpoint was reported; before that, when it was ordered."""
     measurement: float = 0.0
     """The last measurement in a report, see `Running`."""
     pace: int = 100
