Give the policy bench a fleet of many small VMs, and stops that take time

Cause: bench.sharing had one fleet, 11 large VMs. On the work as it is now, 52 VMs of 16 cores with 14 serving tasks a job and 20 filling ones a step, its ranking of policies says nothing.

Ruled out: a bench of its own.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -21,7 +21,7 @@
 
 from bench.errors import BadValueError, check_range
 from bench.report import commit
-from bench.sharing_fleet import Fleet, Outcome
+from bench.sharing_fleet import SHAPE_BY_NAME, Fleet, Outcome
 from wagtailcleat.scheduling import sharing
 from wagtailcleat.scheduling.ranking import Lateness
 from wagtailcleat.scheduling.scheduler import Scheduler
@@ -77,10 +77,11 @@
 }
 
 
-def run_one(policy: str, seed: int, load: float) -> Outcome:
-    """Simulate one fleet under a policy; return its outcome."""
+def run_one(policy: str, seed: int, load: float, shape: str = "few-large") -> Outcome:
+    """Simulate one fleet of a named shape under a policy; return its outcome."""
     with POLICIES[policy]() as prepare:
-        return Fleet(seed, prepare, load=load).simulate(
+        fleet = Fleet(seed, prepare, load=load, shape=SHAPE_BY_NAME[shape])
+        return fleet.simulate(
             SIMULATED_SECONDS, leader_change_at=LEADER_CHANGE_AT_SECONDS
         )
 
@@ -123,6 +124,7 @@
     ] = tuple(POLICIES),
     seeds: int = 30,
     load: float = 1.0,
+    shape: str = "few-large",
     processes: int = 4,
     json_file: Annotated[Path | None, cyclopts.Parameter(name="--json")] = None,
 ) -> int:
@@ -133,12 +135,14 @@
         for policy in policies:
             if policy not in POLICIES:
                 raise BadValueError("--policies", policy, POLICIES)
+        if shape not in SHAPE_BY_NAME:
+            raise BadValueError("--shape", shape, SHAPE_BY_NAME)
     except BadValueError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_VALUE
     with ProcessPoolExecutor(processes) as pool:
         futures = {
-            policy: [pool.submit(run_one, policy, n, load) for n in range(seeds)]
+            policy: [pool.submit(run_one, policy, n, load, shape) for n in range(seeds)]
             for policy in policies
         }
         outcomes = {p: [f.result() for f in runs] for p, runs in futures.items()}
@@ -151,7 +155,8 @@
             f"{row['seconds_over']:6.1f}  {row['stops']:5.1f}"
         )
     if json_file is not None:
-        report = {"commit": commit(), "seeds": seeds, "load": load, "policies": rows}
+        report = {"commit": commit(), "seeds": seeds, "load": load}
+        report |= {"shape": shape, "policies": rows}
         json_file.write_text(json.dumps(report, indent=2) + "\n")
     return 0
 
--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -29,6 +29,8 @@
 from wagtailcleat.wire.scheduling import Orders, Report
 
 SERVICE = ServiceName("fleet")
+STARTED_AT = 100.0
+"""Clock at the start, in seconds."""
 TICK_SECONDS = 0.1
 TICKS_PER_REPORT = 3
 FIGURE_TICKS = 5
@@ -37,8 +39,6 @@
 """Time without a leader at a change of leader."""
 LEASE_HORIZON_SECONDS = 5.4
 STOP_RETRY_SECONDS = 1.0
-SERVING_IMAGES = 5
-FILLING_IMAGES = 9
 IDLE_SECONDS = 0.004
 TARGET_SECONDS = 0.018
 MEAN_LOAD = 0.42
@@ -48,8 +48,11 @@
 NOISE_SECONDS = 0.8
 """Time constant of the noise."""
 FAILING_SHARE = 0.02
-CHECKPOINT_SECONDS = 1.0
-RESTORE_SECONDS = 0.6
+BURST_BEGINS_AT = 14.0
+"""Seconds from the start to the beginning of the burst of filling jobs."""
+BURST_ENDS_AT = 20.0
+LAST_ARRIVAL_MARGIN_SECONDS = 10.0
+"""No filling job is submitted this shortly before the end."""
 LATE_WORTH = 0.15
 """Share of its worth that a filling job earns up to three times its objective."""
 HARM_FACTOR = 4.0
@@ -58,6 +61,79 @@
 """Share of the serving tasks in the fleet's worth."""
 
 
+@dataclass(frozen=True)
+class Shape:
+    """Sizes and rates of a fleet and its work; pairs are the bounds of a range."""
+
+    vms: int
+    cores: tuple[float, float]
+    """Cores of a third of the VMs, and of the others."""
+    serving_jobs: int
+    serving_tasks: int
+    serving_cores: tuple[float, float]
+    serving_images: int
+    filling_images: int
+    filling_cores: tuple[float, float]
+    filling_tasks: float
+    """Typical number of tasks of a step; the steps of one job differ."""
+    max_filling_tasks: int
+    filling_jobs_per_second: float
+    burst_factor: float
+    mean_work_core_seconds: float
+    """Work of a filling job whose worth is 1."""
+    heavy_share: float
+    """Share of the pairs of images that interfere."""
+    heavy_added: tuple[float, float]
+    """Utilization that a VM full of the filling image adds to such a pair."""
+    checkpoint_seconds: float
+    restore_seconds: float
+    stop_seconds: float
+    """Time from the order to stop a run until its end."""
+
+
+FEW_LARGE_VMS = Shape(
+    vms=11,
+    cores=(96.0, 64.0),
+    serving_jobs=9,
+    serving_tasks=6,
+    serving_cores=(9.0, 16.0),
+    serving_images=5,
+    filling_images=9,
+    filling_cores=(4.5, 9.5),
+    filling_tasks=8.0,
+    max_filling_tasks=32,
+    filling_jobs_per_second=0.6,
+    burst_factor=2.6,
+    mean_work_core_seconds=490.0,
+    heavy_share=0.5,
+    heavy_added=(0.5, 3.0),
+    checkpoint_seconds=1.0,
+    restore_seconds=0.6,
+    stop_seconds=0.6,
+)
+MANY_SMALL_VMS = Shape(
+    vms=52,
+    cores=(24.0, 16.0),
+    serving_jobs=16,
+    serving_tasks=14,
+    serving_cores=(2.4, 4.0),
+    serving_images=10,
+    filling_images=18,
+    filling_cores=(1.3, 2.3),
+    filling_tasks=20.0,
+    max_filling_tasks=80,
+    filling_jobs_per_second=1.43,
+    burst_factor=1.5,
+    mean_work_core_seconds=317.0,
+    heavy_share=0.65,
+    heavy_added=(0.5, 5.0),
+    checkpoint_seconds=0.5,
+    restore_seconds=0.1,
+    stop_seconds=0.3,
+)
+SHAPE_BY_NAME = {"few-large": FEW_LARGE_VMS, "many-small": MANY_SMALL_VMS}
+
+
 @dataclass
 class _Run:
     """A run on a worker."""
@@ -69,6 +145,8 @@
     restore_seconds_left: float
     pace: float = 1.0
     since_checkpoint: float = 0.0
+    stops_at: float = math.inf
+    """When a stop that was ordered takes effect."""
     fails_at: float = -1.0
     """Remaining work, in seconds, at which it fails; negative if it succeeds."""
 
@@ -111,16 +189,17 @@
         prepare: Callable[[Scheduler], None],
         *,
         load: float = 1.0,
-        vms: int = 11,
+        shape: Shape = FEW_LARGE_VMS,
     ) -> None:
         """Draw a fleet; `prepare` is called with the scheduler of each new leader."""
         self._random = random.Random(seed)
+        self._shape = shape
         self._prepare = prepare
-        self._now = 100.0
+        self._now = STARTED_AT
         self._load = load
         self._workers = {
-            NodeId(f"vm-{n}"): _Worker(NodeId(f"vm-{n}"), 64.0 if n % 3 else 96.0)
-            for n in range(vms)
+            NodeId(f"vm-{n}"): _Worker(NodeId(f"vm-{n}"), shape.cores[n % 3 > 0])
+            for n in range(shape.vms)
         }
         self._phase_by_job: dict[JobId, tuple[float, float]] = {}
         self._work_by_job: dict[JobId, float] = {}
@@ -136,7 +215,7 @@
 
     def simulate(self, seconds: float, *, leader_change_at: float) -> Outcome:
         """Simulate `seconds`; the leader changes after `leader_change_at` seconds."""
-        for _ in range(9):
+        for _ in range(self._shape.serving_jobs):
             self._submit(self._serving_job())
         end = self._now + seconds
         leader_change = self._now + leader_change_at
@@ -159,20 +238,25 @@
 
     def _draw_interference(self) -> dict[tuple[str, str], float]:
         added_by_images = {}
-        for serving in range(SERVING_IMAGES):
-            for filling in range(FILLING_IMAGES):
-                is_heavy = self._random.random() < 0.5
-                low, high = (0.5, 3.0) if is_heavy else (0.0, 0.1)
+        for serving in range(self._shape.serving_images):
+            for filling in range(self._shape.filling_images):
+                is_heavy = self._random.random() < self._shape.heavy_share
+                low, high = self._shape.heavy_added if is_heavy else (0.0, 0.1)
                 added = self._random.uniform(low, high)
                 added_by_images[f"serve-{serving}", f"fill-{filling}"] = added
         return added_by_images
 
     def _serving_job(self) -> Job:
         number = len(self._jobs)
-        image = f"serve-{self._random.randrange(SERVING_IMAGES)}"
-        size = Resources(self._random.uniform(9.0, 16.0), 1000, 0)
+        image = f"serve-{self._random.randrange(self._shape.serving_images)}"
+        size = Resources(self._random.uniform(*self._shape.serving_cores), 1000, 0)
         step = Step(
-            6, size, 1.0, long_running=True, image=image, target_seconds=TARGET_SECONDS
+            self._shape.serving_tasks,
+            size,
+            1.0,
+            long_running=True,
+            image=image,
+            target_seconds=TARGET_SECONDS,
         )
         job = self._job(f"serving-{number}", (step,), priority=0)
         period = self._random.uniform(8.0, 14.0)
@@ -181,13 +265,14 @@
 
     def _filling_job(self) -> Job:
         number = len(self._jobs)
-        image = f"fill-{self._random.randrange(FILLING_IMAGES)}"
+        image = f"fill-{self._random.randrange(self._shape.filling_images)}"
         seconds = 4.4 * self._random.lognormvariate(-0.1, 0.5)
         estimate = seconds * self._random.uniform(0.8, 1.25)
-        size = Resources(self._random.uniform(4.5, 9.5), 1000, 0)
+        size = Resources(self._random.uniform(*self._shape.filling_cores), 1000, 0)
         steps = []
         for index in range(self._random.choice((1, 2, 2, 3))):
-            count = max(1, min(32, round(8 * self._random.lognormvariate(-0.18, 0.6))))
+            drawn = self._shape.filling_tasks * self._random.lognormvariate(-0.18, 0.6)
+            count = max(1, min(self._shape.max_filling_tasks, round(drawn)))
             after = (index - 1,) if index else ()
             step = Step(
                 count,
@@ -218,10 +303,12 @@
         )
 
     def _draw_arrival(self, end: float) -> None:
-        rate = 0.6 * self._load
-        if 14.0 < self._now - 100.0 < 20.0:
-            rate *= 2.6
-        if self._random.random() < rate * TICK_SECONDS and self._now < end - 10.0:
+        rate = self._shape.filling_jobs_per_second * self._load
+        if BURST_BEGINS_AT < self._now - STARTED_AT < BURST_ENDS_AT:
+            rate *= self._shape.burst_factor
+        if self._now >= end - LAST_ARRIVAL_MARGIN_SECONDS:
+            rate = 0.0
+        if self._random.random() < rate * TICK_SECONDS:
             self._submit(self._filling_job())
 
     def _submit(self, job: Job) -> None:
@@ -312,7 +399,10 @@
         for start in orders.starts:
             worker.running[start.key] = self._new_run(start.key)
         for key in orders.stops:
-            self._end_run(worker, key, RunEnd.STOPPED)
+            run = worker.running.get(key)
+            if run is not None:
+                stops_at = self._now + self._shape.stop_seconds
+                run.stops_at = min(run.stops_at, stops_at)
         for pace in orders.paces:
             if pace.key in worker.running:
                 worker.running[pace.key].pace = pace.percent / 100
@@ -327,7 +417,9 @@
             key,
             job.steps[key.task.step],
             remaining,
-            restore_seconds_left=0.0 if remaining == seconds else RESTORE_SECONDS,
+            restore_seconds_left=0.0
+            if remaining == seconds
+            else self._shape.restore_seconds,
             fails_at=self._random.uniform(0, remaining) if fails else -1.0,
         )
 
@@ -335,6 +427,8 @@
         run = worker.running.pop(key, None)
         if run is None:
             return
+        if run_end is RunEnd.STOPPED:
+            run.since_checkpoint = 0.0
         if run_end is not RunEnd.SUCCEEDED:
             self._remaining_by_task[key.task] = run.remaining + run.since_checkpoint
         self._stops += run_end is RunEnd.STOPPED
@@ -344,6 +438,9 @@
     def _advance_runs(self, worker: _Worker) -> None:
         share_by_image: dict[str, float] = {}
         for run in list(worker.running.values()):
+            if self._now >= run.stops_at:
+                self._end_run(worker, run.key, RunEnd.STOPPED)
+                continue
             if not run.step.fills:
                 continue
             if run.restore_seconds_left > 0:
@@ -356,7 +453,7 @@
             share_by_image[image] = share_by_image.get(image, 0.0) + share
             run.remaining -= TICK_SECONDS * run.pace
             run.since_checkpoint += TICK_SECONDS * run.pace
-            if run.since_checkpoint >= CHECKPOINT_SECONDS:
+            if run.since_checkpoint >= self._shape.checkpoint_seconds:
                 run.since_checkpoint = 0.0
             if run.remaining <= run.fails_at:
                 self._end_run(worker, run.key, RunEnd.FAILED)
@@ -400,7 +497,10 @@
             if job.priority == 0:
                 continue
             cores = sum(step.count * step.size.cores for step in job.steps)
-            worth = 0.3 + 0.7 * min(4.0, cores * self._work_by_job[job.id] / 490)
+            worth = 0.3 + 0.7 * min(
+                4.0,
+                cores * self._work_by_job[job.id] / self._shape.mean_work_core_seconds,
+            )
             work = self._work_by_job[job.id] * len(job.steps)
             objective = job.stretch * work + job.target_latency
             taken = self._done_at_by_job.get(job.id, end + 99) - job.accepted_at
