Move filling tasks instead of throttling them far

And a task was evicted only after 0.8 s over target.

Change: pacing.py (split from sharing.py) evicts the runs that add most until the rest may work at 40% of their pace or more; what can continue elsewhere is evicted as soon as a target is missed; an evicted run is throttled to 0 until its stop is done. Only runs with checkpoints, and never a job's last one, are moved.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -14,6 +14,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from statistics import fmean, stdev
+from types import ModuleType
 from typing import Annotated
 from unittest.mock import patch
 
@@ -22,7 +23,7 @@
 from bench.errors import BadValueError, check_range
 from bench.report import commit
 from bench.sharing_fleet import SHAPE_BY_NAME, Fleet, Outcome
-from wagtailcleat.scheduling import sharing
+from wagtailcleat.scheduling import pacing, sharing
 from wagtailcleat.scheduling.ranking import Lateness
 from wagtailcleat.scheduling.scheduler import Scheduler
 
@@ -60,8 +61,14 @@
 
 
 @contextlib.contextmanager
-def _with_constant(name: str, value: float) -> Iterator[Prepare]:
-    with patch.object(sharing, name, value):
+def _with_constant(module: ModuleType, name: str, value: float) -> Iterator[Prepare]:
+    with patch.object(module, name, value):
+        yield _as_is
+
+
+@contextlib.contextmanager
+def _with_aim_0_8() -> Iterator[Prepare]:
+    with patch.object(sharing, "AIM_LOAD", 0.8), patch.object(pacing, "AIM_LOAD", 0.8):
         yield _as_is
 
 
@@ -71,9 +78,11 @@
     "bound-0.04": lambda: _with_bound(0.04),
     "bound-0.12": lambda: _with_bound(0.12),
     "bound-0.30": lambda: _with_bound(0.30),
-    "no-residual": lambda: _with_constant("RESIDUAL_LASTING", 0.0),
-    "stop-at-once": lambda: _with_constant("STOP_SECONDS", 0.0),
-    "aim-0.8": lambda: _with_constant("AIM_LOAD", 0.8),
+    "no-residual": lambda: _with_constant(sharing, "RESIDUAL_LASTING", 0.0),
+    "stop-at-once": lambda: _with_constant(pacing, "STOP_SECONDS", 0.0),
+    "never-move": lambda: _with_constant(pacing, "EVICTION_PACE", -math.inf),
+    "move-below-60": lambda: _with_constant(pacing, "EVICTION_PACE", 60),
+    "aim-0.8": _with_aim_0_8,
 }
 
 
--- /dev/null
+++ b/wagtailcleat/scheduling/pacing.py
@@ -0,0 +1,205 @@
+"""Throttling and eviction of filling tasks on VMs that run serving tasks.
+
+The `Scheduler` asks for actions on a VM after each of its reports, and carries them
+out. Filling tasks that add much utilization are throttled to the room that is left: a
+new pace is set. A task that would be throttled to a small part of its pace is evicted
+instead, and continues from its checkpoint where there is room. While a serving task is
+over its target, the filling tasks that add most are evicted at once.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from wagtailcleat.scheduling.sharing import (
+    AIM_LOAD,
+    MIN_ADDED,
+    ServingJob,
+    Sharing,
+    filling_runs,
+    reported_load,
+    serving_runs,
+    share_of_vm,
+)
+from wagtailcleat.scheduling.vms import HostedRun, Vm
+
+FULL_PACE = 100
+"""Percent."""
+EVICTION_PACE = 40
+"""Pace in percent below which a run is evicted rather than throttled.
+
+A run that continues elsewhere is delayed by a stop and the restoring of its checkpoint,
+which take less time than a run at such a pace loses.
+"""
+STOP_SECONDS = 0.8
+"""How long a serving run may be over its target before any filling task is evicted.
+
+Until then only those are evicted that can continue elsewhere.
+"""
+EVICT_ALL_SECONDS = 1.8
+"""How long a serving run may be over its target before all filling tasks are evicted.
+
+Their estimates no longer count then. The users allow 4 s.
+"""
+MIN_ACTION_INTERVAL_SECONDS = 0.3
+"""Shortest time between two reports of a VM that lead to actions."""
+MIN_PACE = 10
+"""Pace in percent below which a run is not worth its memory."""
+MIN_PACE_DECREASE = 10
+"""Smallest decrease of a pace that is ordered, in percentage points."""
+MIN_PACE_INCREASE = 15
+"""Smallest increase that is ordered, in percentage points."""
+MAX_PACE_INCREASE = 35
+"""Largest increase, in percentage points: the load may be about to rise again."""
+
+MayMove = Callable[[HostedRun], bool]
+"""Returns whether a run may be evicted to continue on another VM."""
+
+
+@dataclass
+class PaceAction:
+    """An action on a filling run: a new pace, or eviction from the VM."""
+
+    hosted: HostedRun
+    pace: int
+    """In percent; 0 evicts the run, or stops its work if it has no checkpoints."""
+    why: str
+    """The most restrictive serving image, with its load or its room."""
+
+
+def pace_actions(
+    sharing: Sharing, vm: Vm, may_move: MayMove, now: float
+) -> list[PaceAction]:
+    """Return the actions on a VM's filling runs after a report."""
+    filling = list(filling_runs(vm))
+    state = sharing.state(vm)
+    if not filling or now - state.acted_at < MIN_ACTION_INTERVAL_SECONDS:
+        return []
+    actions: list[PaceAction] = []
+    if state.over_target_since is not None:
+        over_seconds = now - state.over_target_since
+        actions = _evict(sharing, vm, filling, may_move, over_seconds)
+    if not actions:
+        actions = _adjust(sharing, vm, filling, may_move, now)
+    if actions:
+        state.acted_at = now
+    return actions
+
+
+def _evict(
+    sharing: Sharing,
+    vm: Vm,
+    filling: Iterable[HostedRun],
+    may_move: MayMove,
+    over_seconds: float,
+) -> list[PaceAction]:
+    """Evict the runs that add most, until the worst serving run should recover."""
+    worst = max(serving_runs(vm), key=reported_load, default=None)
+    if worst is None:
+        return []
+    image = worst.step.image
+
+    def added(run: HostedRun) -> float:
+        return _added(sharing, vm, image, run)
+
+    utilization = sharing.interference.utilization
+    too_much = utilization(image, reported_load(worst)) - utilization(image, AIM_LOAD)
+    evictable = [
+        run
+        for run in filling
+        if run.pace and (over_seconds >= STOP_SECONDS or may_move(run))
+    ]
+    actions: list[PaceAction] = []
+    for run in sorted(evictable, key=added, reverse=True):
+        enough = too_much <= 0 or added(run) < MIN_ADDED
+        if over_seconds < EVICT_ALL_SECONDS and enough and actions:
+            break
+        too_much -= added(run) * run.pace / FULL_PACE
+        actions.append(PaceAction(run, 0, f"{image} at {reported_load(worst):.2f}"))
+    return actions
+
+
+def _adjust(
+    sharing: Sharing,
+    vm: Vm,
+    filling: list[HostedRun],
+    may_move: MayMove,
+    now: float,
+) -> list[PaceAction]:
+    """Set the paces that the room allows, and evict runs until no pace is too low."""
+    room_by_job = sharing.room_by_job(vm, now)
+    added_by_image = dict(sharing.added_by_image(vm))
+    why = _describe_least_room(room_by_job)
+    staying = list(filling)
+    actions = []
+    while True:
+        run = _run_to_move(sharing, vm, staying, may_move, room_by_job, added_by_image)
+        if run is None:
+            break
+        staying.remove(run)
+        actions.append(PaceAction(run, 0, why))
+        for image in added_by_image:
+            added_by_image[image] -= _added(sharing, vm, image, run)
+    for run in staying:
+        pace = _target_pace(sharing, vm, run, room_by_job, added_by_image)
+        if pace <= run.pace - MIN_PACE_DECREASE:
+            actions.append(PaceAction(run, pace, why))
+        elif pace >= run.pace + MIN_PACE_INCREASE or pace == FULL_PACE > run.pace:
+            pace = min(pace, run.pace + MAX_PACE_INCREASE)
+            actions.append(PaceAction(run, pace, why))
+    return actions
+
+
+def _run_to_move(
+    sharing: Sharing,
+    vm: Vm,
+    staying: Iterable[HostedRun],
+    may_move: MayMove,
+    room_by_job: dict[ServingJob, float],
+    added_by_image: dict[str, float],
+) -> HostedRun | None:
+    """Return the run that adds most to the serving job with the least room.
+
+    Return None if that room allows a sufficient pace, or if no run may move.
+    """
+
+    def allowed_pace(job: ServingJob) -> float:
+        added = added_by_image[job.image]
+        return FULL_PACE * room_by_job[job] / added if added > 0 else FULL_PACE
+
+    tightest = min(room_by_job, key=allowed_pace, default=None)
+    if tightest is None or allowed_pace(tightest) >= EVICTION_PACE:
+        return None
+    image = tightest.image
+    movable = [
+        run
+        for run in staying
+        if run.pace and _added(sharing, vm, image, run) >= MIN_ADDED and may_move(run)
+    ]
+    return max(movable, key=lambda run: _added(sharing, vm, image, run), default=None)
+
+
+def _target_pace(
+    sharing: Sharing,
+    vm: Vm,
+    run: HostedRun,
+    room_by_job: dict[ServingJob, float],
+    added_by_image: dict[str, float],
+) -> int:
+    part = 1.0
+    for job, room in room_by_job.items():
+        if _added(sharing, vm, job.image, run) >= MIN_ADDED:
+            part = min(part, room / added_by_image[job.image])
+    return max(MIN_PACE, int(FULL_PACE * part))
+
+
+def _added(sharing: Sharing, vm: Vm, image: str, run: HostedRun) -> float:
+    """Return the utilization that a run adds at full pace to a serving image."""
+    estimate = sharing.interference.estimate(image, run.step.image)
+    return estimate.conservative * share_of_vm(vm, run.step)
+
+
+def _describe_least_room(room_by_job: dict[ServingJob, float]) -> str:
+    if not room_by_job:
+        return "nobody serves"
+    job, room = min(room_by_job.items(), key=lambda item: item[1])
+    return f"{job.image} has room for {room:.2f}"
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -25,15 +25,11 @@
     Start,
 )
 from wagtailcleat.scheduling.outgoing import EndTracker
+from wagtailcleat.scheduling.pacing import FULL_PACE, PaceAction, pace_actions
 from wagtailcleat.scheduling.placement_rounds import PlacementRounds
 from wagtailcleat.scheduling.ranking import due_seconds, lateness, slack_seconds
 from wagtailcleat.scheduling.reasons import Margin, StartReason
-from wagtailcleat.scheduling.sharing import (
-    FULL_PACE,
-    PaceAction,
-    Sharing,
-    affects_sharing,
-)
+from wagtailcleat.scheduling.sharing import Sharing, affects_sharing
 from wagtailcleat.scheduling.vms import HostedRun, Vm
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -296,13 +292,26 @@
 
     def _adjust_sharing(self, vm: Vm, now: float) -> None:
         self.sharing.observe(vm, now)
-        for action in self.sharing.actions(vm, now):
+        for action in pace_actions(self.sharing, vm, self._may_move, now):
             self._apply(vm, action, now)
 
+    def _may_move(self, hosted: HostedRun) -> bool:
+        """Return whether a run may be evicted to continue on another VM.
+
+        A job keeps its last run, even if that run is throttled: it might be evicted
+        wherever it starts again, and make no progress at all.
+        """
+        task = self.job_table.find_task(hosted.key.task)
+        has_other_runs = task is not None and task.entry.placed_tasks > 1
+        return hosted.step.checkpointable and has_other_runs
+
     def _apply(self, vm: Vm, action: PaceAction, now: float) -> None:
         hosted, pace = action.hosted, action.pace
         if not pace and hosted.step.checkpointable:
             # The run continues from its checkpoint elsewhere and frees its memory here.
+            # A stop takes longer than a new pace, and the run would interfere until
+            # then.
+            self._dispatch.pending(vm.node).paces.append(Pace(hosted.key, 0))
             self._stop(vm, hosted, now, f"it slows what serves here: {action.why}")
             return
         self._record_event(Event.PACED, hosted.key, vm, f"{pace}: {action.why}")
--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -1,12 +1,11 @@
-"""Admission and throttling of filling tasks on VMs that run serving tasks.
-
-Placement rounds ask it for admission; the `Scheduler` passes it each report and carries
-out its actions. The utilization that a filling task adds to a serving one is estimated
-by pair of images (`interference`) and ranges from nothing to far too much. Filling
-tasks are placed where they add least. Tasks of an image that is not profiled beside the
-serving image are admitted one at a time, while the load is low. At each report,
-tasks that add much are throttled to the room that is left (their pace is set). While a
-target is missed, the tasks that add most are evicted.
+"""Admission of filling tasks to VMs that run serving tasks.
+
+Placement rounds ask it for admission; the `Scheduler` passes it each report. `pacing`
+throttles and evicts the tasks that were admitted. The utilization that a filling task
+adds to a serving one is estimated by pair of images (`interference`) and ranges from
+nothing to far too much. Filling tasks are placed where they add least. Tasks of an
+image that is not profiled beside the serving image are admitted one at a time, while
+the load is low.
 """
 
 from collections.abc import Iterator
@@ -20,8 +19,6 @@
 from wagtailcleat.scheduling.reasons import Margin
 from wagtailcleat.scheduling.vms import HostedRun, Vm
 
-FULL_PACE = 100
-"""Percent."""
 MOST_ADDED = {Lateness.IN_TIME: 0.12, Lateness.LATE: 0.05, Lateness.TOO_LATE: 0.03}
 """Utilization that a VM's filling tasks together may add to a serving task."""
 STARVED_ADDED = 0.2
@@ -44,31 +41,11 @@
 """Reported load from which a serving run counts as over its target."""
 ADMISSION_PAUSE_SECONDS = 1.0
 """How long tasks that add much are kept out after a serving run was over its target."""
-STOP_SECONDS = 0.8
-"""How long a serving run may be over its target before filling tasks are evicted.
-
-Those that add most are evicted first; until then filling tasks are throttled.
-"""
-EVICT_ALL_SECONDS = 1.8
-"""How long a serving run may be over its target before all filling tasks are evicted.
-
-Their estimates no longer count then. The users allow 4 s.
-"""
-MIN_ACTION_INTERVAL_SECONDS = 0.3
-"""Shortest time between two reports of a VM that lead to actions."""
 PROFILING_INTERVAL_SECONDS = 0.7
 """Shortest time between two starts of unprofiled images on one VM.
 
 A report must show the effect of the first before the second starts.
 """
-MIN_PACE = 10
-"""Pace in percent below which a run is not worth its memory."""
-MIN_PACE_DECREASE = 10
-"""Smallest decrease of a pace that is ordered, in percentage points."""
-MIN_PACE_INCREASE = 15
-"""Smallest increase that is ordered, in percentage points."""
-MAX_PACE_INCREASE = 35
-"""Largest increase, in percentage points: the load may be about to rise again."""
 MIN_ADDED = 0.03
 """Added utilization below which a task is admitted freely and not throttled."""
 
@@ -81,18 +58,7 @@
 
 
 @dataclass
-class PaceAction:
-    """An action on a filling run: a new pace, or eviction from the VM."""
-
-    hosted: HostedRun
-    pace: int
-    """In percent; 0 evicts the run, or stops its work if it has no checkpoints."""
-    why: str
-    """The most restrictive serving image, with its load or its room."""
-
-
-@dataclass
-class _VmState:
+class VmState:
     """Sharing state of one VM."""
 
     version: int = -1
@@ -109,7 +75,7 @@
     last_profiling_at: float = -1e9
     """When a task of an unprofiled image last started."""
     acted_at: float = -1e9
-    """When actions were last returned."""
+    """When filling runs were last throttled or evicted."""
 
 
 @dataclass
@@ -117,7 +83,7 @@
     """The interference model, and the sharing state of each VM."""
 
     interference: Interference = field(default_factory=Interference)
-    _state_by_node: dict[NodeId, _VmState] = field(default_factory=dict)
+    _state_by_node: dict[NodeId, VmState] = field(default_factory=dict)
 
     def forget_vm(self, node: NodeId) -> None:
         """Drop the state of a VM that was removed."""
@@ -125,7 +91,7 @@
 
     def observe(self, vm: Vm, now: float) -> None:
         """Update the model and the VM's state from the VM's latest report."""
-        state = self._state(vm)
+        state = self.state(vm)
         shares = _used_shares(vm)
         state.room_by_job = {}
         for job, load in _reported_loads(vm):
@@ -133,7 +99,9 @@
             error = self.interference.learn(reading)
             room = self._predicted_room(job, now) - RESIDUAL_LASTING * error
             state.room_by_job[job] = room
-        over = any(reported_load(hosted) >= OVER_TARGET_LOAD for hosted in _serving(vm))
+        over = any(
+            reported_load(hosted) >= OVER_TARGET_LOAD for hosted in serving_runs(vm)
+        )
         if not over:
             state.over_target_since = None
             return
@@ -146,11 +114,11 @@
 
         The maximum over the serving images that run there.
         """
-        share = _share(vm, step)
+        share = share_of_vm(vm, step)
         return max(
             (
                 self.interference.estimate(serving, step.image).conservative * share
-                for serving in self._added_by_image(vm)
+                for serving in self.added_by_image(vm)
             ),
             default=0.0,
         )
@@ -169,7 +137,7 @@
             vm, step.image
         ):
             return True
-        state = self._state(vm)
+        state = self.state(vm)
         if now - state.last_over_target_at < ADMISSION_PAUSE_SECONDS:
             return False
         if self.is_unprofiled(vm, step.image):
@@ -181,11 +149,11 @@
 
     def margin(self, vm: Vm, step: Step, now: float) -> Margin:
         """Return the margin for a task of a filling step on a VM, for the log."""
-        room_by_job = self._room_by_job(vm, now)
+        room_by_job = self.room_by_job(vm, now)
         if not room_by_job:
             return Margin()
-        share = _share(vm, step)
-        added_by_image = self._added_by_image(vm)
+        share = share_of_vm(vm, step)
+        added_by_image = self.added_by_image(vm)
 
         def room_after_start(job: ServingJob) -> float:
             adds = (
@@ -205,106 +173,38 @@
 
     def _has_room(self, vm: Vm, step: Step, pace: float, now: float) -> bool:
         """Return whether there is room for a filling step's task at a pace, a share."""
-        added_by_image = self._added_by_image(vm)
+        added_by_image = self.added_by_image(vm)
         estimate = self.interference.estimate
-        share = pace * _share(vm, step)
+        share = pace * share_of_vm(vm, step)
         return all(
             added_by_image[job.image]
             + estimate(job.image, step.image).conservative * share
             <= room
-            for job, room in self._room_by_job(vm, now).items()
+            for job, room in self.room_by_job(vm, now).items()
         )
 
     def record_start(self, vm: Vm, step: Step, now: float) -> None:
         """Record that a task of a filling step starts on a VM."""
         if vm.serving_runs and self.is_unprofiled(vm, step.image):
-            self._state(vm).last_profiling_at = now
+            self.state(vm).last_profiling_at = now
 
     def stays_within(self, vm: Vm, step: Step, most: float) -> bool:
         """Return whether the filling tasks and one more add at most `most` on a VM."""
-        share = _share(vm, step)
+        share = share_of_vm(vm, step)
         estimate = self.interference.estimate
         return all(
             added + estimate(serving, step.image).conservative * share <= most
-            for serving, added in self._added_by_image(vm).items()
+            for serving, added in self.added_by_image(vm).items()
         )
 
     def is_unprofiled(self, vm: Vm, image: str) -> bool:
         """Return whether an image's effect on some serving image on a VM is unknown."""
         estimate = self.interference.estimate
         return any(
-            not estimate(serving, image).is_known
-            for serving in self._added_by_image(vm)
+            not estimate(serving, image).is_known for serving in self.added_by_image(vm)
         )
 
-    def actions(self, vm: Vm, now: float) -> list[PaceAction]:
-        """Return the actions on a VM's filling runs after a report."""
-        filling = list(_filling(vm))
-        state = self._state(vm)
-        if not filling or now - state.acted_at < MIN_ACTION_INTERVAL_SECONDS:
-            return []
-        if (
-            state.over_target_since is not None
-            and now - state.over_target_since >= STOP_SECONDS
-        ):
-            actions = self._evict(vm, state, filling, now)
-        else:
-            actions = self._adjust_paces(vm, filling, now)
-        if actions:
-            state.acted_at = now
-        return actions
-
-    def _evict(
-        self, vm: Vm, state: _VmState, filling: list[HostedRun], now: float
-    ) -> list[PaceAction]:
-        """Evict the runs that add most, until the worst serving run should recover."""
-        worst = max(_serving(vm), key=reported_load, default=None)
-        if worst is None or state.over_target_since is None:
-            return []
-        image = worst.step.image
-
-        def added(run: HostedRun) -> float:
-            """Return the utilization that a run adds at full pace."""
-            estimate = self.interference.estimate(image, run.step.image)
-            return estimate.conservative * _share(vm, run.step)
-
-        evicts_all = now - state.over_target_since >= EVICT_ALL_SECONDS
-        utilization = self.interference.utilization
-        too_much = utilization(image, reported_load(worst)) - utilization(
-            image, AIM_LOAD
-        )
-        working = [run for run in filling if run.pace]
-        actions: list[PaceAction] = []
-        for run in sorted(working, key=added, reverse=True):
-            enough = too_much <= 0 or added(run) < MIN_ADDED
-            if not evicts_all and enough and actions:
-                break
-            too_much -= added(run) * run.pace / FULL_PACE
-            actions.append(PaceAction(run, 0, f"{image} at {reported_load(worst):.2f}"))
-        return actions
-
-    def _adjust_paces(
-        self, vm: Vm, filling: list[HostedRun], now: float
-    ) -> list[PaceAction]:
-        room_by_job = self._room_by_job(vm, now)
-        actions = []
-        for run in filling:
-            pace = self._target_pace(vm, run, room_by_job)
-            why = self._describe_least_room(room_by_job)
-            if pace <= run.pace - MIN_PACE_DECREASE:
-                actions.append(PaceAction(run, pace, why))
-            elif pace >= run.pace + MIN_PACE_INCREASE or pace == FULL_PACE > run.pace:
-                pace = min(pace, run.pace + MAX_PACE_INCREASE)
-                actions.append(PaceAction(run, pace, why))
-        return actions
-
-    def _describe_least_room(self, room_by_job: dict[ServingJob, float]) -> str:
-        if not room_by_job:
-            return "nobody serves"
-        job, room = min(room_by_job.items(), key=lambda item: item[1])
-        return f"{job.image} has room for {room:.2f}"
-
-    def _room_by_job(self, vm: Vm, now: float) -> dict[ServingJob, float]:
+    def room_by_job(self, vm: Vm, now: float) -> dict[ServingJob, float]:
         """Return the utilization that may be added to each serving job's own."""
         state = self._refreshed_state(vm)
         reported = state.room_by_job
@@ -320,40 +220,29 @@
             job.id, job.image, now + PREDICTION_SECONDS
         )
 
-    def _target_pace(
-        self, vm: Vm, run: HostedRun, room_by_job: dict[ServingJob, float]
-    ) -> int:
-        added_by_image = self._added_by_image(vm)
-        share = _share(vm, run.step)
-        part = 1.0
-        for job, room in room_by_job.items():
-            estimate = self.interference.estimate(job.image, run.step.image)
-            if estimate.conservative * share >= MIN_ADDED:
-                part = min(part, room / added_by_image[job.image])
-        return max(MIN_PACE, int(FULL_PACE * part))
-
-    def _state(self, vm: Vm) -> _VmState:
-        return self._state_by_node.setdefault(vm.node, _VmState())
-
-    def _added_by_image(self, vm: Vm) -> dict[str, float]:
+    def state(self, vm: Vm) -> VmState:
+        """Return the sharing state of a VM."""
+        return self._state_by_node.setdefault(vm.node, VmState())
+
+    def added_by_image(self, vm: Vm) -> dict[str, float]:
         """Return the most that the filling runs add at full pace, by serving image."""
         return self._refreshed_state(vm).added_by_image
 
-    def _refreshed_state(self, vm: Vm) -> _VmState:
+    def _refreshed_state(self, vm: Vm) -> VmState:
         """Return a VM's state, recomputed if the VM has changed or reported.
 
         It is cached because each waiting task reads it. What the model learns meanwhile
         from other VMs takes effect with the VM's next change or report.
         """
-        state = self._state(vm)
+        state = self.state(vm)
         if state.version == vm.version:
             return state
         share_by_image: dict[str, float] = {}
-        for run in _filling(vm):
+        for run in filling_runs(vm):
             image = run.step.image
-            share = _share(vm, run.step)
+            share = share_of_vm(vm, run.step)
             share_by_image[image] = share_by_image.get(image, 0.0) + share
-        state.serving_jobs = {_serving_job(hosted) for hosted in _serving(vm)}
+        state.serving_jobs = {_serving_job(hosted) for hosted in serving_runs(vm)}
         estimate = self.interference.estimate
         state.added_by_image = {
             serving: sum(
@@ -382,7 +271,7 @@
 def _reported_loads(vm: Vm) -> list[tuple[ServingJob, float]]:
     """Return each serving job on a VM with the mean load that its tasks report."""
     loads_by_job: dict[ServingJob, list[float]] = {}
-    for hosted in _serving(vm):
+    for hosted in serving_runs(vm):
         if hosted.measurement:
             loads_by_job.setdefault(_serving_job(hosted), []).append(
                 reported_load(hosted)
@@ -404,18 +293,20 @@
     return step.fills or step.target_seconds > 0
 
 
-def _share(vm: Vm, step: Step) -> float:
+def share_of_vm(vm: Vm, step: Step) -> float:
     """Return the share of a VM's cores that a task of a step can use."""
     return step.size.cores / vm.capacity.cores if vm.capacity.cores else 1.0
 
 
-def _serving(vm: Vm) -> Iterator[HostedRun]:
+def serving_runs(vm: Vm) -> Iterator[HostedRun]:
+    """Yield the serving runs of a VM that are not being stopped."""
     for hosted in vm.hosted_by_run.values():
         if hosted.step.target_seconds and not hosted.stopping:
             yield hosted
 
 
-def _filling(vm: Vm) -> Iterator[HostedRun]:
+def filling_runs(vm: Vm) -> Iterator[HostedRun]:
+    """Yield the filling runs of a VM that are not being stopped."""
     for hosted in vm.hosted_by_run.values():
         if hosted.step.fills and not hosted.stopping:
             yield hosted
