--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -53,6 +53,11 @@
     )
 
 
+def _never_move(scheduler: Scheduler) -> None:
+    """Throttle filling runs, and evict them only if a target is missed for long."""
+    scheduler._may_move = lambda hosted: False  # type: ignore[method-assign]
+
+
 @contextlib.contextmanager
 def _with_bound(max_added: float) -> Iterator[Prepare]:
     bounds = dict.fromkeys(Lateness, max_added)
@@ -80,7 +85,7 @@
     "bound-0.30": lambda: _with_bound(0.30),
     "no-residual": lambda: _with_constant(sharing, "RESIDUAL_LASTING", 0.0),
     "stop-at-once": lambda: _with_constant(pacing, "STOP_SECONDS", 0.0),
-    "never-move": lambda: _with_constant(pacing, "EVICTION_PACE", -math.inf),
+    "never-move": lambda: contextlib.nullcontext(_never_move),
     "move-below-60": lambda: _with_constant(pacing, "EVICTION_PACE", 60),
     "aim-0.8": _with_aim_0_8,
 }
--- a/features/scheduling/sharing.feature
+++ b/features/scheduling/sharing.feature
@@ -104,3 +104,31 @@
     And a filling task of image "heavy" is known to add 0.8 on a whole VM
     When two jobs of image "heavy" are submitted, one of which will be late
     Then job "in-time" runs, and job "late" waits
+
+  Scenario: A task that could work at a small pace only is moved to where there is room
+    # Guards against tasks that hold on to a VM at a small pace while others have room.
+    Given 1 VM of 32 cores
+    And a serving task runs, at 0.3 of its target
+    And job "large" of 2 filling tasks of image "heavy" runs beside it
+    When another VM of 32 cores comes
+    And the serving task reports 0.9 of its target for 3 s
+    And some rounds have passed
+    Then a task of job "large" runs on the other VM, from its checkpoint
+    And both tasks of job "large" run
+
+  Scenario: The last run of a job is throttled and not moved
+    # Guards against a job that is evicted wherever it starts and makes no progress.
+    Given 1 VM of 32 cores
+    And a serving task runs, at 0.3 of its target
+    And job "large" of 1 filling tasks of image "heavy" runs beside it
+    When another VM of 32 cores comes
+    And the serving task reports 0.9 of its target for 3 s
+    Then job "large" runs where it began, throttled
+
+  Scenario: A run that is evicted for a serving task works no more while it is stopped
+    # Guards against a serving task that stays over its target until a stop is done.
+    Given 1 VM of 32 cores
+    And a serving task runs, at 0.3 of its target
+    And a filling task of image "heavy" runs beside it
+    When the serving task reports 3 times its target, and stops take long
+    Then the filling task is to be stopped, at pace 0
--- a/features/steps/bench_sharing_steps.py
+++ b/features/steps/bench_sharing_steps.py
@@ -40,6 +40,24 @@
     assert second.filling < first.filling, context.outcomes
 
 
+@when(
+    "{count:d} fleets of many small VMs are simulated,"
+    " moving tasks and only throttling them"
+)
+def step_many_small(context, count):
+    context.outcomes_by_policy = {
+        policy: [run_one(policy, seed, 1.0, "many-small") for seed in range(count)]
+        for policy in ("as-is", "never-move")
+    }
+
+
+@then("with moves more filling work is done, and no more is over target")
+def step_moves_better(context):
+    moves, throttles = context.outcomes_by_policy.values()
+    assert sum(o.filling for o in moves) > sum(o.filling for o in throttles)
+    assert sum(o.seconds_over for o in moves) <= sum(o.seconds_over for o in throttles)
+
+
 @when('the bench of sharing is run with "{arguments}"')
 def step_run(context, arguments):
     command = [sys.executable, "-m", "bench.sharing", *arguments.split()]
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -235,3 +235,66 @@
     fleet.play(seconds=30.0)
     assert fleet.done >= LEAST_DONE, fleet.done
     assert fleet.over_share <= MOST_OVER, fleet.over_share
+
+
+@given('job "{name}" of {count:d} filling tasks of image "{image}" runs beside it')
+def step_job_beside(context, name, count, image):
+    world = context.world
+    world.now += 2.0
+    _set_estimate(context, image, 0.3)
+    step = filling(count, image=image)
+    world.submit(make_job(name, step, priority=2, accepted_at=world.wall_now))
+    world.round()
+    running = world.running_nodes(name)
+    assert running == [context.serving_node] * count, running
+    for worker in world.worker_by_node.values():
+        for key in worker.running:
+            worker.checkpoint_by_run[key] = "begun"
+    _set_estimate(context, image, 3.0)
+
+
+@then('a task of job "{name}" runs on the other VM, from its checkpoint')
+def step_moved(context, name):
+    world = context.world
+    other = next(
+        worker
+        for node, worker in world.worker_by_node.items()
+        if node != context.serving_node
+    )
+    moved = [start for key, start in other.running.items() if key.task.job == name]
+    assert moved and all(start.checkpoint == "saved" for start in moved), moved
+
+
+@then('both tasks of job "{name}" run')
+def step_both_run(context, name):
+    assert len(context.world.running_nodes(name)) == 2
+
+
+@then('job "{name}" runs where it began, throttled')
+def step_stays(context, name):
+    worker = context.world.worker_by_node[context.serving_node]
+    assert context.world.running_nodes(name) == [context.serving_node]
+    paces = [pace for key, pace in worker.pace_by_run.items() if key.task.job == name]
+    assert paces and paces[-1] < 100, worker.pace_by_run
+
+
+@when("the serving task reports {share:g} times its target, and stops take long")
+def step_over_with_slow_stops(context, share):
+    world = context.world
+    worker = world.worker_by_node[context.serving_node]
+    context.orders = []
+    for _ in range(5):
+        _report_serving_load(world, share)
+        world.report(worker)
+        context.orders += [orders for _, orders in world.decide()]
+        world.now += REPORT_SECONDS
+
+
+@then("the filling task is to be stopped, at pace 0")
+def step_stopped_at_pace_0(context):
+    stopped = [key for orders in context.orders for key in orders.stops]
+    paces = {
+        pace.key: pace.percent for orders in context.orders for pace in orders.paces
+    }
+    assert any(key.task.job == "beside" for key in stopped), context.orders
+    assert all(paces.get(key) == 0 for key in stopped), paces
