Split the job table into entries, stored records and the table

Names and logic are unchanged; _begin_through and _restore lost their underscore, as another module calls them.

--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -14,7 +14,7 @@
 
 from wagtailcleat.ids import JobId, NodeId, ServiceName, ZoneName
 from wagtailcleat.resources import Resources
-from wagtailcleat.scheduling.job_table import record_of
+from wagtailcleat.scheduling.job_records import record_of
 from wagtailcleat.scheduling.models import (
     Ended,
     Job,
--- a/features/steps/ended_runs_fuzz.py
+++ b/features/steps/ended_runs_fuzz.py
@@ -9,7 +9,9 @@
 from features.steps.scheduling_fuzz import History
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.cluster.keys import decode, encode
-from wagtailcleat.scheduling.job_table import JobEntry, JobTable, TaskState, record_of
+from wagtailcleat.scheduling.job_entry import JobEntry, TaskState
+from wagtailcleat.scheduling.job_records import record_of
+from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
--- a/features/steps/ended_runs_steps.py
+++ b/features/steps/ended_runs_steps.py
@@ -13,7 +13,7 @@
     plain,
 )
 from wagtailcleat.cluster.keys import decode
-from wagtailcleat.scheduling.job_table import record_of
+from wagtailcleat.scheduling.job_records import record_of
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
--- a/features/steps/scheduling_fuzz.py
+++ b/features/steps/scheduling_fuzz.py
@@ -14,7 +14,8 @@
     plain,
     serving,
 )
-from wagtailcleat.scheduling.job_table import TaskState, record_of
+from wagtailcleat.scheduling.job_entry import TaskState
+from wagtailcleat.scheduling.job_records import record_of
 from wagtailcleat.scheduling.models import RunEnd
 from wagtailcleat.scheduling.placement import choose
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -12,7 +12,7 @@
     plain,
     serving,
 )
-from wagtailcleat.scheduling.job_table import record_of
+from wagtailcleat.scheduling.job_records import record_of
 from wagtailcleat.scheduling.models import JobState, Refusal, RunEnd
 
 ROUNDS = 5
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -21,7 +21,7 @@
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
-from wagtailcleat.scheduling.job_table import JobEntry
+from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import (
--- a/wagtailcleat/cluster/metrics.py
+++ b/wagtailcleat/cluster/metrics.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from wagtailcleat.introspection import Introspection, Kind
-from wagtailcleat.scheduling.job_table import TaskState
+from wagtailcleat.scheduling.job_entry import TaskState
 from wagtailcleat.scheduling.scheduler import Scheduler
 
 MAX_LATENCY_MICROSECONDS = 60_000_000
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -22,7 +22,8 @@
 from wagtailcleat.cluster.leader_lease import LeaderLease
 from wagtailcleat.ids import JobId, NodeId
 from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES, KeyValueStore
-from wagtailcleat.scheduling.job_table import JobEntry, record_of
+from wagtailcleat.scheduling.job_entry import JobEntry
+from wagtailcleat.scheduling.job_records import record_of
 from wagtailcleat.scheduling.progress import CheckpointSaver
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import Compare, Conflict, Txn, WriteOutcome, Written
--- a/wagtailcleat/scheduling/advice.py
+++ b/wagtailcleat/scheduling/advice.py
@@ -12,7 +12,8 @@
 from typing import NamedTuple
 
 from wagtailcleat.ids import JobId
-from wagtailcleat.scheduling.job_table import JobEntry, JobTable, StepKey
+from wagtailcleat.scheduling.job_entry import JobEntry, StepKey
+from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.placement import fits, has_required_label
 from wagtailcleat.scheduling.ranking import rank
 from wagtailcleat.scheduling.vms import Vm
--- /dev/null
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -0,0 +1,155 @@
+"""A job with its tasks and their progress, as the leader keeps it in memory.
+
+`JobTable` holds one entry for each job and changes the states of its tasks.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wagtailcleat.ids import NodeId
+from wagtailcleat.scheduling.models import Job, JobState, RunKey, Step, TaskKey
+
+StepKey = tuple[int, int]
+"""Number of the occurrence and of the step."""
+
+
+class TaskState(Enum):
+    """State of a task."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    """A run of the task was ordered or is in progress."""
+    SUCCEEDED = "succeeded"
+
+
+@dataclass(eq=False)
+class Task:
+    """One task; `node` and `run` identify its latest run while it is placed."""
+
+    entry: "JobEntry"
+    key: TaskKey
+    step: Step
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    highest_run: int = 0
+    """The highest run number that this leader has ordered or learned of."""
+    node: NodeId | None = None
+    failed_runs: set[int] = field(default_factory=set)
+    """Numbers of the failed runs.
+
+    A worker lists an end until it is acknowledged, so a new leader may receive a
+    failure that is already stored. It must be counted once, hence the set.
+    """
+    checkpoint: str = ""
+    checkpoint_run: int = 0
+    """Number of the run that wrote the checkpoint."""
+    ready_at: float = 0.0
+    """When the task last became ready to start, in seconds on the leader's clock."""
+    failed_on: set[NodeId] = field(default_factory=set)
+    """Nodes on which runs of the task failed, as far as this leader knows."""
+
+    @property
+    def run_key(self) -> RunKey:
+        """Return the key of the latest run."""
+        return RunKey(self.key, self.run)
+
+
+@dataclass(frozen=True)
+class RemainingWork:
+    """Work that remains of one occurrence of a job, by the submitter's estimates."""
+
+    critical_path_seconds: float
+    """Length of the longest chain of unfinished steps."""
+    core_seconds: float
+    objective_seconds: float
+    """Time from the occurrence's due time within which it should finish."""
+
+
+@dataclass(eq=False)
+class JobEntry:
+    """A job with its progress."""
+
+    job: Job
+    learned_at: float
+    """When this leader learned of the job, in seconds on its own clock."""
+    state: JobState = JobState.QUEUED
+    has_begun: bool = False
+    may_start_tasks: bool = True
+    """False while agents that have not reported to this leader may run its tasks."""
+    ended_at: float = 0.0
+    """Wall clock seconds."""
+    version: int = 0
+    """Number of changes that must be stored."""
+    committed: int = 0
+    """The version that is in the store."""
+    store_revision: int = 0
+    """Store revision of the job's record; 0: there is no record."""
+    tasks_by_step: dict[StepKey, list[Task]] = field(default_factory=dict)
+    unfinished_by_step: dict[StepKey, int] = field(default_factory=dict)
+    """Number of tasks that have not succeeded."""
+    occurrences_begun: int = 0
+    waiting_by_step: dict[StepKey, int] = field(default_factory=dict)
+    """Number of tasks without a run, including those of steps that are not ready."""
+    placed_tasks: int = 0
+    """Number of tasks that have a run."""
+    unsaved_core_seconds: float = 0.0
+    """Work in checkpoints that came since the last change to be stored."""
+    remaining_work_by_occurrence: dict[int, RemainingWork] = field(default_factory=dict)
+    """A cache that `ranking` fills; an entry is dropped when a task succeeds."""
+
+    @property
+    def durable_state(self) -> JobState:
+        """The state that may be shown: a final state only once it is stored."""
+        if self.state.final and self.committed < self.version:
+            return JobState.RUNNING
+        if self.state is JobState.QUEUED and self.has_begun:
+            return JobState.RUNNING
+        return self.state
+
+    @property
+    def open(self) -> bool:
+        """Whether the job has not ended."""
+        return not self.state.final
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield every task of the occurrences that have begun."""
+        for tasks in self.tasks_by_step.values():
+            yield from tasks
+
+    def mark_changed(self) -> None:
+        """Record that the job has a change to be stored, with its checkpoints."""
+        self.version += 1
+        self.unsaved_core_seconds = 0.0
+
+    def set_task_state(self, task: Task, state: TaskState) -> None:
+        """Set a task's state and update the counts."""
+        step = (task.key.occurrence, task.key.step)
+        self.waiting_by_step[step] -= task.state is TaskState.WAITING
+        self.waiting_by_step[step] += state is TaskState.WAITING
+        self.placed_tasks -= task.state is TaskState.PLACED
+        self.placed_tasks += state is TaskState.PLACED
+        if state is TaskState.SUCCEEDED:
+            self.unfinished_by_step[step] -= 1
+            self.remaining_work_by_occurrence.pop(task.key.occurrence, None)
+        task.state = state
+
+
+def begin_through(entry: JobEntry, occurrence: int, now: float) -> None:
+    """Create the tasks of all occurrences up to and including `occurrence`."""
+    last = min(occurrence, entry.job.occurrences - 1)
+    while entry.occurrences_begun <= last:
+        _begin_occurrence(entry, entry.occurrences_begun, now)
+        entry.occurrences_begun += 1
+
+
+def _begin_occurrence(entry: JobEntry, occurrence: int, now: float) -> None:
+    for number, step in enumerate(entry.job.steps):
+        keys = [
+            TaskKey(entry.job.id, occurrence, number, position)
+            for position in range(step.count)
+        ]
+        tasks = [Task(entry, key, step, ready_at=now) for key in keys]
+        entry.tasks_by_step[occurrence, number] = tasks
+        entry.unfinished_by_step[occurrence, number] = len(tasks)
+        entry.waiting_by_step[occurrence, number] = len(tasks)
--- a/wagtailcleat/scheduling/outgoing.py
+++ b/wagtailcleat/scheduling/outgoing.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from wagtailcleat.scheduling.job_table import JobEntry
+from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import Pace, RunKey, Start
 from wagtailcleat.scheduling.token_bucket import TokenBucket
 
--- a/wagtailcleat/scheduling/placement.py
+++ b/wagtailcleat/scheduling/placement.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from wagtailcleat.ids import NodeId
-from wagtailcleat.scheduling.job_table import Task
+from wagtailcleat.scheduling.job_entry import Task
 from wagtailcleat.scheduling.models import Step
 from wagtailcleat.scheduling.vms import Vm, committed_resources
 
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -10,13 +10,8 @@
 
 from wagtailcleat.ids import Epoch, JobId, NodeId, ServiceName, ZoneName
 from wagtailcleat.scheduling.advice import Advice
-from wagtailcleat.scheduling.job_table import (
-    JobEntry,
-    JobTable,
-    StepKey,
-    Task,
-    TaskState,
-)
+from wagtailcleat.scheduling.job_entry import JobEntry, StepKey, Task, TaskState
+from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import RunKey
 from wagtailcleat.scheduling.placement import (
     Candidates,
--- a/wagtailcleat/scheduling/progress.py
+++ b/wagtailcleat/scheduling/progress.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Iterable
 
-from wagtailcleat.scheduling.job_table import JobEntry, TaskState
+from wagtailcleat.scheduling.job_entry import JobEntry, TaskState
 from wagtailcleat.scheduling.token_bucket import TokenBucket
 
 MAX_UNSAVED_CORE_SECONDS = 10.0
--- a/wagtailcleat/scheduling/ranking.py
+++ b/wagtailcleat/scheduling/ranking.py
@@ -9,7 +9,7 @@
 
 from enum import IntEnum
 
-from wagtailcleat.scheduling.job_table import JobEntry, RemainingWork, StepKey
+from wagtailcleat.scheduling.job_entry import JobEntry, RemainingWork, StepKey
 from wagtailcleat.scheduling.models import Job
 
 LATE_FACTOR = 3.0
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -14,7 +14,8 @@
 from wagtailcleat.scheduling.advice import Advice
 from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.events import Event, LoggedEvent
-from wagtailcleat.scheduling.job_table import JobEntry, JobTable, Task, TaskState
+from wagtailcleat.scheduling.job_entry import JobEntry, Task, TaskState
+from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import (
     Ended,
     Pace,
