Split the scheduler: runs on VMs, the processing of reports, and the rest

Names follow (stop, requeue, adopt, drop_all, stop_tasks); logic, log lines and counters are unchanged. Ruled out: functions that get the whole scheduler as an argument, which would hide who changes what.

--- /dev/null
+++ b/wagtailcleat/scheduling/hosted_runs.py
@@ -0,0 +1,100 @@
+"""The runs on all VMs, as the leader knows them, with the orders to stop them.
+
+The parts of the `Scheduler` share one `HostedRuns`.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from wagtailcleat.ids import NodeId
+from wagtailcleat.scheduling.dispatch import Dispatch
+from wagtailcleat.scheduling.events import Event, LoggedEvent
+from wagtailcleat.scheduling.job_entry import Task, TaskState
+from wagtailcleat.scheduling.job_table import JobTable
+from wagtailcleat.scheduling.models import RunKey
+from wagtailcleat.scheduling.vms import HostedRun, Vm
+
+
+class HostedRuns:
+    """The VMs with their runs, and the events of these for the log and metrics."""
+
+    def __init__(self, job_table: JobTable, dispatch: Dispatch) -> None:
+        """Start without VMs; runs are of the jobs in `job_table`."""
+        self.vm_by_node: dict[NodeId, Vm] = {}
+        self.count_by_event: Counter[str] = Counter()
+        self._job_table = job_table
+        self._dispatch = dispatch
+        self._logged_events: list[LoggedEvent] = []
+        """Events since the last call of `take_logged_events`."""
+
+    def __repr__(self) -> str:
+        """Show the number of VMs."""
+        return f"<HostedRuns on {len(self.vm_by_node)} VMs>"
+
+    def adopt(self, vm: Vm, key: RunKey, now: float) -> HostedRun | None:
+        """Return a run that an agent has reported, and add it if it is not known.
+
+        Return None if its job is not known.
+        """
+        hosted = vm.hosted_by_run.get(key)
+        if hosted is not None:
+            return hosted
+        entry = self._job_table.entry_by_id.get(key.task.job)
+        if entry is None or key.task.step >= len(entry.job.steps):
+            return None
+        # A run of a job that ended under an earlier leader occupies resources until its
+        # end is listed, although the job has no tasks in the table any more.
+        hosted = HostedRun(key, entry.job.steps[key.task.step], now, checkpoint_at=now)
+        vm.host_run(hosted)
+        self._job_table.begin_occurrence_of(key, now=now)
+        task = self._job_table.find_task(key.task)
+        if task is None:
+            self.stop(vm, hosted, now, "not wanted any more")
+            return hosted
+        stale = task.run > key.run and task.state is TaskState.PLACED
+        if stale or not task.entry.open or task.state is TaskState.SUCCEEDED:
+            self.stop(vm, hosted, now, "not wanted any more")
+        else:
+            self._job_table.mark_placed(task, key.run, vm.node)
+            self.record_event(Event.ADOPTED, key, vm, "listed by its worker")
+        return hosted
+
+    def stop(self, vm: Vm, hosted: HostedRun, now: float, why: str = "") -> None:
+        """Order that a run stops; `why` is for the log."""
+        self.record_event(Event.STOPPED, hosted.key, vm, why)
+        hosted.stopping = True
+        hosted.stop_at = now
+        vm.mark_changed(now)
+        self._dispatch.pending(vm.node).stops.append(hosted.key)
+
+    def stop_tasks(self, tasks: Iterable[Task], now: float) -> None:
+        """Order that all runs of these tasks stop, because these have ended."""
+        wanted = {task.key for task in tasks}
+        for vm in self.vm_by_node.values():
+            for hosted in vm.hosted_by_run.values():
+                if hosted.key.task in wanted and not hosted.stopping:
+                    self.stop(vm, hosted, now, "its job or task has ended")
+
+    def drop_all(self, vm: Vm, now: float, why: str) -> None:
+        """Remove all runs of a VM, whose tasks wait again; `why` is for the log."""
+        for key in list(vm.hosted_by_run):
+            self.record_event(Event.GONE, key, vm, why)
+            vm.drop_run(key)
+            self.requeue(key, now)
+
+    def requeue(self, key: RunKey, now: float) -> None:
+        """Let a task wait again, if the run that has ended is its latest."""
+        task = self._job_table.find_task(key.task)
+        if task is not None and task.run == key.run:
+            self._job_table.requeue(task, now)
+
+    def record_event(self, event: Event, run: RunKey, vm: Vm, why: str) -> None:
+        """Record an event for the log, and count it."""
+        self._logged_events.append(LoggedEvent(event, run, vm.node, why))
+        counted = f"{event.value}: {why}" if event is Event.ENDED else event.value
+        self.count_by_event[counted] += 1
+
+    def take_logged_events(self) -> list[LoggedEvent]:
+        """Return the events since the last call."""
+        logged, self._logged_events = self._logged_events, []
+        return logged
