Split the hosting of runs: the worker's incarnation, the orders, and the rest

Names follow (hosting.orders.start); order of calls, log lines and the public names of outcomes are unchanged. Ruled out: splitting by message kind, which would part a start from the lists that settle it.

--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -171,7 +171,7 @@
     context.start = Start(RunKey(TaskKey(JobId("aa" * 8), 0, 0, 0), 1), "")
 
     async def order():
-        world.hosting.start(context.start)
+        world.hosting.orders.start(context.start)
 
     world.loop.run_until_complete(order())
 
@@ -179,5 +179,5 @@
 @then("that start is refused at once")
 def step_start_refused(context):
     world = context.hosting_world
-    world.until(lambda: not world.hosting.unsettled_by_run)
-    assert context.start.key in world.hosting.refusal_by_run
+    world.until(lambda: not world.hosting.orders.unsettled_by_run)
+    assert context.start.key in world.hosting.orders.refusal_by_run
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -97,8 +97,8 @@
             hosting.listed,
             hosting.running,
             hosting.ended,
-            list(hosting.unsettled_by_run),
-            list(hosting.refusal_by_run.items()),
+            list(hosting.orders.unsettled_by_run),
+            list(hosting.orders.refusal_by_run.items()),
             hosting.silent_seconds(now),
             hosting.lease_seconds(now),
             orders_taken,
@@ -109,15 +109,15 @@
 
     def _answered(self, report: Report) -> None:
         for key, _ in report.refused:
-            self.hosting.refusal_by_run.pop(key, None)
+            self.hosting.orders.refusal_by_run.pop(key, None)
 
     def _take_orders(self, orders: Orders) -> None:
         for start in orders.starts:
-            self.hosting.start(start)
+            self.hosting.orders.start(start)
         for key in orders.stops:
-            self.hosting.stop(key)
+            self.hosting.orders.stop(key)
         for pace in orders.paces:
-            self.hosting.pace(pace)
+            self.hosting.orders.pace(pace)
         self.hosting.acknowledge(orders.born, orders.acknowledged)
 
     def _add_metrics(self) -> None:
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -6,11 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.run_orders import RunOrders
 from wagtailcleat.cluster.settings import split_address
 from wagtailcleat.cluster.timing import (
     CLOCK_DRIFT_FACTOR,
@@ -20,6 +19,7 @@
     WORKER_CALL_SECONDS,
     WORKER_SILENT_SECONDS,
 )
+from wagtailcleat.cluster.worker_incarnation import WorkerIncarnation
 from wagtailcleat.ids import ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.heartbeats import Heartbeat
@@ -29,15 +29,10 @@
     RunList,
     RunWorker,
     StaleFence,
-    StartOutcome,
 )
 from wagtailcleat.scheduling.models import (
     Ended,
-    Pace,
-    Refusal,
-    RunKey,
     Running,
-    Start,
     WorkerInfo,
     WorkerState,
 )
@@ -61,44 +56,12 @@
 """Refused connections in a row, 0.1 s apart, that show that the worker has ended."""
 LEASE_EXPIRY_MARGIN_SECONDS = 0.2
 """How long after its lease has expired a run is assumed to continue."""
-FRESH_LISTS = 2
-"""Lists to wait for until one shows the effect of an order.
-
-The list that was in progress when the order was answered may not show it.
-"""
-
-
-@dataclass(eq=False)
-class _WorkerIncarnation:
-    """One incarnation of the worker, with its runs and leases as last known."""
-
-    worker: RunWorker
-    born: int
-    address: str
-    instance: str
-    clock_ahead: float = 0.0
-    """How far the worker's clock is ahead of this VM's, at least, in seconds."""
-    lists_answered: int = 0
-    """Number of answered lists."""
-    listed_at: float = 0.0
-    running: list[Running] = field(default_factory=list)
-    ended: list[Ended] = field(default_factory=list)
-    has_all_ends: bool = True
-    """Whether the last list contains every unacknowledged end."""
-    acknowledged: int = 0
-    lease_until: float = 0.0
-    """The latest time at which the leases expire, on this VM's clock."""
-    runs_lost: bool = False
-    """Whether the worker's runs count as lost since the last list."""
-    refusals: int = 0
-    """Number of connections refused in a row."""
 
 
 class Hosting:
     """The worker of this VM and its runs.
 
-    `info` is None until the first heartbeat. `unsettled_by_run` has the starts whose
-    outcome is not known yet, `refusal_by_run` the runs that were not started.
+    `info` is None until the first heartbeat. `orders` carries out the leader's orders.
     """
 
     def __init__(
@@ -123,8 +86,6 @@
         self.info: WorkerInfo | None = None
         self.left = False
         """Whether the worker has left for good and no other one has begun."""
-        self.unsettled_by_run: dict[RunKey, Start] = {}
-        self.refusal_by_run: dict[RunKey, Refusal] = {}
         self._clock = clock
         self._own_host = own_host
         self._lease = min(RUN_LEASE_SECONDS, lease_limit)
@@ -132,11 +93,16 @@
         self._leader_contact_at = leader_contact_at
         self._is_zone_out = is_zone_out
         self._on_change = on_change
-        self._incarnation: _WorkerIncarnation | None = None
+        self._incarnation: WorkerIncarnation | None = None
         self._last_sequence = -1
         self._worker_known = asyncio.Event()
-        self._listed = asyncio.Condition()
-        self._work: set[asyncio.Task[None]] = set()
+        self.orders = RunOrders(
+            clock=clock,
+            current=lambda: self._incarnation,
+            may_start=self._can_start,
+            renew_lease=self._renew_lease,
+            on_change=on_change,
+        )
 
     def __repr__(self) -> str:
         """Show the worker and its number of runs."""
@@ -241,7 +207,7 @@
             "Worker began",
             extra={"worker": worker.id, "born": worker.born, "fence": fence},
         )
-        self._incarnation = _WorkerIncarnation(
+        self._incarnation = WorkerIncarnation(
             RunWorker(
                 heartbeat.address,
                 worker.id,
@@ -261,10 +227,7 @@
             CLOSE_DELAY_SECONDS, self._incarnation.worker.close
         )
         self._incarnation = None
-        for task in self._work:
-            task.cancel()
-        self.unsettled_by_run.clear()
-        self.refusal_by_run.clear()
+        self.orders.cancel()
 
     async def run(self) -> None:
         """Renew leases and list runs until cancelled."""
@@ -283,11 +246,9 @@
                 self._lose_runs_after_lease(incarnation)
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
-    async def _list_runs(self, incarnation: _WorkerIncarnation) -> bool:
+    async def _list_runs(self, incarnation: WorkerIncarnation) -> bool:
         sent_at = self._clock()
-        until = self._lease_until(incarnation, sent_at)
-        if until is not None:
-            incarnation.lease_until = max(incarnation.lease_until, until)
+        until = self._renew_lease(incarnation, sent_at)
         answer = await incarnation.worker.list(
             acknowledged=incarnation.acknowledged,
             until=None if until is None else until + incarnation.clock_ahead,
@@ -313,7 +274,7 @@
             self._record_refusal(incarnation)
         return False
 
-    def _record_refusal(self, incarnation: _WorkerIncarnation) -> None:
+    def _record_refusal(self, incarnation: WorkerIncarnation) -> None:
         # On this VM's own address the kernel refuses a connection only if no process
         # listens, so the worker's runs have ended with it. For any other address, the
         # network may refuse while the worker is still running. Its tasks would then
@@ -324,7 +285,7 @@
         if incarnation.refusals >= REFUSALS_UNTIL_LOST and not incarnation.runs_lost:
             self._lose_runs(incarnation, "nobody listens at its port")
 
-    def _lease_until(self, incarnation: _WorkerIncarnation, now: float) -> float | None:
+    def _lease_until(self, incarnation: WorkerIncarnation, now: float) -> float | None:
         if (
             not incarnation.lists_answered
             or now - incarnation.listed_at > WORKER_SILENT_SECONDS
@@ -338,7 +299,7 @@
         return until if until > now else None
 
     async def _apply_list(
-        self, incarnation: _WorkerIncarnation, answer: RunList
+        self, incarnation: WorkerIncarnation, answer: RunList
     ) -> bool:
         now = self._clock()
         if answer.born and answer.born != incarnation.born:
@@ -361,13 +322,12 @@
         if incarnation.lists_answered == 1:
             max_lease = self._lease * CLOCK_DRIFT_FACTOR
             incarnation.lease_until = max(incarnation.lease_until, now + max_lease)
-        async with self._listed:
-            self._listed.notify_all()
+        await self.orders.notify_listed()
         if changed:
             self._on_change()
         return True
 
-    def _lose_runs_after_lease(self, incarnation: _WorkerIncarnation) -> None:
+    def _lose_runs_after_lease(self, incarnation: WorkerIncarnation) -> None:
         # A worker that can't be reached kills its runs when their leases expire. A
         # delayed start that still arrives has an expired lease, and is refused.
         now = self._clock()
@@ -380,33 +340,15 @@
             return
         self._lose_runs(incarnation, "its leases have lapsed")
 
-    def _lose_runs(self, incarnation: _WorkerIncarnation, why: str) -> None:
+    def _lose_runs(self, incarnation: WorkerIncarnation, why: str) -> None:
         incarnation.runs_lost = True
         incarnation.running = []
         # Ends that its last list had no room for will never be listed.
         incarnation.has_all_ends = True
         log.warning("Runs are lost", extra={"worker": incarnation.instance, "why": why})
-        for task in self._work:
-            task.cancel()
-        for key in list(self.unsettled_by_run):
-            self._refuse(key, Refusal.NEVER_RAN)
+        self.orders.lose_runs()
         self._on_change()
 
-    def start(self, start: Start) -> None:
-        """Start a run in the background; reports contain its outcome."""
-        if start.key in self.unsettled_by_run:
-            return
-        self.unsettled_by_run[start.key] = start
-        self._spawn(self._start(start))
-
-    def stop(self, key: RunKey) -> None:
-        """Stop a run, or prevent it from starting."""
-        self._spawn(self._stop(key))
-
-    def pace(self, pace: Pace) -> None:
-        """Limit a run to a share of its processor time."""
-        self._spawn(self._pace(pace))
-
     def acknowledge(self, born: int, number: int) -> None:
         """Let the worker delete its ends up to `number`.
 
@@ -416,17 +358,6 @@
         if incarnation is not None and incarnation.born == born:
             incarnation.acknowledged = max(incarnation.acknowledged, number)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._work.add(task)
-        task.add_done_callback(self._work.discard)
-
-    def _refuse(self, key: RunKey, why: Refusal) -> None:
-        self.unsettled_by_run.pop(key, None)
-        self.refusal_by_run[key] = why
-        log.info("Run did not start", extra={"run": str(key), "why": why.value})
-        self._on_change()
-
     def _can_start(self) -> bool:
         info = self.info
         return (
@@ -436,88 +367,9 @@
             and self._may_start()
         )
 
-    async def _start(self, start: Start) -> None:
-        incarnation = self._incarnation
-        if (
-            incarnation is None
-            or not incarnation.lists_answered
-            or incarnation.runs_lost
-            or not self._can_start()
-        ):
-            self._refuse(start.key, Refusal.NOT_ALLOWED)
-            return
-        now = self._clock()
+    def _renew_lease(self, incarnation: WorkerIncarnation, now: float) -> float | None:
+        """Return until when leases may last from now on; None if they may not."""
         until = self._lease_until(incarnation, now)
-        if until is None:
-            self._refuse(start.key, Refusal.NOT_ALLOWED)
-            return
-        incarnation.lease_until = max(incarnation.lease_until, until)
-        outcome = await incarnation.worker.start(
-            start, until=until + incarnation.clock_ahead
-        )
-        if isinstance(outcome, Refusal):
-            self._refuse(start.key, outcome)
-        elif isinstance(outcome, OtherIncarnation):
-            self._refuse(start.key, Refusal.NEVER_RAN)
-        elif outcome is StartOutcome.STARTED:
-            await self._wait_until_listed(incarnation, start.key)
-        else:
-            log.info("Start was not answered", extra={"run": str(start.key)})
-            await self._resolve_unknown_start(incarnation, start.key)
-
-    async def _wait_until_listed(
-        self, incarnation: _WorkerIncarnation, key: RunKey
-    ) -> bool:
-        """Wait for a list that must contain the run; return whether it does."""
-        wanted = incarnation.lists_answered + FRESH_LISTS
-        async with self._listed:
-            await self._listed.wait_for(
-                lambda: (
-                    _is_list_complete(incarnation, wanted)
-                    or _is_listed(incarnation, key)
-                )
-            )
-        self.unsettled_by_run.pop(key, None)
-        return _is_listed(incarnation, key)
-
-    async def _resolve_unknown_start(
-        self, incarnation: _WorkerIncarnation, key: RunKey
-    ) -> None:
-        # The start may be carried out seconds later. After a stop, the worker refuses
-        # the run if it has not started yet, and ends it otherwise.
-        async with self._listed:
-            if _is_listed(incarnation, key):
-                self.unsettled_by_run.pop(key, None)
-                return
-        await self._stop(key)
-        wanted = incarnation.lists_answered + FRESH_LISTS
-        async with self._listed:
-            await self._listed.wait_for(lambda: _is_list_complete(incarnation, wanted))
-        if _is_listed(incarnation, key):
-            self.unsettled_by_run.pop(key, None)
-        else:
-            self._refuse(key, Refusal.NEVER_RAN)
-
-    async def _stop(self, key: RunKey) -> None:
-        incarnation = self._incarnation
-        while incarnation is not None and incarnation is self._incarnation:
-            if await incarnation.worker.stop(key):
-                return
-            await asyncio.sleep(RETRY_PAUSE_SECONDS)
-
-    async def _pace(self, pace: Pace) -> None:
-        incarnation = self._incarnation
-        if incarnation is not None:
-            await incarnation.worker.pace(pace.key, pace.percent)
-
-
-def _is_list_complete(incarnation: _WorkerIncarnation, wanted: int) -> bool:
-    # A run may be missing because the list had no room for its end, which does not
-    # mean that it never ran.
-    return incarnation.lists_answered >= wanted and incarnation.has_all_ends
-
-
-def _is_listed(incarnation: _WorkerIncarnation, key: RunKey) -> bool:
-    return any(running.key == key for running in incarnation.running) or any(
-        ended.key == key for ended in incarnation.ended
-    )
+        if until is not None:
+            incarnation.lease_until = max(incarnation.lease_until, until)
+        return until
--- /dev/null
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -0,0 +1,46 @@
+"""One incarnation of the worker on an agent's VM, as the agent knows it."""
+
+from dataclasses import dataclass, field
+
+from wagtailcleat.platform.runs import RunWorker
+from wagtailcleat.scheduling.models import Ended, RunKey, Running
+
+
+@dataclass(eq=False)
+class WorkerIncarnation:
+    """One incarnation of the worker, with its runs and leases as last known."""
+
+    worker: RunWorker
+    born: int
+    address: str
+    instance: str
+    clock_ahead: float = 0.0
+    """How far the worker's clock is ahead of this VM's, at least, in seconds."""
+    lists_answered: int = 0
+    """Number of answered lists."""
+    listed_at: float = 0.0
+    running: list[Running] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
+    has_all_ends: bool = True
+    """Whether the last list contains every unacknowledged end."""
+    acknowledged: int = 0
+    lease_until: float = 0.0
+    """The latest time at which the leases expire, on this VM's clock."""
+    runs_lost: bool = False
+    """Whether the worker's runs count as lost since the last list."""
+    refusals: int = 0
+    """Number of connections refused in a row."""
+
+
+def is_list_complete(incarnation: WorkerIncarnation, wanted: int) -> bool:
+    """Return whether `wanted` lists were answered and the last one has every end."""
+    # A run may be missing because the list had no room for its end, which does not
+    # mean that it never ran.
+    return incarnation.lists_answered >= wanted and incarnation.has_all_ends
+
+
+def is_listed(incarnation: WorkerIncarnation, key: RunKey) -> bool:
+    """Return whether the last list has a run, in progress or ended."""
+    return any(running.key == key for running in incarnation.running) or any(
+        ended.key == key for ended in incarnation.ended
+    )
