Set the pace anew of runs that an earlier leader may have throttled

Cause, found by reading: a new leader took each run that it adopts for one at full pace. If its predecessor had throttled the run, a target of full pace was no change, so no order was sent and the run crawled on until the room fell below 90% and rose again, or until it ended.

Ruled out: a full pace for all at a change of leader (a moment without any throttling); the pace in the agent's reports (a field that old agents lack; the order costs nothing, calls on the own VM are free).

Change: the pace of an adopted run counts as unknown until it is ordered once.

Measured: the scenario failed before (pace 0 two seconds after nobody serves any more) and passes now.

--- a/features/scheduling/sharing.feature
+++ b/features/scheduling/sharing.feature
@@ -132,3 +132,12 @@
     And a filling task of image "heavy" runs beside it
     When the serving task reports 3 times its target, and stops take long
     Then the filling task is to be stopped, at pace 0
+
+  Scenario: A new leader does not know the paces that the one before has set
+    # Guards against tasks that stay throttled after a change of leader.
+    Given 1 VM of 32 cores
+    And a serving task runs, at 0.3 of its target
+    And a filling task without checkpoints of image "heavy" runs beside it
+    When the serving task reports 2 times its target for 1 s
+    And another leader takes over, and the serving task's job is cancelled
+    Then the filling task works at full pace
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -298,3 +298,16 @@
     }
     assert any(key.task.job == "beside" for key in stopped), context.orders
     assert all(paces.get(key) == 0 for key in stopped), paces
+
+
+@when("another leader takes over, and the serving task's job is cancelled")
+def step_next_leader(context):
+    world = context.world
+    jobs = [entry.job for entry in world.scheduler.job_table.entry_by_id.values()]
+    paces = list(world.worker_by_node["vm-1"].pace_by_run.values())
+    assert paces[-1] < 100, paces
+    world.worker_by_node["vm-1"].orders_taken = 0
+    world.lead(epoch=2)
+    for job in jobs:
+        world.submit(job)
+    step_serving_cancelled(context, 2)
--- a/wagtailcleat/scheduling/hosted_runs.py
+++ b/wagtailcleat/scheduling/hosted_runs.py
@@ -44,7 +44,8 @@
             return None
         # A run of a job that ended under an earlier leader occupies resources until its
         # end is listed, although the job has no tasks in the table any more.
-        hosted = HostedRun(key, entry.job.steps[key.task.step], now, checkpoint_at=now)
+        step = entry.job.steps[key.task.step]
+        hosted = HostedRun(key, step, now, checkpoint_at=now, pace_is_known=False)
         vm.host_run(hosted)
         self._job_table.begin_occurrence_of(key, now=now)
         task = self._job_table.find_task(key.task)
--- a/wagtailcleat/scheduling/pacing.py
+++ b/wagtailcleat/scheduling/pacing.py
@@ -141,7 +141,7 @@
             added_by_image[image] -= _added(sharing, vm, image, run)
     for run in staying:
         pace = _target_pace(sharing, vm, run, room_by_job, added_by_image)
-        if pace <= run.pace - MIN_PACE_DECREASE:
+        if not run.pace_is_known or pace <= run.pace - MIN_PACE_DECREASE:
             actions.append(PaceAction(run, pace, why))
         elif pace >= run.pace + MIN_PACE_INCREASE or pace == FULL_PACE > run.pace:
             pace = min(pace, run.pace + MAX_PACE_INCREASE)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -151,6 +151,7 @@
             return
         self._runs.record_event(Event.PACED, hosted.key, vm, f"{pace}: {action.why}")
         hosted.pace = pace
+        hosted.pace_is_known = True
         vm.mark_changed(now)
         self._dispatch.pending(vm.node).paces.append(Pace(hosted.key, pace))
 
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -68,6 +68,8 @@
     """The last measurement in a report, see `Running`."""
     pace: int = 100
     """Percentage of its processor time that the run may use."""
+    pace_is_known: bool = True
+    """False for a run of an earlier leader, which may have throttled it."""
     reason: StartReason | None = None
     """Why the run was started; None if an earlier leader started it."""
 
