--- a/bench/batch.py
+++ b/bench/batch.py
@@ -30,9 +30,9 @@
     Action,
     Evict,
     InterferenceController,
-    LatencySummary,
     Neighbour,
 )
+from wagtailcleat.agent.latency_window import LatencySummary
 from wagtailcleat.agent.neighbours import NeighbourMonitor
 from wagtailcleat.batch.owner import Owner
 from wagtailcleat.batch.record import TaskState
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -15,10 +15,10 @@
 from wagtailcleat.agent.interference import (
     Evict,
     InterferenceController,
-    LatencySummary,
     Neighbour,
     Throttle,
 )
+from wagtailcleat.agent.latency_window import LatencySummary
 from wagtailcleat.batch.usage_estimates import MIN_SAMPLES, Sample, UsageEstimates
 from wagtailcleat.ids import AttemptId, ServiceName, TeamName
 from wagtailcleat.resources import Resources
--- a/wagtailcleat/agent/neighbours.py
+++ b/wagtailcleat/agent/neighbours.py
@@ -12,11 +12,10 @@
     Action,
     Evict,
     InterferenceController,
-    LatencySummary,
-    LatencyWindow,
     Neighbour,
     Throttle,
 )
+from wagtailcleat.agent.latency_window import LatencySummary, LatencyWindow
 from wagtailcleat.agent.services import Services
 from wagtailcleat.ids import AttemptId, ServiceName
 from wagtailcleat.logs import part_logger
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.advice_questions import ask_advice
 from wagtailcleat.cluster.interference_store import persist_interference
 from wagtailcleat.cluster.jobs import Jobs, list_until_answered
 from wagtailcleat.cluster.keys import (
@@ -67,11 +68,7 @@
 """Pause before starts that the link's rate has delayed are tried again."""
 MAX_ROUND_INTERVAL_SECONDS = 0.25
 """Longest time between two rounds: no event tells of due jobs or expired leases."""
-RETRY_PAUSE_SECONDS = 0.2
-"""Pause after a call to the store that failed."""
 ORDERS_TIMEOUT_SECONDS = 0.8
-ADVICE_POLL_SECONDS = 0.05
-"""Pause before checking again whether a step waits for advice."""
 ENTRIES_INTERVAL_SECONDS = 5.0
 """How often a leader announces itself and checks the other entries."""
 ENTRIES_RESTORING_INTERVAL_SECONDS = 0.5
@@ -364,39 +361,14 @@
         task.add_done_callback(self._sending.discard)
 
     async def _ask_advice(self, service: AdviceService) -> None:
-        scheduler = self.scheduler
-        while True:
-            question = None
-            if self.acting:
-                question = scheduler.advice.question(
-                    scheduler.job_table,
-                    scheduler.vm_by_node.values(),
-                    now=self._now,
-                    wall_now=self._wall_clock(),
-                )
-            if question is None:
-                await asyncio.sleep(ADVICE_POLL_SECONDS)
-                continue
-            granted = await service.ask(question)
-            if granted is None:
-                log.warning(
-                    "Advice service did not answer", extra={"job": question.job}
-                )
-                await asyncio.sleep(RETRY_PAUSE_SECONDS)
-                continue
-            until = self._now + granted.valid_seconds
-            scheduler.advice.take(question, granted.ticket_by_worker, until=until)
-            scheduler.advice.forget_ended(scheduler.job_table)
-            log.info(
-                "Advice received",
-                extra={
-                    "job": question.job,
-                    "step": question.step[1],
-                    "asked": len(question.workers),
-                    "granted": len(granted.ticket_by_worker),
-                },
-            )
-            self._wake.set()
+        await ask_advice(
+            service,
+            self.scheduler,
+            acting=lambda: self.acting,
+            clock=self._clock,
+            wall_clock=self._wall_clock,
+            on_granted=self._wake.set,
+        )
 
     async def _persist_interference(self) -> None:
         interference = self.scheduler.sharing.interference
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -18,12 +18,13 @@
 import asyncio
 import contextlib
 import math
-from enum import Enum
+from functools import partial
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.claims import NO_LEADER, ClaimReason, Claims
 from wagtailcleat.cluster.keys import LEADER_KEY, ProcessInfo
 from wagtailcleat.cluster.leader_lease import LeadCallback, LeaderLease
+from wagtailcleat.cluster.leader_probe import ProbeResult, probe_leader
 from wagtailcleat.cluster.lease_renewer import STEP_DOWN_TRIES, LeaseRenewer
 from wagtailcleat.cluster.other_entries import (
     OtherEntries,
@@ -35,7 +36,6 @@
     ESTABLISHED_LEADER_SECONDS,
     LEADER_LEASE_SECONDS,
     PROBE_INTERVAL_SECONDS,
-    PROBE_TIMEOUT_SECONDS,
     REFUSED_CLAIM_AFTER_SECONDS,
     REFUSED_PROBE_INTERVAL_SECONDS,
 )
@@ -43,7 +43,6 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.wire.messages import AnyMessage
-from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Identity, Peers
 from wagtailcleat.wire.scheduling import (
     Follows,
@@ -74,17 +73,6 @@
 """Equals no revision of a key in the store."""
 
 
-class _ProbeResult(Enum):
-    """What a probe shows about the leader's process."""
-
-    LEADS = "leads"
-    REPLACED = "replaced"
-    """Another incarnation answers at the leader's address: the process has ended."""
-    REFUSED = "refused"
-    """The VM or the network refuses connections: the process may still be alive."""
-    SILENT = "silent"
-
-
 class Leadership:
     """One entry's part in leader election: follow the leader, and replace it.
 
@@ -123,7 +111,14 @@
         self._asked_to_claim = asyncio.Event()
         self._handed_over_epoch = Epoch(0)
         """Epoch whose leader has stepped down in favour of this entry."""
-        self._refused = refused
+        self._probe = partial(
+            probe_leader,
+            identity=identity,
+            own_info=own_info,
+            peers=peers,
+            refused=refused,
+            learn=self._learn,
+        )
         self._other_entries = OtherEntries(
             own_info, store=store, peers=peers, clock=clock
         )
@@ -299,16 +294,16 @@
 
     async def _check_leader(self) -> LeaderLease | None:
         asked_epoch = self.leader.epoch
-        result = await self._probe_leader()
+        result = await self._probe(self.leader)
         self._check_interval = (
             REFUSED_PROBE_INTERVAL_SECONDS
-            if result is _ProbeResult.REFUSED
+            if result is ProbeResult.REFUSED
             else PROBE_INTERVAL_SECONDS
         )
         if not self._claims.has_read:
             # This entry makes no promise to a leader before it has read who leads.
             await self._claims.read()
-        if result is _ProbeResult.LEADS or not self.may_claim:
+        if result is ProbeResult.LEADS or not self.may_claim:
             self._refused_heartbeat_revision = None
             self._deferring_since = None
             return None
@@ -327,12 +322,12 @@
         if last_read.leader.node == self._identity.node and at_own_address:
             return await self._claim(ClaimReason.OWN)
         if last_read.leader.epoch != asked_epoch:
-            result = _ProbeResult.SILENT
+            result = ProbeResult.SILENT
         self._record_refusal(result)
         return await self._replace(result)
 
-    def _record_refusal(self, result: _ProbeResult) -> None:
-        if result is not _ProbeResult.REFUSED:
+    def _record_refusal(self, result: ProbeResult) -> None:
+        if result is not ProbeResult.REFUSED:
             self._refused_heartbeat_revision = None
         elif self._refused_heartbeat_revision is None:
             established = self._clock() - self._learned_at >= ESTABLISHED_LEADER_SECONDS
@@ -342,13 +337,13 @@
                 else NO_REVISION
             )
 
-    async def _replace(self, result: _ProbeResult) -> LeaderLease | None:
+    async def _replace(self, result: ProbeResult) -> LeaderLease | None:
         """Claim in place of the leader last read, if there is a reason to."""
         now = self._clock()
         unchanged_for = now - self._claims.last_read.heartbeat_seen_at
         if self._claims.last_read.heartbeat.stepped_down:
             return await self._claim_after_larger(ClaimReason.STEPPED_DOWN)
-        if result is _ProbeResult.REPLACED:
+        if result is ProbeResult.REPLACED:
             return await self._claim_after_larger(ClaimReason.REPLACED)
         if unchanged_for >= CLAIM_AFTER_SECONDS and now >= self._promised_until:
             return await self._claim_after_larger(ClaimReason.HEARTBEAT_STOPPED)
@@ -356,7 +351,7 @@
             self._claims.last_read.heartbeat_revision
             == self._refused_heartbeat_revision
         )
-        if result is _ProbeResult.REFUSED and (
+        if result is ProbeResult.REFUSED and (
             may_claim_at_once or unchanged_for >= REFUSED_CLAIM_AFTER_SECONDS
         ):
             return await self._claim_after_larger(ClaimReason.REFUSED)
@@ -385,34 +380,3 @@
             # The leader may act on a promise that this entry has made meanwhile.
             return None
         return await self._claims.claim(reason)
-
-    async def _probe_leader(self) -> _ProbeResult:
-        leader = self.leader
-        if not leader.epoch or leader.node == self._identity.node:
-            return _ProbeResult.SILENT
-        stream = await self._peers.stream(leader.host, leader.port)
-        if isinstance(stream, Lost):
-            refused = await self._refused(leader.host, leader.port)
-            return _ProbeResult.REFUSED if refused else _ProbeResult.SILENT
-        own = self._own_info
-        question = WhoLeads(own.host, own.port, own.incarnation, own.weight)
-        answer = await stream.call(question, timeout=PROBE_TIMEOUT_SECONDS)
-        if isinstance(answer, Leads):
-            await self._learn(answer)
-            if stream.peer == leader.node and (
-                stream.peer_incarnation != leader.incarnation
-            ):
-                # The other incarnation has just answered, so the leader's process at
-                # this address has ended. An open connection alone proves nothing: one
-                # to an earlier incarnation looks open for long if its VM lost power.
-                return _ProbeResult.REPLACED
-            if answer.epoch == leader.epoch and answer.node != leader.node:
-                return _ProbeResult.SILENT
-            # An older epoch proves nothing: a leader learns its own epoch only from
-            # the store's answer to its claim, when others may have read it already.
-            return (
-                _ProbeResult.LEADS
-                if answer.epoch >= leader.epoch
-                else _ProbeResult.SILENT
-            )
-        return _ProbeResult.SILENT
