Make a second attempt to connect to a peer after 0.2 s

Cause: a packet that opens a connection to a VM without power is lost, and the kernel repeats it after a second.

Ruled out: a shorter limit for connecting (a busy peer may take longer to answer the hello); announcements repeated by the leader alone (agents and entries would still wait for each other).

Change: wire/connecting.py begins another attempt each 0.2 s until one is established or refused, and closes the ones that come later.

--- a/wagtailcleat/wire/peers.py
+++ b/wagtailcleat/wire/peers.py
@@ -10,13 +10,12 @@
 from dataclasses import dataclass
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import BlockingResolver
-from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
 from wagtailcleat.errors import HelloError, StreamError
 from wagtailcleat.ids import Incarnation, NodeId
 from wagtailcleat.logs import part_logger
+from wagtailcleat.wire.connecting import connect
 from wagtailcleat.wire.frames import Frame, FrameKind, FrameReader, encode
 from wagtailcleat.wire.handshake import PROTOCOL_VERSION, Hello, Proof, Role
 from wagtailcleat.wire.limits import StreamTiming
@@ -234,10 +233,7 @@
         connection: IOStream | None = None
         try:
             async with asyncio.timeout(self._timing.connect):
-                # Addresses are numeric: resolving does not block and needs no thread.
-                connection = await TCPClient(resolver=BlockingResolver()).connect(
-                    *address
-                )
+                connection = await connect(*address, timeout=self._timing.connect)
                 connection.set_nodelay(True)
                 hello, early_frames = await _handshake(
                     connection, self._identity, "opening", reader
