--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -30,3 +30,10 @@
     Then the task still counts as running
     When the leave of its present incarnation arrives
     Then its worker has left
+
+  Scenario: A burst of orders to a worker
+    # Guards against a connection opened for each order of a burst, and closed after it.
+    Given a worker that counts the connections to it
+    When 30 runs are started at one time, three times in a row
+    Then all of them have started
+    And 4 connections were opened at most
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -12,6 +12,7 @@
 from wagtailcleat.cluster.timing import RUN_CONTACT_LIMIT_SECONDS
 from wagtailcleat.ids import JobId, ServiceName, ZoneName
 from wagtailcleat.platform.heartbeats import Heartbeat, decode_leave
+from wagtailcleat.platform.runs import RunWorker, StartOutcome
 from wagtailcleat.resources import Resources
 from wagtailcleat.scheduling.models import (
     RunKey,
@@ -181,3 +182,55 @@
     world = context.hosting_world
     world.until(lambda: not world.hosting.orders.unsettled_by_run)
     assert context.start.key in world.hosting.orders.refusal_by_run
+
+
+class _StartHandler(RequestHandler):
+    def initialize(self, connections):
+        self.connections = connections
+
+    async def post(self):
+        self.connections.add(self.request.connection.stream.socket.getpeername())
+        await asyncio.sleep(POLL_SECONDS)
+        self.finish(json.dumps({"clockMs": 1000}))
+
+
+@given("a worker that counts the connections to it")
+def step_counting_worker(context):
+    context.connections = set()
+    handler = ("/run-start", _StartHandler, {"connections": context.connections})
+    context.application = Application([handler])
+
+
+@when("{count:d} runs are started at one time, three times in a row")
+def step_burst(context, count):
+    async def main():
+        sockets = bind_sockets(0, OWN_HOST)
+        server = HTTPServer(context.application)
+        server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        worker = RunWorker(f"{OWN_HOST}:{port}", "i-1", fence=1, call_seconds=5.0)
+        outcomes = []
+        for burst in range(3):
+            starts = [
+                Start(RunKey(TaskKey("00ff00ff00ff00ff", 0, 0, n), burst + 1), "x")
+                for n in range(count)
+            ]
+            outcomes += await asyncio.gather(
+                *(worker.start(start, until=10.0) for start in starts)
+            )
+        worker.close()
+        server.stop()
+        await server.close_all_connections()
+        return outcomes
+
+    context.outcomes = asyncio.run(main())
+
+
+@then("all of them have started")
+def step_all_started(context):
+    assert set(context.outcomes) == {StartOutcome.STARTED}, context.outcomes
+
+
+@then("{count:d} connections were opened at most")
+def step_connections(context, count):
+    assert 0 < len(context.connections) <= count, len(context.connections)
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -31,6 +31,11 @@
 LIST_MARGIN_SECONDS = 0.4
 """Time that a list may take beyond the requested wait; short because the worker is on
 this VM."""
+MAX_ORDER_CONNECTIONS = 4
+"""Calls with orders that are made at one time; further ones wait.
+
+A worker answers in a millisecond. Connections opened for a burst are closed after it.
+"""
 MAX_LISTED_ENDS = 500
 """Maximum of ended runs in one list; the worker lists further ones after earlier ones
 are acknowledged."""
@@ -103,7 +108,7 @@
         self.fence = fence
         self._call_seconds = call_seconds
         self._expect_instance = {EXPECT_INSTANCE_HEADER: instance}
-        self._client = HttpClient(address)
+        self._client = HttpClient(address, max_clients=MAX_ORDER_CONNECTIONS)
         self._list_client = HttpClient(address, max_clients=2)
 
     def __repr__(self) -> str:
