Store checkpoints in the order of unsaved work and its age

Ways: most work first, as it stood (the small job's turn comes after 300 s); oldest first (a large job would wait for many small ones); work times age (intervals as the root of the work, which loses least for a given rate).

Change: the third.

--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -106,7 +106,7 @@
     for tick in range(round(seconds / TICK_SECONDS)):
         if tick % ticks_per_checkpoint == 0:
             for entry in entries:
-                entry.unsaved_core_seconds += context.cores_by_job * interval
+                entry.add_unsaved(context.cores_by_job * interval, tick * TICK_SECONDS)
         marked = saver.mark_due(entries, tick * TICK_SECONDS)
         context.stored_bytes += marked * context.record_bytes
 
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -95,6 +95,8 @@
     """Number of tasks that have a run."""
     unsaved_core_seconds: float = 0.0
     """Work in checkpoints that came since the last change to be stored."""
+    unsaved_since: float = 0.0
+    """When the first of these checkpoints came, in seconds on the leader's clock."""
     remaining_work_by_occurrence: dict[int, RemainingWork] = field(default_factory=dict)
     """A cache that `ranking` fills; an entry is dropped when a task succeeds."""
 
@@ -122,6 +124,12 @@
         self.version += 1
         self.unsaved_core_seconds = 0.0
 
+    def add_unsaved(self, core_seconds: float, now: float) -> None:
+        """Record work in a checkpoint that has not been stored."""
+        if not self.unsaved_core_seconds:
+            self.unsaved_since = now
+        self.unsaved_core_seconds += core_seconds
+
     def set_task_state(self, task: Task, state: TaskState) -> None:
         """Set a task's state and update the counts."""
         step = (task.key.occurrence, task.key.step)
--- a/wagtailcleat/scheduling/progress.py
+++ b/wagtailcleat/scheduling/progress.py
@@ -42,7 +42,8 @@
     def mark_due(self, entries: Iterable[JobEntry], now: float) -> int:
         """Mark the jobs to store as changed; return how many these are.
 
-        Those with the most work that is not stored go first.
+        If the link does not carry all of them, the order is by the work that is not
+        stored and by its age, so that small jobs have their turn, less often.
         """
         self._bytes.refill(now)
         due = [
@@ -50,7 +51,10 @@
             for entry in entries
             if entry.unsaved_core_seconds >= MAX_UNSAVED_CORE_SECONDS
         ]
-        due.sort(key=lambda entry: entry.unsaved_core_seconds, reverse=True)
+        due.sort(
+            key=lambda entry: entry.unsaved_core_seconds * (now - entry.unsaved_since),
+            reverse=True,
+        )
         for marked, entry in enumerate(due):
             if self._bytes.is_empty:
                 return marked
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -163,7 +163,7 @@
         ):
             return
         used_cores = hosted.step.size.cores * hosted.pace / FULL_PACE
-        task.entry.unsaved_core_seconds += used_cores * (now - hosted.checkpoint_at)
+        task.entry.add_unsaved(used_cores * (now - hosted.checkpoint_at), now)
         hosted.checkpoint_at = now
 
     def _drop_unlisted(self, vm: Vm, report: Report, now: float) -> None:
