Keep one working run of a job when several are evicted together

Cause, found by reading: whether a job has other runs was asked of its placed tasks. Two runs of one job on one VM could be evicted in one go, and runs that were already stopping counted, so a job could lose all its runs to moves.

Ruled out: a counter of stopping runs for each job (a second state to keep right); one eviction at a time (the serving task waits 0.3 s for each).

Change: a run may move if another run of its job works that neither stops nor is evicted with it.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -55,7 +55,7 @@
 
 def _never_move(scheduler: Scheduler) -> None:
     """Throttle filling runs, and evict them only if a target is missed for long."""
-    scheduler._may_move = lambda hosted: False  # type: ignore[method-assign]
+    scheduler._may_move = lambda hosted, evicted: False  # type: ignore[method-assign]
 
 
 @contextlib.contextmanager
--- a/wagtailcleat/scheduling/hosted_runs.py
+++ b/wagtailcleat/scheduling/hosted_runs.py
@@ -76,6 +76,12 @@
                 if hosted.key.task in wanted and not hosted.stopping:
                     self.stop(vm, hosted, now, "its job or task has ended")
 
+    def is_working(self, task: Task) -> bool:
+        """Return whether a task has a run that was not ordered to stop."""
+        vm = self.vm_by_node.get(task.node) if task.node is not None else None
+        hosted = vm.hosted_by_run.get(task.run_key) if vm is not None else None
+        return hosted is not None and not hosted.stopping
+
     def drop_all(self, vm: Vm, now: float, why: str) -> None:
         """Remove all runs of a VM, whose tasks wait again; `why` is for the log."""
         for key in list(vm.hosted_by_run):
--- a/wagtailcleat/scheduling/pacing.py
+++ b/wagtailcleat/scheduling/pacing.py
@@ -7,7 +7,7 @@
 over its target, the filling tasks that add most are evicted at once.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from wagtailcleat.scheduling.sharing import (
@@ -51,8 +51,11 @@
 MAX_PACE_INCREASE = 35
 """Largest increase, in percentage points: the load may be about to rise again."""
 
-MayMove = Callable[[HostedRun], bool]
-"""Returns whether a run may be evicted to continue on another VM."""
+MayMove = Callable[[HostedRun, Sequence[HostedRun]], bool]
+"""Returns whether a run may be evicted to continue on another VM.
+
+The second argument has the runs that are evicted with it.
+"""
 
 
 @dataclass
@@ -103,19 +106,16 @@
 
     utilization = sharing.interference.utilization
     too_much = utilization(image, reported_load(worst)) - utilization(image, AIM_LOAD)
-    evictable = [
-        run
-        for run in filling
-        if run.pace and (over_seconds >= STOP_SECONDS or may_move(run))
-    ]
-    actions: list[PaceAction] = []
-    for run in sorted(evictable, key=added, reverse=True):
+    evicted: list[HostedRun] = []
+    for run in sorted(filling, key=added, reverse=True):
         enough = too_much <= 0 or added(run) < MIN_ADDED
-        if over_seconds < EVICT_ALL_SECONDS and enough and actions:
+        if over_seconds < EVICT_ALL_SECONDS and enough and evicted:
             break
-        too_much -= added(run) * run.pace / FULL_PACE
-        actions.append(PaceAction(run, 0, f"{image} at {reported_load(worst):.2f}"))
-    return actions
+        if run.pace and (over_seconds >= STOP_SECONDS or may_move(run, evicted)):
+            too_much -= added(run) * run.pace / FULL_PACE
+            evicted.append(run)
+    why = f"{image} at {reported_load(worst):.2f}"
+    return [PaceAction(run, 0, why) for run in evicted]
 
 
 def _adjust(
@@ -130,15 +130,17 @@
     added_by_image = dict(sharing.added_by_image(vm))
     why = _describe_least_room(room_by_job)
     staying = list(filling)
-    actions = []
+    evicted: list[HostedRun] = []
     while True:
-        run = _run_to_move(sharing, vm, staying, may_move, room_by_job, added_by_image)
+        movable = [run for run in staying if run.pace and may_move(run, evicted)]
+        run = _run_to_move(sharing, vm, movable, room_by_job, added_by_image)
         if run is None:
             break
         staying.remove(run)
-        actions.append(PaceAction(run, 0, why))
+        evicted.append(run)
         for image in added_by_image:
             added_by_image[image] -= _added(sharing, vm, image, run)
+    actions = [PaceAction(run, 0, why) for run in evicted]
     for run in staying:
         pace = _target_pace(sharing, vm, run, room_by_job, added_by_image)
         if not run.pace_is_known or pace <= run.pace - MIN_PACE_DECREASE:
@@ -152,14 +154,13 @@
 def _run_to_move(
     sharing: Sharing,
     vm: Vm,
-    staying: Iterable[HostedRun],
-    may_move: MayMove,
+    movable: Iterable[HostedRun],
     room_by_job: dict[ServingJob, float],
     added_by_image: dict[str, float],
 ) -> HostedRun | None:
     """Return the run that adds most to the serving job with the least room.
 
-    Return None if that room allows a sufficient pace, or if no run may move.
+    Return None if that room allows a sufficient pace, or if no movable run adds much.
     """
 
     def allowed_pace(job: ServingJob) -> float:
@@ -170,12 +171,12 @@
     if tightest is None or allowed_pace(tightest) >= EVICTION_PACE:
         return None
     image = tightest.image
-    movable = [
-        run
-        for run in staying
-        if run.pace and _added(sharing, vm, image, run) >= MIN_ADDED and may_move(run)
+    candidates = [
+        run for run in movable if _added(sharing, vm, image, run) >= MIN_ADDED
     ]
-    return max(movable, key=lambda run: _added(sharing, vm, image, run), default=None)
+    return max(
+        candidates, key=lambda run: _added(sharing, vm, image, run), default=None
+    )
 
 
 def _target_pace(
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from wagtailcleat.ids import Epoch, JobId, NodeId, ZoneName
 from wagtailcleat.scheduling.advice import Advice
@@ -130,15 +130,20 @@
         for action in pace_actions(self.sharing, vm, self._may_move, now):
             self._apply(vm, action, now)
 
-    def _may_move(self, hosted: HostedRun) -> bool:
-        """Return whether a run may be evicted to continue on another VM.
+    def _may_move(self, hosted: HostedRun, evicted: Sequence[HostedRun]) -> bool:
+        """Return whether a run may be evicted, with others, to continue elsewhere.
 
-        A job keeps its last run, even if that run is throttled: it might be evicted
-        wherever it starts again, and make no progress at all.
+        A job keeps one working run, even if that run is throttled: it might be evicted
+        wherever it starts again, and the job would make no progress at all.
         """
         task = self.job_table.find_task(hosted.key.task)
-        has_other_runs = task is not None and task.entry.placed_tasks > 1
-        return hosted.step.checkpointable and has_other_runs
+        if task is None or not hosted.step.checkpointable:
+            return False
+        leaving = {task.key, *(run.key.task for run in evicted)}
+        return any(
+            other.key not in leaving and self._runs.is_working(other)
+            for other in task.entry.tasks()
+        )
 
     def _apply(self, vm: Vm, action: PaceAction, now: float) -> None:
         hosted, pace = action.hosted, action.pace
