State the property of sufficient paces plainly

The check compared rooms of all jobs in a roundabout way and passed over jobs other than the one with least room. Now: after the actions either the tightest serving job allows the eviction pace, or nothing that adds much to it may move.

--- a/features/steps/pacing_properties_steps.py
+++ b/features/steps/pacing_properties_steps.py
@@ -33,6 +33,7 @@
 TARGET_SECONDS = 0.02
 IMAGES = ("fill-0", "fill-1", "fill-2")
 TICK_SECONDS = 0.1
+ROUNDING = 1e-6
 LOADS_UNDER_TARGET = st.floats(0.25, 0.94)
 
 FLEETS = st.fixed_dictionaries(
@@ -131,29 +132,32 @@
 def _check_paces(scheduler, vm, now):
     sharing = scheduler.sharing
     actions = pace_actions(sharing, vm, scheduler._may_move, now)
+    if not actions:
+        return
+    assert all(0 <= action.pace <= FULL_PACE for action in actions), actions
     evicted = [action.hosted for action in actions if not action.pace]
     staying = [run for run in filling_runs(vm) if run not in evicted]
-    for job, room in sharing.room_by_job(vm, now).items():
-        added_by_run = {
-            id(run): sharing.interference.estimate(
-                job.image, run.step.image
-            ).conservative
-            * share_of_vm(vm, run.step)
-            for run in staying
-        }
-        too_tight = FULL_PACE * room < EVICTION_PACE * sum(added_by_run.values())
-        movable = [
-            run
-            for run in staying
-            if run.pace
-            and added_by_run[id(run)] >= MIN_ADDED
-            and scheduler._may_move(run, evicted)
-        ]
-        is_least = room == min(sharing.room_by_job(vm, now).values())
-        if sharing.state(vm).over_target_since is None and is_least and actions:
-            assert not (too_tight and movable), (room, added_by_run)
-    paces = [action.pace for action in actions]
-    assert all(0 <= pace <= FULL_PACE for pace in paces), paces
+
+    def added(image, run):
+        estimate = sharing.interference.estimate(image, run.step.image)
+        return estimate.conservative * share_of_vm(vm, run.step)
+
+    def allowed_pace(job):
+        total = sum(added(job.image, run) for run in staying)
+        return FULL_PACE * room_by_job[job] / total if total else FULL_PACE
+
+    room_by_job = sharing.room_by_job(vm, now)
+    tightest = min(room_by_job, key=allowed_pace, default=None)
+    if tightest is None or allowed_pace(tightest) >= EVICTION_PACE - ROUNDING:
+        return
+    movable = [
+        run
+        for run in staying
+        if run.pace
+        and added(tightest.image, run) >= MIN_ADDED
+        and scheduler._may_move(run, evicted)
+    ]
+    assert not movable, (allowed_pace(tightest), movable)
 
 
 @then(
