Move filling tasks only where a move costs less than it gains

A move there takes 1.5 s (0.9 s to stop, 0.6 s to restore), 0.5 s on shifted. Runs were evicted again and again and got little done.

A run is evicted below the pace at which it loses, in 1.5 s, more than a move takes: 67 on shifted, 57 and 33 on the first two, never on jisr and large. Old settings files have 900 and 600 ms: nothing is moved. The policy bench's shapes have the sheets' times now.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -86,7 +86,7 @@
     "no-residual": lambda: _with_constant(sharing, "RESIDUAL_LASTING", 0.0),
     "stop-at-once": lambda: _with_constant(pacing, "STOP_SECONDS", 0.0),
     "never-move": lambda: contextlib.nullcontext(_never_move),
-    "move-below-60": lambda: _with_constant(pacing, "EVICTION_PACE", 60),
+    "tight-3-s": lambda: _with_constant(pacing, "TIGHT_SECONDS", 3.0),
     "aim-0.8": _with_aim_0_8,
 }
 
--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -109,7 +109,7 @@
     heavy_added=(0.5, 3.0),
     checkpoint_seconds=1.0,
     restore_seconds=0.6,
-    stop_seconds=0.6,
+    stop_seconds=0.9,
 )
 MANY_SMALL_VMS = Shape(
     vms=52,
@@ -129,7 +129,7 @@
     heavy_added=(0.5, 5.0),
     checkpoint_seconds=0.5,
     restore_seconds=0.1,
-    stop_seconds=0.3,
+    stop_seconds=0.4,
 )
 SHAPE_BY_NAME = {"few-large": FEW_LARGE_VMS, "many-small": MANY_SMALL_VMS}
 
@@ -323,6 +323,7 @@
             self._epoch,  # type: ignore[arg-type]
             lease_horizon=LEASE_HORIZON_SECONDS,
             stop_retry_seconds=STOP_RETRY_SECONDS,
+            move_seconds=self._shape.stop_seconds + self._shape.restore_seconds,
         )
         self._prepare(scheduler)
         if before is not None:
--- a/features/scheduling/sharing.feature
+++ b/features/scheduling/sharing.feature
@@ -116,6 +116,15 @@
     Then a task of job "large" runs on the other VM, from its checkpoint
     And both tasks of job "large" run
 
+  Scenario: A task is throttled where a move takes as long as it is likely to gain
+    # Guards against tasks that are moved in turn and get nothing done.
+    Given 1 VM of 32 cores, and moves that take 1.5 s
+    And a serving task runs, at 0.3 of its target
+    And job "large" of 2 filling tasks of image "heavy" runs beside it
+    When another VM of 32 cores comes
+    And the serving task reports 0.9 of its target for 3 s
+    Then both tasks of job "large" run where they began, throttled
+
   Scenario: The last run of a job is throttled and not moved
     # Guards against a job that is evicted wherever it starts and makes no progress.
     Given 1 VM of 32 cores
--- a/features/steps/pacing_properties_steps.py
+++ b/features/steps/pacing_properties_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from features.steps.scheduling_world import (
+    MOVE_SECONDS,
     REPORT_SECONDS,
     SchedulingWorld,
     SimulatedWorker,
@@ -18,7 +19,7 @@
 from wagtailcleat.scheduling.interference import MIN_VARIANCE, Estimate
 from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import Step
-from wagtailcleat.scheduling.pacing import EVICTION_PACE, FULL_PACE, pace_actions
+from wagtailcleat.scheduling.pacing import FULL_PACE, eviction_pace, pace_actions
 from wagtailcleat.scheduling.progress import (
     BURST_SECONDS,
     CHECKPOINT_OVERHEAD_BYTES,
@@ -34,6 +35,7 @@
 IMAGES = ("fill-0", "fill-1", "fill-2")
 TICK_SECONDS = 0.1
 ROUNDING = 1e-6
+EVICTION_PACE = eviction_pace(MOVE_SECONDS)
 LOADS_UNDER_TARGET = st.floats(0.25, 0.94)
 
 FLEETS = st.fixed_dictionaries(
@@ -131,7 +133,7 @@
 
 def _check_paces(scheduler, vm, now):
     sharing = scheduler.sharing
-    actions = pace_actions(sharing, vm, scheduler._may_move, now)
+    actions = pace_actions(sharing, vm, scheduler._may_move, EVICTION_PACE, now)
     if not actions:
         return
     assert all(0 <= action.pace <= FULL_PACE for action in actions), actions
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -20,6 +20,8 @@
 HORIZON = 5.0
 STOP_AGAIN = 1.0
 REPORT_SECONDS = 0.3
+MOVE_SECONDS = 0.5
+"""Time that a run loses if it is moved."""
 WALL_START = 1_800_000_000.0
 
 
@@ -134,9 +136,11 @@
         *,
         epoch: int = 1,
         start_bytes_per_second: float = math.inf,
+        move_seconds: float = MOVE_SECONDS,
     ) -> None:
         """Let every worker report once."""
         self.start_bytes_per_second = start_bytes_per_second
+        self.move_seconds = move_seconds
         self.now = 100.0
         self.worker_by_node = {worker.node: worker for worker in workers}
         self.starts: list = []
@@ -156,6 +160,7 @@
             lease_horizon=HORIZON,
             stop_retry_seconds=STOP_AGAIN,
             start_bytes_per_second=self.start_bytes_per_second,
+            move_seconds=self.move_seconds,
         )
         self.claimed_at = self.now
 
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -5,6 +5,7 @@
 from features.steps.scheduling_world import (
     REPORT_SECONDS,
     SchedulingWorld,
+    SimulatedWorker,
     filling,
     make_job,
     serving,
@@ -311,3 +312,17 @@
     for job in jobs:
         world.submit(job)
     step_serving_cancelled(context, 2)
+
+
+@given("1 VM of {cores:d} cores, and moves that take {seconds:g} s")
+def step_slow_moves(context, cores, seconds):
+    worker = SimulatedWorker("vm-1", cores=cores)
+    context.world = SchedulingWorld([worker], move_seconds=seconds)
+
+
+@then('both tasks of job "{name}" run where they began, throttled')
+def step_both_stay(context, name):
+    worker = context.world.worker_by_node[context.serving_node]
+    assert context.world.running_nodes(name) == [context.serving_node] * 2
+    paces = [pace for key, pace in worker.pace_by_run.items() if key.task.job == name]
+    assert len(paces) == 2 and max(paces) < 100, worker.pace_by_run
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -170,6 +170,7 @@
             zones_out=lambda: self.operators.zones_out,
             advice=self.advice,
             link_bytes_per_second=self.settings.link_mbps * BYTES_PER_MEGABIT,
+            move_seconds=self.settings.move_seconds,
         )
         self.leader = leader
         try:
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -94,12 +94,14 @@
         zones_out: Callable[[], frozenset[ZoneName]],
         advice: AdviceService | None = None,
         link_bytes_per_second: float = math.inf,
+        move_seconds: float = math.inf,
     ) -> None:
         """Create a leader that has not read the stored jobs yet.
 
         Parameters: `status_kept` is how long the state of an ended job is kept, in
         seconds; `zones_out` returns the zones that operators have taken out; `advice`
-        is asked which workers may run a step, if it is given.
+        is asked which workers may run a step, if it is given; `move_seconds` as in
+        `Scheduler`.
         """
         self._advice = advice
         self._zones_out = zones_out
@@ -109,6 +111,7 @@
             lease_horizon=AGENT_EXPIRY_SECONDS,
             stop_retry_seconds=STOP_REPEAT_SECONDS,
             start_bytes_per_second=LINK_SHARE_OF_STARTS * link_bytes_per_second,
+            move_seconds=move_seconds,
         )
         self.ready = False
         self._store = store
--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -11,6 +11,7 @@
 from wagtailcleat.settings import Address, Count, LogLevel, Port, Positive, Secret
 
 Addresses = list[Address]
+MILLISECONDS = 1000
 
 
 class CommonSettings(msgspec.Struct, frozen=True):
@@ -52,6 +53,15 @@
     """Speed of that core, relative to a usual one."""
     link_mbps: Positive = 1_000.0
     """Rate of this VM's link, in megabits a second."""
+    stop_ms: Count = 900
+    """Longest time that a worker takes to stop a run."""
+    restore_ms: Count = 600
+    """Time that a run takes to continue from a checkpoint."""
+
+    @property
+    def move_seconds(self) -> float:
+        """Time that a run loses if it is stopped and continues on another VM."""
+        return (self.stop_ms + self.restore_ms) / MILLISECONDS
 
 
 class AgentSettings(CommonSettings, frozen=True, kw_only=True):
--- a/wagtailcleat/scheduling/pacing.py
+++ b/wagtailcleat/scheduling/pacing.py
@@ -24,11 +24,10 @@
 
 FULL_PACE = 100
 """Percent."""
-EVICTION_PACE = 40
-"""Pace in percent below which a run is evicted rather than throttled.
+TIGHT_SECONDS = 1.5
+"""How long a run is assumed to remain throttled.
 
-A run that continues elsewhere is delayed by a stop and the restoring of its checkpoint,
-which take less time than a run at such a pace loses.
+The load of serving tasks swings within some 10 s, and is high for a part of that.
 """
 STOP_SECONDS = 0.8
 """How long a serving run may be over its target before any filling task is evicted.
@@ -69,10 +68,22 @@
     """The most restrictive serving image, with its load or its room."""
 
 
+def eviction_pace(move_seconds: float) -> float:
+    """Return the pace in percent below which a run is evicted rather than throttled.
+
+    Below it a run loses more time than the `move_seconds` that pass until it continues
+    elsewhere. It is 0 or less if a move never pays.
+    """
+    return FULL_PACE * (1 - move_seconds / TIGHT_SECONDS)
+
+
 def pace_actions(
-    sharing: Sharing, vm: Vm, may_move: MayMove, now: float
+    sharing: Sharing, vm: Vm, may_move: MayMove, eviction_pace: float, now: float
 ) -> list[PaceAction]:
-    """Return the actions on a VM's filling runs after a report."""
+    """Return the actions on a VM's filling runs after a report.
+
+    Parameters: `eviction_pace` in percent, see the function of that name.
+    """
     filling = list(filling_runs(vm))
     state = sharing.state(vm)
     if not filling or now - state.acted_at < MIN_ACTION_INTERVAL_SECONDS:
@@ -82,7 +93,7 @@
         over_seconds = now - state.over_target_since
         actions = _evict(sharing, vm, filling, may_move, over_seconds)
     if not actions:
-        actions = _adjust(sharing, vm, filling, may_move, now)
+        actions = _adjust(sharing, vm, filling, may_move, eviction_pace, now)
     if actions:
         state.acted_at = now
     return actions
@@ -123,6 +134,7 @@
     vm: Vm,
     filling: list[HostedRun],
     may_move: MayMove,
+    eviction_pace: float,
     now: float,
 ) -> list[PaceAction]:
     """Set the paces that the room allows, and evict runs until no pace is too low."""
@@ -132,8 +144,10 @@
     staying = list(filling)
     evicted: list[HostedRun] = []
     while True:
-        movable = [run for run in staying if run.pace and may_move(run, evicted)]
-        run = _run_to_move(sharing, vm, movable, room_by_job, added_by_image)
+        tightest, pace = _tightest(room_by_job, added_by_image)
+        if tightest is None or pace >= eviction_pace:
+            break
+        run = _run_to_move(sharing, vm, tightest.image, staying, evicted, may_move)
         if run is None:
             break
         staying.remove(run)
@@ -151,32 +165,38 @@
     return actions
 
 
+def _tightest(
+    room_by_job: dict[ServingJob, float], added_by_image: dict[str, float]
+) -> tuple[ServingJob | None, float]:
+    """Return the serving job whose room allows the lowest pace, and that pace."""
+    tightest: ServingJob | None = None
+    lowest: float = FULL_PACE
+    for job, room in room_by_job.items():
+        added = added_by_image[job.image]
+        pace = FULL_PACE * room / added if added > 0 else FULL_PACE
+        if pace < lowest:
+            tightest, lowest = job, pace
+    return tightest, lowest
+
+
 def _run_to_move(
     sharing: Sharing,
     vm: Vm,
-    movable: Iterable[HostedRun],
-    room_by_job: dict[ServingJob, float],
-    added_by_image: dict[str, float],
+    image: str,
+    staying: Iterable[HostedRun],
+    evicted: Sequence[HostedRun],
+    may_move: MayMove,
 ) -> HostedRun | None:
-    """Return the run that adds most to the serving job with the least room.
+    """Return the run that adds most to a serving image, of those that may move."""
 
-    Return None if that room allows a sufficient pace, or if no movable run adds much.
-    """
+    def added(run: HostedRun) -> float:
+        return _added(sharing, vm, image, run)
 
-    def allowed_pace(job: ServingJob) -> float:
-        added = added_by_image[job.image]
-        return FULL_PACE * room_by_job[job] / added if added > 0 else FULL_PACE
-
-    tightest = min(room_by_job, key=allowed_pace, default=None)
-    if tightest is None or allowed_pace(tightest) >= EVICTION_PACE:
-        return None
-    image = tightest.image
-    candidates = [
-        run for run in movable if _added(sharing, vm, image, run) >= MIN_ADDED
-    ]
-    return max(
-        candidates, key=lambda run: _added(sharing, vm, image, run), default=None
-    )
+    candidates = [run for run in staying if run.pace and added(run) >= MIN_ADDED]
+    for run in sorted(candidates, key=added, reverse=True):
+        if may_move(run, evicted):
+            return run
+    return None
 
 
 def _target_pace(
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -21,7 +21,7 @@
     RunKey,
     Start,
 )
-from wagtailcleat.scheduling.pacing import PaceAction, pace_actions
+from wagtailcleat.scheduling.pacing import PaceAction, eviction_pace, pace_actions
 from wagtailcleat.scheduling.placement_rounds import PlacementRounds
 from wagtailcleat.scheduling.ranking import due_seconds, lateness, slack_seconds
 from wagtailcleat.scheduling.reasons import Margin, StartReason
@@ -45,13 +45,15 @@
         lease_horizon: float,
         stop_retry_seconds: float,
         start_bytes_per_second: float = math.inf,
+        move_seconds: float = math.inf,
     ) -> None:
         """Start without VMs and jobs.
 
         Parameters: `lease_horizon` is the number of seconds that runs may continue
         after their agent's last report; `stop_retry_seconds` is the number of seconds
         after which a stop is repeated; `start_bytes_per_second` limits the rate of
-        starts.
+        starts; `move_seconds` is the time that a run loses if it is stopped and
+        continues elsewhere.
         """
         self.epoch = epoch
         self.job_table = JobTable()
@@ -61,6 +63,7 @@
         self.unreported_agents: set[NodeId] = set()
         """Agents that may run tasks and have not yet reported to this leader."""
         self._lease_horizon = lease_horizon
+        self._eviction_pace = eviction_pace(move_seconds)
         self._wall_now = 0.0
         self._placement = PlacementRounds(
             epoch, self.job_table, self.sharing, self.advice, self._start
@@ -127,7 +130,9 @@
 
     def _adjust_sharing(self, vm: Vm, now: float) -> None:
         self.sharing.observe(vm, now)
-        for action in pace_actions(self.sharing, vm, self._may_move, now):
+        for action in pace_actions(
+            self.sharing, vm, self._may_move, self._eviction_pace, now
+        ):
             self._apply(vm, action, now)
 
     def _may_move(self, hosted: HostedRun, evicted: Sequence[HostedRun]) -> bool:
@@ -136,8 +141,10 @@
         A job keeps one working run, even if that run is throttled: it might be evicted
         wherever it starts again, and the job would make no progress at all.
         """
+        if self._eviction_pace <= 0 or not hosted.step.checkpointable:
+            return False
         task = self.job_table.find_task(hosted.key.task)
-        if task is None or not hosted.step.checkpointable:
+        if task is None:
             return False
         leaving = {task.key, *(run.key.task for run in evicted)}
         return any(
