Log what an agent concludes from a silent worker, and what its next list shows

No logic changes.

Before: "Run did not start" named the refusal only. Now it names what showed it; "Runs are lost" and "Start was not answered" tell the seconds of the lease that are left, and "Worker answers again" what the first list after a silence has (runs in progress after leases counted as lapsed would refute the wait).

--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from wagtailcleat.clock import Clock
@@ -312,6 +313,7 @@
         )
         known_runs = {running.key for running in incarnation.running}
         changed = changed or known_runs != {running.key for running in answer.running}
+        self._log_return(incarnation, answer, now)
         incarnation.running = answer.running
         incarnation.ended = answer.ended
         incarnation.has_all_ends = answer.has_all_ends
@@ -327,6 +329,27 @@
             self._on_change()
         return True
 
+    def _log_return(
+        self, incarnation: WorkerIncarnation, answer: RunList, now: float
+    ) -> None:
+        """Log the first list after a silence, with what became of the leases."""
+        silent = now - incarnation.listed_at
+        if not incarnation.lists_answered or silent <= WORKER_SILENT_SECONDS:
+            return
+        ends = Counter(ended.how.value for ended in answer.ended)
+        log.info(
+            "Worker answers again",
+            extra={
+                "worker": incarnation.instance,
+                "silent": round(silent, 3),
+                "lost": incarnation.runs_lost,
+                "lease_left": round(incarnation.lease_until - now, 3),
+                "running": len(answer.running),
+                "ended": dict(ends),
+                "unsettled": len(self.orders.unsettled_by_run),
+            },
+        )
+
     def _lose_runs_after_lease(self, incarnation: WorkerIncarnation) -> None:
         # A worker that can't be reached kills its runs when their leases expire. A
         # delayed start that still arrives has an expired lease, and is refused.
@@ -345,7 +368,17 @@
         incarnation.running = []
         # Ends that its last list had no room for will never be listed.
         incarnation.has_all_ends = True
-        log.warning("Runs are lost", extra={"worker": incarnation.instance, "why": why})
+        now = self._clock()
+        log.warning(
+            "Runs are lost",
+            extra={
+                "worker": incarnation.instance,
+                "why": why,
+                "silent": round(now - incarnation.listed_at, 3),
+                "lease_left": round(incarnation.lease_until - now, 3),
+                "unsettled": len(self.orders.unsettled_by_run),
+            },
+        )
         self.orders.lose_runs()
         self._on_change()
 
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -82,7 +82,7 @@
         for task in self._work:
             task.cancel()
         for key in list(self.unsettled_by_run):
-            self._refuse(key, Refusal.NEVER_RAN)
+            self._refuse(key, Refusal.NEVER_RAN, "its worker's leases have lapsed")
 
     def start(self, start: Start) -> None:
         """Start a run in the background; reports contain its outcome."""
@@ -104,10 +104,13 @@
         self._work.add(task)
         task.add_done_callback(self._work.discard)
 
-    def _refuse(self, key: RunKey, why: Refusal) -> None:
+    def _refuse(self, key: RunKey, why: Refusal, shown_by: str = "answer") -> None:
         self.unsettled_by_run.pop(key, None)
         self.refusal_by_run[key] = why
-        log.info("Run did not start", extra={"run": str(key), "why": why.value})
+        log.info(
+            "Run did not start",
+            extra={"run": str(key), "why": why.value, "shown_by": shown_by},
+        )
         self._on_change()
 
     async def _start(self, start: Start) -> None:
@@ -135,7 +138,14 @@
         elif outcome is StartOutcome.STARTED:
             await self._wait_until_listed(incarnation, start.key)
         else:
-            log.info("Start was not answered", extra={"run": str(start.key)})
+            log.info(
+                "Start was not answered",
+                extra={
+                    "run": str(start.key),
+                    "lease_left": round(until - self._clock(), 3),
+                    "fence": incarnation.worker.fence,
+                },
+            )
             await self._resolve_unknown_start(incarnation, start.key)
 
     async def _wait_until_listed(
@@ -168,7 +178,7 @@
         if is_listed(incarnation, key):
             self.unsettled_by_run.pop(key, None)
         else:
-            self._refuse(key, Refusal.NEVER_RAN)
+            self._refuse(key, Refusal.NEVER_RAN, "stop and lists")
 
     async def _stop(self, key: RunKey) -> None:
         incarnation = self._current()
