Send a call to the platform once

Cause: libcurl sends a request again, on a new connection, when a kept connection is closed before any answer. The answer to the second copy was taken for the answer to the call: a start whose second copy met an unhealthy worker (503), or a write of the store that was turned away, counted as not done, while the first copy may still be carried out. For starts no stop, no list and no wait followed, and the next run could go to the same worker.

Evidence: a loopback server that closes the kept connection after it has received a start got that start twice, and RunWorker.start returned UNHEALTHY. Ruled out as a way to tell: the status and the errors do not show a repetition.

Change: the body can't be read again, so libcurl gives the call up (E_SEND_FAIL_REWIND), which counts as no answer. Calls without a body, which only read, are still repeated.

The scenario failed before: "ASSERT FAILED: Refusal.UNHEALTHY", received [1, 2, 2].

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -37,3 +37,10 @@
     When 30 runs are started at one time, three times in a row
     Then all of them have started
     And 4 connections were opened at most
+
+  Scenario: A kept connection is closed before a start is answered
+    # Guards against a second copy's refusal that is taken for the answer to the first.
+    Given a worker that closes a kept connection after it has received a start
+    When a run is started on that connection
+    Then the start was received once
+    And its outcome is unknown
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -36,11 +36,7 @@
     """
 
     REFUSED = "refused"
-    """The connection was refused.
-
-    This does not show that the request was never received: libcurl repeats a request
-    after a reused connection breaks, and perhaps only the repetition was refused.
-    """
+    """The connection was refused."""
     LOST = "lost"
     """Any other failure: a time-out, a broken connection or an unreadable answer."""
 
@@ -82,7 +78,7 @@
         timeout: float,
         headers: dict[str, str] | None = None,
     ) -> Reply | NoAnswer:
-        """Send one request; `timeout` in seconds covers the whole call."""
+        """Send one request, once; `timeout` in seconds covers the whole call."""
         request = HTTPRequest(
             self._base + path,
             method=method,
@@ -91,6 +87,7 @@
             connect_timeout=min(CONNECT_TIMEOUT_SECONDS, timeout),
             request_timeout=timeout,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=_forbid_repetition,
         )
         response = await self._fetch(request)
         if isinstance(response, NoAnswer):
@@ -151,6 +148,16 @@
             return NoAnswer.LOST
 
 
+def _forbid_repetition(handle: pycurl.Curl) -> None:
+    """Let a call fail that libcurl would send again on another connection.
+
+    libcurl repeats a request if a reused connection is closed before any answer. The
+    answer to the second copy would say nothing of the first, which may be carried out
+    as well. Without a way to read the body again, libcurl gives up.
+    """
+    handle.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
+
+
 def _abort_unless(is_wanted: Callable[[], bool]) -> Callable[[pycurl.Curl], None]:
     """Return a callback that makes libcurl abort a transfer nobody waits for."""
 
