Count only a definite answer of a worker as the refusal of a start

Cause: every status but 200, 400, 409 and 421 counted as the refusal of an unhealthy worker. The platform says of 429 and 503 alone that nothing was done; a time-out or gateway status says nothing, and the start may still be carried out while the task starts elsewhere.

Change: other statuses leave the start in doubt: it is stopped, and listed twice, before it counts as never run.

The outline failed before for 408, 500, 502 and 504: Refusal.UNHEALTHY.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -44,3 +44,21 @@
     When a run is started on that connection
     Then the start was received once
     And its outcome is unknown
+
+  Scenario Outline: A worker answers a start with status <code>
+    # Guards against a start that counts as refused although it may be carried out.
+    Given a worker that answers starts with status <code>
+    When a run is started
+    Then its outcome is <outcome>
+
+    Examples:
+      | code | outcome   |
+      | 200  | started   |
+      | 400  | refused   |
+      | 408  | unknown   |
+      | 421  | another   |
+      | 429  | refused   |
+      | 500  | unknown   |
+      | 502  | unknown   |
+      | 503  | refused   |
+      | 504  | unknown   |
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -28,6 +28,8 @@
 CONFLICT = 409
 WRONG_INCARNATION = 421
 BAD_REQUEST = 400
+UNHEALTHY_CODES = (429, 503)
+"""Answers of a worker that has done nothing because it is unhealthy."""
 LIST_MARGIN_SECONDS = 0.4
 """Time that a list may take beyond the requested wait; short because the worker is on
 this VM."""
@@ -64,7 +66,7 @@
     STARTED = "started"
     """The run was started, now or by an earlier call."""
     UNKNOWN = "unknown"
-    """There was no answer; the start may still be carried out."""
+    """There was no answer, or none that settles it; it may still be carried out."""
 
 
 @dataclass(frozen=True)
@@ -198,8 +200,8 @@
 
 
 def _parse_start_outcome(reply: Reply) -> StartOutcome | Refusal | OtherIncarnation:
-    if reply.code == OK:
-        return StartOutcome.STARTED
+    if reply.code in UNHEALTHY_CODES:
+        return Refusal.UNHEALTHY
     if reply.code == WRONG_INCARNATION:
         return OtherIncarnation()
     if reply.code == CONFLICT:
@@ -207,7 +209,7 @@
         return REFUSAL_BY_REASON.get(reason, Refusal.INVALID)
     if reply.code == BAD_REQUEST:
         return Refusal.INVALID
-    return Refusal.UNHEALTHY
+    return StartOutcome.STARTED if reply.code == OK else StartOutcome.UNKNOWN
 
 
 def _parse_run_list(reply: Reply) -> RunList | StaleFence | NoAnswer:
