--- a/features/steps/start_answers_steps.py
+++ b/features/steps/start_answers_steps.py
@@ -45,7 +45,6 @@
     Each start is answered with `code`, except that of the unanswered run when it comes
     on a connection that has carried another one.
     """
-
     connections = set()
 
     async def serve(reader, writer):
