Acknowledge an end once every other start of its task is settled

Cause: the leader acknowledged an end as soon as its success was stored. A worker that was silent had been taken for lost, the task had been started elsewhere, and that start had got no answer. The leader ordered it to stop and stored the success; the acknowledgement overtook the start.

Change: an end that may finish its task stays unacknowledged while another run of the task, or of its gang, is hosted anywhere, in progress or in doubt, and while an agent that an earlier leader may have given one has not reported. An agent that is lost settles its starts when its leases have lapsed; nothing waits longer.

The scenarios failed before ("acknowledged", three of them), and the random histories found "j11/0/0/0#2 starts".

--- a/features/steps/scheduling_fuzz.py
+++ b/features/steps/scheduling_fuzz.py
@@ -57,9 +57,11 @@
 class History:
     """A world in which messages can be held back, with the oracle's knowledge."""
 
+    worker_type = SimulatedWorker
+
     def __init__(self) -> None:
         """Start with idle workers whose agents are all connected."""
-        workers = [SimulatedWorker(f"vm-{n}", cores=CORES) for n in range(WORKERS)]
+        workers = [self.worker_type(f"vm-{n}", cores=CORES) for n in range(WORKERS)]
         self.world = SchedulingWorld(workers)
         self.nodes = [worker.node for worker in workers]
         self.held_orders: list = []
--- a/wagtailcleat/scheduling/dispatch.py
+++ b/wagtailcleat/scheduling/dispatch.py
@@ -11,6 +11,7 @@
     BURST_SECONDS,
     EndTracker,
     PendingOrders,
+    ReceivedEnd,
     take_starts,
 )
 from wagtailcleat.scheduling.token_bucket import TokenBucket
@@ -19,10 +20,12 @@
 
 Withdraw = Callable[[Vm, RunKey], None]
 """Called to free the room and requeue the task of a run whose start was not sent."""
+MayAcknowledge = Callable[[ReceivedEnd], bool]
+"""Returns whether an end that is stored may be acknowledged."""
 
 
 class Dispatch:
-    """Pending orders by agent, and acknowledgements of the ends that are stored."""
+    """Pending orders by agent, and the acknowledgements of ends."""
 
     def __init__(self, epoch: Epoch, start_bytes_per_second: float) -> None:
         """Create orders of the leader of `epoch`.
@@ -57,13 +60,19 @@
         return tracker
 
     def orders(
-        self, vm_by_node: Mapping[NodeId, Vm], withdraw: Withdraw, *, now: float
+        self,
+        vm_by_node: Mapping[NodeId, Vm],
+        withdraw: Withdraw,
+        may_acknowledge: MayAcknowledge,
+        *,
+        now: float,
     ) -> list[tuple[Vm, Orders]]:
         """Return the orders to send now to connected agents, and mark them as sent.
 
-        Parameters: `withdraw` is called for each start whose run is to stop already.
+        Parameters: `withdraw` is called for each start whose run is to stop already;
+        `may_acknowledge` for each end that is stored.
         """
-        self._advance_durable()
+        self._settle_ends(may_acknowledge)
         self._start_budget.refill(now)
         self.holds_starts = False
         sent = []
@@ -85,7 +94,7 @@
                 _mark_sent(vm, pending.starts, withdraw),
                 pending.stops,
                 pending.paces,
-                self._durable_number(vm.node, vm.worker.born),
+                self._settled_number(vm.node, vm.worker.born),
             )
             sent.append((vm, orders))
         return sent
@@ -99,24 +108,25 @@
             pending.starts = pending.starts[:count]
             self.holds_starts = True
 
-    def _durable_number(self, node: NodeId, born: int) -> int:
-        """Return the number up to which a worker incarnation's ends are stored."""
+    def _settled_number(self, node: NodeId, born: int) -> int:
+        """Return up to which number a worker incarnation's ends are acknowledged."""
         tracker = self._tracker_by_node.get(node)
         # A new incarnation numbers its ends from 1, and is known before its first list:
         # the numbers of the previous one must not acknowledge them.
-        return tracker.durable if tracker is not None and tracker.born == born else 0
+        return tracker.settled if tracker is not None and tracker.born == born else 0
 
-    def _advance_durable(self) -> None:
+    def _settle_ends(self, may_acknowledge: MayAcknowledge) -> None:
         for node, tracker in self._tracker_by_node.items():
-            before = tracker.durable
-            while tracker.unstored:
-                number, entry, version = tracker.unstored[0]
-                if entry is not None and entry.committed < version:
+            before = tracker.settled
+            while tracker.unsettled:
+                end = tracker.unsettled[0]
+                is_stored = end.entry is None or end.entry.committed >= end.version
+                if not is_stored or not may_acknowledge(end):
                     break
-                tracker.unstored.popleft()
-                tracker.durable = number
-            if tracker.durable > before:
-                self.pending(node).acknowledged = tracker.durable
+                tracker.unsettled.popleft()
+                tracker.settled = end.number
+            if tracker.settled > before:
+                self.pending(node).acknowledged = tracker.settled
 
 
 def _mark_sent(vm: Vm, starts: list[Start], withdraw: Withdraw) -> list[Start]:
--- a/wagtailcleat/scheduling/hosted_runs.py
+++ b/wagtailcleat/scheduling/hosted_runs.py
@@ -3,7 +3,7 @@
 The parts of the `Scheduler` share one `HostedRuns`.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from wagtailcleat.ids import NodeId
@@ -11,7 +11,7 @@
 from wagtailcleat.scheduling.events import Event, LoggedEvent
 from wagtailcleat.scheduling.job_entry import Task, TaskState
 from wagtailcleat.scheduling.job_table import JobTable
-from wagtailcleat.scheduling.models import RunKey
+from wagtailcleat.scheduling.models import RunKey, TaskKey
 from wagtailcleat.scheduling.vms import HostedRun, Vm
 
 
@@ -24,6 +24,8 @@
         self.count_by_event: Counter[str] = Counter()
         self._job_table = job_table
         self._dispatch = dispatch
+        self._runs_by_task: defaultdict[TaskKey, list[RunKey]] = defaultdict(list)
+        """The hosted runs of each task that has any."""
         self._logged_events: list[LoggedEvent] = []
         """Events since the last call of `take_logged_events`."""
 
@@ -31,6 +33,33 @@
         """Show the number of VMs."""
         return f"<HostedRuns on {len(self.vm_by_node)} VMs>"
 
+    def host(self, vm: Vm, hosted: HostedRun) -> None:
+        """Add a run to a VM and commit its resources."""
+        if hosted.key not in vm.hosted_by_run:
+            vm.host_run(hosted)
+            self._runs_by_task[hosted.key.task].append(hosted.key)
+
+    def drop(self, vm: Vm, key: RunKey) -> HostedRun | None:
+        """Remove a run from a VM, free its resources and return it, or return None."""
+        hosted = vm.drop_run(key)
+        if hosted is not None:
+            runs = self._runs_by_task[key.task]
+            runs.remove(key)
+            if not runs:
+                del self._runs_by_task[key.task]
+        return hosted
+
+    def has_other_run(self, run: RunKey) -> bool:
+        """Return whether another run of a run's task may go on, or may still start.
+
+        The members of a gang end together, so runs of all its members count.
+        """
+        return any(
+            hosted.run != run.run
+            for task in self._job_table.tasks_ending_with(run.task)
+            for hosted in self._runs_by_task.get(task, ())
+        )
+
     def adopt(self, vm: Vm, key: RunKey, now: float) -> HostedRun | None:
         """Return a run that an agent has reported, and add it if it is not known.
 
@@ -46,7 +75,7 @@
         # end is listed, although the job has no tasks in the table any more.
         step = entry.job.steps[key.task.step]
         hosted = HostedRun(key, step, now, checkpoint_at=now, pace_is_known=False)
-        vm.host_run(hosted)
+        self.host(vm, hosted)
         self._job_table.begin_occurrence_of(key, now=now)
         task = self._job_table.find_task(key.task)
         if task is None:
@@ -86,7 +115,7 @@
         """Remove all runs of a VM, whose tasks wait again; `why` is for the log."""
         for key in list(vm.hosted_by_run):
             self.record_event(Event.GONE, key, vm, why)
-            vm.drop_run(key)
+            self.drop(vm, key)
             self.requeue(key, now)
 
     def requeue(self, key: RunKey, now: float) -> None:
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -100,6 +100,24 @@
         tasks = entry.tasks_by_step.get((key.occurrence, key.step), [])
         return tasks[key.position] if 0 <= key.position < len(tasks) else None
 
+    def tasks_ending_with(self, key: TaskKey) -> list[TaskKey]:
+        """Return the tasks that an end of a task counts for: itself, or its gang."""
+        entry = self.entry_by_id.get(key.job)
+        if entry is None or key.step >= len(entry.job.steps):
+            return [key]
+        step = entry.job.steps[key.step]
+        if not step.gang:
+            return [key]
+        return [key._replace(position=position) for position in range(step.count)]
+
+    def is_finished(self, run: RunKey) -> bool:
+        """Return whether the task of a run will not start again."""
+        entry = self.entry_by_id.get(run.task.job)
+        if entry is None or entry.state.final:
+            return True
+        task = self.find_task(run.task)
+        return task is not None and task.state is TaskState.SUCCEEDED
+
     def is_ready(self, entry: JobEntry, step: StepKey) -> bool:
         """Return whether all steps that `step` depends on have succeeded."""
         occurrence, number = step
--- a/wagtailcleat/scheduling/outgoing.py
+++ b/wagtailcleat/scheduling/outgoing.py
@@ -6,9 +6,10 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wagtailcleat.scheduling.job_entry import JobEntry
-from wagtailcleat.scheduling.models import Pace, RunKey, Start
+from wagtailcleat.scheduling.models import Pace, RunEnd, RunKey, Start
 from wagtailcleat.scheduling.token_bucket import TokenBucket
 
 MAX_RECENT_ENDS = 200
@@ -18,18 +19,31 @@
 """
 
 
+class ReceivedEnd(NamedTuple):
+    """An end that is not acknowledged, and what must be stored before it is."""
+
+    number: int
+    """Sequence number in the worker's incarnation."""
+    run: RunKey
+    how: RunEnd
+    entry: JobEntry | None
+    """None if the job is not known any more."""
+    version: int
+    """The job's version that must be stored."""
+
+
 @dataclass(eq=False)
 class EndTracker:
-    """Ends of one worker incarnation, from their receipt until they are stored."""
+    """Ends of one worker incarnation, from receipt until they may be acknowledged."""
 
     born: int = 0
     """Identifies the incarnation, see `WorkerInfo`."""
     received: int = 0
     """Ends up to this number were received."""
-    durable: int = 0
-    """Ends up to this number are stored, and may be acknowledged."""
-    unstored: deque[tuple[int, JobEntry | None, int]] = field(default_factory=deque)
-    """Number of each end, its job, and the job's version that must be stored."""
+    settled: int = 0
+    """Ends up to this number may be acknowledged."""
+    unsettled: deque[ReceivedEnd] = field(default_factory=deque)
+    """Later ends, in the order of their numbers."""
     recent_runs: deque[RunKey] = field(
         default_factory=lambda: deque(maxlen=MAX_RECENT_ENDS)
     )
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -10,7 +10,7 @@
 from wagtailcleat.scheduling.job_entry import TaskState
 from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import Ended, Refusal, RunEnd, Running
-from wagtailcleat.scheduling.outgoing import EndTracker
+from wagtailcleat.scheduling.outgoing import EndTracker, ReceivedEnd
 from wagtailcleat.scheduling.pacing import FULL_PACE
 from wagtailcleat.scheduling.sharing import affects_sharing
 from wagtailcleat.scheduling.vms import HostedRun, Vm
@@ -65,12 +65,12 @@
         wall_now: float,
     ) -> None:
         for ended in listed:
-            dropped = vm.drop_run(ended.key)
+            dropped = self._runs.drop(vm, ended.key)
             if dropped is not None and affects_sharing(dropped.step):
                 vm.mark_changed(now)
-            if ended.number <= tracker.durable:
+            if ended.number <= tracker.settled:
                 # The acknowledgement was lost in transit or with the agent's process.
-                self._dispatch.pending(vm.node).acknowledged = tracker.durable
+                self._dispatch.pending(vm.node).acknowledged = tracker.settled
             if ended.number <= tracker.received:
                 continue
             tracker.received = ended.number
@@ -98,8 +98,9 @@
                 self._runs.stop_tasks([task], now)
             if entry is not None and entry.state.final:
                 self._runs.stop_tasks(entry.tasks(), now)
-            tracker.unstored.append(
-                (ended.number, entry, entry.version if entry else 0)
+            version = entry.version if entry else 0
+            tracker.unsettled.append(
+                ReceivedEnd(ended.number, ended.key, ended.how, entry, version)
             )
 
     def _count_outcome(self, vm: Vm, ended: Ended, now: float) -> None:
@@ -110,7 +111,7 @@
 
     def _process_refusals(self, vm: Vm, report: Report, now: float) -> None:
         for key, why in report.refused:
-            hosted = vm.drop_run(key)
+            hosted = self._runs.drop(vm, key)
             if hosted is None:
                 continue
             self._runs.record_event(Event.NEVER_STARTED, key, vm, why.value)
@@ -181,5 +182,5 @@
             )
             if hosted.sent and not on_its_way:
                 self._runs.record_event(Event.GONE, key, vm, "not listed any more")
-                vm.drop_run(key)
+                self._runs.drop(vm, key)
                 self._runs.requeue(key, now)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -18,9 +18,11 @@
 from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import (
     Pace,
+    RunEnd,
     RunKey,
     Start,
 )
+from wagtailcleat.scheduling.outgoing import ReceivedEnd
 from wagtailcleat.scheduling.pacing import PaceAction, eviction_pace, pace_actions
 from wagtailcleat.scheduling.placement_rounds import PlacementRounds
 from wagtailcleat.scheduling.ranking import due_seconds, lateness, slack_seconds
@@ -30,6 +32,9 @@
 from wagtailcleat.scheduling.vms import HostedRun, Vm
 from wagtailcleat.wire.scheduling import Orders, Report
 
+FINISHING_ENDS = (RunEnd.SUCCEEDED, RunEnd.FAILED)
+"""Ends after which a task may be finished; after any other it starts again."""
+
 
 class Scheduler:
     """Scheduling state and decisions of one leader.
@@ -260,7 +265,7 @@
             else due_seconds(task.entry, occurrence, self._wall_now),
             self.sharing.margin(vm, task.step, now) if task.step.fills else Margin(),
         )
-        vm.host_run(hosted)
+        self._runs.host(vm, hosted)
         if affects_sharing(task.step):
             vm.mark_changed(now)
         if task.step.fills:
@@ -283,10 +288,25 @@
         """
 
         def withdraw(vm: Vm, run: RunKey) -> None:
-            vm.drop_run(run)
+            self._runs.drop(vm, run)
             self._runs.requeue(run, now)
 
-        return self._dispatch.orders(self.vm_by_node, withdraw, now=now)
+        return self._dispatch.orders(
+            self.vm_by_node, withdraw, self._may_acknowledge, now=now
+        )
+
+    def _may_acknowledge(self, end: ReceivedEnd) -> bool:
+        """Return whether no start of a finished task can still be carried out.
+
+        A worker carries out late a start that it has not answered. Until every other
+        run of the task is settled, the end stays listed, so that a next leader learns
+        of it with the starts that are in doubt.
+        """
+        if end.how not in FINISHING_ENDS or not self.job_table.is_finished(end.run):
+            return True
+        if end.entry is not None and not end.entry.may_start_tasks:
+            return False
+        return not self._runs.has_other_run(end.run)
 
     @property
     def holds_starts(self) -> bool:
