Check a start against the worker that it meets at the agent

A worker that was restarted may be smaller and of another kind (labels).

Second, an agent started a run while an earlier run of the same task was in progress or in doubt at its own worker, whatever had led the leader to it.

Change: such starts are refused at once as not allowed, with the reason in the log; the leader places the task again on what the next report shows.

Both scenarios failed before ("condition not met in time": not refused).

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -23,6 +23,18 @@
     When a start is ordered
     Then that start is refused at once
 
+  Scenario: A start was ordered for an earlier incarnation of the worker
+    # Guards against runs on a new, smaller worker that were placed on the one before.
+    Given an agent whose worker listens at its VM's address
+    When a start is ordered for the worker's earlier incarnation
+    Then that start is refused at once
+
+  Scenario: A start is ordered while an earlier run of its task goes on at the worker
+    # Guards against two runs of a task on one worker.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and the next run of that task is ordered
+    Then that start is refused at once
+
   Scenario: A late leave of a worker's earlier incarnation does not end its present one
     # Guards against duplicate runs when an earlier incarnation's leave arrives late.
     Given an agent whose worker listens at its VM's address
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -101,6 +101,15 @@
         left = self.hosting.leave("i-1", decode_leave(body))
         self.loop.run_until_complete(left)
 
+    def order(self, job, *, run, born=BORN):
+        start = Start(RunKey(TaskKey(JobId(job), 0, 0, 0), run), "")
+
+        async def order():
+            self.hosting.orders.start(start, born)
+
+        self.loop.run_until_complete(order())
+        return start
+
     def close(self):
         self.work.cancel()
         self.loop.run_until_complete(asyncio.gather(self.work, return_exceptions=True))
@@ -169,12 +178,21 @@
 @when("a start is ordered")
 def step_start(context):
     world = context.hosting_world
-    context.start = Start(RunKey(TaskKey(JobId("aa" * 8), 0, 0, 0), 1), "")
+    context.start = world.order("aa" * 8, run=1)
+
+
+@when("a start is ordered for the worker's earlier incarnation")
+def step_start_earlier(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.listed)
+    context.start = world.order("aa" * 8, run=1, born=BORN - 1000)
 
-    async def order():
-        world.hosting.orders.start(context.start)
 
-    world.loop.run_until_complete(order())
+@when("the worker runs a task and the next run of that task is ordered")
+def step_start_next(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    context.start = world.order(TASK.partition(".")[0], run=2)
 
 
 @then("that start is refused at once")
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -84,12 +84,19 @@
         for key in list(self.unsettled_by_run):
             self._refuse(key, Refusal.NEVER_RAN, "its worker's leases have lapsed")
 
-    def start(self, start: Start) -> None:
-        """Start a run in the background; reports contain its outcome."""
+    def start(self, start: Start, born: int) -> None:
+        """Start a run in the background; reports contain its outcome.
+
+        Parameters: `born` is the incarnation of the worker that is to run it.
+        """
         if start.key in self.unsettled_by_run:
             return
+        why_not = self._why_not(start, born)
         self.unsettled_by_run[start.key] = start
-        self._spawn(self._start(start))
+        if why_not:
+            self._refuse(start.key, Refusal.NOT_ALLOWED, why_not)
+        else:
+            self._spawn(self._start(start))
 
     def stop(self, key: RunKey) -> None:
         """Stop a run, or prevent it from starting."""
@@ -104,6 +111,16 @@
         self._work.add(task)
         task.add_done_callback(self._work.discard)
 
+    def _why_not(self, start: Start, born: int) -> str:
+        """Return why a run must not be started; empty if it may."""
+        incarnation = self._current()
+        if incarnation is None or incarnation.born != born:
+            return "it was ordered for another incarnation of the worker"
+        known = [running.key for running in incarnation.running]
+        if any(key.task == start.key.task for key in [*known, *self.unsettled_by_run]):
+            return "another run of its task is not known to have ended here"
+        return ""
+
     def _refuse(self, key: RunKey, why: Refusal, shown_by: str = "answer") -> None:
         self.unsettled_by_run.pop(key, None)
         self.refusal_by_run[key] = why
