Settle starts in doubt by one list with a higher fencing token

Cause: a start without an answer was closed by a stop of its own, repeated until one was answered, through four connections that such calls hold for 0.35 s each. Lists came one after the other, 0.9 s for each that got no answer, so that leases lapsed.

Change: the agent raises its token when a start gets no answer. Once a list with the higher token is answered, the worker refuses every start sent before, so one list settles all of them. While a list is not answered a further one is asked for each 0.1 s. A worker whose process has ended loses its started runs at once, but starts in doubt only with their leases: the next process may receive them. When leases have lapsed the token rises too. A token that is refused again and again rises in doubling steps, as a call to an earlier incarnation may have left a far higher one.

"A worker carries out calls late" waited for a start to be carried out while lists were still answered, which can't happen any more; the stand-in now delays lists as the platform does, so that the start is carried out and in doubt, as the scenario asks.

--- /dev/null
+++ b/features/platform/doubtful_calls.feature
@@ -0,0 +1,56 @@
+Feature: An agent whose worker leaves calls unanswered and carries them out late
+
+  Scenario: Neither a start nor its stop is answered
+    # Guards against starts that stay in doubt, and are carried out, because stops are lost.
+    Given an agent whose worker answers lists only
+    When a start is ordered that gets no answer
+    Then it is known never to have run
+    And a list with a higher fencing token than that of the start was answered
+
+  Scenario: A start without an answer was carried out
+    # Guards against a run that counts as never started while it goes on.
+    Given an agent whose worker answers lists only
+    When a start is ordered that gets no answer, and is carried out
+    Then its run counts as running
+
+  Scenario: The token is raised while another start is on its way
+    # Guards against runs that wait because a start was overtaken by a raised token.
+    Given an agent whose worker answers lists only
+    When two starts are ordered, one gets no answer and the other one is overtaken
+    Then the other one was sent again, and runs
+
+  Scenario: A start that was overtaken is to stop meanwhile
+    # Guards against a cancelled job whose start is sent again after its stop.
+    Given an agent whose worker answers lists only
+    When two starts are ordered, one gets no answer, and the other one is to stop
+    Then the other one is refused, and was sent once
+
+  Scenario: Starts wait behind others that get no answer
+    # Guards against a start that is sent after it was ordered to stop.
+    Given an agent whose worker answers lists only
+    When 8 starts are ordered that get no answer, and all are to stop at once
+    Then 3 starts were sent at most, and all are known never to have run
+
+  Scenario: Most lists get no answer
+    # Guards against runs that lapse because an unanswered list holds up the next one.
+    Given an agent whose worker answers each fourth list only
+    Then 5 lists are answered within 10 s
+
+  Scenario: The worker's process ends while a start is in doubt
+    # Guards against a start that counts as never run while a next process may receive it.
+    Given an agent whose worker answers lists only
+    When a start is ordered that gets no answer, and the worker's port refuses connections
+    Then the worker's runs count as lost, and the start is in doubt
+    When its lease has certainly expired
+    Then it is known never to have run
+
+  Scenario: Calls that were sent before the leases have lapsed
+    # Guards against a late start that renewed leases and an unchanged token let in.
+    Given an agent whose worker answers lists only
+    When it answers no list until the leases have certainly expired, and then does again
+    Then its next list had a higher fencing token than those before
+
+  Scenario: The worker requires a token far above the agent's
+    # Guards against a worker that is lost for hours after a call to its predecessor.
+    Given an agent whose worker requires a token 10000 s above its clock
+    Then its runs are listed
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -43,10 +43,11 @@
         self.finish(json.dumps(body))
 
 
-class _HostingWorld:
+class HostingWorld:
     """An agent's `Hosting`, with a simulated worker that can stop listening."""
 
     def __init__(self, worker_host):
+        """Begin an agent whose worker listens at `worker_host`."""
         self.now = 100.0
         self.worker_host = worker_host
         self.ends = []
@@ -62,12 +63,14 @@
         )
         self.loop.run_until_complete(self._begin())
 
+    def make_application(self):
+        """Return the simulated worker."""
+        return Application([("/hold", _ListHandler, {"world": self})])
+
     async def _begin(self):
         sockets = bind_sockets(0, self.worker_host)
         port = sockets[0].getsockname()[1]
-        self.server = HTTPServer(
-            Application([("/hold", _ListHandler, {"world": self})])
-        )
+        self.server = HTTPServer(self.make_application())
         self.server.add_sockets(sockets)
         self.work = asyncio.create_task(self.hosting.run())
         info = WorkerInfo(
@@ -83,12 +86,15 @@
         )
 
     def until(self, condition):
+        """Let the agent run until a condition is met."""
         ends_at = self.loop.time() + TIMEOUT_SECONDS
         while not condition():
             assert self.loop.time() < ends_at, "condition not met in time"
             self.loop.run_until_complete(asyncio.sleep(POLL_SECONDS))
 
     def refuse(self, count):
+        """Close the worker's port until it has refused `count` connections."""
+
         async def stop():
             self.server.stop()
             await self.server.close_all_connections()
@@ -97,12 +103,23 @@
         self.until(lambda: self.hosting.refusals >= count)
 
     def leave(self, born):
+        """Deliver the leave of the incarnation born then."""
         body = json.dumps({"born": born}).encode()
         left = self.hosting.leave("i-1", decode_leave(body))
         self.loop.run_until_complete(left)
 
-    def order(self, job, *, run, born=BORN):
-        start = Start(RunKey(TaskKey(JobId(job), 0, 0, 0), run), "")
+    def stop_runs(self, keys):
+        """Order that runs stop."""
+
+        async def stop():
+            for key in keys:
+                self.hosting.orders.stop(key)
+
+        self.loop.run_until_complete(stop())
+
+    def order(self, job, *, run, born=BORN, position=0):
+        """Order the start of a run of a job's task, and return it."""
+        start = Start(RunKey(TaskKey(JobId(job), 0, 0, position), run), "")
 
         async def order():
             self.hosting.orders.start(start, born)
@@ -111,6 +128,7 @@
         return start
 
     def close(self):
+        """Stop the agent."""
         self.work.cancel()
         self.loop.run_until_complete(asyncio.gather(self.work, return_exceptions=True))
         self.loop.close()
@@ -118,13 +136,13 @@
 
 @given("an agent whose worker listens at its VM's address")
 def step_own(context):
-    context.hosting_world = _HostingWorld(OWN_HOST)
+    context.hosting_world = HostingWorld(OWN_HOST)
     context.add_cleanup(context.hosting_world.close)
 
 
 @given("an agent whose worker listens at another address than its VM's")
 def step_other(context):
-    context.hosting_world = _HostingWorld(OTHER_HOST)
+    context.hosting_world = HostingWorld(OTHER_HOST)
     context.add_cleanup(context.hosting_world.close)
 
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -40,7 +40,7 @@
     """Fault switches of the worker."""
 
     late_seconds: float = 0.0
-    """Execute orders after this delay and do not answer them; 0: at once."""
+    """Execute calls after this delay and do not answer them; 0: at once."""
     fail: bool = False
     """Every run fails as soon as it has started."""
     draining: bool = False
@@ -129,11 +129,7 @@
     def post(self) -> None:
         """Execute the order, now or after the delay that the switches set."""
         body = json.loads(self.request.body)
-        delay = self.switches.current.late_seconds
-        if delay:
-            loop = asyncio.get_running_loop()
-            self.state.background.add(loop.call_later(delay, self.execute, body))
-            self.drop()
+        if self.is_delayed(body):
             return
         answer, status = self.execute(body)
         if self.loses_answer():
@@ -141,6 +137,15 @@
             return
         self.answer(answer | {"clockMs": self.state.clock_ms()}, status)
 
+    def is_delayed(self, body: dict[str, Any]) -> bool:
+        """Return whether the call gets no answer, and is executed after a delay."""
+        delay = self.switches.current.late_seconds
+        if delay:
+            loop = asyncio.get_running_loop()
+            self.state.background.add(loop.call_later(delay, self.execute, body))
+            self.drop()
+        return bool(delay)
+
     def is_fenced(self, body: dict[str, Any]) -> bool:
         """Return whether the fencing token is outdated; if not, store it."""
         if body.get("fence", 0) < self.state.fence:
@@ -223,16 +228,12 @@
         """Extend the lease, drop acknowledged ends, and list runs and ends."""
         body = json.loads(self.request.body)
         state = self.state
-        if self.is_fenced(body):
-            self.answer({"reason": "fence", "clockMs": state.clock_ms()}, 409)
+        if self.is_delayed(body):
+            return
+        refusal, status = self.execute(body)
+        if refusal:
+            self.answer(refusal | {"clockMs": state.clock_ms()}, status)
             return
-        self.extend_lease(body)
-        seen = body.get("ackCursor", 0)
-        if any(end[0] <= seen for end in state.unacknowledged_ends):
-            state.record.add("ack", time.time(), state.instance, "", seen, "")
-        state.unacknowledged_ends = [
-            end for end in state.unacknowledged_ends if end[0] > seen
-        ]
         wait = body.get("waitMs", 0) / MILLISECONDS
         if wait and not state.unacknowledged_ends:
             try:
@@ -252,6 +253,20 @@
             }
         )
 
+    def execute(self, body: dict[str, Any]) -> tuple[dict[str, Any], int]:
+        """Extend the lease, and drop the ends that are acknowledged."""
+        state = self.state
+        if self.is_fenced(body):
+            return {"reason": "fence"}, 409
+        self.extend_lease(body)
+        seen = body.get("ackCursor", 0)
+        if any(end[0] <= seen for end in state.unacknowledged_ends):
+            state.record.add("ack", time.time(), state.instance, "", seen, "")
+        state.unacknowledged_ends = [
+            end for end in state.unacknowledged_ends if end[0] > seen
+        ]
+        return {}, 200
+
 
 async def _send_heartbeats(
     state: State, switches: Switches[Faults], heartbeat: dict[str, Any]
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.fencing import FencingTokens
 from wagtailcleat.cluster.run_orders import RunOrders
 from wagtailcleat.cluster.settings import split_address
+from wagtailcleat.cluster.silences import log_loss, log_return
 from wagtailcleat.cluster.timing import (
     CLOCK_DRIFT_FACTOR,
     LIST_WAIT_SECONDS,
@@ -21,6 +22,7 @@
     WORKER_SILENT_SECONDS,
 )
 from wagtailcleat.cluster.worker_incarnation import WorkerIncarnation
+from wagtailcleat.cluster.worker_lists import first_list
 from wagtailcleat.ids import ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.heartbeats import Heartbeat
@@ -40,7 +42,6 @@
 
 log = part_logger("hosting")
 
-MILLISECONDS = 1000
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a failed call to the worker."""
 MIN_LIST_INTERVAL_SECONDS = 0.05
@@ -95,6 +96,7 @@
         self._is_zone_out = is_zone_out
         self._on_change = on_change
         self._incarnation: WorkerIncarnation | None = None
+        self._fencing_tokens = FencingTokens()
         self._last_sequence = -1
         self._worker_known = asyncio.Event()
         self.orders = RunOrders(
@@ -102,6 +104,7 @@
             current=lambda: self._incarnation,
             may_start=self._can_start,
             renew_lease=self._renew_lease,
+            raise_fence=self._raise_fence,
             on_change=on_change,
         )
 
@@ -116,6 +119,11 @@
             self._incarnation.lists_answered > 0 or self._incarnation.runs_lost
         )
 
+    @property
+    def runs_lost(self) -> bool:
+        """Whether the worker's runs count as lost since its last list."""
+        return self._incarnation is not None and self._incarnation.runs_lost
+
     @property
     def running(self) -> list[Running]:
         """Runs in progress, as last listed."""
@@ -203,7 +211,7 @@
         self._end_incarnation()
         self.left = False
         worker = heartbeat.worker
-        fence = worker.born + int(heartbeat.worker_seconds * MILLISECONDS)
+        fence = self._fencing_tokens.next(worker.born, heartbeat.worker_seconds)
         log.info(
             "Worker began",
             extra={"worker": worker.id, "born": worker.born, "fence": fence},
@@ -244,24 +252,28 @@
                     max(0.0, started_at + MIN_LIST_INTERVAL_SECONDS - self._clock())
                 )
             else:
-                self._lose_runs_after_lease(incarnation)
+                self._lose_all_after_lease(incarnation)
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
+    def _raise_fence(self, incarnation: WorkerIncarnation) -> None:
+        incarnation.worker.fence = self._fencing_tokens.next()
+
     async def _list_runs(self, incarnation: WorkerIncarnation) -> bool:
-        sent_at = self._clock()
-        until = self._renew_lease(incarnation, sent_at)
-        answer = await incarnation.worker.list(
-            acknowledged=incarnation.acknowledged,
-            until=None if until is None else until + incarnation.clock_ahead,
-            wait_seconds=LIST_WAIT_SECONDS if incarnation.lists_answered else 0.0,
+        until = self._renew_lease(incarnation, self._clock())
+        is_urgent = not incarnation.lists_answered or self.orders.has_doubts
+        fence, answer = await first_list(
+            incarnation,
+            until=until,
+            wait_seconds=0.0 if is_urgent else LIST_WAIT_SECONDS,
         )
         if self._incarnation is not incarnation:
             return False
         if isinstance(answer, RunList):
+            incarnation.listed_fence = fence
             return await self._apply_list(incarnation, answer)
-        if isinstance(answer, StaleFence):
-            incarnation.worker.fence = incarnation.born + int(
-                answer.worker_seconds * MILLISECONDS
+        if isinstance(answer, StaleFence) and fence == incarnation.worker.fence:
+            incarnation.worker.fence = self._fencing_tokens.after_rejection(
+                incarnation.born, answer.worker_seconds
             )
             log.warning(
                 "Fencing token was stale", extra={"fence": incarnation.worker.fence}
@@ -285,6 +297,7 @@
             return
         if incarnation.refusals >= REFUSALS_UNTIL_LOST and not incarnation.runs_lost:
             self._lose_runs(incarnation, "nobody listens at its port")
+            self.orders.lose_started()
 
     def _lease_until(self, incarnation: WorkerIncarnation, now: float) -> float | None:
         if (
@@ -306,6 +319,7 @@
         if answer.born and answer.born != incarnation.born:
             log.warning("Worker was born anew", extra={"worker": incarnation.instance})
             return False
+        self._fencing_tokens.accepted()
         incarnation.clock_ahead = answer.worker_seconds - now
         changed = not incarnation.lists_answered or (
             [ended.number for ended in answer.ended]
@@ -313,13 +327,14 @@
         )
         known_runs = {running.key for running in incarnation.running}
         changed = changed or known_runs != {running.key for running in answer.running}
-        self._log_return(incarnation, answer, now)
+        unsettled = len(self.orders.unsettled_by_run)
+        log_return(incarnation, answer, unsettled=unsettled, now=now)
         incarnation.running = answer.running
         incarnation.ended = answer.ended
         incarnation.has_all_ends = answer.has_all_ends
         incarnation.lists_answered += 1
         incarnation.listed_at = now
-        incarnation.runs_lost = False
+        incarnation.runs_lost = incarnation.leases_lapsed = False
         incarnation.refusals = 0
         if incarnation.lists_answered == 1:
             max_lease = self._lease * CLOCK_DRIFT_FACTOR
@@ -329,57 +344,31 @@
             self._on_change()
         return True
 
-    def _log_return(
-        self, incarnation: WorkerIncarnation, answer: RunList, now: float
-    ) -> None:
-        """Log the first list after a silence, with what became of the leases."""
-        silent = now - incarnation.listed_at
-        if not incarnation.lists_answered or silent <= WORKER_SILENT_SECONDS:
-            return
-        ends = Counter(ended.how.value for ended in answer.ended)
-        log.info(
-            "Worker answers again",
-            extra={
-                "worker": incarnation.instance,
-                "silent": round(silent, 3),
-                "lost": incarnation.runs_lost,
-                "lease_left": round(incarnation.lease_until - now, 3),
-                "running": len(answer.running),
-                "ended": dict(ends),
-                "unsettled": len(self.orders.unsettled_by_run),
-            },
-        )
-
-    def _lose_runs_after_lease(self, incarnation: WorkerIncarnation) -> None:
+    def _lose_all_after_lease(self, incarnation: WorkerIncarnation) -> None:
         # A worker that can't be reached kills its runs when their leases expire. A
-        # delayed start that still arrives has an expired lease, and is refused.
+        # start that it carries out later has an expired lease of its own, or a fencing
+        # token below that of the next list, and is refused.
         now = self._clock()
-        if incarnation.runs_lost or not incarnation.lists_answered:
+        if incarnation.leases_lapsed or not incarnation.lists_answered:
             return
         max_lease = (
             incarnation.lease_until - incarnation.listed_at
         ) * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_SECONDS
         if now < incarnation.listed_at + max_lease:
             return
-        self._lose_runs(incarnation, "its leases have lapsed")
+        incarnation.leases_lapsed = True
+        self._raise_fence(incarnation)
+        if not incarnation.runs_lost:
+            self._lose_runs(incarnation, "its leases have lapsed")
+        self.orders.lose_all()
 
     def _lose_runs(self, incarnation: WorkerIncarnation, why: str) -> None:
         incarnation.runs_lost = True
         incarnation.running = []
         # Ends that its last list had no room for will never be listed.
         incarnation.has_all_ends = True
-        now = self._clock()
-        log.warning(
-            "Runs are lost",
-            extra={
-                "worker": incarnation.instance,
-                "why": why,
-                "silent": round(now - incarnation.listed_at, 3),
-                "lease_left": round(incarnation.lease_until - now, 3),
-                "unsettled": len(self.orders.unsettled_by_run),
-            },
-        )
-        self.orders.lose_runs()
+        unsettled = len(self.orders.unsettled_by_run)
+        log_loss(incarnation, why, unsettled=unsettled, now=self._clock())
         self._on_change()
 
     def acknowledge(self, born: int, number: int) -> None:
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -21,6 +21,11 @@
 
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a stop that failed."""
+MAX_PARALLEL_STARTS = 3
+"""Starts on their way at one time; fewer than `RunWorker` has connections for orders.
+
+Further ones wait here, where they can still be revoked, and stops don't wait for them.
+"""
 FRESH_LISTS = 2
 """Lists to wait for until one shows the effect of an order.
 
@@ -42,21 +47,31 @@
         current: Callable[[], WorkerIncarnation | None],
         may_start: Callable[[], bool],
         renew_lease: Callable[[WorkerIncarnation, float], float | None],
+        raise_fence: Callable[[WorkerIncarnation], None],
         on_change: Callable[[], None],
     ) -> None:
         """Create it without orders.
 
         Parameters: `current` returns the worker's present incarnation; `may_start`
         returns whether it may be given a run now; `renew_lease` returns until when a
-        run's lease may last, and counts with it, or returns None; `on_change` is called
-        when there is something to report.
+        run's lease may last, and counts with it, or returns None; `raise_fence` lets
+        later calls use a higher fencing token; `on_change` is called when there is
+        something to report.
         """
         self.unsettled_by_run: dict[RunKey, Start] = {}
         self.refusal_by_run: dict[RunKey, Refusal] = {}
+        self._started: set[RunKey] = set()
+        """Runs that the worker has started, and that no list has shown yet."""
+        self._in_doubt: set[RunKey] = set()
+        """Runs whose start got no answer, and may still be carried out."""
+        self._revoked: set[RunKey] = set()
+        """Runs that were ordered to stop before their start was settled."""
+        self._start_slots = asyncio.Semaphore(MAX_PARALLEL_STARTS)
         self._clock = clock
         self._current = current
         self._may_start = may_start
         self._renew_lease = renew_lease
+        self._raise_fence = raise_fence
         self._on_change = on_change
         self._listed = asyncio.Condition()
         self._work: set[asyncio.Task[None]] = set()
@@ -65,6 +80,11 @@
         """Show the number of starts in doubt."""
         return f"<RunOrders: {len(self.unsettled_by_run)} unsettled>"
 
+    @property
+    def has_doubts(self) -> bool:
+        """Whether a start got no answer, so that lists are needed soon."""
+        return bool(self._in_doubt)
+
     async def notify_listed(self) -> None:
         """Let the orders in progress look at a new list of runs."""
         async with self._listed:
@@ -76,9 +96,20 @@
             task.cancel()
         self.unsettled_by_run.clear()
         self.refusal_by_run.clear()
+        self._started.clear()
+        self._in_doubt.clear()
+        self._revoked.clear()
+
+    def lose_started(self) -> None:
+        """Give up the runs that have started; their worker's process has ended.
+
+        Starts in doubt stay unsettled: the next process may still receive them.
+        """
+        for key in list(self._started):
+            self._refuse(key, Refusal.NEVER_RAN, "its worker has ended")
 
-    def lose_runs(self) -> None:
-        """Cancel the orders in progress; their runs have ended or never ran."""
+    def lose_all(self) -> None:
+        """Cancel the orders in progress; the leases of all their runs have lapsed."""
         for task in self._work:
             task.cancel()
         for key in list(self.unsettled_by_run):
@@ -100,6 +131,8 @@
 
     def stop(self, key: RunKey) -> None:
         """Stop a run, or prevent it from starting."""
+        if key in self.unsettled_by_run:
+            self._revoked.add(key)
         self._spawn(self._stop(key))
 
     def pace(self, pace: Pace) -> None:
@@ -121,8 +154,14 @@
             return "another run of its task is not known to have ended here"
         return ""
 
-    def _refuse(self, key: RunKey, why: Refusal, shown_by: str = "answer") -> None:
+    def _settle(self, key: RunKey) -> None:
         self.unsettled_by_run.pop(key, None)
+        self._started.discard(key)
+        self._in_doubt.discard(key)
+        self._revoked.discard(key)
+
+    def _refuse(self, key: RunKey, why: Refusal, shown_by: str = "answer") -> None:
+        self._settle(key)
         self.refusal_by_run[key] = why
         log.info(
             "Run did not start",
@@ -131,44 +170,53 @@
         self._on_change()
 
     async def _start(self, start: Start) -> None:
-        incarnation = self._current()
-        if (
-            incarnation is None
-            or not incarnation.lists_answered
-            or incarnation.runs_lost
-            or not self._may_start()
-        ):
-            self._refuse(start.key, Refusal.NOT_ALLOWED)
-            return
-        now = self._clock()
-        until = self._renew_lease(incarnation, now)
-        if until is None:
-            self._refuse(start.key, Refusal.NOT_ALLOWED)
-            return
-        outcome = await incarnation.worker.start(
-            start, until=until + incarnation.clock_ahead
-        )
-        if isinstance(outcome, Refusal):
+        async with self._start_slots:
+            incarnation = self._current()
+            until = self._lease_of_start(start, incarnation)
+            if incarnation is None or until is None:
+                self._refuse(start.key, Refusal.NOT_ALLOWED)
+                return
+            fence = incarnation.worker.fence
+            outcome = await incarnation.worker.start(
+                start, until=until + incarnation.clock_ahead
+            )
+        if outcome is Refusal.STALE and incarnation.worker.fence > fence:
+            # The token was raised while the start was on its way: it has not run.
+            await self._start(start)
+        elif isinstance(outcome, Refusal):
             self._refuse(start.key, outcome)
         elif isinstance(outcome, OtherIncarnation):
             self._refuse(start.key, Refusal.NEVER_RAN)
         elif outcome is StartOutcome.STARTED:
+            self._started.add(start.key)
             await self._wait_until_listed(incarnation, start.key)
         else:
+            self._in_doubt.add(start.key)
+            fields = {"run": str(start.key), "fence": fence}
+            lease_left = round(until - self._clock(), 3)
             log.info(
-                "Start was not answered",
-                extra={
-                    "run": str(start.key),
-                    "lease_left": round(until - self._clock(), 3),
-                    "fence": incarnation.worker.fence,
-                },
+                "Start was not answered", extra=fields | {"lease_left": lease_left}
             )
-            await self._resolve_unknown_start(incarnation, start.key)
+            await self._resolve_unknown_start(incarnation, start.key, fence)
+
+    def _lease_of_start(
+        self, start: Start, incarnation: WorkerIncarnation | None
+    ) -> float | None:
+        """Return until when a start's lease may last; None if it must not begin."""
+        if (
+            incarnation is None
+            or not incarnation.lists_answered
+            or incarnation.runs_lost
+            or start.key in self._revoked
+            or not self._may_start()
+        ):
+            return None
+        return self._renew_lease(incarnation, self._clock())
 
     async def _wait_until_listed(
         self, incarnation: WorkerIncarnation, key: RunKey
-    ) -> bool:
-        """Wait for a list that must contain the run; return whether it does."""
+    ) -> None:
+        """Wait for a list that must contain the run."""
         wanted = incarnation.lists_answered + FRESH_LISTS
         async with self._listed:
             await self._listed.wait_for(
@@ -176,26 +224,26 @@
                     is_list_complete(incarnation, wanted) or is_listed(incarnation, key)
                 )
             )
-        self.unsettled_by_run.pop(key, None)
-        return is_listed(incarnation, key)
+        self._settle(key)
 
     async def _resolve_unknown_start(
-        self, incarnation: WorkerIncarnation, key: RunKey
+        self, incarnation: WorkerIncarnation, key: RunKey, fence: int
     ) -> None:
-        # The start may be carried out seconds later. After a stop, the worker refuses
-        # the run if it has not started yet, and ends it otherwise.
+        # The start may be carried out seconds later. Once the worker has answered a
+        # list with a higher token, it refuses the start if it has not carried it out.
+        if incarnation.worker.fence == fence:
+            self._raise_fence(incarnation)
         async with self._listed:
-            if is_listed(incarnation, key):
-                self.unsettled_by_run.pop(key, None)
-                return
-        await self._stop(key)
-        wanted = incarnation.lists_answered + FRESH_LISTS
-        async with self._listed:
-            await self._listed.wait_for(lambda: is_list_complete(incarnation, wanted))
+            await self._listed.wait_for(
+                lambda: (
+                    (incarnation.listed_fence > fence and incarnation.has_all_ends)
+                    or is_listed(incarnation, key)
+                )
+            )
         if is_listed(incarnation, key):
-            self.unsettled_by_run.pop(key, None)
+            self._settle(key)
         else:
-            self._refuse(key, Refusal.NEVER_RAN, "stop and lists")
+            self._refuse(key, Refusal.NEVER_RAN, "list with a higher token")
 
     async def _stop(self, key: RunKey) -> None:
         incarnation = self._current()
@@ -206,5 +254,9 @@
 
     async def _pace(self, pace: Pace) -> None:
         incarnation = self._current()
-        if incarnation is not None:
+        if incarnation is None:
+            return
+        fence = incarnation.worker.fence
+        confirmed = await incarnation.worker.pace(pace.key, pace.percent)
+        if not confirmed and incarnation.worker.fence > fence:
             await incarnation.worker.pace(pace.key, pace.percent)
--- /dev/null
+++ b/wagtailcleat/cluster/silences.py
@@ -0,0 +1,47 @@
+"""Log lines about a worker that does not answer, and about its return."""
+
+from collections import Counter
+
+from wagtailcleat.cluster.timing import WORKER_SILENT_SECONDS
+from wagtailcleat.cluster.worker_incarnation import WorkerIncarnation
+from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.runs import RunList
+
+log = part_logger("hosting")
+
+
+def log_loss(
+    incarnation: WorkerIncarnation, why: str, *, unsettled: int, now: float
+) -> None:
+    """Log that a worker's runs are lost; `unsettled` is the number of open starts."""
+    log.warning(
+        "Runs are lost",
+        extra={
+            "worker": incarnation.instance,
+            "why": why,
+            "silent": round(now - incarnation.listed_at, 3),
+            "lease_left": round(incarnation.lease_until - now, 3),
+            "unsettled": unsettled,
+        },
+    )
+
+
+def log_return(
+    incarnation: WorkerIncarnation, answer: RunList, *, unsettled: int, now: float
+) -> None:
+    """Log the first list after a silence, which shows what became of the leases."""
+    silent = now - incarnation.listed_at
+    if not incarnation.lists_answered or silent <= WORKER_SILENT_SECONDS:
+        return
+    log.info(
+        "Worker answers again",
+        extra={
+            "worker": incarnation.instance,
+            "silent": round(silent, 3),
+            "lost": incarnation.runs_lost,
+            "lease_left": round(incarnation.lease_until - now, 3),
+            "running": len(answer.running),
+            "ended": dict(Counter(ended.how.value for ended in answer.ended)),
+            "unsettled": unsettled,
+        },
+    )
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -18,6 +18,8 @@
     """How far the worker's clock is ahead of this VM's, at least, in seconds."""
     lists_answered: int = 0
     """Number of answered lists."""
+    listed_fence: int = 0
+    """Fencing token of the last answered list."""
     listed_at: float = 0.0
     running: list[Running] = field(default_factory=list)
     ended: list[Ended] = field(default_factory=list)
@@ -28,6 +30,8 @@
     """The latest time at which the leases expire, on this VM's clock."""
     runs_lost: bool = False
     """Whether the worker's runs count as lost since the last list."""
+    leases_lapsed: bool = False
+    """Whether all leases have certainly lapsed since the last list."""
     refusals: int = 0
     """Number of connections refused in a row."""
 
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -38,6 +38,8 @@
 
 A worker answers in a millisecond. Connections opened for a burst are closed after it.
 """
+MAX_LIST_CONNECTIONS = 8
+"""Lists that are asked for at one time; one, as long as the worker answers."""
 MAX_LISTED_ENDS = 500
 """Maximum of ended runs in one list; the worker lists further ones after earlier ones
 are acknowledged."""
@@ -111,7 +113,7 @@
         self._call_seconds = call_seconds
         self._expect_instance = {EXPECT_INSTANCE_HEADER: instance}
         self._client = HttpClient(address, max_clients=MAX_ORDER_CONNECTIONS)
-        self._list_client = HttpClient(address, max_clients=2)
+        self._list_client = HttpClient(address, max_clients=MAX_LIST_CONNECTIONS)
 
     def __repr__(self) -> str:
         """Return a text with the fencing token."""
