--- a/features/model/takeover.feature
+++ b/features/model/takeover.feature
@@ -20,6 +20,7 @@
       | REPORT_EPOCH       |
       | RIVALS_ON_REFUSAL  |
       | FRESH_READS        |
+      | FENCE              |
       | RIVALS_HANDED_ON   |
       | PROMISE_COUNTS     |
       | JOBS_LISTED_AGAIN  |
@@ -37,11 +38,16 @@
       | CLAIM_BOUND        |
       | REFUSAL_NO_WORD    |
       | IDLE_MOVES_NOTHING |
+      | REPORT_EPOCH       |
       | RIVALS_ON_REFUSAL  |
+      | FRESH_READS        |
+      | FENCE              |
       | RIVALS_HANDED_ON   |
       | PROMISE_COUNTS     |
       | JOBS_LISTED_AGAIN  |
       | GIVE_UP_RENEWED    |
+      | UNLISTED_HOLDS     |
+      | WORD_READS         |
 
   Scenario: No task runs twice in random worlds
     # Guards against duplicate runs under faults and timings that the worlds above lack.
--- a/features/steps/takeover_model_steps.py
+++ b/features/steps/takeover_model_steps.py
@@ -12,7 +12,7 @@
 from features.steps.takeover_worlds import DESIGN, WORLD_BY_RULE
 
 MAX_STATES = 400_000
-"""States after which an exploration ends undecided; a world in CI has 15,000."""
+"""States after which an exploration ends undecided; a world in CI has 36,000."""
 LONGER = int(os.environ.get("TAKEOVER_LONGER", "1"))
 """Factor on the number of worlds drawn and the states explored of each."""
 DRAWN_LIMIT = 1_500
