Note the incarnation of each report, also of one that is not accepted

What callers would see: two runs of a task on one worker, as in the users' record but by one leader.

Cause: of an agent that was told to follow the leader's epoch, killed, and restarted, the first report for that epoch could arrive after those of the next incarnation. The leader knew no earlier incarnation and took it for a newer one: what was started since counted as gone and started again, mostly on the same VM, and the living incarnation's reports were refused for good.

Change: the incarnation is noted with every report, also with the one that is answered by the epoch to follow; an incarnation can only follow after that.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -26,6 +26,14 @@
     And the agents report
     Then its end is acknowledged
 
+  Scenario: The first report of an earlier incarnation of the agent
+    # Guards against duplicate runs when the only report of an incarnation arrives last.
+    Given a leader, and a job that is stored
+    When an agent was told to follow, and its report is delayed beyond those of its next incarnation
+    And the delayed report arrives
+    And the agents report
+    Then the task was started once
+
   Scenario: The end of a run whose job the leader does not know yet
     # Guards against a finished task that runs again when its job is not known yet.
     Given a leader whose watch on the jobs is late
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -1,5 +1,6 @@
 """Steps on messages that reach a leader late, or before it knows their job."""
 
+import msgspec
 from behave import given, then, when
 
 from features.steps.leader_world import LeaderWorld
@@ -15,7 +16,7 @@
     TaskKey,
     WorkerState,
 )
-from wagtailcleat.wire.scheduling import Submitted
+from wagtailcleat.wire.scheduling import FollowFirst, Submitted
 
 JOB = "00ff00ff00ff00ff"
 FIRST = TaskKey(JOB, 0, 0, 0)
@@ -84,6 +85,20 @@
     _delay_report(context, 2)
 
 
+@when(
+    "an agent was told to follow, and its report is delayed"
+    " beyond those of its next incarnation"
+)
+def step_first_report(context):
+    world = context.leading
+    first = world.workers[0]
+    world.incarnation_by_node[first.node] = 2
+    earlier = msgspec.structs.replace(world.make_report(first), epoch=0)
+    world.open(first)
+    assert isinstance(world.report(first, report=earlier), FollowFirst)
+    _delay_report(context, 3)
+
+
 def _delay_report(context, incarnation):
     world = context.leading
     first, second = world.workers
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -259,6 +259,8 @@
             # leader. After an answer, runs continue for as long as the next leader
             # waits after the last moment at which this one may act.
             return Refused(Code.UNAVAILABLE.value, "this leader may not act now")
+        if not self._report_order.note_incarnation(message):
+            return Refused(Code.CONFLICT.value, "a later incarnation has reported")
         if message.epoch != self.lease.epoch:
             # The agent may still accept an order of the previous leader. A delayed
             # order would start a run that this report does not list, and the same task
--- a/wagtailcleat/cluster/report_order.py
+++ b/wagtailcleat/cluster/report_order.py
@@ -28,15 +28,25 @@
         after later ones. It does not list what was started since: those runs would
         count as gone, and start elsewhere while they continue.
         """
-        if (report.node, report.incarnation) in self._past_incarnations:
+        if not self.note_incarnation(report):
             return True
-        incarnation, number = self._last_by_node.get(
-            report.node, (report.incarnation, 0)
-        )
-        if report.incarnation != incarnation:
-            self._past_incarnations.add((report.node, incarnation))
-            number = 0
+        _, number = self._last_by_node[report.node]
         if 0 < report.number <= number:
             return True
         self._last_by_node[report.node] = (report.incarnation, report.number)
         return False
+
+    def note_incarnation(self, report: Report) -> bool:
+        """Return whether a report is of its agent's latest incarnation, and note that.
+
+        Called for each report, also for those that are not accepted: the first report
+        that an incarnation makes for this leader's epoch, after the leader has told it
+        to follow, may be delayed beyond those of the next incarnation.
+        """
+        if (report.node, report.incarnation) in self._past_incarnations:
+            return False
+        known, _ = self._last_by_node.setdefault(report.node, (report.incarnation, 0))
+        if report.incarnation != known:
+            self._past_incarnations.add((report.node, known))
+            self._last_by_node[report.node] = (report.incarnation, 0)
+        return True
