Acknowledge held-back ends of jobs that were deleted meanwhile

Change: such an end waits for the agents themselves, not for its job.

The scenario failed before: the end was still listed.

--- a/features/scheduling/acknowledgements.feature
+++ b/features/scheduling/acknowledgements.feature
@@ -48,3 +48,10 @@
     # Guards against starts carried out after an acknowledged end, in any order of events.
     When 300 random histories of starts in doubt are played
     Then no task was started after an acknowledged end, and all ends were acknowledged
+
+  Scenario: The job of an end was deleted before all agents have reported
+    # Guards against a list that is never acknowledged again after a job was deleted.
+    Given 2 VMs of 32 cores
+    And a job that has ended, one of whose ends a new leader may not acknowledge yet
+    When the job is deleted, and then the last agent reports
+    Then that end is acknowledged
--- a/features/steps/acknowledgements_steps.py
+++ b/features/steps/acknowledgements_steps.py
@@ -135,6 +135,34 @@
     assert world.running_nodes(JOB), "its next run was not started"
 
 
+@given("a job that has ended, one of whose ends a new leader may not acknowledge yet")
+def step_ended_unacknowledged(context):
+    world = context.world
+    _submit(context, plain(1))
+    context.first_worker, context.first_run = next(
+        (worker, key)
+        for worker in world.worker_by_node.values()
+        for key in worker.running
+    )
+    context.first_worker.running.clear()
+    context.second_worker = next(
+        worker
+        for worker in world.worker_by_node.values()
+        if worker is not context.first_worker
+    )
+    _list_success(context)
+    world.report(context.first_worker)
+    world.commit()
+    step_new_leader(context)
+    assert context.first_worker.ended, "acknowledged"
+
+
+@when("the job is deleted, and then the last agent reports")
+def step_deleted(context):
+    del context.world.scheduler.job_table.entry_by_id[JOB]
+    step_hears(context)
+
+
 @when("{count:d} random histories of starts in doubt are played")
 def step_play(context, count):
     run_doubtful_histories(count)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -304,7 +304,8 @@
         """
         if end.how not in FINISHING_ENDS or not self.job_table.is_finished(end.run):
             return True
-        if end.entry is not None and not end.entry.may_start_tasks:
+        entry = end.entry
+        if self.unreported_agents and entry is not None and not entry.may_start_tasks:
             return False
         return not self._runs.has_other_run(end.run)
 
