Withdraw starts that were not sent when their agent restarts

Starts among them had their room and their task for good: the runs were never sent, so no report could show that they were gone. The same would hold back the acknowledgement of an earlier run's end for ever.

Change: they are withdrawn like starts that are to stop, and start again.

--- a/features/scheduling/bursts.feature
+++ b/features/scheduling/bursts.feature
@@ -54,6 +54,13 @@
     When a round is placed, and all jobs are cancelled while starts are held back
     Then no start is sent after that, and no run keeps its room
 
+  Scenario: An agent restarts while starts to it are held back
+    # Guards against tasks that never start because their orders were dropped.
+    Given 4 VMs of 32 cores whose leader may send 100000 bytes of starts a second
+    And 5 jobs of 20 tasks with 1 cores wait
+    When a round is placed, and all agents restart while starts are held back
+    Then all 100 tasks run within 20 rounds
+
   Scenario: A wide job presses on what serves on half of many small VMs
     # Guards against tasks that stay throttled where they interfere while others have room.
     Given 12 VMs of 16 cores that serve image "quick", and 12 that serve image "calm"
--- a/features/steps/bursts_steps.py
+++ b/features/steps/bursts_steps.py
@@ -286,3 +286,22 @@
             world.report(worker)
     hosted = {vm.node: vm.hosted_by_run for vm in world.scheduler.vm_by_node.values()}
     assert not any(hosted.values()), hosted
+
+
+@when("a round is placed, and all agents restart while starts are held back")
+def step_agents_restart(context):
+    _place_and_hold(context)
+    world = context.world
+    for worker in world.worker_by_node.values():
+        worker.unknown = True
+        world.report(worker)
+    _send(context)
+    for worker in world.worker_by_node.values():
+        worker.unknown = False
+
+
+@then("all {count:d} tasks run within {rounds:d} rounds")
+def step_all_run(context, count, rounds):
+    for _ in range(rounds):
+        context.world.round()
+    assert _running(context) == count, _running(context)
--- a/wagtailcleat/scheduling/dispatch.py
+++ b/wagtailcleat/scheduling/dispatch.py
@@ -69,7 +69,7 @@
     ) -> list[tuple[Vm, Orders]]:
         """Return the orders to send now to connected agents, and mark them as sent.
 
-        Parameters: `withdraw` is called for each start whose run is to stop already;
+        Parameters: `withdraw` is called for each start that will not be sent;
         `may_acknowledge` for each end that is stored.
         """
         self._settle_ends(may_acknowledge)
@@ -80,6 +80,8 @@
             vm = vm_by_node.get(node)
             if vm is None or vm.worker is None:
                 del self._pending_by_node[node]
+                if vm is not None:
+                    _withdraw_all(vm, pending, withdraw)
                 continue
             if not pending or not vm.is_connected:
                 continue
@@ -129,6 +131,12 @@
                 self.pending(node).acknowledged = tracker.settled
 
 
+def _withdraw_all(vm: Vm, pending: PendingOrders, withdraw: Withdraw) -> None:
+    for start in pending.starts:
+        if start.key in vm.hosted_by_run:
+            withdraw(vm, start.key)
+
+
 def _mark_sent(vm: Vm, starts: list[Start], withdraw: Withdraw) -> list[Start]:
     wanted = []
     for start in starts:
