Keep one stop of a run in progress, apart from the starts

Found by the review: the leader repeats a stop each second while the run is listed, and each one began an endless loop of calls of its own. At a worker that answers lists only 30 stops became 150 loops in 5 s, and a start ordered then waited in the HTTP client behind 142 calls and was not sent within 10 s.

Change: a run has one stop in progress; starts have connections of their own, and wait in the agent, where they can be revoked, as many as there are connections.

--- a/features/platform/doubtful_calls.feature
+++ b/features/platform/doubtful_calls.feature
@@ -29,7 +29,15 @@
     # Guards against a start that is sent after it was ordered to stop.
     Given an agent whose worker answers lists only
     When 8 starts are ordered that get no answer, and all are to stop at once
-    Then 3 starts were sent at most, and all are known never to have run
+    Then 4 starts were sent at most, and all are known never to have run
+
+  Scenario: Stops that get no answer are ordered again and again
+    # Guards against starts that wait behind the stops of an earlier order.
+    Given an agent whose worker answers lists only
+    When stops of 30 runs are ordered 5 times
+    Then each of these runs has one stop in progress
+    When a start is ordered that gets no answer
+    Then it is known never to have run
 
   Scenario: Most lists get no answer
     # Guards against runs that lapse because an unanswered list holds up the next one.
--- a/features/steps/doubtful_calls_steps.py
+++ b/features/steps/doubtful_calls_steps.py
@@ -8,7 +8,8 @@
 
 from features.steps.hosting_steps import BORN, OWN_HOST, HostingWorld
 from wagtailcleat.cluster.timing import RUN_CONTACT_LIMIT_SECONDS
-from wagtailcleat.scheduling.models import Refusal
+from wagtailcleat.ids import JobId
+from wagtailcleat.scheduling.models import Refusal, RunKey, TaskKey
 
 JOB = "bb" * 8
 OTHER_JOB = "cc" * 8
@@ -171,6 +172,20 @@
     world.stop_runs([start.key for start in context.starts])
 
 
+@when("stops of {count:d} runs are ordered {times:d} times")
+def step_stops(context, count, times):
+    task = TaskKey(JobId(OTHER_JOB), 0, 0, 0)
+    context.stopped = [RunKey(task._replace(position=n), 1) for n in range(count)]
+    for _ in range(times):
+        context.hosting_world.stop_runs(context.stopped)
+
+
+@then("each of these runs has one stop in progress")
+def step_one_stop_each(context):
+    calls = context.hosting_world.hosting.orders.calls_in_progress
+    assert calls == len(context.stopped), calls
+
+
 @then("the other one is refused, and was sent once")
 def step_refused_once(context):
     world = context.hosting_world
--- a/wagtailcleat/cluster/fencing.py
+++ b/wagtailcleat/cluster/fencing.py
@@ -1,6 +1,8 @@
 """The fencing tokens of an agent's calls to its worker."""
 
 MILLISECONDS = 1000
+MAX_STEP_BITS = 40
+"""Limit of the step after a rejection, in bits; the clock of a worker needs fewer."""
 
 
 class FencingTokens:
@@ -38,7 +40,7 @@
         each rejection in a row doubles the step.
         """
         self._rejections += 1
-        self._last += 2**self._rejections
+        self._last += 2 ** min(self._rejections, MAX_STEP_BITS)
         return self.next(born, worker_seconds)
 
     def accepted(self) -> None:
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -252,7 +252,8 @@
                     max(0.0, started_at + MIN_LIST_INTERVAL_SECONDS - self._clock())
                 )
             else:
-                self._lose_all_after_lease(incarnation)
+                if incarnation is self._incarnation:
+                    self._lose_all_after_lease(incarnation)
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
     def _raise_fence(self, incarnation: WorkerIncarnation) -> None:
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -14,18 +14,17 @@
     is_listed,
 )
 from wagtailcleat.logs import part_logger
-from wagtailcleat.platform.runs import OtherIncarnation, StartOutcome
+from wagtailcleat.platform.runs import (
+    MAX_ORDER_CONNECTIONS,
+    OtherIncarnation,
+    StartOutcome,
+)
 from wagtailcleat.scheduling.models import Pace, Refusal, RunKey, Start
 
 log = part_logger("hosting")
 
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a stop that failed."""
-MAX_PARALLEL_STARTS = 3
-"""Starts on their way at one time; fewer than `RunWorker` has connections for orders.
-
-Further ones wait here, where they can still be revoked, and stops don't wait for them.
-"""
 FRESH_LISTS = 2
 """Lists to wait for until one shows the effect of an order.
 
@@ -66,7 +65,10 @@
         """Runs whose start got no answer, and may still be carried out."""
         self._revoked: set[RunKey] = set()
         """Runs that were ordered to stop before their start was settled."""
-        self._start_slots = asyncio.Semaphore(MAX_PARALLEL_STARTS)
+        self._start_slots = asyncio.Semaphore(MAX_ORDER_CONNECTIONS)
+        """Starts wait for one here, and not in the client: they can be revoked."""
+        self._stopping: set[RunKey] = set()
+        """Runs whose stop the worker has not confirmed yet."""
         self._clock = clock
         self._current = current
         self._may_start = may_start
@@ -85,6 +87,11 @@
         """Whether a start got no answer, so that lists are needed soon."""
         return bool(self._in_doubt)
 
+    @property
+    def calls_in_progress(self) -> int:
+        """Number of orders that are being carried out."""
+        return len(self._work)
+
     async def notify_listed(self) -> None:
         """Let the orders in progress look at a new list of runs."""
         async with self._listed:
@@ -133,7 +140,9 @@
         """Stop a run, or prevent it from starting."""
         if key in self.unsettled_by_run:
             self._revoked.add(key)
-        self._spawn(self._stop(key))
+        if key not in self._stopping:
+            self._stopping.add(key)
+            self._spawn(self._stop(key))
 
     def pace(self, pace: Pace) -> None:
         """Limit a run to a share of its processor time."""
@@ -247,10 +256,13 @@
 
     async def _stop(self, key: RunKey) -> None:
         incarnation = self._current()
-        while incarnation is not None and incarnation is self._current():
-            if await incarnation.worker.stop(key):
-                return
-            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        try:
+            while incarnation is not None and incarnation is self._current():
+                if await incarnation.worker.stop(key):
+                    return
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        finally:
+            self._stopping.discard(key)
 
     async def _pace(self, pace: Pace) -> None:
         incarnation = self._current()
--- a/wagtailcleat/cluster/worker_lists.py
+++ b/wagtailcleat/cluster/worker_lists.py
@@ -31,21 +31,23 @@
     Parameters: `until` is the new end of the leases on this VM's clock, None renews
     none; the worker waits up to `wait_seconds` for a run to end before it answers.
     """
+    loop = asyncio.get_running_loop()
     in_progress: set[asyncio.Task[tuple[int, Answer]]] = set()
     for _ in range(MAX_PARALLEL_LISTS):
         call = asyncio.create_task(_list(incarnation, until, wait_seconds))
         _calls.add(call)
         call.add_done_callback(_calls.discard)
         in_progress.add(call)
-        done, in_progress = await asyncio.wait(
-            in_progress,
-            timeout=wait_seconds + HEDGE_SECONDS,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for ended in done:
-            fence, answer = ended.result()
-            if answer is not NoAnswer.LOST:
-                return fence, answer
+        next_call_at = loop.time() + wait_seconds + HEDGE_SECONDS
+        while in_progress and (left := next_call_at - loop.time()) > 0:
+            done, in_progress = await asyncio.wait(
+                in_progress, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            for ended in done:
+                fence, answer = ended.result()
+                if answer is not NoAnswer.LOST:
+                    return fence, answer
+        await asyncio.sleep(next_call_at - loop.time())
         wait_seconds = 0.0
     return incarnation.worker.fence, NoAnswer.LOST
 
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -34,7 +34,7 @@
 """Time that a list may take beyond the requested wait; short because the worker is on
 this VM."""
 MAX_ORDER_CONNECTIONS = 4
-"""Calls with orders that are made at one time; further ones wait.
+"""Starts that are sent at one time, and other orders; further ones wait.
 
 A worker answers in a millisecond. Connections opened for a burst are closed after it.
 """
@@ -112,6 +112,7 @@
         self.fence = fence
         self._call_seconds = call_seconds
         self._expect_instance = {EXPECT_INSTANCE_HEADER: instance}
+        self._start_client = HttpClient(address, max_clients=MAX_ORDER_CONNECTIONS)
         self._client = HttpClient(address, max_clients=MAX_ORDER_CONNECTIONS)
         self._list_client = HttpClient(address, max_clients=MAX_LIST_CONNECTIONS)
 
@@ -121,6 +122,7 @@
 
     def close(self) -> None:
         """Close all connections."""
+        self._start_client.close()
         self._client.close()
         self._list_client.close()
 
@@ -139,7 +141,7 @@
             body["lastCheckpoint"] = start.checkpoint
         if start.ticket:
             body["ticket"] = start.ticket
-        reply = await self._call("/run-start", body)
+        reply = await self._call("/run-start", body, self._start_client)
         if not isinstance(reply, Reply):
             return StartOutcome.UNKNOWN
         return _parse_start_outcome(reply)
@@ -191,8 +193,10 @@
         except (BodyError, ValueError, TypeError, KeyError):
             return NoAnswer.LOST
 
-    async def _call(self, path: str, body: dict[str, Any]) -> Reply | NoAnswer:
-        return await self._client.call(
+    async def _call(
+        self, path: str, body: dict[str, Any], client: HttpClient | None = None
+    ) -> Reply | NoAnswer:
+        return await (client or self._client).call(
             "POST",
             path,
             body,
