Count a job as begun once a run of it is listed, not when a start is ordered

What callers saw: a queue's number of pending jobs was far too small.

Cause: JobTable.mark_placed set has_begun as soon as a start was ordered, and for starts in doubt that a new leader adopts. A start that was refused, never carried out or in doubt left its job counted as begun for ever, and shown as running. Found beside it, of the same class (has_begun did not follow what workers list): - the end of a run that this leader had not placed left has_begun False; the job was stored as queued, with its progress, and counted as pending again; - a begun job whose only run had ended without progress, or was lost, was stored nowhere, so the next leader counted it as pending; - a new leader counted running jobs as pending until their agents reported; - Leader.waiting counted its empty table while it restored (the entry asked for `ready` before it), and went on counting after its lease had run out; - a job cancelled before it began was shown as running until that was stored.

Ruled out: an entry that asks the wrong process (it passes the leader's number on as it is); ended jobs (the count reads open jobs only); the watch of the jobs (the scenarios need none: the jobs are in the table).

Change: a job has begun once an agent has listed a run of it as running or as ended, or its record says so or shows progress. When a run ends or is lost and the job has no record, one is written. While agents that have not reported may run a pending job of the queue, the number is not known: the leader refuses, as it does while it restores (restoring) and when it may not act (unavailable). The entry then answers with the number before while it is at most 1.85 s old, else with 503 and Retry-After in place of 504: nothing is in doubt.

Why it works: `listed` is the one place where the worker itself says that a task started, and it outlasts the leader in the agents' lists until the run has gone, from when on the record says it. An agent that has not reported is just what may_start_tasks already waits for.

Price: one more record for a job whose first run ends with nothing to store (stopped, lapsed, lost). With an agent lost together with the leader the number is refused until the agent is given up. Not closed either: a run whose end has no room in a report is listed as unsettled, so a new leader counts its job as pending until the end is told; a job shown as running is shown as queued until its agent has reported to a new leader.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -213,9 +213,7 @@
     async def _count(self, message: AnyMessage) -> AnyMessage:
         assert isinstance(message, CountWaiting)
         leader = self.leader
-        if leader is None or not leader.ready:
-            return _not_leading()
-        return leader.waiting(message)
+        return _not_leading() if leader is None else leader.waiting(message)
 
     def _add_metrics(self) -> None:
         self.metrics.register(self.common.introspection)
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -226,9 +226,18 @@
         entry = self.scheduler.job_table.entry_by_id.get(message.id)
         return StateShown(entry.durable_state.value if entry else "")
 
-    def waiting(self, message: CountWaiting) -> Waiting:
-        """Return the number of a queue's jobs that have not begun."""
-        return Waiting(self.scheduler.job_table.waiting(message.queue))
+    def waiting(self, message: CountWaiting) -> Waiting | Refused:
+        """Return the number of a queue's jobs of which no task has started."""
+        if not self.ready:
+            return Refused(Code.RESTORING.value, "the leader is still restoring")
+        if not self.acting:
+            # It accepts no reports now, so it learns of no starts, and another leader
+            # may have replaced it.
+            return Refused(Code.UNAVAILABLE.value, "this leader may not act now")
+        count = self.scheduler.job_table.waiting(message.queue)
+        if count is None:
+            return Refused(Code.RESTORING.value, "some agents have not reported yet")
+        return Waiting(count)
 
     async def cancel(self, message: CancelSteps, timeout: float) -> StateShown:
         """Cancel a job and return its state.
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -56,6 +57,8 @@
 RETRY_PAUSE_SECONDS = 0.1
 ANSWER_MARGIN_SECONDS = 0.15
 """How long before the caller's deadline the answer is sent."""
+COUNT_AGE_LIMIT_SECONDS = 2.0 - ANSWER_MARGIN_SECONDS
+"""Largest age of a count of waiting jobs; callers may be shown one of 2 s."""
 
 
 class Acceptance(Enum):
@@ -97,6 +100,8 @@
         self._leader = leader
         self._clock = clock
         self._notifying: set[asyncio.Task[None]] = set()
+        self._count_by_queue: dict[str, tuple[float, int]] = {}
+        """The last counts of waiting jobs, with when the leader was asked."""
 
     def __repr__(self) -> str:
         """Show the leader."""
@@ -255,9 +260,22 @@
         return NotAnswered()
 
     async def waiting(self, queue: str) -> int | NotAnswered:
-        """Return the number of a queue's jobs that have not begun."""
+        """Return the number of a queue's jobs of which no task has started.
+
+        If the leader does not know it, the last number is returned while it is at most
+        `COUNT_AGE_LIMIT_SECONDS` old.
+        """
+        asked_at = self._clock()
         own_leader = self._leader()
-        if own_leader is not None and own_leader.ready:
-            return own_leader.waiting(CountWaiting(queue)).count
-        answer = await self._call_leader(CountWaiting(queue))
-        return answer.count if isinstance(answer, Waiting) else NotAnswered()
+        if own_leader is not None:
+            answer: AnyMessage | Lost = own_leader.waiting(CountWaiting(queue))
+        else:
+            answer = await self._call_leader(CountWaiting(queue))
+        last_asked_at, last_count = self._count_by_queue.get(queue, (-math.inf, 0))
+        if isinstance(answer, Waiting):
+            if asked_at >= last_asked_at:
+                self._count_by_queue[queue] = (asked_at, answer.count)
+            return answer.count
+        if self._clock() - last_asked_at <= COUNT_AGE_LIMIT_SECONDS:
+            return last_count
+        return NotAnswered()
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -74,7 +74,7 @@
         """Cancel a job and return its state."""
 
     async def waiting(self, queue: str) -> int | NotAnswered:
-        """Return the number of jobs of a queue that have not started."""
+        """Return the number of jobs of a queue of which no task has started."""
 
 
 def decode_job(job: JobId, queue: Queue, body: bytes, *, wall_now: float) -> Job:
@@ -242,7 +242,7 @@
         if isinstance(count, int):
             self.finish({"pending": count})
         else:
-            self._refuse(504, "the count is not known at present")
+            self._refuse(503, "the count is not known at present")
 
     async def delete(self) -> None:
         job = self._job_id()
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -75,6 +75,7 @@
     """When this leader learned of the job, in seconds on its own clock."""
     state: JobState = JobState.QUEUED
     has_begun: bool = False
+    """Whether a task has started: an agent has listed a run of it, or its end."""
     may_start_tasks: bool = True
     """False while agents that have not reported to this leader may run its tasks."""
     ended_at: float = 0.0
@@ -103,11 +104,9 @@
     @property
     def durable_state(self) -> JobState:
         """The state that may be shown: a final state only once it is stored."""
-        if self.state.final and self.committed < self.version:
-            return JobState.RUNNING
-        if self.state is JobState.QUEUED and self.has_begun:
-            return JobState.RUNNING
-        return self.state
+        if self.state.final and self.committed >= self.version:
+            return self.state
+        return JobState.RUNNING if self.has_begun else JobState.QUEUED
 
     @property
     def open(self) -> bool:
--- a/wagtailcleat/scheduling/job_records.py
+++ b/wagtailcleat/scheduling/job_records.py
@@ -32,7 +32,10 @@
 
 def restore(entry: JobEntry, record: JobRecord, now: float, wall_now: float) -> None:
     """Set a job's progress to that of a stored record."""
-    entry.has_begun = record.state is not JobState.QUEUED
+    # Earlier versions may have stored progress of a job in state `QUEUED`.
+    entry.has_begun = record.state is not JobState.QUEUED or bool(
+        record.succeeded or record.tasks
+    )
     # Stored progress begins its occurrence whether or not it is due: the wall clock of
     # this VM may be behind that of the previous leader, and without the progress the
     # tasks would run again.
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -114,7 +114,12 @@
         task.run = run
         task.highest_run = max(task.highest_run, run)
         task.node = node
-        task.entry.has_begun = True
+
+    def mark_begun(self, job: JobId) -> None:
+        """Record that an agent has listed a run of a job, or the end of one."""
+        entry = self.entry_by_id.get(job)
+        if entry is not None:
+            entry.has_begun = True
 
     def record_end(
         self,
@@ -127,11 +132,13 @@
         wall_now: float,
     ) -> JobEntry | None:
         """Record how a run ended on `node`; return the job's entry if it is known."""
+        self.mark_begun(run.task.job)
         self.begin_occurrence_of(run, now=now)
         task = self.find_task(run.task)
         if task is None:
             return self.entry_by_id.get(run.task.job)
         entry = task.entry
+        self._store_begun(entry)
         task.highest_run = max(task.highest_run, run.run)
         if task.state is TaskState.SUCCEEDED or entry.state.final:
             return entry
@@ -216,6 +223,17 @@
             task.entry.set_task_state(task, TaskState.WAITING)
             task.node = None
             task.ready_at = now
+            self._store_begun(task.entry)
+
+    def _store_begun(self, entry: JobEntry) -> None:
+        """Have it stored that a job has begun, unless it has a record.
+
+        Called when a run has ended or was lost: no agent will list it to the next
+        leader.
+        """
+        has_record = entry.version or entry.store_revision
+        if entry.has_begun and not has_record:
+            entry.mark_changed()
 
     def cancel(self, job: JobId, *, wall_now: float) -> JobEntry | None:
         """Cancel a job unless it has ended; return its entry if it is known."""
@@ -235,10 +253,16 @@
             entry.unfinished_by_step.values()
         )
 
-    def waiting(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have not begun."""
-        return sum(
-            1
+    def waiting(self, queue: str) -> int | None:
+        """Return the number of jobs of a queue of which no task has started.
+
+        Return None while agents that have not reported may run tasks of these jobs.
+        """
+        waiting = [
+            entry
             for entry in self.open_by_id.values()
             if entry.job.queue == queue and not entry.has_begun
-        )
+        ]
+        if not all(entry.may_start_tasks for entry in waiting):
+            return None
+        return len(waiting)
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -131,6 +131,7 @@
             if hosted is None:
                 self._dispatch.pending(vm.node).stops.append(running.key)
                 continue
+            self._job_table.mark_begun(running.key.task.job)
             if hosted.listed:
                 seconds = now - hosted.progressed_at
                 if seconds >= MIN_PROGRESS_INTERVAL_SECONDS:
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -157,13 +157,13 @@
 
 
 class CountWaiting(Message, frozen=True, tag="count_waiting"):
-    """Request for the number of a queue's jobs that have not begun."""
+    """Request for the number of a queue's jobs of which no task has started."""
 
     queue: str
 
 
 class Waiting(Message, frozen=True, tag="waiting"):
-    """Reply to `CountWaiting`: the number of a queue's jobs that have not begun."""
+    """Reply to `CountWaiting`: the number of jobs of which no task has started."""
 
     count: int
 
