Send a start with the lease that it had when it was ordered

Its leader may have given the agent up meanwhile and started the task elsewhere; the wait for that counts with the leases granted before.

Change: a start keeps the end of the lease that it had when the order was taken on, and is refused once that has passed.

--- a/features/platform/doubtful_calls.feature
+++ b/features/platform/doubtful_calls.feature
@@ -25,6 +25,12 @@
     When two starts are ordered, one gets no answer, and the other one is to stop
     Then the other one is refused, and was sent once
 
+  Scenario: The lease of a start ends before it is sent again
+    # Guards against a start with a new lease that the leader does not count with.
+    Given an agent whose worker answers lists only
+    When two starts are ordered, one gets no answer, and the other one's lease ends
+    Then the other one is refused, and was sent once
+
   Scenario: Starts wait behind others that get no answer
     # Guards against a start that is sent after it was ordered to stop.
     Given an agent whose worker answers lists only
--- a/features/steps/doubtful_calls_steps.py
+++ b/features/steps/doubtful_calls_steps.py
@@ -164,6 +164,12 @@
     context.hosting_world.stop_runs([context.other_start.key])
 
 
+@when("two starts are ordered, one gets no answer, and the other one's lease ends")
+def step_overtaken_lease(context):
+    _order_two(context)
+    context.hosting_world.now += RUN_CONTACT_LIMIT_SECONDS
+
+
 @when("{count:d} starts are ordered that get no answer, and all are to stop at once")
 def step_many(context, count):
     world = context.hosting_world
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -270,8 +270,7 @@
         if self._incarnation is not incarnation:
             return False
         if isinstance(answer, RunList):
-            incarnation.listed_fence = fence
-            return await self._apply_list(incarnation, answer)
+            return await self._apply_list(incarnation, answer, fence)
         if isinstance(answer, StaleFence) and fence == incarnation.worker.fence:
             incarnation.worker.fence = self._fencing_tokens.after_rejection(
                 incarnation.born, answer.worker_seconds
@@ -314,7 +313,7 @@
         return until if until > now else None
 
     async def _apply_list(
-        self, incarnation: WorkerIncarnation, answer: RunList
+        self, incarnation: WorkerIncarnation, answer: RunList, fence: int
     ) -> bool:
         now = self._clock()
         if answer.born and answer.born != incarnation.born:
@@ -334,6 +333,7 @@
         incarnation.ended = answer.ended
         incarnation.has_all_ends = answer.has_all_ends
         incarnation.lists_answered += 1
+        incarnation.listed_fence = fence
         incarnation.listed_at = now
         incarnation.runs_lost = incarnation.leases_lapsed = False
         incarnation.refusals = 0
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -131,10 +131,17 @@
             return
         why_not = self._why_not(start, born)
         self.unsettled_by_run[start.key] = start
-        if why_not:
+        incarnation = self._current()
+        if why_not or incarnation is None:
             self._refuse(start.key, Refusal.NOT_ALLOWED, why_not)
+            return
+        # The leader counts with leases that are granted now. A start that waits, or is
+        # sent again, must not get a later one: it may have given this agent up since.
+        until = self._renew_lease(incarnation, self._clock())
+        if until is None:
+            self._refuse(start.key, Refusal.NOT_ALLOWED, "no lease may be granted")
         else:
-            self._spawn(self._start(start))
+            self._spawn(self._start(start, until))
 
     def stop(self, key: RunKey) -> None:
         """Stop a run, or prevent it from starting."""
@@ -178,12 +185,11 @@
         )
         self._on_change()
 
-    async def _start(self, start: Start) -> None:
+    async def _start(self, start: Start, until: float) -> None:
         async with self._start_slots:
             incarnation = self._current()
-            until = self._lease_of_start(start, incarnation)
-            if incarnation is None or until is None:
-                self._refuse(start.key, Refusal.NOT_ALLOWED)
+            if incarnation is None or not self._may_send(start, incarnation, until):
+                self._refuse(start.key, Refusal.NOT_ALLOWED, "it was not sent in time")
                 return
             fence = incarnation.worker.fence
             outcome = await incarnation.worker.start(
@@ -191,7 +197,7 @@
             )
         if outcome is Refusal.STALE and incarnation.worker.fence > fence:
             # The token was raised while the start was on its way: it has not run.
-            await self._start(start)
+            await self._start(start, until)
         elif isinstance(outcome, Refusal):
             self._refuse(start.key, outcome)
         elif isinstance(outcome, OtherIncarnation):
@@ -208,19 +214,17 @@
             )
             await self._resolve_unknown_start(incarnation, start.key, fence)
 
-    def _lease_of_start(
-        self, start: Start, incarnation: WorkerIncarnation | None
-    ) -> float | None:
-        """Return until when a start's lease may last; None if it must not begin."""
-        if (
-            incarnation is None
-            or not incarnation.lists_answered
-            or incarnation.runs_lost
-            or start.key in self._revoked
-            or not self._may_start()
-        ):
-            return None
-        return self._renew_lease(incarnation, self._clock())
+    def _may_send(
+        self, start: Start, incarnation: WorkerIncarnation, until: float
+    ) -> bool:
+        """Return whether a start with this lease may be sent now."""
+        return (
+            self._clock() < until
+            and incarnation.lists_answered > 0
+            and not incarnation.runs_lost
+            and start.key not in self._revoked
+            and self._may_start()
+        )
 
     async def _wait_until_listed(
         self, incarnation: WorkerIncarnation, key: RunKey
