Repeat a pace that got no answer, with a higher fencing token

It may be carried out after a newer pace of the same run, no list shows the pace, and the leader counts the newer one as set: a run paced to 0 and then to 100 percent can stand still for good.

Change: an unanswered pace raises the token, and the latest pace of the run is sent until the worker confirms it, ten times at most.

The scenario failed before: both paces had the same token.

--- a/features/platform/doubtful_calls.feature
+++ b/features/platform/doubtful_calls.feature
@@ -45,6 +45,12 @@
     When a start is ordered that gets no answer
     Then it is known never to have run
 
+  Scenario: A pace gets no answer
+    # Guards against a run that stands still because an earlier pace is carried out last.
+    Given an agent whose worker answers lists only
+    When a run is paced to 0 percent without an answer, and then to 100 percent
+    Then the last pace is 100 percent, with a higher fencing token than the first
+
   Scenario: Most lists get no answer
     # Guards against runs that lapse because an unanswered list holds up the next one.
     Given an agent whose worker answers each fourth list only
--- a/features/steps/doubtful_calls_steps.py
+++ b/features/steps/doubtful_calls_steps.py
@@ -9,7 +9,7 @@
 from features.steps.hosting_steps import BORN, OWN_HOST, HostingWorld
 from wagtailcleat.cluster.timing import RUN_CONTACT_LIMIT_SECONDS
 from wagtailcleat.ids import JobId
-from wagtailcleat.scheduling.models import Refusal, RunKey, TaskKey
+from wagtailcleat.scheduling.models import Pace, Refusal, RunKey, TaskKey
 
 JOB = "bb" * 8
 OTHER_JOB = "cc" * 8
@@ -31,6 +31,8 @@
         self.answered_fences: list[int] = []
         self.start_fences_by_job: dict[str, list[int]] = {}
         self.running: list[list] = []
+        self.paces: list[tuple[int, int]] = []
+        """Percent and fencing token of each pace received."""
         self.fence_raised = asyncio.Event()
         super().__init__(OWN_HOST)
 
@@ -39,6 +41,7 @@
             ("/hold", _ListHandler, {"world": self}),
             ("/run-start", _StartHandler, {"world": self}),
             ("/run-stop", _UnansweredHandler),
+            ("/pace", _PaceHandler, {"world": self}),
         ]
         return Application(handlers)
 
@@ -104,6 +107,19 @@
         self.finish(json.dumps({"clockMs": 1000}))
 
 
+class _PaceHandler(_UnansweredHandler):
+    def initialize(self, world):
+        self.world = world
+
+    async def post(self):
+        body = json.loads(self.request.body)
+        self.world.paces.append((body["percent"], body["fence"]))
+        if len(self.world.paces) == 1:
+            await self.leave_unanswered()
+        else:
+            self.finish(json.dumps({"clockMs": 1000}))
+
+
 def _given(context, **more):
     context.hosting_world = _UnansweringWorld(**more)
     context.add_cleanup(context.hosting_world.close)
@@ -192,6 +208,24 @@
     assert calls == len(context.stopped), calls
 
 
+@when("a run is paced to 0 percent without an answer, and then to 100 percent")
+def step_paces(context):
+    world = context.hosting_world
+    key = RunKey(TaskKey(JobId(JOB), 0, 0, 0), 1)
+    world.pace(Pace(key, 0))
+    world.until(lambda: world.paces)
+    world.pace(Pace(key, 100))
+
+
+@then("the last pace is 100 percent, with a higher fencing token than the first")
+def step_last_pace(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.orders.calls_in_progress == 0)
+    (_, first_fence), *_, (percent, fence) = world.paces
+    assert percent == 100, world.paces
+    assert fence > first_fence, world.paces
+
+
 @then("the other one is refused, and was sent once")
 def step_refused_once(context):
     world = context.hosting_world
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -108,6 +108,14 @@
         left = self.hosting.leave("i-1", decode_leave(body))
         self.loop.run_until_complete(left)
 
+    def pace(self, pace):
+        """Order a pace."""
+
+        async def order():
+            self.hosting.orders.pace(pace)
+
+        self.loop.run_until_complete(order())
+
     def stop_runs(self, keys):
         """Order that runs stop."""
 
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -24,7 +24,9 @@
 log = part_logger("hosting")
 
 RETRY_PAUSE_SECONDS = 0.1
-"""Pause after a stop that failed."""
+"""Pause after a stop or a pace that failed."""
+PACE_ATTEMPTS = 10
+"""Calls to set a pace; the run may have ended, or the worker may refuse it for good."""
 FRESH_LISTS = 2
 """Lists to wait for until one shows the effect of an order.
 
@@ -67,6 +69,8 @@
         """Runs that were ordered to stop before their start was settled."""
         self._start_slots = asyncio.Semaphore(MAX_ORDER_CONNECTIONS)
         """Starts wait for one here, and not in the client: they can be revoked."""
+        self._percent_by_run: dict[RunKey, int] = {}
+        """The pace to set for each run whose pace the worker has not confirmed yet."""
         self._stopping: set[RunKey] = set()
         """Runs whose stop the worker has not confirmed yet."""
         self._clock = clock
@@ -99,8 +103,7 @@
 
     def cancel(self) -> None:
         """Cancel the orders in progress; the worker's incarnation has ended."""
-        for task in self._work:
-            task.cancel()
+        self._cancel_work()
         self.unsettled_by_run.clear()
         self.refusal_by_run.clear()
         self._started.clear()
@@ -117,8 +120,7 @@
 
     def lose_all(self) -> None:
         """Cancel the orders in progress; the leases of all their runs have lapsed."""
-        for task in self._work:
-            task.cancel()
+        self._cancel_work()
         for key in list(self.unsettled_by_run):
             self._refuse(key, Refusal.NEVER_RAN, "its worker's leases have lapsed")
 
@@ -153,7 +155,17 @@
 
     def pace(self, pace: Pace) -> None:
         """Limit a run to a share of its processor time."""
-        self._spawn(self._pace(pace))
+        is_in_progress = pace.key in self._percent_by_run
+        self._percent_by_run[pace.key] = pace.percent
+        if not is_in_progress:
+            self._spawn(self._pace(pace.key))
+
+    def _cancel_work(self) -> None:
+        for task in self._work:
+            task.cancel()
+        # A task that is cancelled before it has begun does not clean up.
+        self._stopping.clear()
+        self._percent_by_run.clear()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -268,11 +280,22 @@
         finally:
             self._stopping.discard(key)
 
-    async def _pace(self, pace: Pace) -> None:
+    async def _pace(self, key: RunKey) -> None:
         incarnation = self._current()
-        if incarnation is None:
-            return
-        fence = incarnation.worker.fence
-        confirmed = await incarnation.worker.pace(pace.key, pace.percent)
-        if not confirmed and incarnation.worker.fence > fence:
-            await incarnation.worker.pace(pace.key, pace.percent)
+        try:
+            for _ in range(PACE_ATTEMPTS):
+                percent = self._percent_by_run.get(key)
+                if percent is None or incarnation is None:
+                    return
+                fence = incarnation.worker.fence
+                confirmed = await incarnation.worker.pace(key, percent)
+                if confirmed and self._percent_by_run.get(key) == percent:
+                    return
+                if not confirmed:
+                    # It may be carried out after a later one, unless that has a higher
+                    # token.
+                    if incarnation.worker.fence == fence:
+                        self._raise_fence(incarnation)
+                    await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        finally:
+            self._percent_by_run.pop(key, None)
