Requests that reach an agent after a pause wait until it has heard a peer

Cause: an agent whose event loop stood still for over a second, measured between two checks 0.2 s apart, refused every request at once until a peer had answered, which takes milliseconds. A stop of 0.8 s is enough for that. An entry closes a silent stream 0.75 to 1.0 s after the last byte, so stops of 0.8 to 1.0 s, and longer ones that end less than that after a stop of the entry, leave the stream open, and the request that was under way is the first that the agent reads. An entry after a pause waits up to 0.5 s for a peer before it routes; an agent did not.

Change: requests and watchers wait at the agent as at the entry, up to 0.5 s, and are then admitted or refused by what is known by then. So a zone that was taken out meanwhile is still refused (features/members/paused.feature). A refusal was true but not needed: the agent could serve.

Not done: to let one answer of three asked peers end the wait. Peers that were paused as well may answer first, with the same old view.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -235,6 +235,7 @@
         clock=deployment.clock,
         timing=deployment.timing,
         closed_reason=lambda: agent.closed_reason,
+        wait_for_fresh_view=_view_is_fresh,
         close_older=lambda _: None,
         max_answer_bytes=1 << 20,
         kept_answer_bytes=32 << 20,
@@ -282,9 +283,13 @@
         choose=selector_for(policy.routing, random.Random(f"{seed}/route/{number}")),
         rng=random.Random(f"{seed}/relay/{number}"),
         ids=RequestIds(me.node, me.incarnation, SECRET),
-        is_view_fresh=lambda: True,
+        wait_for_fresh_view=_view_is_fresh,
     )
     if policy.retry_always:
         relay.budget.spend = lambda: True  # type: ignore[method-assign]
         relay.endpoints = EndpointsIgnoringRefusals()
     return EntryModel(view, in_force, peers, relay)
+
+
+async def _view_is_fresh() -> None:
+    """Return at once: no process of the model is paused."""
--- a/features/members/paused.feature
+++ b/features/members/paused.feature
@@ -23,3 +23,10 @@
     Then "agent-3" treats its view as stale, also after 5 more seconds
     When the partition heals
     Then within 2 seconds "agent-3" treats its view as fresh and has the zone out
+
+  Scenario: Requests reach an agent while it is paused
+    # Guards against requests that an agent refuses after a pause, although it could run
+    # them milliseconds later, once it has heard a peer.
+    Given an entry and an agent whose streams may be silent for 10 seconds
+    When the agent is paused for 1.5 seconds while 10 requests and a watcher wait for it
+    Then each of them was answered 200
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from features.steps.deployment_steps import WAIT_TIMEOUT_SECONDS, url
+from standins.cluster import Cluster, ServiceOptions, VmOptions
 from standins.in_process_nodes import Deployment
 from standins.processes import http, wait_for
 from wagtailcleat.clock import boot_time
@@ -13,6 +14,7 @@
 from wagtailcleat.configuration.writer import Accepted, write
 
 CONCURRENT_REQUESTS = 10
+DEADLINE_SECONDS = 10.0
 
 
 def _second_entry(context):
@@ -156,3 +158,47 @@
     )
     assert isinstance(outcome, Accepted), outcome
     deployment.pass_time(1)
+
+
+@given("an entry and an agent whose streams may be silent for {seconds:d} seconds")
+def step_patient_streams(context, seconds):
+    vm = VmOptions("vm-1", "zilina-a", "rack-a1")
+    service = ServiceOptions(deadline_seconds=DEADLINE_SECONDS)
+    timing = {"silence": seconds, "suspicion": seconds}
+    context.cluster = Cluster([vm], [service], 1, timing=timing)
+    context.add_cleanup(context.cluster.close)
+    assert context.cluster.apply().status == 200
+
+    def serves():
+        return http("GET", url(context, "/services/booking-core/ready")).status == 200
+
+    wait_for(serves, WAIT_TIMEOUT_SECONDS, "it serves")
+
+
+@when(
+    "the agent is paused for {seconds:g} seconds"
+    " while {count:d} requests and a watcher wait for it"
+)
+def step_pause_with_requests(context, seconds, count):
+    agent = context.cluster.agent_by_vm["vm-1"]
+    paths = [f"/services/booking-core/hold/{number}" for number in range(count)]
+    events = "/services/booking-core/events?count=1"
+    watching = {"Accept": "text/event-stream"}
+    agent.freeze()
+    paused_at = boot_time()
+    with ThreadPoolExecutor(count + 1) as pool:
+        answers = [pool.submit(http, "GET", url(context, path)) for path in paths]
+        answers.append(pool.submit(http, "GET", url(context, events), None, watching))
+        wait_for(
+            lambda: boot_time() - paused_at > seconds,
+            WAIT_TIMEOUT_SECONDS,
+            f"a pause of {seconds} s",
+        )
+        agent.thaw()
+        context.answers = [answer.result() for answer in answers]
+
+
+@then("each of them was answered 200")
+def step_all_served(context):
+    bad = [answer for answer in context.answers if answer.status != 200]
+    assert not bad, bad
--- a/wagtailcleat/agent/app.py
+++ b/wagtailcleat/agent/app.py
@@ -69,6 +69,7 @@
             clock=node.clock,
             timing=settings.timing,
             closed_reason=self.closed_reason,
+            wait_for_fresh_view=node.wait_for_fresh_view,
             close_older=node.listener.close_older,
             max_answer_bytes=settings.max_answer_bytes,
             kept_answer_bytes=settings.kept_answer_bytes,
--- a/wagtailcleat/agent/service_admission.py
+++ b/wagtailcleat/agent/service_admission.py
@@ -1,6 +1,6 @@
 """Admission of service requests: while the agent is closed, no new one starts."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wagtailcleat.agent.service_instance import RETRY_AFTER_SECONDS, ServiceInstance
 from wagtailcleat.clock import Clock
@@ -20,15 +20,18 @@
         instance_by_service: dict[ServiceName, ServiceInstance],
         *,
         closed_reason: Callable[[], str],
+        wait_for_fresh_view: Callable[[], Awaitable[None]],
         clock: Clock,
     ) -> None:
         """Admit requests to the services of `instance_by_service`.
 
         Parameters: `closed_reason` returns why no new request is admitted, or an empty
-        string.
+        string; `wait_for_fresh_view` returns once this process has heard a peer since
+        its last pause, or after a short time.
         """
         self._instance_by_service = instance_by_service
         self._closed_reason = closed_reason
+        self._wait_for_fresh_view = wait_for_fresh_view
         self._clock = clock
         self._closed_at: float | None = None
 
@@ -39,6 +42,15 @@
         elif self._closed_at is None:
             self._closed_at = self._clock()
 
+    async def admit(self, service: ServiceName) -> Refused | None:
+        """Return the refusal of a new request, or None if it may start.
+
+        After a pause of this process, a peer normally answers within milliseconds, so
+        requests that arrived meanwhile wait for that instead of being refused.
+        """
+        await self._wait_for_fresh_view()
+        return self.refusal(service)
+
     def refusal(self, service: ServiceName, *, queued: bool = False) -> Refused | None:
         """Return the refusal of a request, or None if it may start now.
 
--- a/wagtailcleat/agent/service_requests.py
+++ b/wagtailcleat/agent/service_requests.py
@@ -116,7 +116,7 @@
         self._ledger.close(message.id, outcome, keep_until=keep_until)
 
     async def _outcome(self, message: ServiceRequest, deadline: float) -> Outcome:
-        refusal = self._admission.refusal(message.service)
+        refusal = await self._admission.admit(message.service)
         if refusal is not None:
             return refusal
         instance = self._instance_by_service[message.service]
--- a/wagtailcleat/agent/service_watches.py
+++ b/wagtailcleat/agent/service_watches.py
@@ -40,7 +40,7 @@
         self, message: ServiceRequest, answer_writer: AnswerWriter
     ) -> AnyMessage:
         """Relay the endpoint's events to `answer_writer`; return the final message."""
-        refusal = self._admission.refusal(message.service)
+        refusal = await self._admission.admit(message.service)
         if refusal is not None:
             return refusal
         instance = self._instance_by_service[message.service]
--- a/wagtailcleat/agent/services.py
+++ b/wagtailcleat/agent/services.py
@@ -1,7 +1,7 @@
 """Services of an agent: which ones it serves, their health checks and their drain."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wagtailcleat.agent.endpoint import Endpoint
 from wagtailcleat.agent.ledger import Ledger
@@ -29,6 +29,7 @@
         clock: Clock,
         timing: Timing,
         closed_reason: Callable[[], str],
+        wait_for_fresh_view: Callable[[], Awaitable[None]],
         close_older: CloseOlder,
         max_answer_bytes: int,
         kept_answer_bytes: int,
@@ -36,7 +37,8 @@
         """Serve the endpoints of this VM.
 
         Parameters: `closed_reason` returns why no new request is admitted (the zone is
-        out, the agent leaves), or an empty string.
+        out, the agent leaves), or an empty string; `wait_for_fresh_view` returns once
+        this process has heard a peer since its last pause, or after a short time.
         """
         self.ledger = Ledger(max_bytes=kept_answer_bytes)
         self.instance_by_service: dict[ServiceName, ServiceInstance] = {}
@@ -45,7 +47,10 @@
         self._clock = clock
         self._max_answer_bytes = max_answer_bytes
         self._admission = ServiceAdmission(
-            self.instance_by_service, closed_reason=closed_reason, clock=clock
+            self.instance_by_service,
+            closed_reason=closed_reason,
+            wait_for_fresh_view=wait_for_fresh_view,
+            clock=clock,
         )
         self._watches = ServiceWatches(self.instance_by_service, self._admission)
         self._requests = ServiceRequests(
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -74,7 +74,7 @@
             ids=RequestIds(
                 node.view.me.node, node.view.me.incarnation, settings.secret
             ),
-            is_view_fresh=node.is_view_fresh,
+            wait_for_fresh_view=node.wait_for_fresh_view,
         )
         callers = CallersContext(
             self.relay,
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -46,8 +46,6 @@
 IN_DOUBT_TIMEOUT_SECONDS = 3.0
 IN_DOUBT_RETRY_INTERVAL_SECONDS = 0.1
 SERVING_CACHE_SECONDS = 0.02
-FRESH_VIEW_WAIT_SECONDS = 0.5
-FRESH_VIEW_POLL_INTERVAL_SECONDS = 0.01
 RETRY_AFTER_JITTER = (0.8, 1.6)
 MIN_FAILURE_STATUS = 500
 
@@ -91,11 +89,12 @@
         choose: EndpointSelector,
         rng: random.Random,
         ids: RequestIds,
-        is_view_fresh: Callable[[], bool],
+        wait_for_fresh_view: Callable[[], Awaitable[None]],
     ) -> None:
         """Create a relay that routes by `choose` among the endpoints in `view`.
 
-        `is_view_fresh` returns whether the view is recent enough to route by.
+        `wait_for_fresh_view` returns once the view is recent enough to route by, or
+        after a short time.
         """
         self.endpoints = Endpoints()
         self.budget = RetryBudget()
@@ -111,7 +110,10 @@
         self._serving_cache_by_service: dict[
             ServiceName, tuple[list[Member], float]
         ] = {}
-        self._is_view_fresh = is_view_fresh
+        # After a pause of this process, the view may still show a zone in use or an
+        # endpoint alive that left long ago. A message from a peer normally arrives
+        # within milliseconds; if none does, the agents' own refusals decide.
+        self._wait_for_fresh_view = wait_for_fresh_view
 
     async def send(self, request: CallerRequest) -> RequestOutcome:
         """Relay a request; return its outcome by its deadline at the latest."""
@@ -173,14 +175,6 @@
             return None
         return self._ids.issue_keyed(AgentIncarnation(member.node, member.incarnation))
 
-    async def _wait_for_fresh_view(self) -> None:
-        # After a pause of this process, the view may still show a zone in use or an
-        # endpoint alive that left long ago. A message from a peer normally arrives
-        # within milliseconds; if none does, the agents' own refusals decide.
-        give_up_at = self._clock() + FRESH_VIEW_WAIT_SECONDS
-        while not self._is_view_fresh() and self._clock() < give_up_at:  # noqa: ASYNC110
-            await asyncio.sleep(FRESH_VIEW_POLL_INTERVAL_SECONDS)
-
     @property
     def _configuration(self) -> Configuration:
         return self._in_force.configuration
--- a/wagtailcleat/membership/pause_detector.py
+++ b/wagtailcleat/membership/pause_detector.py
@@ -19,6 +19,8 @@
 CHECK_INTERVAL_SECONDS = 0.2
 PAUSE_THRESHOLD_SECONDS = 1.0
 REFRESH_RETRY_SECONDS = 0.05
+FRESH_VIEW_WAIT_SECONDS = 0.5
+FRESH_VIEW_POLL_INTERVAL_SECONDS = 0.01
 
 Refresh = Callable[[], Awaitable[bool]]
 """Exchanges views with a peer; returns whether one answered or no peer is known."""
@@ -45,6 +47,14 @@
             self._stale = True
         return not self._stale
 
+    async def wait_for_fresh_view(self) -> None:
+        """Wait until the view is fresh, for at most `FRESH_VIEW_WAIT_SECONDS`."""
+        give_up_at = self._clock() + FRESH_VIEW_WAIT_SECONDS
+        while (  # noqa: ASYNC110
+            not self.is_view_fresh(now := self._clock()) and now < give_up_at
+        ):
+            await asyncio.sleep(FRESH_VIEW_POLL_INTERVAL_SECONDS)
+
     async def run(self) -> None:
         """Check for a pause at each interval, until cancelled."""
         self._last_check_at = self._clock()
--- a/wagtailcleat/node.py
+++ b/wagtailcleat/node.py
@@ -66,6 +66,10 @@
         """Return whether the view may be used: refreshed since the last pause."""
         return self.pause_detector.is_view_fresh(self.clock())
 
+    async def wait_for_fresh_view(self) -> None:
+        """Wait until the view may be used, or for a fraction of a second."""
+        await self.pause_detector.wait_for_fresh_view()
+
     def rng(self, purpose: str) -> random.Random:
         """Return a random generator for one purpose, seeded by incarnation too."""
         return _rng(self.view.me, purpose)
