Every not_run states when to come back; bad input excuses a standstill of the agent

With the agent stopped by id for 0.85 to 1.4 s while requests are fuzzed, a good request that is under way is refused as not_run, "the request never arrived", and the refusal names no time to come back.

Cause, two parts. (1) An entry closes a stream that was silent for 0.75 s and settles; the agent, asked before it has read the original, refuses it for good. With one agent there is nobody else to try. The refusal is true, and what the product promises, but a refusal of an agent without a time (this one, "the deadline passed in the queue") reached the caller without one as well. (2) The check asked that each good request is answered 200. No process can promise that while the only agent stands still.

An entry states its own time (0.5 s, with jitter) where the agent states none; what it notes about the endpoint is as before.

Ruled out as the cause of what was seen: the fuzzed messages themselves. Not changed: the fuzz at the peer port gives up by itself when the agent is stopped for 1.0 s or longer (handshakes are bounded by 1 s); that was seen in trials only.

--- a/features/requests/bad_input.feature
+++ b/features/requests/bad_input.feature
@@ -8,7 +8,7 @@
     # entry, so that the requests of all its callers fail.
     When 10000 fuzzed requests are sent to the callers' port
     Then each was answered as HTTP says, or its connection closed, and none as "internal"
-    And the good requests made meanwhile were all answered 200
+    And the good requests made meanwhile were answered 200, or refused only while the agent stood still and then served
     And the processes are the same, grown by less than 60 MB, with no error logged
 
   Scenario: 10,000 fuzzed messages at an agent's peer port
@@ -16,7 +16,7 @@
     # so that the calls of all entries fail.
     When 10000 fuzzed messages are sent to the agent's peer port
     Then each stream with a broken frame was closed and no other
-    And the good requests made meanwhile were all answered 200
+    And the good requests made meanwhile were answered 200, or refused only while the agent stood still and then served
     And the processes are the same, grown by less than 60 MB, with no error logged
 
   Scenario: Slow callers, too many connections and too large requests
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -366,7 +366,7 @@
             return OutcomeUnknown(reply.reason)
         return NotRun(reply.reason, RETRY_AFTER_SECONDS)
     if reply.code in (Code.NOT_RUN.value, Code.UNAVAILABLE.value):
-        return NotRun(reply.reason, reply.retry_after)
+        return NotRun(reply.reason, reply.retry_after or RETRY_AFTER_SECONDS)
     if reply.code in (Code.CONFLICT.value, Code.INVALID.value):
         return Rejected(Code(reply.code), reply.reason)
     return OutcomeUnknown(reply.reason)
