--- a/features/steps/batch_steps.py
+++ b/features/steps/batch_steps.py
@@ -26,6 +26,7 @@
 }
 AGENT_SETTINGS = {"shards": 4}
 WAIT_SECONDS = 40
+SHOWN_LOG_CHARACTERS = 10_000
 WORKER_CORES_FACTOR = 4
 CHECKPOINT_ROUNDING_SECONDS = 0.1
 
@@ -82,11 +83,19 @@
 
 
 def wait_or_show(context, condition, what):
-    """Wait for the condition; print each agent's state if it does not hold in time."""
+    """Wait for the condition; if it does not hold in time, print what would show why.
+
+    That is each run, and each agent's log and state.
+    """
     try:
         return wait_for(condition, WAIT_SECONDS, what)
     except AssertionError:
-        for process in context.cluster.agent_by_vm.values():
+        agents = context.cluster.agent_by_vm.values()
+        for run in runs(context.cluster):
+            print(run)
+        for process in agents:
+            print(process.stderr.read_text()[-SHOWN_LOG_CHARACTERS:])
+        for process in agents:
             print(process.name, state(process))
         raise
 
@@ -292,7 +301,7 @@
         ages = [boot_time() - run.start for run in running(context.cluster)]
         return len(ages) >= count and min(ages) >= seconds
 
-    wait_for(have_run_long_enough, WAIT_SECONDS, f"{count} tasks run for {seconds} s")
+    wait_or_show(context, have_run_long_enough, f"{count} tasks run for {seconds} s")
 
 
 @when("{count:d} tasks have run")
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -20,12 +20,15 @@
 from wagtailcleat.batch.usage_estimates import Sample
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import AttemptId, JobId, VmName
+from wagtailcleat.logs import part_logger
 from wagtailcleat.wire.attempts import AttemptReport, AttemptState, Grants, RenewGrants
 from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.takeover import Adopted
 from wagtailcleat.wire.task_ids import job_of
 
+log = part_logger("batch")
+
 MIN_FAILURES_TO_STOP = 6
 ENDED_JOB_RETENTION_SECONDS = 86_400.0
 CLEANUP_INTERVAL_SECONDS = 60.0
@@ -244,6 +247,7 @@
                 attempt, shard.grant_bound_from(now)
             )
         ]
+        vms = sorted({current[attempt].vm for attempt in lapsed})
         events: list[AnyEvent] = []
         for attempt in lapsed:
             events += self._events_for_lapsed(attempt, wall)
@@ -253,8 +257,11 @@
             for mapping in (shard.grant_bound_by_attempt, self._end_report_by_attempt):
                 for attempt in [a for a in mapping if a not in current]:
                     del mapping[attempt]
-        if events:
-            await shard.commit_all(events)
+        if events and await shard.commit_all(events) and lapsed:
+            log.warning(
+                "Grants lapsed; their attempts are placed again",
+                extra={"shard": shard.id, "attempts": len(lapsed), "vms": vms},
+            )
 
     def _events_for_lapsed(self, attempt: AttemptId, wall: float) -> list[AnyEvent]:
         # The end may have been reported but not committed while the store was down.
--- a/wagtailcleat/batch/placer.py
+++ b/wagtailcleat/batch/placer.py
@@ -26,6 +26,7 @@
 from wagtailcleat.batch.shards import team_shards
 from wagtailcleat.configuration.models import team_named
 from wagtailcleat.ids import AttemptId, JobId, TaskId, TeamName
+from wagtailcleat.logs import part_logger
 from wagtailcleat.resources import Resources
 from wagtailcleat.wire.attempts import (
     AttemptReport,
@@ -41,6 +42,8 @@
 from wagtailcleat.wire.results import Done
 from wagtailcleat.wire.task_ids import attempt_id
 
+log = part_logger("batch")
+
 MAX_CONCURRENT_PLACEMENTS = 32
 MAX_RESERVE_TRIES = 4
 MAX_START_TRIES = 4
@@ -285,9 +288,22 @@
                 self.starts += 1
                 return
             if isinstance(answer, AttemptReport):
+                log.info(
+                    "An attempt was not started or has ended already",
+                    extra={
+                        "attempt": answer.attempt,
+                        "vm": member.vm,
+                        "state": answer.state.value,
+                        "why": answer.reason,
+                    },
+                )
                 await shard.commit_all(self._grant_manager.events_for_end(answer))
                 return
             await asyncio.sleep(START_RETRY_SECONDS)
+        log.warning(
+            "A start order was not answered; the attempt ends with its grant",
+            extra={"attempt": placement.attempt, "vm": member.vm},
+        )
 
     async def _release(self, attempt: AttemptId, member: Member) -> None:
         order = Release(attempt)
