--- a/features/batch/eviction.feature
+++ b/features/batch/eviction.feature
@@ -20,7 +20,7 @@
     the zone are checkpointed, but their ends can't be committed until the store is
     back.
     Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-b=8"
-    When job "ledger" of 9 tasks of "sleep:12" with 2 cores is submitted
+    When job "ledger" of 9 tasks of "sleep:5" with 2 cores is submitted
     And 9 tasks have each run for 1 second
     And the operator takes zone "zilina-a" out and the store goes down
     Then "vm-1" runs at most 0 tasks within 2 seconds
@@ -28,5 +28,5 @@
     When the store is back after 4 seconds
     Then job "ledger" ends with 9 tasks succeeded
     And each task of job "ledger" succeeded once
-    And no stopped task of "sleep:12" ran longer than 12 seconds in total
+    And no stopped task of "sleep:5" ran longer than 5 seconds in total
     And no task ever ran in two places
