Send a call to the in-house worker once

Cause: libcurl sends a request again when a kept connection is closed before any answer. The client of the in-house worker took the answer to the second copy for the answer to the start: a refusal released the attempt's room and let the next attempt start elsewhere, while the first copy may still be carried out.

Evidence: a loopback server that closes the kept connection after it has received PUT /tasks/ID got it twice. The scenario failed before with "ASSERT FAILED: WorkerRefused(code='lapsed')", received ['PUT /tasks/a~1', 'PUT /tasks/a~1'].

Comments that name the HTTP library's repetition of writes are put right; claims and log entries are repeated by their callers alone. The code that resolves their conflicts stays, as their own earlier write may have taken effect.

--- a/features/lost_answers.feature
+++ b/features/lost_answers.feature
@@ -10,3 +10,10 @@
     And the operator has applied its inventory and the rules of team "travel-desk"
     When each endpoint answers a charge and then loses the answer to the next one
     Then the caller is answered "outcome_unknown" and no charge has run twice
+
+  Scenario: A worker closes a kept connection before it answers a start
+    # Guards against a second copy's refusal that is taken for the answer to the first.
+    Given a worker that closes a kept connection after it has received a write
+    When an attempt is started on that connection
+    Then the attempt may have been started
+    And the worker received it once
--- a/wagtailcleat/batch/journal.py
+++ b/wagtailcleat/batch/journal.py
@@ -210,8 +210,7 @@
         if isinstance(stored, Found):
             if stored.value == txn.puts[entry]:
                 # Only an owner of this epoch can have written these bytes. The
-                # answer was lost, and this loop or the HTTP client sent the
-                # transaction again.
+                # answer was lost, and this loop sent the transaction again.
                 return self._apply_committed(number, events)
             self.deposed.set()
             return CommitOutcome.UNKNOWN if unknown else CommitOutcome.DEPOSED
--- a/wagtailcleat/batch/ownership.py
+++ b/wagtailcleat/batch/ownership.py
@@ -269,8 +269,8 @@
         txn = Txn(compares, puts, owner_key, self._lease)
         outcome = await self._store.write(txn)
         if isinstance(outcome, Unknown | Conflict):
-            # If the answer is lost, the HTTP client sends the claim again, which then
-            # conflicts with the first one.
+            # An earlier claim that was not answered may have taken effect, and this one
+            # then conflicts with it.
             read = await self._store.get(shard_epoch(shard))
             if isinstance(read, Found) and read.value == value:
                 outcome = Written(read.mod_revision)
--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -232,8 +232,8 @@
     async def _resolve_conflict(
         self, leader: Leads, outcome: WriteOutcome
     ) -> WriteOutcome:
-        # The HTTP library may send a claim twice, and the second one then conflicts
-        # with the first. The value of the leader key shows which entry has won.
+        # A claim that was not answered may have been written, and its retry then
+        # conflicts with it. The value of the leader key shows which entry has won.
         if not isinstance(outcome, Conflict):
             return outcome
         for found in outcome.current:
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -15,6 +15,8 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from wagtailcleat.curl import forbid_repetition
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Longer than any round trip in the deployments, shorter than any interval at which
 this project makes calls."""
@@ -78,7 +80,10 @@
         timeout: float,
         headers: dict[str, str] | None = None,
     ) -> Reply | NoAnswer:
-        """Send one request, once; `timeout` in seconds covers the whole call."""
+        """Send one request; `timeout` in seconds covers the whole call.
+
+        A request with a body is sent once; one without is for reads only.
+        """
         request = HTTPRequest(
             self._base + path,
             method=method,
@@ -87,7 +92,7 @@
             connect_timeout=min(CONNECT_TIMEOUT_SECONDS, timeout),
             request_timeout=timeout,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=_forbid_repetition,
+            prepare_curl_callback=forbid_repetition,
         )
         response = await self._fetch(request)
         if isinstance(response, NoAnswer):
@@ -148,16 +153,6 @@
             return NoAnswer.LOST
 
 
-def _forbid_repetition(handle: pycurl.Curl) -> None:
-    """Let a call fail that libcurl would send again on another connection.
-
-    libcurl repeats a request if a reused connection is closed before any answer. The
-    answer to the second copy would say nothing of the first, which may be carried out
-    as well. Without a way to read the body again, libcurl gives up.
-    """
-    handle.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
-
-
 def _abort_unless(is_wanted: Callable[[], bool]) -> Callable[[pycurl.Curl], None]:
     """Return a callback that makes libcurl abort a transfer nobody waits for."""
 
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -2,8 +2,8 @@
 
 Calls return the outcomes of `wagtailcleat.storage`: a store that does not answer is a
 value, not an exception. Each key of a write is compared with its expected revision. So
-a write that is carried out late, or that libcurl sends twice after a connection broke,
-does not overwrite newer values.
+a write that is carried out late, or that a caller repeats, does not overwrite newer
+values.
 """
 
 import asyncio
--- a/wagtailcleat/platform/worker.py
+++ b/wagtailcleat/platform/worker.py
@@ -16,6 +16,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from wagtailcleat.curl import forbid_repetition
 from wagtailcleat.ids import AttemptId
 from wagtailcleat.resources import Resources
 
@@ -184,6 +185,7 @@
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
             request_timeout=CALL_TIMEOUT_SECONDS,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=forbid_repetition,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
