Delete ended jobs only if their records are unchanged

Cause: the delete of ended jobs compared the leader key alone. One that was not answered could be carried out after its repetition, or be repeated after it was carried out, and then delete a job that had been accepted under the same id since: the job was lost at the next change of leader.

Evidence: two scenarios in features/platform/leader.feature failed before, "Ended jobs are deleted late" in "that job is in the store, and runs", and "Ended jobs are deleted without an answer" in "the other jobs are deleted" with "ASSERT FAILED: set()": the new job was deleted with the others.

Change: the delete compares the revision of each record, so a write has 7 jobs at most, in place of 10. A conflict shows which jobs an earlier delete has removed. A job that the watch delivers under the id of an ended one replaces it: until now the leader ignored it, as it still had the ended one.

Stand-in: the leader's store in memory rejects more than 32 entries, as the platform's does.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -74,6 +74,23 @@
     And the store answers again
     Then the agent is no longer registered in the store
 
+  Scenario: Ended jobs are deleted late
+    # Guards against an accepted job that a late delete of an earlier one removes.
+    Given a leader that deletes 20 ended jobs from a store, which does not answer
+    When the jobs are deleted by repeated writes, which are answered
+    And a job is submitted under the id of a deleted one
+    And the late delete is carried out
+    Then that job is in the store, and runs
+
+  Scenario: Ended jobs are deleted without an answer
+    # Guards against an accepted job that the repetition of a delete removes.
+    Given a leader that deletes 20 ended jobs from a store, which does not answer
+    When the late delete is carried out
+    And a job is submitted under the id of a deleted one
+    And the store answers again
+    Then the other jobs are deleted
+    And that job is in the store, and runs
+
   Scenario: A new leader knows the interference that the previous one has measured
     # Guards against seconds of interference and unused room after a change of leader.
     Given a leader that has measured which images interfere
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -8,6 +8,7 @@
 from wagtailcleat.cluster.keys import JOB_PREFIX, LEADER_KEY, encode, record_key
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import NO_LEADER, LeaderLease
+from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.storage import (
     Absent,
@@ -17,6 +18,7 @@
     Found,
     Listing,
     Txn,
+    Unavailable,
     Unknown,
     Written,
 )
@@ -82,6 +84,8 @@
 
     async def write(self, txn: Txn):
         """Apply a write, or leave it without an answer."""
+        if len(txn.compares) + len(txn.puts) + len(txn.deletes) > MAX_TXN_ENTRIES:
+            return Unavailable("too many entries")
         if txn.deletes and self.delays_deletes:
             self.delayed_writes.append(txn)
             return Unknown("no answer")
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -97,7 +97,11 @@
         Parameters: `data` is the stored job; `revision` is the store revision that
         wrote it, 0 if not known; `record` is its stored progress, if there is any.
         """
-        entry = self._scheduler.job_table.entry_by_id.get(job)
+        entry_by_id = self._scheduler.job_table.entry_by_id
+        entry = entry_by_id.get(job)
+        if entry is not None and _is_replaced(entry, revision):
+            del entry_by_id[job]
+            entry = None
         if entry is None:
             entry = self._scheduler.job_table.add(
                 decode(data, Job),
@@ -172,6 +176,16 @@
         self._on_change()
 
 
+def _is_replaced(entry: JobEntry, revision: int) -> bool:
+    """Return whether another job has been stored under an ended job's id.
+
+    A delete of the ended job was then carried out, but not answered. Otherwise the job
+    is written with its last record, or before it.
+    """
+    is_stored = entry.state.final and entry.committed >= entry.version
+    return is_stored and revision > entry.store_revision
+
+
 async def list_until_answered(
     store: KeyValueStore, prefix: str, clock: Clock
 ) -> Listing:
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -48,8 +48,11 @@
 A write that exceeds the time limit of a call is repeated whole, and may never be
 answered.
 """
-JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 3
-"""Each job has up to three keys."""
+JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 4
+"""Each job has up to three keys, and a compare of its record.
+
+One more compare is for the leader key.
+"""
 AGENTS_PER_WRITE = (MAX_TXN_ENTRIES - 1) // 2
 """Each agent takes a compare and a put or delete; one compare is for the leader key."""
 EXPIRY_MARGIN_SECONDS = 30.0
@@ -277,10 +280,8 @@
         compares = [self._leader_unchanged()]
         puts = {}
         for entry, value in zip(entries, values, strict=True):
-            key = record_key(entry.job.id)
-            revision = entry.store_revision
-            compares.append(Compare(key, revision, absent=revision == 0))
-            puts[key] = value
+            compares.append(_record_unchanged(entry))
+            puts[record_key(entry.job.id)] = value
             if entry.state.final and len(entry.job.spec) > SPEC_KEPT_BYTES:
                 # Every new leader reads all jobs, and no task of this one starts again.
                 ended = msgspec.structs.replace(entry.job, spec="")
@@ -337,14 +338,30 @@
         if not old:
             return
         batch = old[:JOBS_PER_DELETE]
-        txn = Txn(
-            [self._leader_unchanged()], deletes=_keys(entry.job.id for entry in batch)
-        )
-        if isinstance(await self._store.write(txn), Written):
+        # A delete that was not answered may be carried out later, when another job has
+        # been accepted under the same id.
+        compares = [self._leader_unchanged()] + [_record_unchanged(e) for e in batch]
+        deletes = _keys(entry.job.id for entry in batch)
+        outcome = await self._store.write(Txn(compares, deletes=deletes))
+        if isinstance(outcome, Conflict) and not self._lost_leadership(outcome):
+            # An earlier delete that was not answered may have taken effect.
+            revision_by_key = {f.key: f.mod_revision for f in outcome.current}
             for entry in batch:
+                found = revision_by_key.get(record_key(entry.job.id), 0)
+                entry.store_revision = found
+            batch = [entry for entry in batch if not entry.store_revision]
+        elif not isinstance(outcome, Written):
+            return
+        for entry in batch:
+            if job_table.entry_by_id.get(entry.job.id) is entry:
                 del job_table.entry_by_id[entry.job.id]
 
 
+def _record_unchanged(entry: JobEntry) -> Compare:
+    revision = entry.store_revision
+    return Compare(record_key(entry.job.id), revision, absent=revision == 0)
+
+
 def _batch(changed: list[JobEntry]) -> tuple[list[JobEntry], list[bytes]]:
     """Return the first jobs whose records fit into one write, and the records."""
     values: list[bytes] = []
