--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -161,6 +161,13 @@
     assert sum(a.startswith(b"HTTP/1.1 4") for a in context.answers) > 1000
 
 
+@then("the good requests made meanwhile were all answered 200")
+def step_all_valid_answered(context):
+    made = context.valid_calls
+    bad = [call for call in made.calls if call.answer.status != 200]
+    assert made.calls and not bad, (len(made.calls), bad[:5])
+
+
 @then(
     "the good requests made meanwhile were answered 200, or refused only while the"
     " agent stood still and then served"
