Ask no further list of a worker that has been replaced

Change: no further list is asked for once the incarnation has changed. The time at which leases have lapsed is computed beside the incarnation.

--- a/features/platform/doubtful_calls.feature
+++ b/features/platform/doubtful_calls.feature
@@ -74,3 +74,9 @@
     # Guards against a worker that is lost for hours after a call to its predecessor.
     Given an agent whose worker requires a token 10000 s above its clock
     Then its runs are listed
+
+  Scenario: The worker is replaced while it answers no list
+    # Guards against calls to a worker that has ended, on a client that is closed.
+    Given an agent whose worker answers lists only
+    When it answers no list, and its next incarnation sends a heartbeat
+    Then no further list is asked for with the earlier token
--- a/features/steps/doubtful_calls_steps.py
+++ b/features/steps/doubtful_calls_steps.py
@@ -29,6 +29,7 @@
         self.carries_out = False
         self.lists_received = 0
         self.answered_fences: list[int] = []
+        self.received_fences: list[int] = []
         self.start_fences_by_job: dict[str, list[int]] = {}
         self.running: list[list] = []
         self.paces: list[tuple[int, int]] = []
@@ -69,6 +70,7 @@
         world = self.world
         world.lists_received += 1
         fence = json.loads(self.request.body)["fence"]
+        world.received_fences.append(fence)
         if world.is_silent or world.lists_received % world.list_period:
             await self.leave_unanswered()
         elif fence < world.required_fence:
@@ -262,6 +264,27 @@
     world.until(lambda: len(world.answered_fences) > context.lists_before)
 
 
+@when("it answers no list, and its next incarnation sends a heartbeat")
+def step_replaced(context):
+    world = context.hosting_world
+    world.is_silent = True
+    before = len(world.received_fences)
+    # A second list shows that the first one got no answer.
+    world.until(lambda: len(world.received_fences) >= before + 2)
+    context.earlier_fence = world.received_fences[-1]
+    world.begin_incarnation(BORN + 1000)
+    context.lists_before = len(world.received_fences)
+
+
+@then("no further list is asked for with the earlier token")
+def step_no_earlier_token(context):
+    world = context.hosting_world
+    world.until(lambda: world.received_fences[-1] > context.earlier_fence)
+    late = world.received_fences[context.lists_before :]
+    # The list that was on its way as the heartbeat came may still be received.
+    assert late.count(context.earlier_fence) <= 1, late
+
+
 @when("its lease has certainly expired")
 def step_expired(context):
     context.hosting_world.now += 2 * RUN_CONTACT_LIMIT_SECONDS
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -69,21 +69,27 @@
 
     async def _begin(self):
         sockets = bind_sockets(0, self.worker_host)
-        port = sockets[0].getsockname()[1]
+        self.address = f"{self.worker_host}:{sockets[0].getsockname()[1]}"
         self.server = HTTPServer(self.make_application())
         self.server.add_sockets(sockets)
         self.work = asyncio.create_task(self.hosting.run())
+        await self.hosting.take_heartbeat(self._heartbeat(BORN))
+
+    def _heartbeat(self, born):
         info = WorkerInfo(
             "i-1",
-            BORN,
+            born,
             ServiceName("booking-core"),
             ZoneName("zilina-a"),
             WorkerState.READY,
             Resources(8.0, 64_000, 0),
         )
-        await self.hosting.take_heartbeat(
-            Heartbeat(info, f"{self.worker_host}:{port}", 1, 0.0)
-        )
+        return Heartbeat(info, self.address, 1, 0.0)
+
+    def begin_incarnation(self, born):
+        """Deliver the first heartbeat of a new incarnation of the worker."""
+        beat = self.hosting.take_heartbeat(self._heartbeat(born))
+        self.loop.run_until_complete(beat)
 
     def until(self, condition):
         """Let the agent run until a condition is met."""
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -3,6 +3,10 @@
 Only the agent gives orders to the worker. Each incarnation of the agent uses a higher
 fencing token (`fence`) than those before, so the worker refuses a delayed start that an
 earlier incarnation has sent. `agent_app` runs one `Hosting`.
+
+A worker's runs are lost at once if its process has ended, else when all leases have
+certainly lapsed. Starts in doubt are lost with the leases only: until then the worker,
+or its next incarnation, may still carry them out.
 """
 
 import asyncio
@@ -21,7 +25,10 @@
     WORKER_CALL_SECONDS,
     WORKER_SILENT_SECONDS,
 )
-from wagtailcleat.cluster.worker_incarnation import WorkerIncarnation
+from wagtailcleat.cluster.worker_incarnation import (
+    WorkerIncarnation,
+    leases_lapse_at,
+)
 from wagtailcleat.cluster.worker_lists import first_list
 from wagtailcleat.ids import ZoneName
 from wagtailcleat.logs import part_logger
@@ -56,8 +63,6 @@
 """
 REFUSALS_UNTIL_LOST = 3
 """Refused connections in a row, 0.1 s apart, that show that the worker has ended."""
-LEASE_EXPIRY_MARGIN_SECONDS = 0.2
-"""How long after its lease has expired a run is assumed to continue."""
 
 
 class Hosting:
@@ -266,6 +271,7 @@
             incarnation,
             until=until,
             wait_seconds=0.0 if is_urgent else LIST_WAIT_SECONDS,
+            is_current=lambda: self._incarnation is incarnation,
         )
         if self._incarnation is not incarnation:
             return False
@@ -349,13 +355,9 @@
         # A worker that can't be reached kills its runs when their leases expire. A
         # start that it carries out later has an expired lease of its own, or a fencing
         # token below that of the next list, and is refused.
-        now = self._clock()
         if incarnation.leases_lapsed or not incarnation.lists_answered:
             return
-        max_lease = (
-            incarnation.lease_until - incarnation.listed_at
-        ) * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_SECONDS
-        if now < incarnation.listed_at + max_lease:
+        if self._clock() < leases_lapse_at(incarnation):
             return
         incarnation.leases_lapsed = True
         self._raise_fence(incarnation)
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -2,9 +2,13 @@
 
 from dataclasses import dataclass, field
 
+from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR
 from wagtailcleat.platform.runs import RunWorker
 from wagtailcleat.scheduling.models import Ended, RunKey, Running
 
+LEASE_EXPIRY_MARGIN_SECONDS = 0.2
+"""How long after its lease has expired a run is assumed to continue."""
+
 
 @dataclass(eq=False)
 class WorkerIncarnation:
@@ -48,3 +52,12 @@
     return any(running.key == key for running in incarnation.running) or any(
         ended.key == key for ended in incarnation.ended
     )
+
+
+def leases_lapse_at(incarnation: WorkerIncarnation) -> float:
+    """Return when all leases have certainly lapsed, on this VM's clock.
+
+    The worker's clock may run more slowly since the last list showed it.
+    """
+    longest = (incarnation.lease_until - incarnation.listed_at) * CLOCK_DRIFT_FACTOR
+    return incarnation.listed_at + longest + LEASE_EXPIRY_MARGIN_SECONDS
--- a/wagtailcleat/cluster/worker_lists.py
+++ b/wagtailcleat/cluster/worker_lists.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from wagtailcleat.cluster.worker_incarnation import WorkerIncarnation
 from wagtailcleat.platform.http_client import NoAnswer
@@ -20,7 +21,11 @@
 
 
 async def first_list(
-    incarnation: WorkerIncarnation, *, until: float | None, wait_seconds: float
+    incarnation: WorkerIncarnation,
+    *,
+    until: float | None,
+    wait_seconds: float,
+    is_current: Callable[[], bool],
 ) -> tuple[int, Answer]:
     """Return the first answer to several calls, and the fencing token of its call.
 
@@ -29,11 +34,15 @@
     one.
 
     Parameters: `until` is the new end of the leases on this VM's clock, None renews
-    none; the worker waits up to `wait_seconds` for a run to end before it answers.
+    none; the worker waits up to `wait_seconds` for a run to end before it answers;
+    `is_current` returns whether the worker has not been replaced by its next
+    incarnation.
     """
     loop = asyncio.get_running_loop()
     in_progress: set[asyncio.Task[tuple[int, Answer]]] = set()
     for _ in range(MAX_PARALLEL_LISTS):
+        if not is_current():
+            break
         call = asyncio.create_task(_list(incarnation, until, wait_seconds))
         _calls.add(call)
         call.add_done_callback(_calls.discard)
