--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -59,6 +59,10 @@
 """How long after its lease has expired a run is assumed to continue."""
 
 
+MakeWorker = Callable[..., RunWorker]
+"""Creates the client of a worker; takes the arguments of `RunWorker`."""
+
+
 class Hosting:
     """The worker of this VM and its runs.
 
@@ -75,6 +79,7 @@
         leader_contact_at: Callable[[], float],
         is_zone_out: Callable[[ZoneName], bool],
         on_change: Callable[[], None],
+        make_worker: MakeWorker = RunWorker,
     ) -> None:
         """Create it without a worker.
 
@@ -82,7 +87,8 @@
         lease that the platform grants, in seconds; `may_start` returns whether the
         leader's orders may be carried out now; `leader_contact_at` returns when the
         leader was last reached; `is_zone_out` returns whether operators have taken a
-        zone out; `on_change` is called when there is something to report.
+        zone out; `on_change` is called when there is something to report;
+        `make_worker` creates the client of a worker.
         """
         self.info: WorkerInfo | None = None
         self.left = False
@@ -94,6 +100,7 @@
         self._leader_contact_at = leader_contact_at
         self._is_zone_out = is_zone_out
         self._on_change = on_change
+        self._make_worker = make_worker
         self._incarnation: WorkerIncarnation | None = None
         self._last_sequence = -1
         self._worker_known = asyncio.Event()
@@ -209,7 +216,7 @@
             extra={"worker": worker.id, "born": worker.born, "fence": fence},
         )
         self._incarnation = WorkerIncarnation(
-            RunWorker(
+            self._make_worker(
                 heartbeat.address,
                 worker.id,
                 fence=fence,
