Let the takeover world's processes and loop be replaced

Subclasses make entries and agents, and a process serves messages in its own tasks. A handler that is cancelled with its process counts as a lost answer. features/platform/takeover.feature, hosting.feature and features/model pass as before (51 scenarios).

--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -9,6 +9,7 @@
 import contextlib
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
+from contextvars import Context
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -216,7 +217,9 @@
         """Send a message and return the answer."""
         # A message that was sent arrives even if its sender no longer waits for the
         # answer.
-        exchange = self.network.loop.create_task(self._exchange(message))
+        exchange = self.network.loop.create_task(
+            self._exchange(message), context=Context()
+        )
         self.network.exchanges.add(exchange)
         exchange.add_done_callback(self.network.exchanges.discard)
         try:
@@ -228,9 +231,10 @@
     async def _exchange(self, message):
         try:
             await self._deliver(self.source, self.target, message)
-            answer = await self.process.answer(self._reverse_stream(), message)
+            answer = await self.process.serve(self._reverse_stream(), message)
             await self._deliver(self.target, self.source, answer)
-        except ConnectionError as error:
+        except (ConnectionError, asyncio.CancelledError) as error:
+            # The handler is cancelled if its process is killed.
             return Lost(True, str(error))
         return answer
 
@@ -339,7 +343,15 @@
 
     def spawn(self, work) -> None:
         """Run a coroutine until the process is killed."""
-        self.tasks.append(self.world.loop.create_task(work))
+        self.tasks.append(self.create_task(work))
+
+    def create_task(self, work) -> asyncio.Task:
+        """Run a coroutine in this process."""
+        return self.world.loop.create_task(work)
+
+    async def serve(self, stream: FakeStream, message):
+        """Return the answer to a message."""
+        return await self.answer(stream, message)
 
     async def answer(self, stream: FakeStream, message):
         """Return the handler's answer to a message."""
@@ -495,10 +507,15 @@
     """Entries and agents that start together, and a check for duplicate runs."""
 
     def __init__(
-        self, *, entries: int, agents: int, weights: Sequence[float] = ()
+        self,
+        *,
+        entries: int,
+        agents: int,
+        weights: Sequence[float] = (),
+        loop: VirtualLoop | None = None,
     ) -> None:
         """Start all processes; `weights` are the entries' processor times."""
-        self.loop = VirtualLoop(settle=0.0)
+        self.loop = loop or VirtualLoop(settle=0.0)
         self.keyspace = Keyspace()
         self.network = Network(self.loop)
         self.incarnations = iter(range(1, 1000))
@@ -508,21 +525,24 @@
         self.job_count = 0
         self.entry_hosts = [f"entry-host-{n}" for n in range(1, entries + 1)]
         self.entries = [
-            SimulatedEntry(self, f"entry-{n}", host, weight)
+            self.make_entry(f"entry-{n}", host, weight)
             for n, (host, weight) in enumerate(
                 zip(self.entry_hosts, weights or [1.0] * entries, strict=True), 1
             )
         ]
         self.agents = [
-            SimulatedAgent(
-                self,
-                f"agent-{n}",
-                f"agent-host-{n}",
-                SimulatedWorker(f"agent-{n}", cores=8.0),
-            )
+            self.make_agent(f"agent-{n}", f"agent-host-{n}")
             for n in range(1, agents + 1)
         ]
-        self._expiry = self.loop.create_task(self._expire_leases())
+        self._expiry = self.loop.create_task(self.expire_leases())
+
+    def make_entry(self, node: str, host: str, weight: float) -> SimulatedEntry:
+        """Start an entry."""
+        return SimulatedEntry(self, node, host, weight)
+
+    def make_agent(self, node: str, host: str) -> "SimulatedAgent":
+        """Start an agent with a new worker."""
+        return SimulatedAgent(self, node, host, SimulatedWorker(node, cores=8.0))
 
     def clock(self) -> float:
         """Return the time in seconds, the same for all processes."""
@@ -570,7 +590,7 @@
         """Return a new incarnation of a killed process."""
         if isinstance(process, SimulatedEntry):
             number = self.entries.index(process)
-            entry = SimulatedEntry(self, process.node, process.host, process.weight)
+            entry = self.make_entry(process.node, process.host, process.weight)
             self.entries[number] = entry
             return entry
         number = self.agents.index(process)
@@ -592,7 +612,8 @@
         """Return all runs that go on, with their agents."""
         return [(agent, key) for agent in self.agents for key in agent.worker.running]
 
-    async def _expire_leases(self) -> None:
+    async def expire_leases(self) -> None:
+        """End the runs whose leases expire, until cancelled."""
         while True:
             for agent in self.agents:
                 if self.clock() >= agent.lease_until:
