Test calls to workers that are carried out late

The agent's Hosting, RunOrders and Following, and the entries' leadership and leader, run unchanged on virtual time against simulated workers that leave calls unanswered and carry them out late, fall silent, crash and come back with the same id, or leave. Any process can be killed or frozen. An oracle judges by what the workers saw: overlapping runs, starts after an acknowledged success, room, attempts; and new work must go on after the faults.

--- /dev/null
+++ b/features/platform/late_calls.feature
@@ -0,0 +1,66 @@
+Feature: Calls to workers that are not answered and carried out late
+
+  Scenario: A late start reaches the next incarnation of its worker beside a new start
+    # Guards against two runs of a task at a worker restarted under its id, when its agent does not know of that yet.
+    Given a leader and 1 agents whose workers may carry calls out late
+    And a start is held back by its worker, and its agent has prevented it by a stop
+    When the leader is killed, and the worker restarts under its id just before the next leader's start, and then carries out the start held back
+    Then the workers saw no broken rule
+
+  Scenario: A late start reaches the next incarnation of its worker after a success
+    # Guards against a start of a task that has succeeded, at a worker that restarted under its id and has seen no fencing token.
+    Given a leader and 1 agents whose workers may carry calls out late
+    And a start is held back by its worker, and its agent has prevented it by a stop
+    And the task has succeeded in a later run, and its end is acknowledged
+    When the worker restarts under its id, and carries out the start held back at once
+    Then the workers saw no broken rule
+
+  Scenario: A late start has a higher fencing token than the worker's next incarnation
+    # Guards against a fencing token that falls with the clock of a worker restarted under its id.
+    Given a leader and 1 agents whose workers may carry calls out late
+    And a start is held back by its worker, and its agent has prevented it by a stop
+    And the task has succeeded in a later run, and its end is acknowledged
+    When the worker restarts under its id, 60 s behind its earlier clock, and carries out the start held back after its agent has listed its runs
+    Then the workers saw no broken rule
+
+  Scenario: A worker has seen a token of its earlier incarnation
+    # Guards against an agent all of whose calls are refused once a call for an earlier incarnation has brought a higher token.
+    Given a leader and 1 agents whose workers may carry calls out late
+    When the worker restarts under its id, 60 s behind its earlier clock, and its agent calls it before its first heartbeat arrives
+    Then a new job succeeds within 15 s
+
+  Scenario: The HTTP client repeats a start that is carried out late
+    # Guards against two runs of a task when the answer to a repeated start refuses it, while its first copy is still to be carried out.
+    Given a leader and 1 agents whose workers may carry calls out late
+    And a start is held back, and a repetition by the HTTP client is refused as the worker is unhealthy
+    When the start held back is carried out during the next run of the task
+    Then the workers saw no broken rule
+
+  Scenario: A success is listed while a later start of the task is in doubt
+    # Guards against a start of a task after its success is acknowledged.
+    Given a leader and 2 agents whose workers may carry calls out late
+    And a task succeeds at a worker that answers nobody until its leases have lapsed
+    When that worker answers again, and the task's next start is carried out once the success is acknowledged
+    Then the task does not start after the acknowledgement
+
+  Scenario: The last attempt fails while its agent is given up
+    # Guards against more failed runs of a task than its attempts, all of them acknowledged.
+    Given a leader and 2 agents whose workers may carry calls out late
+    And a task fails in its last attempt while its agent is frozen
+    When the agent continues after 6.5 s
+    Then the workers saw no broken rule
+
+  Scenario: Random histories of late calls
+    # Guards against two runs of a task, overfull workers and lost ends, when calls are late while processes freeze and leaders change.
+    When the random histories 1 to 25 of late calls are played
+    Then no rule was broken in any of them
+
+  Scenario: Random histories of late calls and restarts of workers
+    # Guards against the same where late calls reach the next incarnation of a worker.
+    When the random histories 7 to 19 with restarts of workers are played
+    Then no rule was broken in any of them
+
+  Scenario: Random histories of late and repeated calls
+    # Guards against the same where the HTTP client repeats calls, and workers refuse some as unhealthy.
+    When the random histories 54 to 64 with repeated calls are played
+    Then no rule was broken in any of them
