--- a/features/platform/late_calls.feature
+++ b/features/platform/late_calls.feature
@@ -29,17 +29,17 @@
     When the worker restarts under its id, 60 s behind its earlier clock, and its agent calls it before its first heartbeat arrives
     Then a new job succeeds within 15 s
 
-  Scenario: The HTTP client repeats a start that is carried out late
-    # Guards against two runs of a task when the answer to a repeated start refuses it, while its first copy is still to be carried out.
+  Scenario: The connection of a start breaks, and the start is carried out late
+    # Guards against two runs of a task when the answer to a copy of a start counts for both.
     Given a leader and 1 agents whose workers may carry calls out late
-    And a start is held back, and a repetition by the HTTP client is refused as the worker is unhealthy
+    And a start is held back, its connection breaks, and the worker is unhealthy
     When the start held back is carried out during the next run of the task
     Then the workers saw no broken rule
 
-  Scenario: The HTTP client repeats a start, and the next leader starts the task again
+  Scenario: The connection of a start breaks, and the next leader starts the task again
     # Guards against two runs of a task by leaders of two epochs at one worker, started some ms apart, the first of them stopped.
     Given a leader and 1 agents whose workers may carry calls out late
-    And a start is held back, and a repetition by the HTTP client is refused as the worker is unhealthy
+    And a start is held back, its connection breaks, and the worker is unhealthy
     When the leader is killed, and the start held back is carried out just before the next leader's start
     Then the workers saw no broken rule
 
@@ -67,7 +67,7 @@
     When the random histories 7 to 19 with restarts of workers are played
     Then no rule was broken in any of them
 
-  Scenario: Random histories of late and repeated calls
-    # Guards against the same where the HTTP client repeats calls, and workers refuse some as unhealthy.
-    When the random histories 54 to 64 with repeated calls are played
+  Scenario: Random histories of late calls and broken connections
+    # Guards against the same where connections break, and workers refuse calls as unhealthy.
+    When the random histories 54 to 64 with broken connections are played
     Then no rule was broken in any of them
--- a/features/steps/late_calls_steps.py
+++ b/features/steps/late_calls_steps.py
@@ -132,14 +132,11 @@
     )
 
 
-@given(
-    "a start is held back, and a repetition by the HTTP client is refused as the worker"
-    " is unhealthy"
-)
-def step_repeated(context):
+@given("a start is held back, its connection breaks, and the worker is unhealthy")
+def step_broken(context):
     (context.worker,) = context.workers
     _hold(context.worker, "start")
-    context.worker.faults.repeated = 1.0
+    context.worker.faults.broken = 1.0
     context.worker.faults.unhealthy = {"start": 1.0}
     context.job = context.world.submit()
     _until(context, lambda: context.worker.held_calls, "a start is held back")
@@ -241,19 +238,19 @@
 
 @when("the random histories {first:d} to {last:d} of late calls are played")
 def step_histories(context, first, last):
-    faults = Faults(restarts=False, repeats=False)
+    faults = Faults(restarts=False, breaks=False)
     context.breaches = play_histories(range(first, last + 1), faults)
 
 
 @when("the random histories {first:d} to {last:d} with restarts of workers are played")
 def step_histories_restarts(context, first, last):
-    faults = Faults(restarts=True, repeats=False)
+    faults = Faults(restarts=True, breaks=False)
     context.breaches = play_histories(range(first, last + 1), faults)
 
 
-@when("the random histories {first:d} to {last:d} with repeated calls are played")
-def step_histories_repeats(context, first, last):
-    faults = Faults(restarts=False, repeats=True)
+@when("the random histories {first:d} to {last:d} with broken connections are played")
+def step_histories_breaks(context, first, last):
+    faults = Faults(restarts=False, breaks=True)
     context.breaches = play_histories(range(first, last + 1), faults)
 
 
--- a/features/steps/late_client.py
+++ b/features/steps/late_client.py
@@ -112,7 +112,12 @@
         await asyncio.sleep(LATENCY_SECONDS)
         if worker.boot is None:
             return NoAnswer.REFUSED
-        if not self._arrives(name, text, carry_out):
+        if self._happens(worker.faults.lost.get(name, 0.0)):
+            await worker.never.wait()
+        if self._happens(worker.faults.late.get(name, 0.0)):
+            worker.loop.create_task(self._carry_out_late(text, carry_out))
+            if self._happens(worker.faults.broken):
+                return NoAnswer.LOST
             await worker.never.wait()
         answer = await self._serve(name, text, carry_out, wait_seconds)
         if self._happens(worker.faults.unanswered.get(name, 0.0)):
@@ -123,16 +128,6 @@
     def _happens(self, probability: float) -> bool:
         return self._worker.random.random() < probability
 
-    def _arrives(self, name: str, text: str, carry_out) -> bool:
-        """Return whether a call is carried out now; a late one is carried out later."""
-        faults = self._worker.faults
-        if self._happens(faults.lost.get(name, 0.0)):
-            return False
-        if not self._happens(faults.late.get(name, 0.0)):
-            return True
-        self._worker.loop.create_task(self._carry_out_late(text, carry_out))
-        return self._happens(faults.repeated)
-
     async def _serve(self, name: str, text: str, carry_out, wait_seconds: float):
         worker = self._worker
         boot = worker.boot
--- a/features/steps/late_histories.py
+++ b/features/steps/late_histories.py
@@ -1,9 +1,9 @@
 """Random histories of late calls, silences, freezes and changes of leaders.
 
-    python -m features.steps.late_histories FIRST LAST [--restarts] [--repeats]
+    python -m features.steps.late_histories FIRST LAST [--restarts] [--breaks]
 
 plays the seeds FIRST to LAST and prints the broken rules of each; the exit code is 1
-if there are any. `--restarts` and `--repeats` add these faults, `--trace` prints all
+if there are any. `--restarts` and `--breaks` add these faults, `--trace` prints all
 events of a history with a broken rule.
 """
 
@@ -37,8 +37,8 @@
 
     restarts: bool
     """Whether workers restart under their ids."""
-    repeats: bool
-    """Whether the HTTP client repeats calls, and workers are unhealthy."""
+    breaks: bool
+    """Whether connections of late calls break, and workers are unhealthy."""
 
 
 class LateHistory:
@@ -59,8 +59,8 @@
         left_out = set()
         if not faults.restarts:
             left_out.add("do_crash")
-        if not faults.repeats:
-            left_out |= {"do_repeat", "do_unhealthy"}
+        if not faults.breaks:
+            left_out |= {"do_break", "do_unhealthy"}
         self._operations = [
             getattr(self, name)
             for name in dir(self)
@@ -201,10 +201,10 @@
         worker = self.random.choice(self._workers())
         worker.faults.unhealthy = dict.fromkeys(CALLS, 0.3)
 
-    def do_repeat(self) -> None:
-        """Let the HTTP client repeat some of the late calls to a worker."""
+    def do_break(self) -> None:
+        """Let the connections of some late calls to a worker break."""
         worker = self.random.choice(self._workers())
-        worker.faults.repeated = 0.5
+        worker.faults.broken = 0.5
 
     def do_lose(self) -> None:
         """Let a worker lose some calls or answers."""
@@ -355,7 +355,7 @@
 def main(arguments: list[str]) -> int:
     """Play histories, print the broken rules and return the exit code."""
     logging.getLogger().setLevel(logging.INFO)
-    faults = Faults("--restarts" in arguments, "--repeats" in arguments)
+    faults = Faults("--restarts" in arguments, "--breaks" in arguments)
     exit_code = 0
     for seed in range(int(arguments[1]), int(arguments[2]) + 1):
         history = LateHistory(seed, faults)
--- a/features/steps/late_worker.py
+++ b/features/steps/late_worker.py
@@ -42,11 +42,8 @@
     """The call is carried out at once."""
     unhealthy: dict[str, float] = field(default_factory=dict)
     """The call is answered with the worker's being unhealthy, and not carried out."""
-    repeated: float = 0.0
-    """Probability that the HTTP client repeats a late call at once.
-
-    libcurl does so if a connection that was used before breaks without an answer.
-    """
+    broken: float = 0.0
+    """Probability that the connection of a late call breaks at once."""
     late_seconds: tuple[float, float] | None = LATE_SECONDS
     """Least and greatest delay of a late call; None holds it back for the test."""
 
--- a/features/steps/late_world.py
+++ b/features/steps/late_world.py
@@ -160,7 +160,7 @@
 
     def _take_orders(self, orders: Orders) -> None:
         for start in orders.starts:
-            self.hosting.orders.start(start)
+            self.hosting.orders.start(start, orders.born)
         for key in orders.stops:
             self.hosting.orders.stop(key)
         for pace in orders.paces:
