--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -26,6 +26,7 @@
     WORKER_SILENT_SECONDS,
 )
 from wagtailcleat.cluster.worker_incarnation import (
+    MakeWorker,
     WorkerIncarnation,
     leases_lapse_at,
 )
@@ -56,19 +57,10 @@
 
 The worker does not delay the answer if the list has an end, even one that is known.
 """
-CLOSE_DELAY_SECONDS = 3.0
-"""Delay before connections to an earlier incarnation of the worker are closed.
-
-All calls on them have timed out by then.
-"""
 REFUSALS_UNTIL_LOST = 3
 """Refused connections in a row, 0.1 s apart, that show that the worker has ended."""
 
 
-MakeWorker = Callable[..., RunWorker]
-"""Creates the client of a worker; takes the arguments of `RunWorker`."""
-
-
 class Hosting:
     """The worker of this VM and its runs.
 
@@ -244,9 +236,7 @@
     def _end_incarnation(self) -> None:
         if self._incarnation is None:
             return
-        asyncio.get_running_loop().call_later(
-            CLOSE_DELAY_SECONDS, self._incarnation.worker.close
-        )
+        self._incarnation.close_later()
         self._incarnation = None
         self.orders.cancel()
 
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -1,11 +1,20 @@
 """One incarnation of the worker on an agent's VM, as the agent knows it."""
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR
 from wagtailcleat.platform.runs import RunWorker
 from wagtailcleat.scheduling.models import Ended, RunKey, Running
 
+MakeWorker = Callable[..., RunWorker]
+"""Creates the client of a worker; takes the arguments of `RunWorker`."""
+CLOSE_DELAY_SECONDS = 3.0
+"""Delay before connections to an earlier incarnation of the worker are closed.
+
+All calls on them have timed out by then.
+"""
 LEASE_EXPIRY_MARGIN_SECONDS = 0.2
 """How long after its lease has expired a run is assumed to continue."""
 
@@ -39,6 +48,11 @@
     refusals: int = 0
     """Number of connections refused in a row."""
 
+    def close_later(self) -> None:
+        """Close the connections once all calls on them have timed out."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(CLOSE_DELAY_SECONDS, self.worker.close)
+
 
 def is_list_complete(incarnation: WorkerIncarnation, wanted: int) -> bool:
     """Return whether `wanted` lists were answered and the last one has every end."""
