An owner that was paused waits for the agents' reports before it counts grants as lapsed

Cause: when the owner resumes, its loop ends the attempts whose bounds have passed before any report is read, which the agents sent or were about to send, and commits them as lapsed, without a checkpoint (log of a trial: nine lapses 0.5 s past their bounds in the millisecond of "This process was paused"; that its store lease is gone it learns 4 ms later). The commit succeeds, since nobody has raised the epoch yet. The reports that come then are of attempts that are no longer current. A successor that claims the shard in time adopts the checkpoints; that is usual as shipped (lease 10 s, grant 30 s), and not sure.

Change: if the owner's loop has not come round for a renewal interval, a third of a grant, it ends no lapsed attempt for one such interval more. In it each agent reports again. Ending an attempt later than its bound is always safe. Elsewhere of this class, by reading only: a takeover asks the agents from the start with bounds of a whole grant; the leader of cluster/ expires agents as of its last renewal.

Not covered: an owner cut from the agents for longer than a grant, which still counts their attempts as lapsed although they may have been checkpointed.

--- a/features/batch/eviction.feature
+++ b/features/batch/eviction.feature
@@ -30,3 +30,16 @@
     And each task of job "ledger" succeeded once
     And no stopped task of "sleep:5" ran longer than 5 seconds in total
     And no task ever ran in two places
+
+  Scenario: A shard's owner is paused past the grants of its tasks and resumes
+    # Guards against evicted tasks that restart from the beginning: their agents have
+    # checkpointed them, and the reports wait unread at the owner when it resumes.
+    Given a batch deployment of VMs "vm-1=zilina-a=8 vm-2=zilina-b=8 vm-3=zilina-a=8"
+    When job "ledger" of 8 tasks of "sleep:6" with 2 cores is submitted
+    And 8 tasks have each run for 1 second
+    And the owner of job "ledger" is paused until all grants have lapsed
+    And the paused agent resumes
+    Then job "ledger" ends with 8 tasks succeeded
+    And each task of job "ledger" succeeded once
+    And no stopped task of "sleep:6" ran longer than 6 seconds in total
+    And no task ever ran in two places
--- a/features/steps/batch_steps.py
+++ b/features/steps/batch_steps.py
@@ -8,6 +8,7 @@
 
 from standins.cluster import Cluster, VmOptions
 from standins.processes import HttpError, http, wait_for
+from wagtailcleat.batch.shard import GRANT_MARGIN_FACTOR
 from wagtailcleat.batch.shards import fair_share, find_shard, rank_nodes
 from wagtailcleat.clock import boot_time
 from wagtailcleat.configuration.models import Team
@@ -350,6 +351,13 @@
     pause(context, context.cluster.agent_by_vm[vm])
 
 
+@when('the owner of job "{name}" is paused until all grants have lapsed')
+def step_pause_owner_past_grants(context, name):
+    pause(context, context.cluster.agent_by_vm[owner_vm(context, name)])
+    lapsed_at = boot_time() + TIMING["grant"] * GRANT_MARGIN_FACTOR
+    wait_for(lambda: boot_time() > lapsed_at, WAIT_SECONDS, "all grants have lapsed")
+
+
 @when('another agent owns the shard of job "{name}"')
 def step_another(context, name):
     owner_vm(context, name)
--- a/wagtailcleat/agent/grant_renewal.py
+++ b/wagtailcleat/agent/grant_renewal.py
@@ -11,6 +11,7 @@
 from wagtailcleat.agent.attempt_table import AttemptTable, Phase
 from wagtailcleat.agent.evictor import Evictor
 from wagtailcleat.agent.shard_owners import ShardOwners
+from wagtailcleat.batch.shard import RENEWALS_PER_GRANT
 from wagtailcleat.ids import AttemptId, Incarnation, NodeId, ShardId, VmName
 from wagtailcleat.platform.worker import Worker
 from wagtailcleat.settings import Timing
@@ -18,7 +19,6 @@
 from wagtailcleat.wire.membership import Member
 from wagtailcleat.wire.peers import Peers
 
-RENEWALS_PER_GRANT = 3.0
 CHECKS_PER_RENEWAL = 4
 CALL_TIMEOUT_SECONDS = 2.0
 
--- a/wagtailcleat/batch/grants.py
+++ b/wagtailcleat/batch/grants.py
@@ -16,7 +16,7 @@
     JobStopped,
     TaskState,
 )
-from wagtailcleat.batch.shard import Shard
+from wagtailcleat.batch.shard import RENEWALS_PER_GRANT, Shard
 from wagtailcleat.batch.usage_estimates import Sample
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import AttemptId, JobId, VmName
@@ -45,6 +45,8 @@
         self._committing: set[AttemptId] = set()
         self._end_report_by_attempt: dict[AttemptId, AttemptReport] = {}
         self._last_cleanup_at = 0.0
+        self._last_round_at = shard.clock()
+        self._reports_expected_until = 0.0
 
     async def renew(self, message: RenewGrants) -> AnyMessage:
         """Commit the ends that an agent reports and renew its grants.
@@ -234,10 +236,13 @@
     async def end_lapsed(self) -> None:
         """End attempts whose grants have lapsed, and forget jobs that ended long ago.
 
+        After a pause of this process, the agents first get the time to report.
         Jobs are checked at most once per `CLEANUP_INTERVAL_SECONDS`.
         """
         shard = self._shard
         now, wall = shard.clock(), shard.wall_clock()
+        if self._may_have_missed_reports(now):
+            return
         current = shard.record.task_by_attempt
         lapsed = [
             attempt
@@ -263,6 +268,16 @@
                 extra={"shard": shard.id, "attempts": len(lapsed), "vms": vms},
             )
 
+    def _may_have_missed_reports(self, now: float) -> bool:
+        # After a pause of this process, reports of ends may still be unread or on
+        # their way, and the tasks must resume from the checkpoints in them. Each agent
+        # reports again within one renewal interval.
+        interval = self._shard.timing.grant / RENEWALS_PER_GRANT
+        if now - self._last_round_at > interval:
+            self._reports_expected_until = now + interval
+        self._last_round_at = now
+        return now < self._reports_expected_until
+
     def _events_for_lapsed(self, attempt: AttemptId, wall: float) -> list[AnyEvent]:
         # The end may have been reported but not committed while the store was down.
         # The task must then resume from the checkpoint in that report, not from an
--- a/wagtailcleat/batch/shard.py
+++ b/wagtailcleat/batch/shard.py
@@ -21,6 +21,8 @@
 log = part_logger("batch")
 
 GRANT_MARGIN_FACTOR = 1.05
+RENEWALS_PER_GRANT = 3.0
+"""How often agents renew their grants, and report ends, in the time of one grant."""
 MAX_EVENTS_PER_COMMIT = 200
 CALL_TIMEOUT_SECONDS = 1.0
 
