Take no refusal of a query for the refusal of the request

Cause: an entry asks the agent for the outcome of a request that was not answered. A stream with too many calls refuses this query as unavailable, and the entry reported the request as not run and tried the next endpoint, although the agent may run it.

Evidence: the scenario failed before with "ASSERT FAILED: NotRun(reason='too many calls on this stream', retry_after=0.0)".

Change: the entry asks again, as after a lost answer. The outcomes that agents keep for requests are never "unavailable".

--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import TypeGuard
 
 import msgspec
 
@@ -298,7 +299,7 @@
                 if isinstance(stream, Lost)
                 else (await stream.call(query, timeout=remaining))
             )
-            if isinstance(reply, Answer | Refused):
+            if isinstance(reply, Answer) or _is_refusal_of_request(reply):
                 return reply
             if not isinstance(reply, Running):
                 await asyncio.sleep(min(IN_DOUBT_RETRY_INTERVAL_SECONDS, remaining))
@@ -364,6 +365,11 @@
     return isinstance(reply, Answer) or reply.code != Code.UNAVAILABLE.value
 
 
+def _is_refusal_of_request(reply: AnyMessage | Lost) -> TypeGuard[Refused]:
+    # A busy stream refuses the query itself, which says nothing of the request.
+    return isinstance(reply, Refused) and reply.code != Code.UNAVAILABLE.value
+
+
 def _to_outcome(reply: Answer | Refused | Lost) -> RequestOutcome:
     if isinstance(reply, Answer):
         return Answered(reply)
