Report a request as not run only if no endpoint may run it

Cause: after an idempotent request got no answer, the entry sends it to another endpoint. If that one refused it, the caller was told "not_run", although the first endpoint may have run it.

Evidence: the scenario failed before with "ASSERT FAILED: NotRun(reason='no slot came free in time', retry_after=0.0)" after both agents had received the request.

Change: the outcome is then unknown.

--- a/features/steps/in_doubt_steps.py
+++ b/features/steps/in_doubt_steps.py
@@ -58,7 +58,13 @@
     _begin(context, {ServiceRequest: [LOST], Settle: [busy, unknown]})
 
 
-def _relay(context, *, idempotent=False):
+@given("an agent that answers neither a request nor a query, and one that refuses it")
+def step_lost_and_refused(context):
+    full = Refused(Code.NOT_RUN.value, "no slot came free in time")
+    _begin(context, {ServiceRequest: [LOST], Settle: [LOST]}, {ServiceRequest: [full]})
+
+
+def _relay(context, *, idempotent):
     async def main(clock):
         me = replace(member(len(context.agents)), services=[])
         view = View(me, random.Random(1))
@@ -85,9 +91,22 @@
 
 @when("a request is relayed")
 def step_relay(context):
-    _relay(context)
+    _relay(context, idempotent=False)
+
+
+@when("an idempotent request is relayed")
+def step_relay_idempotent(context):
+    _relay(context, idempotent=True)
 
 
 @then('its outcome is that of the next query, "{code}"')
+@then('the request\'s outcome is "{code}"')
 def step_outcome(context, code):
     assert isinstance(context.outcome, TYPE_BY_CODE[code]), context.outcome
+
+
+@then("both agents have received it")
+def step_both(context):
+    for agent in context.agents:
+        kinds = [type(message) for message in agent.received]
+        assert kinds.count(ServiceRequest) == 1, (agent.peer, kinds)
--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -123,14 +123,20 @@
             return await self._send_with_key(request, request.idempotency_key)
         tried: set[NodeId] = set()
         outcome: RequestOutcome = _no_endpoint()
+        in_doubt: OutcomeUnknown | None = None
         for _ in range(MAX_TRIES):
             member = self._choose_endpoint(request.service, tried)
             if member is None or (tried and not self._take_retry(outcome, member)):
                 break
             tried.add(member.node)
             outcome = await self._send_to(request, member, self._ids.next_plain())
+            if isinstance(outcome, OutcomeUnknown):
+                in_doubt = outcome
             if not self._may_retry(request, outcome):
                 break
+        if in_doubt is not None and isinstance(outcome, NotRun):
+            # The endpoint that gave no answer may have run the request.
+            return in_doubt
         return self._with_jitter(outcome)
 
     async def open_watch(
