Don't say that a change was not run after an answer was lost

Cause: the command line's client repeats a call that got no answer through the next entry. If the repetition was refused as "not_run", the command said "nothing was done", although the first copy may be carried out.

Evidence: the scenario failed before with "ASSERT FAILED: Reply(status=503, body={'code': 'not_run'})".

Change: once a copy may have been carried out, "not_run" is retried like "unavailable", and the outcome stays unknown unless an entry answers conclusively.

--- a/features/lost_answers.feature
+++ b/features/lost_answers.feature
@@ -23,3 +23,9 @@
     Given an entry that closes a kept connection after it has received a write
     When a change without a body is made on that connection
     Then the change may have been carried out
+
+  Scenario: A change that got no answer is refused when it is repeated
+    # Guards against a repetition's refusal that is taken for the answer to the first.
+    Given a full entry that closes a kept connection after it has received a write
+    When a change without a body is made on that connection
+    Then the change may have been carried out
--- a/features/steps/repetition_steps.py
+++ b/features/steps/repetition_steps.py
@@ -14,6 +14,7 @@
 REFUSAL_BY_SERVER = {
     "worker": (409, {"code": "lapsed"}),
     "entry": (503, {"code": "unavailable"}),
+    "full entry": (503, {"code": "not_run"}),
 }
 
 
--- a/wagtailcleat/operator/client.py
+++ b/wagtailcleat/operator/client.py
@@ -75,7 +75,8 @@
         """Make one call through each entry in turn until one answers conclusively.
 
         `unavailable` and `outcome_unknown` are not conclusive and are retried, for
-        up to `MAX_ROUNDS` rounds over all entries.
+        up to `MAX_ROUNDS` rounds over all entries. Nor is `not_run` once an entry may
+        have carried out an earlier copy of the call.
         """
         why_by_url: dict[str, str] = {}
         last_refusal: Reply | None = None
@@ -88,7 +89,7 @@
                 if isinstance(outcome, Unreached):
                     why_by_url |= outcome.why_by_url
                     sent = sent or outcome.sent
-                elif outcome.code not in RETRIED_CODES:
+                elif _is_conclusive(outcome, sent=sent):
                     return outcome
                 else:
                     last_refusal = outcome
@@ -124,6 +125,12 @@
             return Unreached({url: "its answer is no JSON"}, sent=True)
 
 
+def _is_conclusive(reply: Reply, *, sent: bool) -> bool:
+    if reply.code == Code.NOT_RUN.value:
+        return not sent
+    return reply.code not in RETRIED_CODES
+
+
 def _request_body(method: str, body: object) -> bytes | None:
     if body is None:
         return b"" if method in ("POST", "PUT") else None
