Take only the worker's own refusals of a call for refusals

Cause: any error of the in-house worker with a code counted as a refusal, also a time-out or an internal error. The agent then released the attempt's room and reported that it had never started, although it may have been.

Evidence: "A worker answers a start with status ..." failed before for 408, 500, 502, 503 and 504, with "ASSERT FAILED: WorkerRefused(code='x')".

Change: only the statuses that docs/PLATFORM.md and the stand-in use for refusals count: 400, 404, 409 and 507.

--- a/features/lost_answers.feature
+++ b/features/lost_answers.feature
@@ -29,3 +29,20 @@
     Given a full entry that closes a kept connection after it has received a write
     When a change without a body is made on that connection
     Then the change may have been carried out
+
+  Scenario Outline: A worker answers a start with status <status>
+    # Guards against a start that counts as refused although it may be carried out.
+    Given a worker that answers each write with status <status> and a code
+    When an attempt is started on that connection
+    Then the attempt <outcome>
+
+    Examples:
+      | status | outcome               |
+      | 400    | was refused           |
+      | 408    | may have been started |
+      | 409    | was refused           |
+      | 500    | may have been started |
+      | 502    | may have been started |
+      | 503    | may have been started |
+      | 504    | may have been started |
+      | 507    | was refused           |
--- a/features/steps/repetition_steps.py
+++ b/features/steps/repetition_steps.py
@@ -7,7 +7,7 @@
 
 from wagtailcleat.ids import AttemptId
 from wagtailcleat.operator.client import Client, Unreached
-from wagtailcleat.platform.worker import Worker, WorkerUnreachable
+from wagtailcleat.platform.worker import Worker, WorkerRefused, WorkerUnreachable
 from wagtailcleat.resources import Resources
 
 HOST = "127.0.0.1"
@@ -18,15 +18,16 @@
 }
 
 
-class ClosingServer:
-    """A server that closes the connection of the first write, and refuses later ones.
+class RefusingServer:
+    """A server that refuses writes, and may close the connection of the first one.
 
     Reads are answered with an empty list of tasks.
     """
 
-    def __init__(self, refusal):
+    def __init__(self, refusal, *, closes_first):
         """Create a server that refuses with `refusal`, a status and a body."""
         self.url = ""
+        self.closes_first = closes_first
         self.writes = []
         """Method and path of each write received."""
         self._refusal = refusal
@@ -51,7 +52,7 @@
                 writer.write(_answer(200, {"tasks": []}))
                 continue
             self.writes.append(request)
-            if len(self.writes) == 1:
+            if self.closes_first and len(self.writes) == 1:
                 break
             writer.write(_answer(*self._refusal))
         writer.close()
@@ -76,7 +77,12 @@
 
 @given("{article} {name} that closes a kept connection after it has received a write")
 def step_closing_server(context, article, name):
-    context.server = ClosingServer(REFUSAL_BY_SERVER[name])
+    context.server = RefusingServer(REFUSAL_BY_SERVER[name], closes_first=True)
+
+
+@given("a worker that answers each write with status {status:d} and a code")
+def step_refusing_server(context, status):
+    context.server = RefusingServer((status, {"code": "x"}), closes_first=False)
 
 
 async def _start_attempt(server):
@@ -120,6 +126,11 @@
     assert isinstance(context.outcome, WorkerUnreachable), context.outcome
 
 
+@then("the attempt was refused")
+def step_was_refused(context):
+    assert isinstance(context.outcome, WorkerRefused), context.outcome
+
+
 @then("the change may have been carried out")
 def step_may_be_done(context):
     outcome = context.outcome
--- a/wagtailcleat/platform/worker.py
+++ b/wagtailcleat/platform/worker.py
@@ -22,6 +22,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 3.0
+REFUSAL_STATUSES = (400, 404, 409, 507)
+"""Statuses of the worker's refusals, which also have a code."""
 
 
 class TaskState(Enum):
@@ -194,11 +196,11 @@
             answer = json.loads(response.body or b"{}")
         except (HTTPClientError, OSError, ValueError) as error:
             return WorkerUnreachable(str(error))
-        if response.code >= 400 and isinstance(answer, dict) and "code" in answer:
+        has_code = isinstance(answer, dict) and "code" in answer
+        if response.code in REFUSAL_STATUSES and has_code:
             return WorkerRefused(str(answer["code"]))
         if response.code >= 400:
-            # The worker sends a code with each refusal. Without one, the call may have
-            # been carried out.
+            # After any other error, the call may have been carried out.
             return WorkerUnreachable(str(response.code))
         return answer
 
