--- a/features/platform/doubtful_calls.feature
+++ b/features/platform/doubtful_calls.feature
@@ -25,11 +25,31 @@
     When two starts are ordered, one gets no answer, and the other one is to stop
     Then the other one is refused, and was sent once
 
+  Scenario: The lease of a start ends before it is sent again
+    # Guards against a start with a new lease that the leader does not count with.
+    Given an agent whose worker answers lists only
+    When two starts are ordered, one gets no answer, and the other one's lease ends
+    Then the other one is refused, and was sent once
+
   Scenario: Starts wait behind others that get no answer
     # Guards against a start that is sent after it was ordered to stop.
     Given an agent whose worker answers lists only
     When 8 starts are ordered that get no answer, and all are to stop at once
-    Then 3 starts were sent at most, and all are known never to have run
+    Then 4 starts were sent at most, and all are known never to have run
+
+  Scenario: Stops that get no answer are ordered again and again
+    # Guards against starts that wait behind the stops of an earlier order.
+    Given an agent whose worker answers lists only
+    When stops of 30 runs are ordered 5 times
+    Then each of these runs has one stop in progress
+    When a start is ordered that gets no answer
+    Then it is known never to have run
+
+  Scenario: A pace gets no answer
+    # Guards against a run that stands still because an earlier pace is carried out last.
+    Given an agent whose worker answers lists only
+    When a run is paced to 0 percent without an answer, and then to 100 percent
+    Then the last pace is 100 percent, with a higher fencing token than the first
 
   Scenario: Most lists get no answer
     # Guards against runs that lapse because an unanswered list holds up the next one.
--- a/features/steps/in_doubt_steps.py
+++ b/features/steps/in_doubt_steps.py
@@ -64,6 +64,10 @@
     _begin(context, {ServiceRequest: [LOST], Settle: [LOST]}, {ServiceRequest: [full]})
 
 
+async def _view_is_fresh():
+    """Return at once: this process is not paused."""
+
+
 def _relay(context, *, idempotent):
     async def main(clock):
         me = replace(member(len(context.agents)), services=[])
@@ -78,7 +82,7 @@
             choose=lambda members, endpoints, now: min(members, key=lambda m: m.port),
             rng=random.Random(1),
             ids=RequestIds(me.node, me.incarnation, "secret"),
-            is_view_fresh=lambda: True,
+            wait_for_fresh_view=_view_is_fresh,
         )
         relay.budget.tokens = 1.0
         deadline = clock() + DEADLINE_SECONDS
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -14,18 +14,19 @@
     is_listed,
 )
 from wagtailcleat.logs import part_logger
-from wagtailcleat.platform.runs import OtherIncarnation, StartOutcome
+from wagtailcleat.platform.runs import (
+    MAX_ORDER_CONNECTIONS,
+    OtherIncarnation,
+    StartOutcome,
+)
 from wagtailcleat.scheduling.models import Pace, Refusal, RunKey, Start
 
 log = part_logger("hosting")
 
 RETRY_PAUSE_SECONDS = 0.1
-"""Pause after a stop that failed."""
-MAX_PARALLEL_STARTS = 3
-"""Starts on their way at one time; fewer than `RunWorker` has connections for orders.
-
-Further ones wait here, where they can still be revoked, and stops don't wait for them.
-"""
+"""Pause after a stop or a pace that failed."""
+PACE_ATTEMPTS = 10
+"""Calls to set a pace; the run may have ended, or the worker may refuse it for good."""
 FRESH_LISTS = 2
 """Lists to wait for until one shows the effect of an order.
 
@@ -66,7 +67,12 @@
         """Runs whose start got no answer, and may still be carried out."""
         self._revoked: set[RunKey] = set()
         """Runs that were ordered to stop before their start was settled."""
-        self._start_slots = asyncio.Semaphore(MAX_PARALLEL_STARTS)
+        self._start_slots = asyncio.Semaphore(MAX_ORDER_CONNECTIONS)
+        """Starts wait for one here, and not in the client: they can be revoked."""
+        self._percent_by_run: dict[RunKey, int] = {}
+        """The pace to set for each run whose pace the worker has not confirmed yet."""
+        self._stopping: set[RunKey] = set()
+        """Runs whose stop the worker has not confirmed yet."""
         self._clock = clock
         self._current = current
         self._may_start = may_start
@@ -85,6 +91,11 @@
         """Whether a start got no answer, so that lists are needed soon."""
         return bool(self._in_doubt)
 
+    @property
+    def calls_in_progress(self) -> int:
+        """Number of orders that are being carried out."""
+        return len(self._work)
+
     async def notify_listed(self) -> None:
         """Let the orders in progress look at a new list of runs."""
         async with self._listed:
@@ -92,8 +103,7 @@
 
     def cancel(self) -> None:
         """Cancel the orders in progress; the worker's incarnation has ended."""
-        for task in self._work:
-            task.cancel()
+        self._cancel_work()
         self.unsettled_by_run.clear()
         self.refusal_by_run.clear()
         self._started.clear()
@@ -110,8 +120,7 @@
 
     def lose_all(self) -> None:
         """Cancel the orders in progress; the leases of all their runs have lapsed."""
-        for task in self._work:
-            task.cancel()
+        self._cancel_work()
         for key in list(self.unsettled_by_run):
             self._refuse(key, Refusal.NEVER_RAN, "its worker's leases have lapsed")
 
@@ -124,20 +133,39 @@
             return
         why_not = self._why_not(start, born)
         self.unsettled_by_run[start.key] = start
-        if why_not:
+        incarnation = self._current()
+        if why_not or incarnation is None:
             self._refuse(start.key, Refusal.NOT_ALLOWED, why_not)
+            return
+        # The leader counts with leases that are granted now. A start that waits, or is
+        # sent again, must not get a later one: it may have given this agent up since.
+        until = self._renew_lease(incarnation, self._clock())
+        if until is None:
+            self._refuse(start.key, Refusal.NOT_ALLOWED, "no lease may be granted")
         else:
-            self._spawn(self._start(start))
+            self._spawn(self._start(start, until))
 
     def stop(self, key: RunKey) -> None:
         """Stop a run, or prevent it from starting."""
         if key in self.unsettled_by_run:
             self._revoked.add(key)
-        self._spawn(self._stop(key))
+        if key not in self._stopping:
+            self._stopping.add(key)
+            self._spawn(self._stop(key))
 
     def pace(self, pace: Pace) -> None:
         """Limit a run to a share of its processor time."""
-        self._spawn(self._pace(pace))
+        is_in_progress = pace.key in self._percent_by_run
+        self._percent_by_run[pace.key] = pace.percent
+        if not is_in_progress:
+            self._spawn(self._pace(pace.key))
+
+    def _cancel_work(self) -> None:
+        for task in self._work:
+            task.cancel()
+        # A task that is cancelled before it has begun does not clean up.
+        self._stopping.clear()
+        self._percent_by_run.clear()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -169,12 +197,11 @@
         )
         self._on_change()
 
-    async def _start(self, start: Start) -> None:
+    async def _start(self, start: Start, until: float) -> None:
         async with self._start_slots:
             incarnation = self._current()
-            until = self._lease_of_start(start, incarnation)
-            if incarnation is None or until is None:
-                self._refuse(start.key, Refusal.NOT_ALLOWED)
+            if incarnation is None or not self._may_send(start, incarnation, until):
+                self._refuse(start.key, Refusal.NOT_ALLOWED, "it was not sent in time")
                 return
             fence = incarnation.worker.fence
             outcome = await incarnation.worker.start(
@@ -182,7 +209,7 @@
             )
         if outcome is Refusal.STALE and incarnation.worker.fence > fence:
             # The token was raised while the start was on its way: it has not run.
-            await self._start(start)
+            await self._start(start, until)
         elif isinstance(outcome, Refusal):
             self._refuse(start.key, outcome)
         elif isinstance(outcome, OtherIncarnation):
@@ -199,19 +226,17 @@
             )
             await self._resolve_unknown_start(incarnation, start.key, fence)
 
-    def _lease_of_start(
-        self, start: Start, incarnation: WorkerIncarnation | None
-    ) -> float | None:
-        """Return until when a start's lease may last; None if it must not begin."""
-        if (
-            incarnation is None
-            or not incarnation.lists_answered
-            or incarnation.runs_lost
-            or start.key in self._revoked
-            or not self._may_start()
-        ):
-            return None
-        return self._renew_lease(incarnation, self._clock())
+    def _may_send(
+        self, start: Start, incarnation: WorkerIncarnation, until: float
+    ) -> bool:
+        """Return whether a start with this lease may be sent now."""
+        return (
+            self._clock() < until
+            and incarnation.lists_answered > 0
+            and not incarnation.runs_lost
+            and start.key not in self._revoked
+            and self._may_start()
+        )
 
     async def _wait_until_listed(
         self, incarnation: WorkerIncarnation, key: RunKey
@@ -247,16 +272,30 @@
 
     async def _stop(self, key: RunKey) -> None:
         incarnation = self._current()
-        while incarnation is not None and incarnation is self._current():
-            if await incarnation.worker.stop(key):
-                return
-            await asyncio.sleep(RETRY_PAUSE_SECONDS)
-
-    async def _pace(self, pace: Pace) -> None:
+        try:
+            while incarnation is not None and incarnation is self._current():
+                if await incarnation.worker.stop(key):
+                    return
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        finally:
+            self._stopping.discard(key)
+
+    async def _pace(self, key: RunKey) -> None:
         incarnation = self._current()
-        if incarnation is None:
-            return
-        fence = incarnation.worker.fence
-        confirmed = await incarnation.worker.pace(pace.key, pace.percent)
-        if not confirmed and incarnation.worker.fence > fence:
-            await incarnation.worker.pace(pace.key, pace.percent)
+        try:
+            for _ in range(PACE_ATTEMPTS):
+                percent = self._percent_by_run.get(key)
+                if percent is None or incarnation is None:
+                    return
+                fence = incarnation.worker.fence
+                confirmed = await incarnation.worker.pace(key, percent)
+                if confirmed and self._percent_by_run.get(key) == percent:
+                    return
+                if not confirmed:
+                    # It may be carried out after a later one, unless that has a higher
+                    # token.
+                    if incarnation.worker.fence == fence:
+                        self._raise_fence(incarnation)
+                    await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        finally:
+            self._percent_by_run.pop(key, None)
