--- a/wagtailcleat/entry/relay.py
+++ b/wagtailcleat/entry/relay.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from typing import TypeGuard
 
 import msgspec
 
@@ -124,14 +125,20 @@
             return await self._send_with_key(request, request.idempotency_key)
         tried: set[NodeId] = set()
         outcome: RequestOutcome = _no_endpoint()
+        in_doubt: OutcomeUnknown | None = None
         for _ in range(MAX_TRIES):
             member = self._choose_endpoint(request.service, tried)
             if member is None or (tried and not self._take_retry(outcome, member)):
                 break
             tried.add(member.node)
             outcome = await self._send_to(request, member, self._ids.next_plain())
+            if isinstance(outcome, OutcomeUnknown):
+                in_doubt = outcome
             if not self._may_retry(request, outcome):
                 break
+        if in_doubt is not None and isinstance(outcome, NotRun):
+            # The endpoint that gave no answer may have run the request.
+            return in_doubt
         return self._with_jitter(outcome)
 
     async def open_watch(
@@ -292,7 +299,7 @@
                 if isinstance(stream, Lost)
                 else (await stream.call(query, timeout=remaining))
             )
-            if isinstance(reply, Answer | Refused):
+            if isinstance(reply, Answer) or _is_refusal_of_request(reply):
                 return reply
             if not isinstance(reply, Running):
                 await asyncio.sleep(min(IN_DOUBT_RETRY_INTERVAL_SECONDS, remaining))
@@ -358,6 +365,11 @@
     return isinstance(reply, Answer) or reply.code != Code.UNAVAILABLE.value
 
 
+def _is_refusal_of_request(reply: AnyMessage | Lost) -> TypeGuard[Refused]:
+    # A busy stream refuses the query itself, which says nothing of the request.
+    return isinstance(reply, Refused) and reply.code != Code.UNAVAILABLE.value
+
+
 def _to_outcome(reply: Answer | Refused | Lost) -> RequestOutcome:
     if isinstance(reply, Answer):
         return Answered(reply)
