--- a/wagtailcleat/cluster/fencing.py
+++ b/wagtailcleat/cluster/fencing.py
@@ -9,7 +9,9 @@
     """Returns rising tokens, also over restarts of the agent, with nothing stored.
 
     A token is the birth time of the worker's incarnation plus the worker's own clock,
-    both in milliseconds, unless this process has already used that or a higher one.
+    both in milliseconds, unless this process has already used that or a higher one. A
+    restarted agent begins above the tokens of the process before, unless that had to
+    raise them after rejections; its own are rejected then until they are high enough.
     """
 
     def __init__(self) -> None:
--- a/wagtailcleat/scheduling/models.py
+++ b/wagtailcleat/scheduling/models.py
@@ -219,9 +219,16 @@
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
     NEVER_RAN = "never_ran"
-    """The order got no answer, and a stop revoked it before it was carried out."""
+    """The start had no effect, or what it started has ended with its worker.
+
+    It got no answer, and the worker refuses it now, or its lease has lapsed.
+    """
     NOT_ALLOWED = "not_allowed"
-    """The agent refused: draining, a zone taken out, or the leader's lease expired."""
+    """The agent did not send it.
+
+    The worker drains or is another incarnation, its zone was taken out, the leader's
+    lease expired, or another run of the task is not known to have ended there.
+    """
 
 
 class Start(msgspec.Struct, frozen=True, array_like=True):
--- a/wagtailcleat/scheduling/outgoing.py
+++ b/wagtailcleat/scheduling/outgoing.py
@@ -15,7 +15,8 @@
 MAX_RECENT_ENDS = 200
 """Enough for the ends that a worker lists while a start is in doubt.
 
-A start is in doubt for two lists, in which a worker ends some tens of runs at most.
+An agent settles a start by the list that shows its end, or by the next one; a worker
+ends some tens of runs at most in that time.
 """
 
 
