--- a/features/scheduling/acknowledgements.feature
+++ b/features/scheduling/acknowledgements.feature
@@ -46,7 +46,7 @@
 
   Scenario: Random losses, starts in doubt and changes of leader
     # Guards against starts carried out after an acknowledged end, in any order of events.
-    When 300 random histories of starts in doubt are played
+    When 1200 random histories of starts in doubt are played
     Then no task was started after an acknowledged end, and all ends were acknowledged
 
   Scenario: The job of an end was deleted before all agents have reported
--- a/features/steps/doubtful_starts_fuzz.py
+++ b/features/steps/doubtful_starts_fuzz.py
@@ -1,8 +1,9 @@
 """Random histories of starts in doubt and ends that are listed late."""
 
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
+from features.steps.ended_runs_fuzz import repeatable
 from features.steps.scheduling_fuzz import History
 from features.steps.scheduling_world import SimulatedWorker, make_job, plain
 from wagtailcleat.scheduling.models import Ended, Refusal, RunEnd, RunKey, TaskKey
@@ -155,14 +156,7 @@
 def run_doubtful_histories(count: int) -> None:
     """Play `count` random histories, the same ones each time."""
 
-    @settings(
-        max_examples=count,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        phases=[Phase.generate, Phase.shrink],
-        suppress_health_check=list(HealthCheck),
-    )
+    @repeatable(count)
     @given(OPERATIONS)
     def play(operations: list) -> None:
         history = DoubtHistory()
--- a/features/steps/ended_runs_fuzz.py
+++ b/features/steps/ended_runs_fuzz.py
@@ -217,7 +217,8 @@
                 assert most >= entry.job.attempts, entry.job.id
 
 
-def _settings(count: int) -> settings:
+def repeatable(count: int) -> settings:
+    """Return settings that draw `count` examples, the same ones each time."""
     return settings(
         max_examples=count,
         deadline=None,
@@ -231,7 +232,7 @@
 def run_random_listings(count: int) -> None:
     """Play `count` random orders of listed ends, the same ones each time."""
 
-    @_settings(count)
+    @repeatable(count)
     @given(listings(), st.randoms(use_true_random=False))
     def play(listing, random) -> None:
         ends, steps = listing
@@ -245,7 +246,7 @@
 def run_counted_histories(count: int) -> None:
     """Play `count` random histories of leaders and agents, the same ones each time."""
 
-    @_settings(count)
+    @repeatable(count)
     @given(OPERATIONS)
     def play(operations: list) -> None:
         history = CountedHistory()
--- a/features/steps/waiting_jobs_fuzz.py
+++ b/features/steps/waiting_jobs_fuzz.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
+from features.steps.ended_runs_fuzz import repeatable
 from features.steps.scheduling_world import (
     HORIZON,
     SchedulingWorld,
@@ -294,14 +295,7 @@
 def run_waiting_histories(count: int) -> None:
     """Play `count` random histories, the same ones each time."""
 
-    @settings(
-        max_examples=count,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        phases=[Phase.generate, Phase.shrink],
-        suppress_health_check=list(HealthCheck),
-    )
+    @repeatable(count)
     @given(OPERATIONS)
     def play(operations: list) -> None:
         history = History()
