Act again as soon as the store is back, and start only where agents may act

Nothing started from 19.8 s on, and the work that waited started at 23.8 s; urgent jobs handed in at 22.5 s waited 0.6 to 0.7 s.

Cause, two parts of one pause. (1) A renewal that is sent while the store is away waits for its time limit of 1 s, the promises for 0.6 s, and the next renewal for 0.6 s: the store is back long before the leader notices. (2) A leader that acts again starts work at once on all VMs. Agents refuse it: their own time to act ran out with the leader's, and begins with their next report. Each refusal closes a VM for 0.5 s.

Evidence: log of the leader: 692 starts at 23.2 s, 464 "Run never started" at 23.2 s, 396 starts at 23.8 s.

Ruled out: the store answers other entries at 22.2 s; agents are connected all the time.

Change: a renewal in flight is given up as soon as another call shows that the store is back, and the pause between renewals ends then. A VM gets no starts once the time is over that the answer to its agent's last report named (Vm.may_act_until).

Why it works: a renewal that is carried out late is conditional on the heartbeat's revision, so the next one replaces it or learns of it. A leader that has stepped down is not interrupted.

"A store outage in which one entry's promise is missing ends" fails without the change.

--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -285,9 +285,11 @@
         )
         vm = self.scheduler.vm_by_node[message.node]
         vm.registered = message.node in self._records.registered
+        valid_seconds = self.lease.valid_for(self._now)
+        vm.may_act_until = self._now + valid_seconds
         self._wake.set()
         self._records.dirty.set()
-        return ReportTaken(self.lease.epoch, self.lease.valid_for(self._now))
+        return ReportTaken(self.lease.epoch, valid_seconds)
 
     def _session(self, node: NodeId, stream: Stream) -> int:
         if self._stream_by_node.get(node) is not stream:
--- a/wagtailcleat/cluster/lease_renewer.py
+++ b/wagtailcleat/cluster/lease_renewer.py
@@ -38,6 +38,8 @@
 """How long a leader that steps down waits for the store before it tells the others."""
 STEP_DOWN_TRIES = 2
 """The first attempt may conflict with a renewal that was in progress."""
+STORE_RETURN_CHECK_SECONDS = 0.05
+"""How often a leader without the store checks whether it is back."""
 STORE_RECHECK_SECONDS = 0.1
 """How long a leader waits for the store once more before it hands over."""
 HAND_OVER_AFTER_SECONDS = 10.0
@@ -107,17 +109,47 @@
     ) -> None:
         """Renew a lease until it is lost, the leader steps down or `work` has ended."""
         while not lease.stepped_down.is_set() and not work.done():
-            if not await self._renew(lease):
+            renewed = await self._renew_unless_store_returns(lease)
+            if renewed is None:
+                continue
+            if not renewed:
                 return
             if lease.hand_over_requested:
                 lease.hand_over_requested = False
                 await self._hand_over(lease, need_store=True, larger=True)
                 continue
-            try:
-                async with asyncio.timeout(RENEWAL_INTERVAL_SECONDS):
+            await self._wait_for_next_renewal(lease)
+
+    async def _renew_unless_store_returns(self, lease: LeaderLease) -> bool | None:
+        """Renew the lease once, as `_renew` does; return None to do it again.
+
+        A call that was sent while the store was away may wait for its time limit
+        although the store is back, and the leader may not act meanwhile.
+        """
+        renewal = asyncio.create_task(self._renew(lease))
+        was_down = self._store.down_since is not None
+        try:
+            while not renewal.done():
+                await asyncio.wait({renewal}, timeout=STORE_RETURN_CHECK_SECONDS)
+                is_down = self._store.down_since is not None
+                if was_down and not is_down and not lease.stepped_down.is_set():
+                    break
+                was_down = was_down or is_down
+            return renewal.result() if renewal.done() else None
+        finally:
+            renewal.cancel()
+
+    async def _wait_for_next_renewal(self, lease: LeaderLease) -> None:
+        """Wait for the renewal interval, or until the store is back."""
+        until = self._clock() + RENEWAL_INTERVAL_SECONDS
+        was_down = self._store.down_since is not None
+        while not lease.stepped_down.is_set() and (left := until - self._clock()) > 0:
+            if was_down and self._store.down_since is None:
+                return
+            pause = min(left, STORE_RETURN_CHECK_SECONDS) if was_down else left
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
                     await lease.stepped_down.wait()
-            except TimeoutError:
-                continue
 
     async def _renew(self, lease: LeaderLease) -> bool:
         """Renew the lease once; return False if another entry has claimed."""
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -144,7 +144,9 @@
         for vm in vms:
             self._vm_by_node[vm.node] = vm
             usable = (
-                vm.is_usable and vm.zone not in zones_out and now >= vm.closed_until
+                vm.is_usable
+                and vm.zone not in zones_out
+                and vm.closed_until <= now < vm.may_act_until
             )
             seen = vm.version, usable and not vm.is_quarantined(now)
             seen_by_node[vm.node] = seen
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -3,6 +3,7 @@
 The `Scheduler` updates it from reports; placement and sharing read it.
 """
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -97,6 +98,8 @@
     """Whether the agent is in the store, so that a next leader will wait for it."""
     silent_seconds: float = 0.0
     """How long the worker has not answered its agent; 0: it answers."""
+    may_act_until: float = math.inf
+    """Until when its agent may carry out orders, by the answer to its last report."""
     session: int = 0
     """Number of the agent's connection."""
     orders_sent: int = 0
