Replace a leader that shows no sign of life before its lease has run out

Cause: an entry reads the heartbeat only once a probe has failed (up to 1 s), and then waits for 2.5 s in which it does not change, though the claim needs no such wait to be safe.

Ruled out: the wait for larger entries (large ones claimed), the time to restore (0.05 and 0.08 s).

Change: a claim for silence (ClaimReason.SILENT) once a probe of that leader was not answered and its heartbeat has been unchanged for 1.2 s, two renewals. It carries what a claim on a refused connection carries: the new leader waits until the one before can surely act no more, for what that one may have started.

Why it works: the argument of platform.md does not rest on when a claim is made; its model lets entries claim at any moment. A leader that renews its heartbeat, also through a store at 0.28 s a call, is not replaced.

"A leader falls silent without closing its port" fails without the change; the two scenarios on heartbeats that go on hold what must not get worse. Setting: silent_leader_ms.

--- a/features/platform/leader_recovery.feature
+++ b/features/platform/leader_recovery.feature
@@ -1,5 +1,26 @@
 Feature: Time without a leader that may act
 
+  Scenario: A leader falls silent without closing its port
+    # Guards against urgent jobs that wait out the whole lease of a leader whose VM is gone.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When the leader's VM disappears, and a job is stored 0.1 s later
+    Then the job starts within 2.7 s
+
+  Scenario: A silent leader still renews its heartbeat
+    # Guards against a change of leader because one entry's probes get lost.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When one entry is cut off from the others, by dropped messages
+    And 8 s pass
+    Then no claim was made
+
+  Scenario: A silent leader renews its heartbeat through a slow store
+    # Guards against a change of leader because heartbeats come late.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When every call to the store takes 0.28 s longer
+    And one entry is cut off from the others, by dropped messages
+    And 8 s pass
+    Then no claim was made
+
   Scenario: A store outage in which one entry's promise is missing ends
     # Guards against starts held up after the store is back, or refused by the agents.
     Given 5 entries and 6 agents on virtual time, one of which leads
--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -61,11 +61,12 @@
     REPLACED = "its process has ended"
     HEARTBEAT_STOPPED = "its beat stands still"
     REFUSED = "its port refuses connections"
+    SILENT = "neither it nor its heartbeat shows a sign of it"
 
     @property
     def is_predecessor_stopped(self) -> bool:
         """Whether the previous leader certainly no longer acts."""
-        return self is not ClaimReason.REFUSED
+        return self not in (ClaimReason.REFUSED, ClaimReason.SILENT)
 
 
 @dataclass
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -84,6 +84,7 @@
             peers=common.peers,
             clock=boot_time,
             lead=self._lead,
+            silent_claim_seconds=settings.silent_claim_seconds,
         )
         self.submissions = Submissions(
             store=common.store,
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -37,7 +37,8 @@
     LEADER_LEASE_SECONDS,
     PROBE_INTERVAL_SECONDS,
     REFUSED_CLAIM_AFTER_SECONDS,
-    REFUSED_PROBE_INTERVAL_SECONDS,
+    SILENT_CLAIM_AFTER_SECONDS,
+    URGENT_PROBE_INTERVAL_SECONDS,
 )
 from wagtailcleat.ids import Epoch
 from wagtailcleat.logs import part_logger
@@ -89,11 +90,13 @@
         clock: Clock,
         lead: LeadCallback,
         refused: RefusalProbe = connection_refused,
+        silent_claim_seconds: float = SILENT_CLAIM_AFTER_SECONDS,
     ) -> None:
         """Create an entry that follows.
 
         Parameters: `lead` runs while this entry leads; `refused` tells whether an
-        address refuses connections.
+        address refuses connections; `silent_claim_seconds` is how long the heartbeat
+        of a leader that answers no probe must be unchanged before this entry claims.
         """
         self.leader = NO_LEADER
         self.lease: LeaderLease | None = None
@@ -106,6 +109,7 @@
         self._peers = peers
         self._clock = clock
         self._lead = lead
+        self._silent_claim_seconds = silent_claim_seconds
         self._started_at = clock()
         self._promised_until = clock() + LEADER_LEASE_SECONDS
         self._asked_to_claim = asyncio.Event()
@@ -296,8 +300,8 @@
         asked_epoch = self.leader.epoch
         result = await self._probe(self.leader)
         self._check_interval = (
-            REFUSED_PROBE_INTERVAL_SECONDS
-            if result is ProbeResult.REFUSED
+            URGENT_PROBE_INTERVAL_SECONDS
+            if result in (ProbeResult.REFUSED, ProbeResult.SILENT)
             else PROBE_INTERVAL_SECONDS
         )
         if not self._claims.has_read:
@@ -321,10 +325,12 @@
         )
         if last_read.leader.node == self._identity.node and at_own_address:
             return await self._claim(ClaimReason.OWN)
-        if last_read.leader.epoch != asked_epoch:
+        was_asked = last_read.leader.epoch == asked_epoch
+        if not was_asked:
             result = ProbeResult.SILENT
         self._record_refusal(result)
-        return await self._replace(result)
+        is_silent = was_asked and result is ProbeResult.SILENT
+        return await self._replace(result, is_silent=is_silent)
 
     def _record_refusal(self, result: ProbeResult) -> None:
         if result is not ProbeResult.REFUSED:
@@ -337,8 +343,13 @@
                 else NO_REVISION
             )
 
-    async def _replace(self, result: ProbeResult) -> LeaderLease | None:
-        """Claim in place of the leader last read, if there is a reason to."""
+    async def _replace(
+        self, result: ProbeResult, *, is_silent: bool
+    ) -> LeaderLease | None:
+        """Claim in place of the leader last read, if there is a reason to.
+
+        Parameters: `is_silent` tells whether that leader was asked and did not answer.
+        """
         now = self._clock()
         unchanged_for = now - self._claims.last_read.heartbeat_seen_at
         if self._claims.last_read.heartbeat.stepped_down:
@@ -355,6 +366,8 @@
             may_claim_at_once or unchanged_for >= REFUSED_CLAIM_AFTER_SECONDS
         ):
             return await self._claim_after_larger(ClaimReason.REFUSED)
+        if is_silent and unchanged_for >= self._silent_claim_seconds:
+            return await self._claim_after_larger(ClaimReason.SILENT)
         self._deferring_since = None
         return None
 
--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -53,11 +53,19 @@
     """Speed of that core, relative to a usual one."""
     link_mbps: Positive = 1_000.0
     """Rate of this VM's link, in megabits a second."""
+    silent_leader_ms: Count = 1_200
+    """How long a leader that answers no probe must have shown no sign of life in the
+    store before another entry claims; from 2,500 on its lease is waited for."""
     stop_ms: Count = 900
     """Longest time that a worker takes to stop a run."""
     restore_ms: Count = 600
     """Time that a run takes to continue from a checkpoint."""
 
+    @property
+    def silent_claim_seconds(self) -> float:
+        """The same in seconds."""
+        return self.silent_leader_ms / MILLISECONDS
+
     @property
     def move_seconds(self) -> float:
         """Time that a run loses if it is stopped and continues on another VM."""
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -21,14 +21,20 @@
 connections because of a partition, and that both reach the store, would replace each
 other again and again. How long a new leader waits does not depend on this value.
 """
+SILENT_CLAIM_AFTER_SECONDS = 1.2
+"""The same if the leader answers no probe: two renewals are missing.
+
+Longer than a renewal takes while the store answers 60 times more slowly than usual.
+How long a new leader waits does not depend on this value either.
+"""
 ESTABLISHED_LEADER_SECONDS = 10.0
 """How long an entry must have known a leader to claim at the first refused connection.
 
 It then does not wait for the heartbeat. The refusal by a leader that has just claimed
 may come from the partition that led to the claim.
 """
-REFUSED_PROBE_INTERVAL_SECONDS = 0.1
-"""Interval of probes while the leader's port refuses connections."""
+URGENT_PROBE_INTERVAL_SECONDS = 0.1
+"""Interval of probes while the leader refuses connections or does not answer."""
 RENEWAL_INTERVAL_SECONDS = 0.6
 """Less than a third of `LEADER_LEASE_SECONDS`, so that two renewals may be lost."""
 PROBE_INTERVAL_SECONDS = 0.4
