Deregister an entry that is gone when its time is up, not at the next look

Cause: an entry was taken away at 3.0 s, and its promise was missing until it was deregistered at 25.6 s. Silent entries are to be deregistered after 8 s, but are looked at each 5 s and a timeout: the look at 12.5 s came too early, the one at 18.1 s 0.1 s after the store had gone.

Ruled out: a shorter time than 8 s, which would deregister entries behind partitions that come back (see "Also open" in docs/design/platform.md).

Change: the leader looks again when the first silent entry is due.

"An entry is gone for good" fails without the change (over 9 s after the leader could notice).

--- a/features/platform/leader_recovery.feature
+++ b/features/platform/leader_recovery.feature
@@ -33,3 +33,9 @@
     Given 5 entries and 6 agents on virtual time, one of which leads
     When another entry becomes unreachable, and no entry reaches the store for 6 s
     Then each agent has sent at most 40 reports in that time
+
+  Scenario: An entry is gone for good
+    # Guards against an outage that stops all starts for want of the promise of a dead entry.
+    Given 5 entries and 2 agents on virtual time, one of which leads
+    When another entry becomes unreachable for good
+    Then it is no longer registered 9 s after the leader could notice
--- a/features/steps/leader_recovery_steps.py
+++ b/features/steps/leader_recovery_steps.py
@@ -7,7 +7,14 @@
 
 from features.steps.scheduling_world import make_job, plain
 from features.steps.takeover_world import LinkState
-from wagtailcleat.cluster.keys import LEADER_KEY, decode, encode, job_key
+from wagtailcleat.cluster.keys import (
+    LEADER_KEY,
+    decode,
+    encode,
+    entry_key,
+    job_key,
+)
+from wagtailcleat.cluster.leader import ENTRIES_INTERVAL_SECONDS
 from wagtailcleat.scheduling.models import Refusal
 from wagtailcleat.storage import Txn
 from wagtailcleat.wire.scheduling import Leads, Report
@@ -81,6 +88,21 @@
     gone.store.reachable = False
 
 
+@when("another entry becomes unreachable for good")
+def step_gone(context):
+    context.gone = context.others[0]
+    context.gone.store.reachable = False
+    context.world.network.partitions.append(({context.gone.host}, LinkState.SILENT))
+    context.world.wait(ENTRIES_INTERVAL_SECONDS)
+
+
+@then("it is no longer registered {seconds:g} s after the leader could notice")
+def step_deregistered(context, seconds):
+    key = entry_key(context.gone.node)
+    found = context.world.keyspace.found_by_key
+    context.world.until(lambda: key not in found, seconds, "it is deregistered")
+
+
 def _probe_store(world):
     """Let each entry ask the store four times a second, as its programs do."""
 
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -404,10 +404,10 @@
     async def _maintain_entries(self) -> None:
         while True:
             ready = self.ready
-            await self._leadership.maintain_entries(self.lease, restored=ready)
+            due = await self._leadership.maintain_entries(self.lease, restored=ready)
             pause = (
                 ENTRIES_INTERVAL_SECONDS
                 if ready
                 else ENTRIES_RESTORING_INTERVAL_SECONDS
             )
-            await asyncio.sleep(pause)
+            await asyncio.sleep(min(pause, due))
--- a/wagtailcleat/cluster/lease_renewer.py
+++ b/wagtailcleat/cluster/lease_renewer.py
@@ -317,16 +317,23 @@
             )
         )
 
-    async def maintain_entries(self, lease: LeaderLease, *, restored: bool) -> None:
+    async def maintain_entries(self, lease: LeaderLease, *, restored: bool) -> float:
         """Announce the leader, deregister silent entries, hand over to a larger one.
 
+        Return in how many seconds an entry is to be deregistered; inf if none is.
+
         One process decides for all VMs, and on the smallest entries of a deployment it
         has a quarter of the processor time that it has on the largest.
 
         Parameters: `restored` tells whether the leader has read all that is stored.
         """
-        if not await self._other_entries.read():
-            return
+        if await self._other_entries.read():
+            await self._maintain_read_entries(lease, restored=restored)
+        return self._other_entries.seconds_to_deregistration(self._clock())
+
+    async def _maintain_read_entries(
+        self, lease: LeaderLease, *, restored: bool
+    ) -> None:
         await self._announce(lease)
         await self._other_entries.deregister_silent(lease.epoch, lease.leader_revision)
         held_for = self._clock() - lease.claimed_at
--- a/wagtailcleat/cluster/other_entries.py
+++ b/wagtailcleat/cluster/other_entries.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 from wagtailcleat.clock import Clock
@@ -23,6 +24,8 @@
 
 Partitions are shorter than this, and a restart takes 2 s.
 """
+DEREGISTER_RETRY_SECONDS = 0.5
+"""Pause after a deregistration that the store has not confirmed."""
 LARGER_FACTOR = 1.5
 """How many times this entry's processor time makes another entry a larger one."""
 
@@ -99,6 +102,9 @@
             address = (entry.host, entry.port)
             self._key_by_address[address] = found.key
             self._entry_by_address.setdefault(address, entry)
+        registered = self._key_by_address.values()
+        for key in self._silent_since_by_key.keys() - registered:
+            del self._silent_since_by_key[key]
         return True
 
     async def promise(self, entry: ProcessInfo, epoch: Epoch) -> Follows | None:
@@ -113,6 +119,11 @@
         # the other side claims.
         return None
 
+    def seconds_to_deregistration(self, now: float) -> float:
+        """Return in how many seconds an entry is to be deregistered; inf if none is."""
+        since = min(self._silent_since_by_key.values(), default=math.inf)
+        return max(DEREGISTER_RETRY_SECONDS, since + DEREGISTER_AFTER_SECONDS - now)
+
     async def deregister_silent(self, epoch: Epoch, leader_revision: int) -> None:
         """Delete the registrations of entries that have long been silent.
 
@@ -142,6 +153,7 @@
                     # The entry may still claim, so its promise is still needed.
                     continue
                 self._entry_by_address.pop(address, None)
+                del self._silent_since_by_key[key]
                 log.warning("Silent entry deregistered", extra={"entry": key})
 
 
