--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -1,6 +1,7 @@
 """A real leader with a simulated store, agents and workers in one process."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -135,7 +136,7 @@
     leader = NO_LEADER
 
     async def maintain_entries(self, lease, *, restored):
-        return None
+        return math.inf
 
 
 class _Peers:
