A leader that may not act tells only final states; say in the log when no state is known

Cause: a leader that is cut off, and whose lease has run out, still answers for the jobs that it knew, while the next leader has shown the end of one. Leader.waiting asks the lease, Leader.state did not.

Ruled out: the store (its record was right), the entry that asks (it reads the store where the leader is silent).

Change: Leader.state tells a state only while the leader may act, but for final ones, which do not change. The entry then reads the store, as it does where no leader answers; where that does not answer either, the caller gets 504. That answer had no log line: "State is not known", "Cancellation is not known".

Why it works: what the store has is what the next leader shows, or older by a moment in which nothing final was shown.

"A leader that may not act is asked about jobs" fails without the change.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -102,3 +102,11 @@
     Given a store with unreadable interference of images
     When the next leader begins
     Then it leads, and knows no interference
+
+  Scenario: A leader that may not act is asked about jobs
+    # Guards against a job that is shown as done, and by the leader before as running.
+    Given a leader, and a job that is stored
+    And a job that has ended
+    When the job runs, and the leader's lease has run out
+    Then it does not tell the state of the job, which is read in the store instead
+    And it still shows that the other job has succeeded
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -16,7 +16,7 @@
     TaskKey,
     WorkerState,
 )
-from wagtailcleat.wire.scheduling import FollowFirst, Submitted
+from wagtailcleat.wire.scheduling import FollowFirst, ShowState, Submitted
 
 JOB = "00ff00ff00ff00ff"
 FIRST = TaskKey(JOB, 0, 0, 0)
@@ -291,3 +291,42 @@
 def step_knows_nothing(context):
     assert context.leading.leader.acting
     assert not _interference(context.leading).added
+
+
+@given("a job that has ended")
+def step_ended_job(context):
+    world = context.leading
+    context.ended = make_job("ee" * 8, plain(1))
+    record = JobRecord(JobState.SUCCEEDED, [(0, 0, [0])], [], 1_800_000_000.0)
+    world.store_job(context.ended, record)
+    world.leader.scheduler.job_table.add(
+        context.ended,
+        now=world.now,
+        wall_now=1_800_000_000.0,
+        record=record,
+        store_revision=world.store.revision,
+    )
+
+
+@when("the job runs, and the leader's lease has run out")
+def step_lease_over(context):
+    world = context.leading
+    world.store_job(make_job(JOB, plain(1)))
+    table = world.leader.scheduler.job_table
+    world.until(lambda: JOB in table.entry_by_id)
+    world.rounds()
+    world.until(lambda: world.runs(JOB))
+    world.rounds()
+    assert world.leader.state(ShowState(JOB)).state == JobState.RUNNING.value
+    world.leader.lease.valid_until = world.now
+
+
+@then("it does not tell the state of the job, which is read in the store instead")
+def step_state_untold(context):
+    assert context.leading.leader.state(ShowState(JOB)).state == ""
+
+
+@then("it still shows that the other job has succeeded")
+def step_final_told(context):
+    shown = context.leading.leader.state(ShowState(context.ended.id))
+    assert shown.state == JobState.SUCCEEDED.value, shown
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -228,9 +228,16 @@
         return StateShown("")
 
     def state(self, message: ShowState) -> StateShown:
-        """Return a job's durable state, or an empty one if the job is not known."""
+        """Return a job's durable state, or an empty one if it is not known for sure.
+
+        While this leader may not act, another one may have ended the job, and its
+        callers may have been shown that. A final state does not change any more.
+        """
         entry = self.scheduler.job_table.entry_by_id.get(message.id)
-        return StateShown(entry.durable_state.value if entry else "")
+        if entry is None:
+            return StateShown("")
+        state = entry.durable_state
+        return StateShown(state.value if state.final or self.acting else "")
 
     def waiting(self, message: CountWaiting) -> Waiting | Refused:
         """Return the number of a queue's jobs of which no task has started."""
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -235,6 +235,7 @@
         elif isinstance(state, NoSuchJob):
             self._refuse(410, "no such submission")
         else:
+            log.info("State is not known", extra={"job": job})
             self._refuse(504, "its state is not known at present")
 
     async def _get_waiting(self) -> None:
@@ -254,6 +255,7 @@
         elif isinstance(state, NoSuchJob):
             self._refuse(410, "no such submission")
         else:
+            log.info("Cancellation is not known", extra={"job": job})
             self._refuse(504, "it is not known whether the submission is cancelled")
 
 
