Date heartbeats, so that an entry that has just started knows an old one

Cause: an entry counts for how long the heartbeat has not changed from when it first read it; after a restart that is now. So it waits for 0.8 s of refusals, or 1.2 s of silence, though the heartbeat is seconds old.

Ruled out: the time to restore (0.17 s), a larger entry that is waited for.

Change: the heartbeat has the leader's wall clock time. Its age at an entry's first read counts towards the wait before a claim on a refusal or on silence.

Why it works: such claims are safe at any time. Whether the leader has stopped for good is still judged by this entry's own clock alone. Tried first, and refused by "No entry reaches the store while one entry is unreachable": the age of each new heartbeat, which takes an outage of the store for a silent leader.

"All machines lose power, and the leader's is the last to come back" fails without the change. Two scenarios have wrong wall clocks.

--- a/features/platform/leader_recovery.feature
+++ b/features/platform/leader_recovery.feature
@@ -39,3 +39,23 @@
     Given 5 entries and 2 agents on virtual time, one of which leads
     When another entry becomes unreachable for good
     Then it is no longer registered 9 s after the leader could notice
+
+  Scenario: All machines lose power, and the leader's is the last to come back
+    # Guards against entries that wait for a heartbeat that had stopped before they started.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When all processes are killed, and all but the leader are back after 1.1 s
+    Then another entry leads within 0.4 s
+
+  Scenario: An entry restarts with a wall clock that is ahead, while the leader leads
+    # Guards against a change of leader because a clock jumped.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When another entry restarts with its wall clock 5 s ahead
+    And 8 s pass
+    Then no claim was made
+
+  Scenario: A leader that only one entry can't reach, and whose wall clock is behind
+    # Guards against two leaders: an old heartbeat is no proof that the leader stopped.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And a task runs
+    When the leader is cut off from the other entries, and its wall clock is 5 s behind
+    Then no task runs in two places in 10 s
--- a/features/steps/leader_recovery_steps.py
+++ b/features/steps/leader_recovery_steps.py
@@ -158,3 +158,45 @@
 def step_few_reports(context, most):
     assert context.report_counts, "no agent has reported"
     assert max(context.report_counts.values()) <= most, context.report_counts
+
+
+@when("all processes are killed, and all but the leader are back after {seconds:g} s")
+def step_power(context, seconds):
+    world = context.world
+    for process in [*world.entries, *world.agents]:
+        process.kill()
+    world.wait(seconds)
+    for process in [*world.entries, *world.agents]:
+        if process is not context.old_leader:
+            world.restart(process)
+
+
+@when("another entry restarts with its wall clock {seconds:g} s ahead")
+def step_clock_ahead(context, seconds):
+    world = context.world
+    context.epoch = _epoch(context)
+    other = context.others[0]
+    other.kill()
+    world.wait(0.5)
+    world.restart(other).wall_offset = seconds
+
+
+@when(
+    "the leader is cut off from the other entries, and its wall clock is {seconds:g} s"
+    " behind"
+)
+def step_clock_behind(context, seconds):
+    world, leader = context.world, context.old_leader
+    leader.wall_offset = -seconds
+    # Until a heartbeat with that time is stored.
+    world.wait(1.0)
+    entry_hosts = {entry.host for entry in world.entries}
+    link_state = world.network.link_state
+
+    def link_state_with_cut(source, target):
+        between_entries = {source, target} <= entry_hosts
+        if between_entries and leader.host in (source, target):
+            return LinkState.SILENT
+        return link_state(source, target)
+
+    world.network.link_state = link_state_with_cut
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -381,6 +381,8 @@
         """Connect the parts and start; `weight` is the entry's processor time."""
         super().__init__(world, node, host)
         self.weight = weight
+        self.wall_offset = 0.0
+        """How many seconds its wall clock is ahead."""
         self.refused_reports: Counter[str] = Counter()
         """Reports refused per agent, while this entry leads but is not yet ready."""
         self.leader: Leader | None = None
@@ -391,6 +393,7 @@
             peers=self.peers,
             clock=world.clock,
             lead=self._lead,
+            wall_clock=lambda: world.clock() + self.wall_offset,
             refused=self.peers.refused,
         )
         leadership = self.leadership
--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -79,6 +79,20 @@
     heartbeat: LeaderHeartbeat = LeaderHeartbeat()
     heartbeat_seen_at: float = 0.0
     """When the heartbeat was first seen at this revision; 0 before the first read."""
+    age_when_seen: float = 0.0
+    """How old the first heartbeat that was read probably was, by both wall clocks."""
+
+    def unchanged_seconds(self, now: float) -> float:
+        """Return for how long the heartbeat has certainly not changed."""
+        return now - self.heartbeat_seen_at
+
+    def probable_age(self, now: float) -> float:
+        """Return how old the heartbeat probably is.
+
+        Wall clocks may be wrong. So it may decide when to claim, which is safe at any
+        time, but never whether the leader has stopped.
+        """
+        return self.unchanged_seconds(now) + self.age_when_seen
 
 
 class Claims:
@@ -91,6 +105,7 @@
         *,
         store: KeyValueStore,
         clock: Clock,
+        wall_clock: Clock,
         learn: LearnLeader,
     ) -> None:
         """Start before the first read.
@@ -104,6 +119,7 @@
         self._own_info = own_info
         self._store = store
         self._clock = clock
+        self._wall_clock = wall_clock
         self._learn = learn
         self._registration = 0
         """Revision of this entry's own key in the store."""
@@ -147,12 +163,17 @@
         heartbeat = found_by_key.get(HEARTBEAT_KEY)
         heartbeat_revision = heartbeat.mod_revision if heartbeat else 0
         heartbeat_changed = heartbeat_revision != last_read.heartbeat_revision
-        if heartbeat_changed or not last_read.heartbeat_seen_at:
-            last_read.heartbeat_seen_at = self._clock()
         last_read.heartbeat_revision = heartbeat_revision
         last_read.heartbeat = (
             decode_leader_heartbeat(heartbeat.value) if heartbeat else LeaderHeartbeat()
         )
+        is_first_read = not last_read.heartbeat_seen_at
+        if heartbeat_changed or is_first_read:
+            last_read.heartbeat_seen_at = self._clock()
+            # Later, an old heartbeat may only mean that the store was away.
+            last_read.age_when_seen = (
+                self._probable_age(last_read.heartbeat) if is_first_read else 0.0
+            )
         last_read.leader_revision = leader.mod_revision if leader else 0
         last_read.leader = decode(leader.value, Leads) if leader else NO_LEADER
         await self._learn(last_read.leader)
@@ -162,6 +183,11 @@
             self.sent_at = None
         return True
 
+    def _probable_age(self, heartbeat: LeaderHeartbeat) -> float:
+        if not heartbeat.written_at:
+            return 0.0
+        return max(0.0, self._wall_clock() - heartbeat.written_at)
+
     async def claim(self, reason: ClaimReason) -> LeaderLease | None:
         """Claim leadership after the leader last read; return None without success."""
         # The claim depends on the revisions that the decision was based on. If they
@@ -223,7 +249,9 @@
         ]
         puts = {
             LEADER_KEY: encode(leader),
-            HEARTBEAT_KEY: encode(LeaderHeartbeat(predecessors_expired)),
+            HEARTBEAT_KEY: encode(
+                LeaderHeartbeat(predecessors_expired, written_at=self._wall_clock())
+            ),
         }
         outcome = await self._store.write(Txn(compares, puts))
         if isinstance(outcome, Written):
--- a/wagtailcleat/cluster/keys.py
+++ b/wagtailcleat/cluster/keys.py
@@ -46,6 +46,8 @@
     """Whether the leases of all earlier leaders have expired."""
     stepped_down: bool = False
     """Whether this leader no longer acts, so that any entry may claim."""
+    written_at: float = 0.0
+    """Wall clock seconds of the leader's VM; 0: unknown. A hint, for clocks differ."""
 
 
 T = TypeVar("T")
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -20,7 +20,7 @@
 import math
 from functools import partial
 
-from wagtailcleat.clock import Clock
+from wagtailcleat.clock import Clock, wall_time
 from wagtailcleat.cluster.claims import NO_LEADER, ClaimReason, Claims
 from wagtailcleat.cluster.keys import LEADER_KEY, ProcessInfo
 from wagtailcleat.cluster.leader_lease import LeadCallback, LeaderLease
@@ -89,14 +89,16 @@
         peers: Peers,
         clock: Clock,
         lead: LeadCallback,
+        wall_clock: Clock = wall_time,
         refused: RefusalProbe = connection_refused,
         silent_claim_seconds: float = SILENT_CLAIM_AFTER_SECONDS,
     ) -> None:
         """Create an entry that follows.
 
-        Parameters: `lead` runs while this entry leads; `refused` tells whether an
-        address refuses connections; `silent_claim_seconds` is how long the heartbeat
-        of a leader that answers no probe must be unchanged before this entry claims.
+        Parameters: `lead` runs while this entry leads; `wall_clock` dates heartbeats;
+        `refused` tells whether an address refuses connections; `silent_claim_seconds`
+        is how old the heartbeat of a leader that answers no probe must be before this
+        entry claims.
         """
         self.leader = NO_LEADER
         self.lease: LeaderLease | None = None
@@ -127,13 +129,19 @@
             own_info, store=store, peers=peers, clock=clock
         )
         self._claims = Claims(
-            identity, own_info, store=store, clock=clock, learn=self._learn
+            identity,
+            own_info,
+            store=store,
+            clock=clock,
+            wall_clock=wall_clock,
+            learn=self._learn,
         )
         self._lease_renewer = LeaseRenewer(
             store=store,
             peers=peers,
             other_entries=self._other_entries,
             clock=clock,
+            wall_clock=wall_clock,
             leader=lambda: self.leader,
             learn=self._learn,
         )
@@ -351,22 +359,23 @@
         Parameters: `is_silent` tells whether that leader was asked and did not answer.
         """
         now = self._clock()
-        unchanged_for = now - self._claims.last_read.heartbeat_seen_at
-        if self._claims.last_read.heartbeat.stepped_down:
+        last_read = self._claims.last_read
+        probable_age = last_read.probable_age(now)
+        if last_read.heartbeat.stepped_down:
             return await self._claim_after_larger(ClaimReason.STEPPED_DOWN)
         if result is ProbeResult.REPLACED:
             return await self._claim_after_larger(ClaimReason.REPLACED)
-        if unchanged_for >= CLAIM_AFTER_SECONDS and now >= self._promised_until:
+        has_stopped = last_read.unchanged_seconds(now) >= CLAIM_AFTER_SECONDS
+        if has_stopped and now >= self._promised_until:
             return await self._claim_after_larger(ClaimReason.HEARTBEAT_STOPPED)
         may_claim_at_once = (
-            self._claims.last_read.heartbeat_revision
-            == self._refused_heartbeat_revision
+            last_read.heartbeat_revision == self._refused_heartbeat_revision
         )
         if result is ProbeResult.REFUSED and (
-            may_claim_at_once or unchanged_for >= REFUSED_CLAIM_AFTER_SECONDS
+            may_claim_at_once or probable_age >= REFUSED_CLAIM_AFTER_SECONDS
         ):
             return await self._claim_after_larger(ClaimReason.REFUSED)
-        if is_silent and unchanged_for >= self._silent_claim_seconds:
+        if is_silent and probable_age >= self._silent_claim_seconds:
             return await self._claim_after_larger(ClaimReason.SILENT)
         self._deferring_since = None
         return None
--- a/wagtailcleat/cluster/lease_renewer.py
+++ b/wagtailcleat/cluster/lease_renewer.py
@@ -58,6 +58,7 @@
         peers: Peers,
         other_entries: OtherEntries,
         clock: Clock,
+        wall_clock: Clock,
         leader: Callable[[], Leads],
         learn: LearnLeader,
     ) -> None:
@@ -70,6 +71,7 @@
         self._peers = peers
         self._other_entries = other_entries
         self._clock = clock
+        self._wall_clock = wall_clock
         self._leader = leader
         self._learn = learn
 
@@ -94,7 +96,11 @@
                     _keys_unchanged(lease),
                     {
                         HEARTBEAT_KEY: encode(
-                            LeaderHeartbeat(predecessors_expired, stepped_down=True)
+                            LeaderHeartbeat(
+                                predecessors_expired,
+                                stepped_down=True,
+                                written_at=self._wall_clock(),
+                            )
                         )
                     },
                 )
@@ -158,7 +164,13 @@
         outcome = await self._store.write(
             Txn(
                 _keys_unchanged(lease),
-                {HEARTBEAT_KEY: encode(LeaderHeartbeat(predecessors_expired))},
+                {
+                    HEARTBEAT_KEY: encode(
+                        LeaderHeartbeat(
+                            predecessors_expired, written_at=self._wall_clock()
+                        )
+                    )
+                },
             )
         )
         if isinstance(outcome, Written):
