Split the leader's log lines, pool shares and refusals out; settings reach the scheduler as one object

Change: leader_log.py (lines on decisions and starts), learnt_store.learnt_parts, pool_shares.py (committed and quarantined share of a pool), leader_refusals.py, scheduling/options.py (SchedulingOptions). No decision changes.

--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -25,6 +25,7 @@
     WorkerInfo,
     WorkerState,
 )
+from wagtailcleat.scheduling.options import SchedulingOptions
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -352,7 +353,9 @@
             self._epoch,  # type: ignore[arg-type]
             lease_horizon=LEASE_HORIZON_SECONDS,
             stop_retry_seconds=STOP_RETRY_SECONDS,
-            move_seconds=self._shape.stop_seconds + self._shape.restore_seconds,
+            options=SchedulingOptions(
+                move_seconds=self._shape.stop_seconds + self._shape.restore_seconds
+            ),
         )
         self._prepare(scheduler)
         if before is not None:
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -16,6 +16,7 @@
     WorkerInfo,
     WorkerState,
 )
+from wagtailcleat.scheduling.options import SchedulingOptions
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.wire.scheduling import Orders, Report
 
@@ -151,9 +152,10 @@
         far_factor: float = 1.0,
     ) -> None:
         """Let every worker report once."""
-        self.far_factor = far_factor
         self.start_bytes_per_second = start_bytes_per_second
-        self.move_seconds = move_seconds
+        self.options = SchedulingOptions(
+            move_seconds=move_seconds, far_factor=far_factor
+        )
         self.now = 100.0
         self.worker_by_node = {worker.node: worker for worker in workers}
         self.starts: list = []
@@ -173,8 +175,7 @@
             lease_horizon=HORIZON,
             stop_retry_seconds=STOP_AGAIN,
             start_bytes_per_second=self.start_bytes_per_second,
-            move_seconds=self.move_seconds,
-            far_factor=self.far_factor,
+            options=self.options,
         )
         self.claimed_at = self.now
 
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -171,9 +171,7 @@
             zones_out=lambda: self.operators.zones_out,
             advice=self.advice,
             link_bytes_per_second=self.settings.link_mbps * BYTES_PER_MEGABIT,
-            move_seconds=self.settings.move_seconds,
-            learn_run_times=self.settings.learn_run_times,
-            far_factor=self.settings.far_factor,
+            options=self.settings.scheduling_options,
         )
         self.leader = leader
         try:
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -18,12 +18,9 @@
     decode,
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease
+from wagtailcleat.cluster.leader_log import log_decisions, log_orders
 from wagtailcleat.cluster.leadership import Leadership
-from wagtailcleat.cluster.learnt_store import (
-    interference_part,
-    persist_learnt,
-    run_times_part,
-)
+from wagtailcleat.cluster.learnt_store import learnt_parts, persist_learnt
 from wagtailcleat.cluster.records import Records
 from wagtailcleat.cluster.report_order import ReportOrder
 from wagtailcleat.cluster.timing import AGENT_EXPIRY_SECONDS, STOP_REPEAT_SECONDS
@@ -32,7 +29,7 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.keyvalue import KeyValueStore
-from wagtailcleat.scheduling.delay_scheduling import NO_PENALTY
+from wagtailcleat.scheduling.options import DEFAULT_OPTIONS, SchedulingOptions
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.supervise import Supervisor
 from wagtailcleat.wire.answer_writer import AnswerWriter
@@ -99,16 +96,14 @@
         zones_out: Callable[[], frozenset[ZoneName]],
         advice: AdviceService | None = None,
         link_bytes_per_second: float = math.inf,
-        move_seconds: float = math.inf,
-        learn_run_times: bool = True,
-        far_factor: float = NO_PENALTY,
+        options: SchedulingOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Create a leader that has not read the stored jobs yet.
 
         Parameters: `status_kept` is how long the state of an ended job is kept, in
         seconds; `zones_out` returns the zones that operators have taken out; `advice`
-        is asked which workers may run a step, if it is given; `move_seconds`,
-        `learn_run_times` and `far_factor` as in `Scheduler`.
+        is asked which workers may run a step, if it is given; `options` as in
+        `Scheduler`.
         """
         self._advice = advice
         self._zones_out = zones_out
@@ -118,9 +113,7 @@
             lease_horizon=AGENT_EXPIRY_SECONDS,
             stop_retry_seconds=STOP_REPEAT_SECONDS,
             start_bytes_per_second=LINK_SHARE_OF_STARTS * link_bytes_per_second,
-            move_seconds=move_seconds,
-            learn_run_times=learn_run_times,
-            far_factor=far_factor,
+            options=options,
         )
         self.ready = False
         self._store = store
@@ -344,7 +337,7 @@
         ):
             log.warning("Gave up the runs of an agent", extra={"agent": node})
             self._records.dirty.set()
-        self._log_notes()
+        log_decisions(self.scheduler)
         if not self.acting:
             return
         self.scheduler.zones_out = self._zones_out()
@@ -356,7 +349,7 @@
         if not completed:
             self._wake.set()
         for vm, orders in self.scheduler.orders(now=now):
-            self._log_orders(vm.node, orders)
+            log_orders(vm, orders)
             if vm.node in self._stream_by_node:
                 self._spawn(self._send(self._stream_by_node[vm.node], orders))
         if self.scheduler.holds_starts:
@@ -364,25 +357,6 @@
                 HELD_STARTS_RETRY_SECONDS, self._wake.set
             )
 
-    def _log_notes(self) -> None:
-        for learnt in self.scheduler.run_times.take_learnt():
-            log.info("Run time learnt", extra=learnt.fields())
-        for decision in self.scheduler.delay_scheduling.take_decisions():
-            message = "Waits for its rack" if decision.waits else "Leaves its rack"
-            log.info(message, extra=decision.fields())
-        for logged in self.scheduler.take_logged_events():
-            log.info(
-                logged.event.value,
-                extra={"run": str(logged.run), "agent": logged.node, "why": logged.why},
-            )
-
-    def _log_orders(self, node: NodeId, orders: Orders) -> None:
-        for start in orders.starts:
-            hosted = self.scheduler.vm_by_node[node].hosted_by_run.get(start.key)
-            reason = hosted.reason.fields() if hosted and hosted.reason else {}
-            fields = {"run": str(start.key), "agent": node, **reason}
-            log.info("Starts", extra=fields)
-
     async def _send(self, stream: Stream, orders: Orders) -> None:
         answer = await stream.call(orders, timeout=ORDERS_TIMEOUT_SECONDS)
         if isinstance(answer, Lost):
@@ -408,11 +382,7 @@
         )
 
     async def _persist_learnt(self) -> None:
-        parts = (
-            interference_part(self.scheduler.sharing.interference),
-            run_times_part(self.scheduler.run_times),
-        )
-        await persist_learnt(parts, self.lease, self._store)
+        await persist_learnt(learnt_parts(self.scheduler), self.lease, self._store)
 
     async def _maintain_entries(self) -> None:
         while True:
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -25,6 +25,7 @@
 from wagtailcleat.cluster.keys import LEADER_KEY, ProcessInfo
 from wagtailcleat.cluster.leader_lease import LeadCallback, LeaderLease
 from wagtailcleat.cluster.leader_probe import ProbeResult, probe_leader
+from wagtailcleat.cluster.leader_refusals import LeaderRefusals
 from wagtailcleat.cluster.lease_renewer import STEP_DOWN_TRIES, LeaseRenewer
 from wagtailcleat.cluster.other_entries import (
     OtherEntries,
@@ -33,7 +34,6 @@
 )
 from wagtailcleat.cluster.timing import (
     CLAIM_AFTER_SECONDS,
-    ESTABLISHED_LEADER_SECONDS,
     LEADER_LEASE_SECONDS,
     PROBE_INTERVAL_SECONDS,
     REFUSED_CLAIM_AFTER_SECONDS,
@@ -70,8 +70,6 @@
 
 This covers nearly two probes of the leader.
 """
-NO_REVISION = -1
-"""Equals no revision of a key in the store."""
 
 
 class Leadership:
@@ -150,11 +148,7 @@
         self._check_interval = PROBE_INTERVAL_SECONDS
         self._learned_at = clock()
         """When this entry learned of the leader that it follows."""
-        self._refused_heartbeat_revision: int | None = None
-        """Heartbeat revision when an established leader's port first refused.
-
-        `NO_REVISION` if the leader was not established then, None without refusals.
-        """
+        self._refusals = LeaderRefusals()
         self._deferring_since: float | None = None
         """Since when this entry has a reason to claim but waits for a larger one."""
 
@@ -316,7 +310,7 @@
             # This entry makes no promise to a leader before it has read who leads.
             await self._claims.read()
         if result is ProbeResult.LEADS or not self.may_claim:
-            self._refused_heartbeat_revision = None
+            self._refusals.clear()
             self._deferring_since = None
             return None
         if not await self._claims.read():
@@ -336,21 +330,14 @@
         was_asked = last_read.leader.epoch == asked_epoch
         if not was_asked:
             result = ProbeResult.SILENT
-        self._record_refusal(result)
+        self._refusals.record(
+            refused=result is ProbeResult.REFUSED,
+            known_for=self._clock() - self._learned_at,
+            heartbeat_revision=last_read.heartbeat_revision,
+        )
         is_silent = was_asked and result is ProbeResult.SILENT
         return await self._replace(result, is_silent=is_silent)
 
-    def _record_refusal(self, result: ProbeResult) -> None:
-        if result is not ProbeResult.REFUSED:
-            self._refused_heartbeat_revision = None
-        elif self._refused_heartbeat_revision is None:
-            established = self._clock() - self._learned_at >= ESTABLISHED_LEADER_SECONDS
-            self._refused_heartbeat_revision = (
-                self._claims.last_read.heartbeat_revision
-                if established
-                else NO_REVISION
-            )
-
     async def _replace(
         self, result: ProbeResult, *, is_silent: bool
     ) -> LeaderLease | None:
@@ -368,9 +355,7 @@
         has_stopped = last_read.unchanged_seconds(now) >= CLAIM_AFTER_SECONDS
         if has_stopped and now >= self._promised_until:
             return await self._claim_after_larger(ClaimReason.HEARTBEAT_STOPPED)
-        may_claim_at_once = (
-            last_read.heartbeat_revision == self._refused_heartbeat_revision
-        )
+        may_claim_at_once = self._refusals.by_established(last_read.heartbeat_revision)
         if result is ProbeResult.REFUSED and (
             may_claim_at_once or probable_age >= REFUSED_CLAIM_AFTER_SECONDS
         ):
--- a/wagtailcleat/cluster/learnt_store.py
+++ b/wagtailcleat/cluster/learnt_store.py
@@ -20,8 +20,9 @@
 from wagtailcleat.cluster.leader_lease import LeaderLease
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
-from wagtailcleat.scheduling.interference import Interference, StoredEstimates
-from wagtailcleat.scheduling.run_times import RunTimes, StoredRunTimes
+from wagtailcleat.scheduling.interference import StoredEstimates
+from wagtailcleat.scheduling.run_times import StoredRunTimes
+from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import Compare, Found, Txn, Unavailable
 
 log = part_logger("leader")
@@ -43,18 +44,18 @@
     """Takes the values that an earlier leader has stored."""
 
 
-def interference_part(interference: Interference) -> LearntPart:
-    """Return the interference between images."""
-    return LearntPart(
-        INTERFERENCE_KEY, StoredEstimates, interference.export, interference.restore
-    )
-
-
-def run_times_part(run_times: RunTimes) -> LearntPart:
-    """Return the run times by queue."""
-    return LearntPart(
-        RUN_TIMES_KEY, StoredRunTimes, run_times.export, run_times.restore
-    )
+def learnt_parts(scheduler: Scheduler) -> list[LearntPart]:
+    """Return what a leader's scheduler learns."""
+    interference, run_times = scheduler.sharing.interference, scheduler.run_times
+    return [
+        LearntPart(
+            INTERFERENCE_KEY,
+            StoredEstimates,
+            interference.export,
+            interference.restore,
+        ),
+        LearntPart(RUN_TIMES_KEY, StoredRunTimes, run_times.export, run_times.restore),
+    ]
 
 
 async def persist_learnt(
--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -8,6 +8,7 @@
 from wagtailcleat.checked import convert, read_json
 from wagtailcleat.configuration.models import Name
 from wagtailcleat.errors import SettingsError
+from wagtailcleat.scheduling.options import SchedulingOptions
 from wagtailcleat.settings import Address, Count, LogLevel, Port, Positive, Secret
 
 Addresses = list[Address]
@@ -73,9 +74,13 @@
         return self.silent_leader_ms / MILLISECONDS
 
     @property
-    def move_seconds(self) -> float:
-        """Time that a run loses if it is stopped and continues on another VM."""
-        return (self.stop_ms + self.restore_ms) / MILLISECONDS
+    def scheduling_options(self) -> SchedulingOptions:
+        """The options of the scheduler of an entry that leads."""
+        return SchedulingOptions(
+            move_seconds=(self.stop_ms + self.restore_ms) / MILLISECONDS,
+            learn_run_times=self.learn_run_times,
+            far_factor=self.far_factor,
+        )
 
 
 class AgentSettings(CommonSettings, frozen=True, kw_only=True):
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -19,9 +19,9 @@
     Candidates,
     ScoringKey,
     choose,
-    has_required_label,
     scoring_key,
 )
+from wagtailcleat.scheduling.pool_shares import PoolShares
 from wagtailcleat.scheduling.ranking import lateness, rank, slack_seconds
 from wagtailcleat.scheduling.sharing import STARVED_ADDED, Sharing
 from wagtailcleat.scheduling.vms import HostedRun, Vm
@@ -38,12 +38,6 @@
 
 A pool that is more than this committed is full, and waiting is the right behaviour.
 """
-MAX_QUARANTINED_SHARE = 0.25
-"""Quarantined share of a pool up to which the quarantine is respected.
-
-If more VMs fail everything, it is more likely that the work itself fails wherever it
-runs, and quarantining the VMs would keep sound work waiting.
-"""
 MAX_STARTS_PER_ROUND = 400
 """Limits the number of orders that are sent together."""
 
@@ -91,13 +85,10 @@
         """The round in which each search last found no room."""
         self._pool_by_service: dict[ServiceName, list[Vm]] = {}
         """The usable VMs of each service."""
+        self._pool_shares = PoolShares({})
         self._changed_by_service: dict[ServiceName, list[Vm]] = {}
         """The VMs of each pool that have changed since the last round."""
-        self._committed_by_service: dict[ServiceName, float] = {}
-        """Committed share of each pool's cores."""
         self._vm_by_node: dict[NodeId, Vm] = {}
-        self._quarantine_by_pool: dict[tuple[ServiceName, str], bool] = {}
-        """Whether the quarantine is respected, by service and required label."""
 
     def __repr__(self) -> str:
         """Show the round and the number of searches that found no room."""
@@ -143,9 +134,7 @@
         self._zones_out = zones_out
         self._pool_by_service = {}
         self._changed_by_service = {}
-        self._committed_by_service = {}
         self._vm_by_node = {}
-        self._quarantine_by_pool = {}
         seen_by_node = {}
         for vm in vms:
             self._vm_by_node[vm.node] = vm
@@ -163,6 +152,7 @@
                 self._pool_by_service.setdefault(vm.service, []).append(vm)
                 if changed:
                     self._changed_by_service.setdefault(vm.service, []).append(vm)
+        self._pool_shares = PoolShares(self._pool_by_service)
         for node in self._seen_by_node.keys() - seen_by_node.keys():
             del self._changed_round_by_node[node]
         self._seen_by_node = seen_by_node
@@ -289,23 +279,10 @@
 
     def _may_start(self, vm: Vm, task: Task, now: float) -> bool:
         """Return whether a task may start on a VM, apart from room."""
-        if vm.is_quarantined(now) and self._respects_quarantine(task, now):
+        if vm.is_quarantined(now) and self._pool_shares.allows_quarantine(task, now):
             return False
         return self._is_permitted(vm, task, now)
 
-    def _respects_quarantine(self, task: Task, now: float) -> bool:
-        """Return whether few enough VMs are quarantined for a task to avoid them."""
-        key = task.entry.job.service, task.step.required_label
-        known = self._quarantine_by_pool.get(key)
-        if known is None:
-            pool = self._pool_by_service.get(key[0], [])
-            labelled = [vm for vm in pool if has_required_label(vm, task.step)]
-            quarantined = sum(vm.is_quarantined(now) for vm in labelled)
-            known = self._quarantine_by_pool[key] = (
-                quarantined <= MAX_QUARANTINED_SHARE * len(labelled)
-            )
-        return known
-
     def _is_permitted(self, vm: Vm, task: Task, now: float) -> bool:
         """Return whether a task needs no ticket for a VM, or has a valid one."""
         job = task.entry.job
@@ -318,16 +295,8 @@
             return False
         if task.entry.placed_tasks:
             return False
-        return self._committed_share(task.entry.job.service) < MAX_COMMITTED_SHARE
-
-    def _committed_share(self, service: ServiceName) -> float:
-        known = self._committed_by_service.get(service)
-        if known is None:
-            pool = self._pool_by_service.get(service, [])
-            total = sum(vm.capacity.cores for vm in pool)
-            known = sum(vm.committed.cores for vm in pool) / total if total else 1.0
-            self._committed_by_service[service] = known
-        return known
+        committed = self._pool_shares.committed(task.entry.job.service)
+        return committed < MAX_COMMITTED_SHARE
 
     def _start_starved(
         self, tasks: list[Task], task: Task, step: StepKey, now: float
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -12,11 +12,7 @@
 
 from wagtailcleat.ids import Epoch, JobId, NodeId, ZoneName
 from wagtailcleat.scheduling.advice import Advice
-from wagtailcleat.scheduling.delay_scheduling import (
-    NO_PENALTY,
-    DelayScheduling,
-    rack_slowdown,
-)
+from wagtailcleat.scheduling.delay_scheduling import DelayScheduling, rack_slowdown
 from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.events import Event, LoggedEvent
 from wagtailcleat.scheduling.hosted_runs import HostedRuns
@@ -28,6 +24,7 @@
     RunKey,
     Start,
 )
+from wagtailcleat.scheduling.options import DEFAULT_OPTIONS, SchedulingOptions
 from wagtailcleat.scheduling.outgoing import ReceivedEnd
 from wagtailcleat.scheduling.pacing import PaceAction, eviction_pace, pace_actions
 from wagtailcleat.scheduling.placement_rounds import PlacementRounds
@@ -57,21 +54,17 @@
         lease_horizon: float,
         stop_retry_seconds: float,
         start_bytes_per_second: float = math.inf,
-        move_seconds: float = math.inf,
-        learn_run_times: bool = True,
-        far_factor: float = NO_PENALTY,
+        options: SchedulingOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Start without VMs and jobs.
 
         Parameters: `lease_horizon` is the number of seconds that runs may continue
         after their agent's last report; `stop_retry_seconds` is the number of seconds
         after which a stop is repeated; `start_bytes_per_second` limits the rate of
-        starts; `move_seconds` is the time that a run loses if it is stopped and
-        continues elsewhere; unless `learn_run_times`, tasks are expected to take what
-        their submitters estimate; `far_factor` as in `DelayScheduling`.
+        starts; `options` follow from the deployment's settings.
         """
         self.epoch = epoch
-        self.run_times = RunTimes(enabled=learn_run_times)
+        self.run_times = RunTimes(enabled=options.learn_run_times)
         self.job_table = JobTable(self.run_times)
         self.sharing = Sharing()
         self.advice = Advice()
@@ -79,12 +72,12 @@
         self.unreported_agents: set[NodeId] = set()
         """Agents that may run tasks and have not yet reported to this leader."""
         self._lease_horizon = lease_horizon
-        self._eviction_pace = eviction_pace(move_seconds)
+        self._eviction_pace = eviction_pace(options.move_seconds)
         self._wall_now = 0.0
         self.delay_scheduling = DelayScheduling(
-            self._expected_run_seconds, far_factor=far_factor
+            self._expected_run_seconds, far_factor=options.far_factor
         )
-        self._far_factor = far_factor
+        self._far_factor = options.far_factor
         self._placement = PlacementRounds(
             epoch,
             self.job_table,
@@ -103,7 +96,7 @@
             dispatch=self._dispatch,
             advice=self.advice,
             run_times=self.run_times,
-            far_factor=far_factor,
+            far_factor=options.far_factor,
             stop_retry_seconds=stop_retry_seconds,
         )
 
