Soak: entries of two sizes, and faults that aim at whichever entry leads

The soak hit the leader only by chance, one of two equal entries. The leader is found by its metrics, with a time limit of 1 s, since a paused process does not answer.

Other emphases draw the same faults as before.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -24,11 +24,15 @@
 class SoakDeployment(PlatformCluster):
     """Entries, agents and workers, with links to the store, peers and workers."""
 
-    def __init__(self, folder: Path, *, entries: int, agents: int) -> None:
-        """Start all programs and links."""
+    def __init__(
+        self, folder: Path, *, entries: int, agents: int, speeds: tuple[float, ...] = ()
+    ) -> None:
+        """Start all programs and links; `speeds` are the entries', if they differ."""
         self.links: dict[str, Process] = {}
         """By both ends, such as `agent-1>store`."""
-        super().__init__(folder, entries=entries, agents=agents, cores=6.0)
+        super().__init__(
+            folder, entries=entries, agents=agents, cores=6.0, speeds=speeds
+        )
 
     @property
     def processes(self) -> list[Process]:
@@ -61,8 +65,13 @@
     def _start_entry(self, number: int, host: str) -> Program:
         name = f"entry-{number + 1}"
         front, ready = self.ports[2:4]
-        ports = {"front": f"{host}:{front}", "ready": f"{host}:{ready}"}
-        settings = self._common_settings(name, number, host) | ports
+        extra: dict[str, Any] = {
+            "front": f"{host}:{front}",
+            "ready": f"{host}:{ready}",
+        }
+        if self.speeds:
+            extra["cpu_speed"] = self.speeds[number]
+        settings = self._common_settings(name, number, host) | extra
         return self._start_program(name, "wagtailcleat.cluster.entry_app", settings)
 
     def _start_worker(self, number: int, host: str) -> Process:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -41,6 +41,8 @@
     """Long answers of the store take seconds to arrive, or stall midway."""
     KINDS = "kinds"
     """Workers are replaced by others, and jobs restrict where their tasks run."""
+    LEADERS = "leaders"
+    """The leader is paused, killed, silenced or turned away; one entry is larger."""
 
 
 @dataclass(order=True)
@@ -93,6 +95,8 @@
             self._kinds += [self._slow_answers] * EMPHASIS_WEIGHT
         elif emphasis is Emphasis.KINDS:
             self._kinds += [self._replace_worker] * EMPHASIS_WEIGHT
+        elif emphasis is Emphasis.LEADERS:
+            self._kinds += [self._leader] * EMPHASIS_WEIGHT
 
     def inject(self, seconds: float) -> None:
         """Inject faults for `seconds`, then end them all."""
@@ -250,6 +254,53 @@
         seconds = self._random.uniform(0.3, 4.0)
         self._inject(link.name, f"link {name} {switches}", seconds, link.faults)
 
+    def _leader(self) -> None:
+        """Pause, kill or silence the leader, or let the store turn it away."""
+        leader = self._deployment.find_leader()
+        links = self._deployment.links
+        if leader is None or leader.name in self._affected:
+            return
+        to_store, to_peers = (
+            links[f"{leader.name}>store"],
+            links[f"peers>{leader.name}"],
+        )
+        if self._affected & {to_store.name, to_peers.name}:
+            return
+        kind = self._random.choice(("pause", "kill", "silence", "turn away"))
+        seconds = self._random.uniform(0.5, 5.0)
+        description = f"{kind} the leader {leader.name}"
+        if kind == "pause":
+            leader.freeze()
+            self._inject(leader.name, description, seconds, leader.thaw)
+        elif kind == "kill":
+            leader.kill()
+            self._inject(leader.name, description, seconds, leader.start)
+        else:
+            switches = {"silent": True, "silent_new": True}
+            if kind == "turn away":
+                switches = {"cut": True, "refuse": True}
+            cut = [to_store] if kind == "turn away" else [to_store, to_peers]
+            self._cut_links(cut, switches, description, seconds)
+
+    def _cut_links(
+        self,
+        links: list[Process],
+        switches: dict[str, bool],
+        description: str,
+        seconds: float,
+    ) -> None:
+        names = {link.name for link in links}
+        for link in links:
+            link.faults(**switches)
+        self._affected |= names
+
+        def end_fault() -> None:
+            self._affected -= names
+            for link in links:
+                link.faults()
+
+        self._inject(min(names), description, seconds, end_fault)
+
     def _refuse_zone(self) -> None:
         """Cut the entry and the agent of a zone off together, by refused connections.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,8 @@
 from standins.stored_jobs import store_ended_jobs
 
 ENTRIES = 2
+UNEVEN_SPEEDS = (2.0, 1.0, 1.0)
+"""Speeds of the entries where faults aim at leaders."""
 AGENTS = 2
 CALLERS = 2
 ENDED_JOBS = 300
@@ -38,7 +40,10 @@
     Parameters: an `emphasis` on refusals adds tasks that outlast a cut, one on slow
     answers adds many ended jobs to the store.
     """
-    deployment = SoakDeployment(folder, entries=ENTRIES, agents=AGENTS)
+    speeds = UNEVEN_SPEEDS if emphasis is Emphasis.LEADERS else ()
+    deployment = SoakDeployment(
+        folder, entries=len(speeds) or ENTRIES, agents=AGENTS, speeds=speeds
+    )
     long = emphasis is Emphasis.REFUSALS
     try:
         deployment.wait_until_ready()
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -19,6 +19,8 @@
 HOST = "seats.example"
 PREFIX = "/holds/"
 ADVICE_HINT = {"hint": {"decideMs": 1, "periodMs": 1, "validMs": 3000}}
+METRICS_TIMEOUT_SECONDS = 1.0
+"""A process that is paused does not answer."""
 READY_SECONDS = 15.0
 NETWORK = f"127.{16 + os.getpid() % 224}"
 """The loopback network of this test run. A concurrent run uses another one, so it can't
@@ -274,23 +276,24 @@
                 del running[task]
         return found
 
+    def find_leader(self) -> Program | None:
+        """Return an entry that leads, or None if none says so now."""
+        for entry in self.entries:
+            if not entry.alive:
+                continue
+            host = host_of(self.entries.index(entry) + 1)
+            try:
+                url = f"http://{host}:{self.ports[1]}/metrics"
+                text = http("GET", url, timeout=METRICS_TIMEOUT_SECONDS).body
+            except HttpError:
+                continue
+            if b"wagtailcleat_leads 1.0" in text:
+                return entry
+        return None
+
     def leader(self) -> Program:
         """Wait until an entry leads, and return it."""
-
-        def find() -> Program | None:
-            for entry in self.entries:
-                if not entry.alive:
-                    continue
-                host = host_of(self.entries.index(entry) + 1)
-                try:
-                    text = http("GET", f"http://{host}:{self.ports[1]}/metrics").body
-                except HttpError:
-                    continue
-                if b"wagtailcleat_leads 1.0" in text:
-                    return entry
-            return None
-
-        return wait_for(find, READY_SECONDS, "an entry leads")
+        return wait_for(self.find_leader, READY_SECONDS, "an entry leads")
 
 
 def store_host(entry: int) -> str:
