Log lines in the field's words: stepped down, heartbeat, incarnation, restored jobs, restarted worker

Six texts were the words of earlier code (laid it down, beat, life, book, born anew) or odd (a sign of it).

--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -55,13 +55,13 @@
     """Why an entry claims leadership."""
 
     NO_LEADER = "there is none"
-    OWN = "an earlier life of this process led"
+    OWN = "an earlier incarnation of this process led"
     HANDED_OVER = "was handed over"
-    STEPPED_DOWN = "its leader has laid it down"
+    STEPPED_DOWN = "the leader has stepped down"
     REPLACED = "its process has ended"
-    HEARTBEAT_STOPPED = "its beat stands still"
+    HEARTBEAT_STOPPED = "its heartbeat has stopped"
     REFUSED = "its port refuses connections"
-    SILENT = "neither it nor its heartbeat shows a sign of it"
+    SILENT = "it answers no probe and renews no heartbeat"
 
     @property
     def is_predecessor_stopped(self) -> bool:
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -322,7 +322,7 @@
         now = self._clock()
         if answer.born and answer.born != incarnation.born:
             incarnation.is_doubtful = True
-            log.warning("Worker was born anew", extra={"worker": incarnation.instance})
+            log.warning("Worker has restarted", extra={"worker": incarnation.instance})
             return False
         self._fencing_tokens.accepted()
         incarnation.clock_ahead = answer.worker_seconds - now
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -190,7 +190,7 @@
         await self._jobs.restore()
         self.ready = True
         log.info(
-            "Restored the book",
+            "Restored the jobs",
             extra={
                 "jobs": len(self.scheduler.job_table.entry_by_id),
                 "agents": len(agents.found),
