The platform's stand-in worker shows how much of a run is done

It listed each run at 50 percent from start to end. Run times learned from it came out at up to twice what tasks took (5.1 s for 3 s in the log of explain's scenario on a late job), and each VM's measured speed was 0.

Now the percentage follows the run's time. Features whole_path, explain and adapter pass unchanged.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -54,10 +54,16 @@
     """A run in progress; `stops_at` is 0 unless it was asked to stop."""
 
     run: int
+    started_at: float
     ends_at: float
     fails: bool
     stops_at: float = 0.0
 
+    def percent(self, now: float) -> int:
+        """Return how much of the run's work is done."""
+        seconds = self.ends_at - self.started_at
+        return min(100, int(100 * (now - self.started_at) / seconds)) if seconds else 0
+
 
 @dataclass
 class State:
@@ -188,7 +194,8 @@
         self.extend_lease(body)
         fails = self.switches.current.fail or spec.get("fail", False)
         seconds = 0.0 if self.switches.current.fail else spec.get("seconds", 0.1)
-        state.run_by_task[task] = Run(run, boot_time() + seconds, fails)
+        now = boot_time()
+        state.run_by_task[task] = Run(run, now, now + seconds, fails)
         state.record.add("start", time.time(), state.instance, task, run, "")
         return {}, 200
 
@@ -248,7 +255,8 @@
                 "clockMs": state.clock_ms(),
                 "born": state.started_wall_ms,
                 "running": [
-                    [t, r.run, "", 50, 0] for t, r in state.run_by_task.items()
+                    [t, r.run, "", r.percent(boot_time()), 0]
+                    for t, r in state.run_by_task.items()
                 ],
                 "finished": state.unacknowledged_ends[:MAX_ENDS_PER_ANSWER],
             }
