After a claim on silence or a refusal, wait no longer than the leader before can act

What callers see: a leader that is lost together with agents (a zone without power) is replaced sooner since claims on silence, but what is handed in then waits longer: jobs stored after the claim wait for agents that are gone until the leader before has surely expired, 2.24 s after the claim.

Cause: the claimer knows more than its claim's time. The leader before acts by its last renewal, which was sent before its heartbeat was seen, or by promises, one of which is the claimer's own.

Ruled out: no claim on silence where agents are silent too (the claimer does not know that).

Change: Claims.claim takes until when the leader last read may act: 2.5 s after its heartbeat was first seen, and past the last promise; the earlier of that and of 2.24 s counts, if the leaders before it had expired.

Why it works: it is the bound by which a stopped heartbeat counts as proof. The model has it; with two ticks less it finds two runs of a task.

features/model/takeover and takeover (random histories) pass.

--- a/features/steps/takeover_entries.py
+++ b/features/steps/takeover_entries.py
@@ -198,6 +198,7 @@
             reason,
             bounds.leader_validity,
             rivals_possible=store.rivals_possible,
+            stalled_ticks=store.stalled_ticks,
         )
         after = state._replace(claims=(*state.claims, claim))
         if reason is ClaimReason.REFUSED:
@@ -288,7 +289,9 @@
     entry = state.entries[claim.entry]
     rival_ticks = 0
     if claim.reason is ClaimReason.REFUSED and Rule.RIVALS_ON_REFUSAL in bounds.rules:
-        rival_ticks = bounds.rival_validity
+        # The heartbeat that stalled was the rival's last renewal in the store.
+        known_ticks = max(0, bounds.claim_after - claim.stalled_ticks)
+        rival_ticks = min(bounds.rival_validity, known_ticks)
     inherited = (
         claim.rivals_possible and claim.reason is not ClaimReason.HEARTBEAT_STALLED
     )
--- a/features/steps/takeover_state.py
+++ b/features/steps/takeover_state.py
@@ -93,6 +93,8 @@
     committed_epoch: int = 0
     """The epoch written to the store; 0 before that."""
     rivals_possible: bool = False
+    stalled_ticks: int = 0
+    """For how long the heartbeat had stalled when the claim was decided."""
 
 
 class Term(NamedTuple):
--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -188,8 +189,14 @@
             return 0.0
         return max(0.0, self._wall_clock() - heartbeat.written_at)
 
-    async def claim(self, reason: ClaimReason) -> LeaderLease | None:
-        """Claim leadership after the leader last read; return None without success."""
+    async def claim(
+        self, reason: ClaimReason, *, leader_acts_until: float = math.inf
+    ) -> LeaderLease | None:
+        """Claim leadership after the leader last read; return None without success.
+
+        Parameters: `leader_acts_until` is the latest time at which that leader may act,
+        if the claim succeeds, as far as this entry knows.
+        """
         # The claim depends on the revisions that the decision was based on. If they
         # were read again here, they could be those of a new leader whose orders are
         # being carried out, and the claim would replace it without a reason.
@@ -235,10 +242,17 @@
             claimed_at=now,
             predecessors_until=now
             if predecessors_expired
-            else now + PREDECESSOR_LEASE_SECONDS,
+            else self._predecessors_until(now, leader_acts_until),
             predecessors_expired_revision=revision if predecessors_expired else None,
         )
 
+    def _predecessors_until(self, now: float, leader_acts_until: float) -> float:
+        until = now + PREDECESSOR_LEASE_SECONDS
+        if self.last_read.heartbeat.predecessors_expired:
+            # Only the leader last read may still act, none of those before it.
+            until = min(until, leader_acts_until)
+        return max(now, until)
+
     async def _write_claim(
         self, leader: Leads, predecessors_expired: bool
     ) -> WriteOutcome:
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -35,6 +35,7 @@
 from wagtailcleat.cluster.timing import (
     CLAIM_AFTER_SECONDS,
     LEADER_LEASE_SECONDS,
+    PREDECESSOR_LEASE_SECONDS,
     PROBE_INTERVAL_SECONDS,
     REFUSED_CLAIM_AFTER_SECONDS,
     SILENT_CLAIM_AFTER_SECONDS,
@@ -386,4 +387,16 @@
         ):
             # The leader may act on a promise that this entry has made meanwhile.
             return None
-        return await self._claims.claim(reason)
+        return await self._claims.claim(
+            reason, leader_acts_until=self._leader_acts_until()
+        )
+
+    def _leader_acts_until(self) -> float:
+        """Return until when the leader last read may act, if it can't renew any more.
+
+        It acts by a renewal in the store, which was sent before its heartbeat was seen,
+        or by promises of all entries, among them the last promise of this one.
+        """
+        by_heartbeat = self._claims.last_read.heartbeat_seen_at + CLAIM_AFTER_SECONDS
+        drift = PREDECESSOR_LEASE_SECONDS - LEADER_LEASE_SECONDS
+        return max(by_heartbeat, self._promised_until + drift)
