Give up a renewal in flight only if it is not the answer that shows the store's return

Found by reading the change again: the store counts as back as soon as any answer has arrived, also that of the renewal itself, a moment before the renewal's task goes on. It was then given up, and the next one found its heartbeat changed and waited for 0.6 s more.

Change: two checks in a row, 0.05 s apart, must find the store back. Beside it, the run times of a job's steps are dropped with the job's end, which nobody reads any more.

--- a/wagtailcleat/cluster/lease_renewer.py
+++ b/wagtailcleat/cluster/lease_renewer.py
@@ -40,6 +40,11 @@
 """The first attempt may conflict with a renewal that was in progress."""
 STORE_RETURN_CHECK_SECONDS = 0.05
 """How often a leader without the store checks whether it is back."""
+STORE_RETURN_CHECKS = 2
+"""Checks in a row after which a renewal in flight is given up.
+
+The answer that shows that the store is back may be that of the renewal itself.
+"""
 STORE_RECHECK_SECONDS = 0.1
 """How long a leader waits for the store once more before it hands over."""
 HAND_OVER_AFTER_SECONDS = 10.0
@@ -133,15 +138,20 @@
         although the store is back, and the leader may not act meanwhile.
         """
         renewal = asyncio.create_task(self._renew(lease))
-        was_down = self._store.down_since is not None
+        was_down = False
+        checks_since_return = 0
         try:
-            while not renewal.done():
-                await asyncio.wait({renewal}, timeout=STORE_RETURN_CHECK_SECONDS)
+            while checks_since_return < STORE_RETURN_CHECKS:
+                done, _ = await asyncio.wait(
+                    {renewal}, timeout=STORE_RETURN_CHECK_SECONDS
+                )
+                if done:
+                    return renewal.result()
                 is_down = self._store.down_since is not None
-                if was_down and not is_down and not lease.stepped_down.is_set():
-                    break
                 was_down = was_down or is_down
-            return renewal.result() if renewal.done() else None
+                is_back = was_down and not is_down and not lease.stepped_down.is_set()
+                checks_since_return = checks_since_return + 1 if is_back else 0
+            return None
         finally:
             renewal.cancel()
 
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -266,6 +266,7 @@
     def _end_job(self, entry: JobEntry, state: JobState, wall_now: float) -> None:
         entry.state = state
         entry.ended_at = wall_now
+        entry.run_samples_by_step.clear()
         self.open_by_id.pop(entry.job.id, None)
         entry.mark_changed()
 
