--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -59,7 +59,7 @@
     store before another entry claims; from 2,500 on its lease is waited for."""
     stop_ms: Count = 900
     """Longest time that a worker takes to stop a run."""
-    learn_run_times: bool = True
+    learn_run_times: bool = False
     """Whether tasks are expected to take what runs of their step and queue have taken,
     rather than what submitters estimate."""
     far_factor: Positive = 1.0
