--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,7 @@
     SmallDeployment,
     finish,
     is_disrupted,
+    overlaps,
     run_case,
 )
 from standins.platform_cluster import ZONES
@@ -22,8 +23,6 @@
 ENTRIES, AGENTS = 2, 3
 LEAVING = 0
 TASK_SECONDS = 20.0
-LONGEST_OVERLAP_SECONDS = 0.2
-"""Shorter overlaps are not counted: the clocks of two records are compared."""
 
 
 class LeavingDeployment(SmallDeployment):
@@ -55,35 +54,6 @@
         return sorted((json.loads(line) for line in lines), key=lambda row: row[1])
 
 
-def overlaps(rows: list[list[Any]], until: float) -> list[dict[str, Any]]:
-    """Return the runs of one task that were in progress at the same time."""
-    spans: dict[str, list[tuple[float, float, str, int]]] = {}
-    started: dict[tuple[str, str, int], float] = {}
-    for kind, at, instance, task, run, *_ in rows:
-        if kind == "start":
-            started[instance, task, run] = at
-        elif kind == "end":
-            begun = started.pop((instance, task, run))
-            spans.setdefault(task, []).append((begun, at, instance, run))
-    for (instance, task, run), begun in started.items():
-        spans.setdefault(task, []).append((begun, until, instance, run))
-    found = []
-    for task, runs in spans.items():
-        runs.sort()
-        for first, second in zip(runs, runs[1:], strict=False):
-            seconds = min(first[1], second[1]) - second[0]
-            if seconds > LONGEST_OVERLAP_SECONDS:
-                found.append(
-                    {
-                        "task": task,
-                        "workers": [first[2], second[2]],
-                        "runs": [first[3], second[3]],
-                        "seconds": round(seconds, 3),
-                    }
-                )
-    return found
-
-
 def play(folder: Path, record: Recorder) -> bool:
     """Return whether no task had two runs at the same time."""
     deployment = LeavingDeployment(folder, entries=ENTRIES, agents=AGENTS)
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 cd "$root" || exit 1
 export PYTHONPATH="$root/target/deps:$root"
 python3 -m compileall -q standins review wagtailcleat || exit 1
-for module in standins.platform_store standins.platform_worker review.leaving_worker \
+for module in standins.platform_store standins.platform_worker review.leaving_worker review.strict_worker \
     wagtailcleat.cluster.entry_app wagtailcleat.cluster.agent_app; do
     python3 -c "import $module" || exit 1
 done
--- a/review/support.py
+++ b/review/support.py
@@ -18,6 +18,8 @@
 """Exit codes of a case: the rule held, was broken, or the case could not run."""
 DEADLINE_MS = 3_000
 """How long a caller waits for an answer, by the sheets of the small deployments."""
+LONGEST_OVERLAP_SECONDS = 0.2
+"""Shorter overlaps are not counted: rows of different processes are compared."""
 FINISH_SECONDS = 14.0
 """`finish_s` of the small deployments."""
 ENTRY_SETTINGS = {
@@ -132,6 +134,35 @@
         return ""
 
 
+def overlaps(rows: list[list[Any]], until: float) -> list[dict[str, Any]]:
+    """Return the runs of one task that were in progress at the same time."""
+    spans: dict[str, list[tuple[float, float, str, int]]] = {}
+    started: dict[tuple[str, str, int], float] = {}
+    for kind, at, instance, task, run, *_ in rows:
+        if kind == "start":
+            started[instance, task, run] = at
+        elif kind == "end":
+            begun = started.pop((instance, task, run))
+            spans.setdefault(task, []).append((begun, at, instance, run))
+    for (instance, task, run), begun in started.items():
+        spans.setdefault(task, []).append((begun, until, instance, run))
+    found = []
+    for task, runs in spans.items():
+        runs.sort()
+        for first, second in zip(runs, runs[1:], strict=False):
+            seconds = min(first[1], second[1]) - second[0]
+            if seconds > LONGEST_OVERLAP_SECONDS:
+                found.append(
+                    {
+                        "task": task,
+                        "workers": [first[2], second[2]],
+                        "runs": [first[3], second[3]],
+                        "seconds": round(seconds, 3),
+                    }
+                )
+    return found
+
+
 def run_case(folder: str, play: Callable[[Path, Recorder], bool]) -> int:
     """Run a case in a temporary folder; return its exit code.
 
