--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,10 @@
 from standins.platform_cluster import ZONES
 from standins.processes import Process, wait_for
 
-ENTRIES, AGENTS = 2, 3
+ENTRIES, AGENTS = 3, 11
+"""One worker of eleven leaves, as `scale_in` takes it in the site file."""
 LEAVING = 0
+TASKS = 2 * AGENTS
 TASK_SECONDS = 20.0
 
 
@@ -60,11 +62,11 @@
     try:
         deployment.wait_until_ready()
         callers = Callers(deployment, record)
-        steps = [{"count": 6, "cpu": 2000, "memMb": 64, "estMs": 20_000}]
+        steps = [{"count": TASKS, "cpu": 2000, "memMb": 64, "estMs": 20_000}]
         spec = {"seconds": TASK_SECONDS}
         job, status = callers.submit(steps, entry=0, spec=spec)
         assert status == 200, status
-        wait_for(lambda: len(deployment.starts(job)) == 6, 10.0, "the tasks run")
+        wait_for(lambda: len(deployment.starts(job)) == TASKS, 10.0, "the tasks run")
         time.sleep(1.0)
         leaving = deployment.workers[LEAVING]
         record.add("the worker is told to leave", worker="i-1")
