A worker's runs go on until its end is known, whatever messages say of it

A worker drains and sends `leave`, the agent answers, and the answer is lost; the worker runs on for seconds, and its tasks start elsewhere 13 ms after the message.

Cause: a message is taken for the end of a process. `Hosting.leave` dropped the incarnation with its runs and starts in doubt and reported `left`; the leader then let all tasks of the VM wait again. The same inference stood in `Hosting.take_heartbeat`: a heartbeat of another id or a later birth time ended the worker before it.

Ruled out: a renewal of the leases after the leave (the lapse comes 4.78 s after it, the last renewal before it); a report without the runs for another reason (the leader logs the reason).

The present worker stays until its end is known: nobody listens at its port on the agent's own VM, another worker answers at its address, or its leases have lapsed. Once it has announced its leave it gets no starts and no leases, and its runs are ordered to stop. The next worker waits for that end. `Hosting.run` lists at once when another worker is heard, so that a restart is noticed as soon as before.

Why it works: the runs stay in the agent's reports until then, so the leader keeps them as any others; `left` is a fact.

Two tests held the belief that was wrong, and are replaced by stricter ones. "A late leave ..." took the present worker's leave for its end at once, while the worker still listed its run; now the run counts until its process has ended. "The worker is replaced while it answers no list" and "The log tells what a worker is capable of" let a heartbeat alone replace a worker; now the next incarnation answers at the address as well.

--- /dev/null
+++ b/features/platform/departures.feature
@@ -0,0 +1,29 @@
+Feature: Workers that leave
+
+  Scenario Outline: A worker leaves, and <what>
+    # Guards against two runs of a task when a worker runs on after its `leave`, which then counts as its end.
+    Given a leader and 3 agents, each on the VM of its worker
+    When 6 tasks of 20 s run and a worker of theirs leaves: <what>
+    Then each of its tasks runs on another worker within 12 s
+    And no task had two runs at the same time
+
+    Examples:
+      | what                                                    |
+      | it reads the acknowledgement at once                    |
+      | it reads the acknowledgement after 0.8 s                |
+      | the acknowledgement is lost                             |
+      | the message is lost                                     |
+      | its agent ends with the acknowledgement on its way      |
+      | its agent ends before the acknowledgement has been read |
+
+  Scenario: A worker leaves behind a network, and the acknowledgement is lost
+    # Guards against the same where a refused connection does not show the worker's end.
+    Given a leader and 3 agents whose workers may carry calls out late
+    When 6 tasks of 20 s run and a worker of theirs leaves: the acknowledgement is lost
+    Then each of its tasks runs on another worker within 12 s
+    And no task had two runs at the same time
+
+  Scenario: Random histories of workers that leave
+    # Guards against the same beside late calls, freezes and changes of leader and agent.
+    When the random histories 1 to 20 with departures are played
+    Then no rule was broken in any of them
--- a/features/platform/doubtful_calls.feature
+++ b/features/platform/doubtful_calls.feature
@@ -79,4 +79,5 @@
     # Guards against calls to a worker that has ended, on a client that is closed.
     Given an agent whose worker answers lists only
     When it answers no list, and its next incarnation sends a heartbeat
+    And the next incarnation answers lists at its address
     Then no further list is asked for with the earlier token
--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -47,8 +47,58 @@
     When the worker runs a task and a leave of its earlier incarnation arrives
     Then the task still counts as running
     When the leave of its present incarnation arrives
+    Then the task still counts as running
+    When its process ends
     Then its worker has left
 
+  Scenario: A worker that has announced its leave continues
+    # Guards against duplicate runs when a worker gets no acknowledgement of its leave and runs on for seconds.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and the leave of its present incarnation arrives
+    Then the task still counts as running
+    And the worker is told to stop the task
+    And no list renews its leases any more
+    When a start is ordered
+    Then that start is refused at once
+    When the worker lists that the task has stopped
+    Then the task counts as ended
+    When its process ends
+    Then its worker has left
+
+  Scenario: A worker that has announced its leave can't be reached
+    # Guards against duplicate runs when a worker leaves behind a network that refuses connections.
+    Given an agent whose worker listens at another address than its VM's
+    When the worker runs a task and the leave of its present incarnation arrives
+    And its port refuses 5 connections
+    Then the task still counts as running
+    When the leases have certainly expired
+    Then its worker has left
+
+  Scenario: A worker that has left is heard again
+    # Guards against a worker that counts as present for as long as its late heartbeats arrive.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and the leave of its present incarnation arrives
+    And its process ends
+    Then its worker has left
+    When a heartbeat of the worker that has left arrives
+    Then its worker has left
+
+  Scenario: Another worker is heard before the present one has ended
+    # Guards against duplicate runs when a heartbeat counts as the end of the worker before.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and a heartbeat of another worker arrives
+    Then the task still counts as running
+    And "i-1" is still the worker of this VM
+    When its process ends
+    Then "i-2" is the worker of this VM
+
+  Scenario: Another worker answers at the address of the one before
+    # Guards against tasks that wait for leases to expire although the next worker has begun.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and a heartbeat of another worker arrives
+    And another worker answers at its address
+    Then "i-2" is the worker of this VM
+
   Scenario: A burst of orders to a worker
     # Guards against a connection opened for each order of a burst, and closed after it.
     Given a worker that counts the connections to it
--- a/features/steps/doubtful_calls_steps.py
+++ b/features/steps/doubtful_calls_steps.py
@@ -26,6 +26,8 @@
         self.list_period = list_period
         self.required_fence = required_fence
         self.is_silent = False
+        self.born = BORN
+        """Birth time of the incarnation that answers."""
         self.carries_out = False
         self.lists_received = 0
         self.answered_fences: list[int] = []
@@ -81,7 +83,7 @@
             if fence > world.answered_fences[0]:
                 world.fence_raised.set()
             body = {"clockMs": 1000, "running": world.running, "finished": []}
-            self.finish(json.dumps(body))
+            self.finish(json.dumps(body | {"born": world.born}))
 
 
 class _StartHandler(_UnansweredHandler):
@@ -273,6 +275,14 @@
     world.until(lambda: len(world.received_fences) >= before + 2)
     context.earlier_fence = world.received_fences[-1]
     world.begin_incarnation(BORN + 1000)
+
+
+@when("the next incarnation answers lists at its address")
+def step_next_answers(context):
+    world = context.hosting_world
+    world.born = BORN + 1000
+    world.is_silent = False
+    world.until(lambda: world.hosting.info.born == world.born)
     context.lists_before = len(world.received_fences)
 
 
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -13,7 +13,7 @@
 from wagtailcleat.cluster.timing import RUN_CONTACT_LIMIT_SECONDS
 from wagtailcleat.ids import JobId, ServiceName, ZoneName
 from wagtailcleat.platform.heartbeats import Heartbeat, decode_leave
-from wagtailcleat.platform.runs import RunWorker, StartOutcome
+from wagtailcleat.platform.runs import WRONG_INCARNATION, RunWorker, StartOutcome
 from wagtailcleat.resources import Resources
 from wagtailcleat.scheduling.models import (
     RunKey,
@@ -29,21 +29,39 @@
 TASK = "00ff00ff00ff00ff.0.0.0"
 TIMEOUT_SECONDS = 10.0
 POLL_SECONDS = 0.01
+LATER_LISTS = 4
+"""Lists after which an event has had its effect on later ones."""
 
 
 class _ListHandler(RequestHandler):
-    """Answers lists with one run, and with the ends of the world."""
+    """Answers lists with the runs and ends of the world."""
 
     def initialize(self, world):
         self.world = world
 
     def post(self):
-        row = [TASK, 1, "", 10, 0]
+        self.world.lists.append(json.loads(self.request.body))
+        if self.world.is_replaced:
+            self.set_status(WRONG_INCARNATION)
+            self.finish({"clockMs": 1000})
+            return
+        rows = [[task, 1, "", 10, 0] for task in self.world.listed_tasks]
         ends = self.world.ends
-        body = {"clockMs": 1000, "running": [row], "finished": ends, "born": BORN}
+        body = {"clockMs": 1000, "running": rows, "finished": ends, "born": BORN}
         self.finish(json.dumps(body))
 
 
+class _StopHandler(RequestHandler):
+    """Accepts stops, and notes them."""
+
+    def initialize(self, world):
+        self.world = world
+
+    def post(self):
+        self.world.stops.append(json.loads(self.request.body)["task"])
+        self.finish({"clockMs": 1000})
+
+
 class HostingWorld:
     """An agent's `Hosting`, with a simulated worker that can stop listening."""
 
@@ -52,7 +70,14 @@
         self.now = 100.0
         self.wall_now = BORN / 1000
         self.worker_host = worker_host
+        self.listed_tasks = [TASK]
         self.ends = []
+        self.lists = []
+        """Bodies of the lists that the worker was asked for."""
+        self.stops = []
+        """Tasks that the worker was told to stop."""
+        self.is_replaced = False
+        """Whether another incarnation answers at the worker's address."""
         self.loop = asyncio.new_event_loop()
         self.hosting = Hosting(
             clock=lambda: self.now,
@@ -68,7 +93,10 @@
 
     def make_application(self):
         """Return the simulated worker."""
-        return Application([("/hold", _ListHandler, {"world": self})])
+        arguments = {"world": self}
+        return Application(
+            [("/hold", _ListHandler, arguments), ("/run-stop", _StopHandler, arguments)]
+        )
 
     async def _begin(self):
         sockets = bind_sockets(0, self.worker_host)
@@ -78,9 +106,9 @@
         self.work = asyncio.create_task(self.hosting.run())
         await self.hosting.take_heartbeat(self._heartbeat(BORN))
 
-    def _heartbeat(self, born, cores=8.0, labels=()):
+    def _heartbeat(self, born, cores=8.0, labels=(), instance="i-1", sequence=1):
         info = WorkerInfo(
-            "i-1",
+            instance,
             born,
             ServiceName("booking-core"),
             ZoneName("zilina-a"),
@@ -88,10 +116,10 @@
             Resources(cores, 64_000, 0),
             labels,
         )
-        return Heartbeat(info, self.address, 1)
+        return Heartbeat(info, self.address, sequence)
 
     def begin_incarnation(self, born, **more):
-        """Deliver the first heartbeat of a new incarnation of the worker."""
+        """Deliver a heartbeat, the first one unless `more` says otherwise."""
         beat = self.hosting.take_heartbeat(self._heartbeat(born, **more))
         self.loop.run_until_complete(beat)
 
@@ -102,14 +130,18 @@
             assert self.loop.time() < ends_at, "condition not met in time"
             self.loop.run_until_complete(asyncio.sleep(POLL_SECONDS))
 
-    def refuse(self, count):
-        """Close the worker's port until it has refused `count` connections."""
+    def end_process(self):
+        """Close the worker's port and its connections."""
 
         async def stop():
             self.server.stop()
             await self.server.close_all_connections()
 
         self.loop.run_until_complete(stop())
+
+    def refuse(self, count):
+        """Close the worker's port until it has refused `count` connections."""
+        self.end_process()
         self.until(lambda: self.hosting.refusals >= count)
 
     def leave(self, born):
@@ -202,7 +234,90 @@
 
 @then("its worker has left")
 def step_left(context):
-    assert context.hosting_world.hosting.left
+    world = context.hosting_world
+    world.until(lambda: world.hosting.left)
+    assert not world.hosting.running
+    assert world.hosting.info is None
+
+
+@when("the worker runs a task and the leave of its present incarnation arrives")
+def step_runs_and_leaves(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    world.until(lambda: "deadlineMs" in world.lists[-1])
+    world.leave(BORN)
+
+
+@when("its port refuses {count:d} connections")
+def step_port_refuses(context, count):
+    context.hosting_world.refuse(count)
+
+
+@when("its process ends")
+def step_process_ends(context):
+    context.hosting_world.end_process()
+
+
+@then("the worker is told to stop the task")
+def step_told_to_stop(context):
+    world = context.hosting_world
+    world.until(lambda: world.stops)
+    assert world.stops == [TASK], world.stops
+
+
+@then("no list renews its leases any more")
+def step_no_renewal(context):
+    world = context.hosting_world
+    world.lists.clear()
+    world.until(lambda: len(world.lists) >= LATER_LISTS)
+    renewals = [body for body in world.lists[1:] if "deadlineMs" in body]
+    assert not renewals, renewals
+
+
+@when("the worker lists that the task has stopped")
+def step_lists_stop(context):
+    world = context.hosting_world
+    world.ends = [[1, TASK, 1, "stopped", "saved"]]
+    world.listed_tasks = []
+
+
+@then("the task counts as ended")
+def step_task_ended(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.ended)
+    assert not world.hosting.running
+    assert world.hosting.listed, "the report would not list the end"
+
+
+@when("a heartbeat of the worker that has left arrives")
+def step_heard_again(context):
+    context.hosting_world.begin_incarnation(BORN, sequence=9)
+
+
+@when("the worker runs a task and a heartbeat of another worker arrives")
+def step_other_heard(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    world.begin_incarnation(BORN + 1, instance="i-2")
+
+
+@when("another worker answers at its address")
+def step_replaced(context):
+    context.hosting_world.is_replaced = True
+
+
+@then('"{instance}" is still the worker of this VM')
+def step_still_worker(context, instance):
+    world = context.hosting_world
+    lists = len(world.lists)
+    world.until(lambda: len(world.lists) >= lists + LATER_LISTS)
+    assert world.hosting.info.id == instance, world.hosting.info
+
+
+@then('"{instance}" is the worker of this VM')
+def step_is_worker(context, instance):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.info.id == instance)
 
 
 @then("the worker counts as silent")
@@ -300,9 +415,10 @@
     context.add_cleanup(logger.removeHandler, handler)
     logger.setLevel(logging.INFO)
     logger.addHandler(handler)
-    context.hosting_world.begin_incarnation(
-        BORN + 1, cores=float(cores), labels=(kind,)
-    )
+    world = context.hosting_world
+    world.begin_incarnation(BORN + 1, cores=float(cores), labels=(kind,))
+    world.is_replaced = True
+    world.until(lambda: world.hosting.info.born == BORN + 1)
 
 
 @then('the log says that a worker of {cores:d} cores and of kind "{kind}" began')
--- a/features/steps/late_histories.py
+++ b/features/steps/late_histories.py
@@ -1,10 +1,10 @@
 """Random histories of late calls, silences, freezes and changes of leaders.
 
-    python -m features.steps.late_histories FIRST LAST [--restarts] [--breaks] [--kinds]
+    python -m features.steps.late_histories FIRST LAST [FLAGS]
 
 plays the seeds FIRST to LAST and prints the broken rules of each; the exit code is 1
-if there are any. `--restarts`, `--breaks` and `--kinds` add these, `--trace` prints all
-events of a history with a broken rule.
+if there are any. `--restarts`, `--breaks`, `--kinds` and `--departures` add these,
+`--trace` prints all events of a history with a broken rule.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 from random import Random
 from typing import NamedTuple
 
+from features.steps.departures import draw, leave
 from features.steps.late_worker import CALLS, CallFaults, PlatformWorker
 from features.steps.late_world import RACK, FreezableProcess, LateWorld
 from features.steps.scheduling_world import SERVICE, plain
@@ -46,6 +47,8 @@
     """Whether connections of late calls break, and workers are unhealthy."""
     kinds: bool = False
     """Whether workers differ, jobs restrict where they run, and links are slow."""
+    departures: bool = False
+    """Whether workers leave as `departures` describes, and no other way."""
 
 
 class LateHistory:
@@ -72,6 +75,12 @@
         if not faults.kinds:
             left_out |= {"do_submit_restricted", "do_submit_restricted_more"}
             left_out |= {"do_replace", "do_replace_more"}
+        if faults.departures:
+            left_out |= {"do_leave", "do_replace", "do_replace_more"}
+            nodes = self.world.worker_by_node
+            self.world.local_nodes |= {n for n in nodes if random.random() < 0.7}
+        else:
+            left_out |= {"do_depart", "do_depart_more", "do_depart_again"}
         self._operations = [
             getattr(self, name)
             for name in dir(self)
@@ -236,6 +245,14 @@
         seconds = self.random.choice([0.05, 0.5, 2.0])
         self.world.loop.call_later(seconds, self._start, worker)
 
+    def do_depart(self) -> None:
+        """Let a worker drain and leave; it may go on for long after its `leave`."""
+        node = self.random.choice(list(self.world.worker_by_node))
+        how = draw(self.random)
+        self.world.loop.create_task(leave(self.world, node, how))
+
+    do_depart_more = do_depart_again = do_depart
+
     def do_late(self) -> None:
         """Let a worker carry some calls out late."""
         worker = self.random.choice(self._workers())
@@ -411,7 +428,7 @@
 def main(arguments: list[str]) -> int:
     """Play histories, print the broken rules and return the exit code."""
     logging.getLogger().setLevel(logging.INFO)
-    flags = ("--restarts", "--breaks", "--kinds")
+    flags = ("--restarts", "--breaks", "--kinds", "--departures")
     faults = Faults(*(flag in arguments for flag in flags))
     exit_code = 0
     for seed in range(int(arguments[1]), int(arguments[2]) + 1):
--- a/features/steps/late_worker.py
+++ b/features/steps/late_worker.py
@@ -60,6 +60,8 @@
         self.started_at = now
         self.first_clock = random.uniform(0.0, 900.0)
         self.clock_rate = 1.0 - random.uniform(0.0, MAX_DRIFT)
+        self.draining = False
+        """Whether it reports that it drains."""
         self.fence = 0
         self.lease_until = -1.0
         """On the worker's own clock."""
@@ -143,13 +145,13 @@
             if text.startswith(name):
                 released.set()
 
-    def leave(self) -> tuple[str, int]:
+    def leave(self, *, closes_connections: bool = False) -> tuple[str, int]:
         """End for good; return the id and birth time of this incarnation.
 
-        The next incarnation has another id.
+        The next incarnation has another id. For `closes_connections` see `crash`.
         """
         left = (self.instance, self.born)
-        self.crash()
+        self.crash(closes_connections=closes_connections)
         name, _, number = self.instance.partition("#")
         self.instance = f"{name}#{int(number or 1) + 1}"
         return left
--- a/features/steps/late_world.py
+++ b/features/steps/late_world.py
@@ -187,6 +187,11 @@
         self.wall_clock_behind = 0.0
         """How far the agents' wall clocks are behind, in seconds."""
         self.worker_by_node: dict[str, PlatformWorker] = {}
+        self.local_nodes: set[str] = set()
+        """Nodes whose workers listen at the address of their VM.
+
+        Connections to the other workers cross a network that may refuse them.
+        """
         super().__init__(
             entries=entries, agents=agents, weights=weights, loop=FreezableLoop()
         )
@@ -232,13 +237,15 @@
             worker.born,
             capability.service,
             ZONE,
-            WorkerState.READY,
+            WorkerState.DRAINING if worker.boot.draining else WorkerState.READY,
             capability.capacity,
             capability.labels,
             RACK,
         )
         sequence = next(self._heartbeat_numbers)
-        heartbeat = Heartbeat(info, "agent-host:1", sequence)
+        is_local = node in self.local_nodes
+        host = self.agent(node).host if is_local else "worker-host"
+        heartbeat = Heartbeat(info, f"{host}:1", sequence)
         self.loop.create_task(self._deliver(node, heartbeat))
 
     async def _deliver(self, node: str, heartbeat: Heartbeat) -> None:
--- a/features/steps/operator_bad_input_steps.py
+++ b/features/steps/operator_bad_input_steps.py
@@ -52,7 +52,7 @@
 @then("the configuration in force is still revision {revision:d}")
 def step_revision(context, revision):
     configuration = context.cluster.admin("GET", "/admin/configuration").json()
-    assert configuration["revision"] == revision, configuration["revision"]
+    assert configuration.get("revision") == revision, configuration
 
 
 @when("{count:d} fuzzed documents are parsed as their original types")
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -28,6 +28,7 @@
     "model/late_calls",
     "platform/takeover",
     "platform/late_calls",
+    "platform/departures",
     "platform/store_faults",
     "platform/adapter",
     "requests/leaving",
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -17,14 +17,18 @@
 from wagtailcleat.cluster.run_orders import RunOrders
 from wagtailcleat.cluster.settings import split_address
 from wagtailcleat.cluster.timing import (
-    CLOCK_DRIFT_FACTOR,
     LIST_WAIT_SECONDS,
     RUN_CONTACT_LIMIT_SECONDS,
     RUN_LEASE_SECONDS,
     WORKER_CALL_SECONDS,
     WORKER_SILENT_SECONDS,
 )
-from wagtailcleat.cluster.worker_events import log_begin, log_loss, log_return
+from wagtailcleat.cluster.worker_events import (
+    log_begin,
+    log_leave,
+    log_loss,
+    log_return,
+)
 from wagtailcleat.cluster.worker_incarnation import (
     REFUSALS_UNTIL_LOST,
     MakeWorker,
@@ -33,6 +37,7 @@
     retry_pause,
 )
 from wagtailcleat.cluster.worker_lists import first_list
+from wagtailcleat.cluster.worker_succession import WorkerSuccession
 from wagtailcleat.ids import ZoneName
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.heartbeats import Heartbeat
@@ -62,7 +67,7 @@
 class Hosting:
     """The worker of this VM and its runs.
 
-    `info` is None until the first heartbeat. `orders` carries out the leader's orders.
+    `orders` carries out the leader's orders.
     """
 
     def __init__(
@@ -87,9 +92,6 @@
         zone out; `on_change` is called when there is something to report;
         `make_worker` creates the client of a worker.
         """
-        self.info: WorkerInfo | None = None
-        self.left = False
-        """Whether the worker has left for good and no other one has begun."""
         self._clock = clock
         self._wall_clock = wall_clock
         self._own_host = own_host
@@ -99,10 +101,16 @@
         self._is_zone_out = is_zone_out
         self._on_change = on_change
         self._make_worker = make_worker
-        self._incarnation: WorkerIncarnation | None = None
         self._fencing_tokens = FencingTokens()
-        self._last_sequence = -1
+        self._listing: asyncio.Task[bool] | None = None
         self._worker_known = asyncio.Event()
+        self._succession = WorkerSuccession(
+            begin=self._begin_incarnation,
+            on_leave=self._stop_leaving,
+            on_doubt=self._list_at_once,
+            on_end=lambda _: self.orders.cancel(),
+            on_change=on_change,
+        )
         self.orders = RunOrders(
             clock=clock,
             current=lambda: self._incarnation,
@@ -116,6 +124,20 @@
         """Show the worker and its number of runs."""
         return f"<Hosting {self.info and self.info.id}: {len(self.running)} runs>"
 
+    @property
+    def _incarnation(self) -> WorkerIncarnation | None:
+        return self._succession.present
+
+    @property
+    def info(self) -> WorkerInfo | None:
+        """The worker's description of itself; None until its first heartbeat."""
+        return self._succession.info
+
+    @property
+    def left(self) -> bool:
+        """Whether the worker has left, nothing of it runs, and no other has begun."""
+        return self._succession.left
+
     @property
     def listed(self) -> bool:
         """Whether it is known what this incarnation of the worker runs."""
@@ -167,57 +189,26 @@
 
     async def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Handle a heartbeat; ignore one of an earlier incarnation of the worker."""
-        worker = heartbeat.worker
-        incarnation = self._incarnation
-        if incarnation is not None and worker.born < incarnation.born:
-            log.info(
-                "Late heartbeat of an earlier worker ignored",
-                extra={"worker": worker.id},
-            )
-            return
-        is_new = incarnation is None or (worker.born, worker.id) != (
-            incarnation.born,
-            incarnation.instance,
-        )
-        if not is_new and heartbeat.sequence <= self._last_sequence:
-            return
-        self._last_sequence = heartbeat.sequence
-        if self.info is None or worker.state is not self.info.state:
-            log.info("Worker", extra={"worker": worker.id, "state": worker.state.value})
-        changed = self.info is None or worker.state is not self.info.state
-        self.info = worker
-        if is_new:
-            self._begin_incarnation(heartbeat)
-        if changed or is_new:
-            self._on_change()
+        self._succession.take_heartbeat(heartbeat)
 
     async def leave(self, instance: str, born: int) -> None:
-        """Handle the message that the worker has left for good.
+        """Handle the message that a worker leaves for good.
+
+        It ends once the message is acknowledged, or some seconds later. Until its end
+        is known its runs count as in progress; they are ordered to stop.
 
-        Parameters: `born` is the birth time of the incarnation that has left; 0 if it
-        is not known.
+        Parameters: `born` is the birth time of the incarnation that leaves; 0 if it is
+        not known.
         """
-        if self._incarnation is not None and 0 < born < self._incarnation.born:
-            # The message was delayed. The next incarnation of the worker already runs
-            # work, which would count as gone and start elsewhere while it continues.
-            log.info(
-                "Late leave of an earlier worker ignored", extra={"worker": instance}
-            )
-            return
-        log.info("Worker left", extra={"worker": instance})
-        if self.info is not None and self.info.id == instance:
-            self.info = None
-            self.left = True
-            self._end_incarnation()
-            self._on_change()
+        self._succession.leave(instance, born)
 
-    def _begin_incarnation(self, heartbeat: Heartbeat) -> None:
-        self._end_incarnation()
-        self.left = False
+    def _begin_incarnation(self, heartbeat: Heartbeat) -> WorkerIncarnation:
         worker = heartbeat.worker
         fence = self._fencing_tokens.first(worker.born, self._wall_clock())
         log_begin(worker, fence)
-        self._incarnation = WorkerIncarnation(
+        now = self._clock()
+        self._worker_known.set()
+        return WorkerIncarnation(
             self._make_worker(
                 heartbeat.address,
                 worker.id,
@@ -227,15 +218,16 @@
             worker.born,
             heartbeat.address,
             worker.id,
+            listed_at=now,
+            # An earlier incarnation of this agent may have granted leases.
+            lease_until=now + self._lease,
         )
-        self._worker_known.set()
 
-    def _end_incarnation(self) -> None:
-        if self._incarnation is None:
-            return
-        self._incarnation.close_later()
-        self._incarnation = None
-        self.orders.cancel()
+    def _stop_leaving(self, incarnation: WorkerIncarnation) -> None:
+        unsettled = list(self.orders.unsettled_by_run)
+        log_leave(incarnation, unsettled=len(unsettled), now=self._clock())
+        for key in [*unsettled, *incarnation.take_runs_to_stop()]:
+            self.orders.stop(key)
 
     async def run(self) -> None:
         """Renew leases and list runs until cancelled."""
@@ -247,19 +239,38 @@
                 continue
             started_at = self._clock()
             was_doubtful = incarnation.is_doubtful
-            if await self._list_runs(incarnation):
+            if await self._list_unless_urgent(incarnation):
                 await asyncio.sleep(
                     max(0.0, started_at + MIN_LIST_INTERVAL_SECONDS - self._clock())
                 )
                 continue
+            if incarnation is self._incarnation:
+                self._end_after_lease(incarnation)
+                self._succession.advance(may_leave=not self.orders.unsettled_by_run)
+            if incarnation is not self._incarnation:
+                continue
             if incarnation.is_doubtful and not was_doubtful:
                 # The next incarnation may have begun; a list shows that at once.
                 continue
-            if incarnation is self._incarnation:
-                self._lose_all_after_lease(incarnation)
             may_be_late = self.orders.may_be_late(self._clock())
             await asyncio.sleep(retry_pause(incarnation, may_be_late=may_be_late))
 
+    async def _list_unless_urgent(self, incarnation: WorkerIncarnation) -> bool:
+        """List the runs; return whether the list was answered.
+
+        It is given up for a new one by `_list_at_once`.
+        """
+        self._listing = asyncio.create_task(self._list_runs(incarnation))
+        try:
+            await asyncio.wait([self._listing])
+        finally:
+            self._listing.cancel()
+        return not self._listing.cancelled() and self._listing.result()
+
+    def _list_at_once(self) -> None:
+        if self._listing is not None:
+            self._listing.cancel()
+
     def _raise_fence(self, incarnation: WorkerIncarnation) -> None:
         incarnation.worker.fence = self._fencing_tokens.next()
 
@@ -282,12 +293,12 @@
                 "Fencing token was stale", extra={"fence": incarnation.worker.fence}
             )
         elif isinstance(answer, OtherIncarnation):
-            incarnation.is_doubtful = True
+            incarnation.is_doubtful = incarnation.process_ended = True
             fields = {"worker": incarnation.instance}
             log.warning("Another incarnation of the worker answers", extra=fields)
         elif answer in (NoAnswer.REFUSED, NoAnswer.BROKEN):
             incarnation.is_doubtful = True
-            if answer is NoAnswer.REFUSED and incarnation.lists_answered:
+            if answer is NoAnswer.REFUSED:
                 self._record_refusal(incarnation)
         return False
 
@@ -299,13 +310,17 @@
         incarnation.refusals += 1
         if split_address(incarnation.address)[0] != self._own_host:
             return
-        if incarnation.refusals >= REFUSALS_UNTIL_LOST and not incarnation.runs_lost:
+        if incarnation.refusals < REFUSALS_UNTIL_LOST:
+            return
+        incarnation.process_ended = True
+        if incarnation.lists_answered and not incarnation.runs_lost:
             self._lose_runs(incarnation, "nobody listens at its port")
             self.orders.lose_started()
 
     def _lease_until(self, incarnation: WorkerIncarnation, now: float) -> float | None:
         if (
-            not incarnation.is_confirmed
+            incarnation.is_leaving
+            or not incarnation.is_confirmed
             or now - incarnation.listed_at > WORKER_SILENT_SECONDS
         ):
             # A call that is not answered may still renew the leases, so the runs of a
@@ -321,45 +336,30 @@
     ) -> bool:
         now = self._clock()
         if answer.born and answer.born != incarnation.born:
-            incarnation.is_doubtful = True
+            incarnation.is_doubtful = incarnation.process_ended = True
             log.warning("Worker has restarted", extra={"worker": incarnation.instance})
             return False
         self._fencing_tokens.accepted()
-        incarnation.clock_ahead = answer.worker_seconds - now
-        changed = not incarnation.lists_answered or (
-            [ended.number for ended in answer.ended]
-            != [ended.number for ended in incarnation.ended]
-        )
-        known_runs = {running.key for running in incarnation.running}
-        changed = changed or known_runs != {running.key for running in answer.running}
         unsettled = len(self.orders.unsettled_by_run)
         log_return(incarnation, answer, unsettled=unsettled, now=now)
-        incarnation.running = answer.running
-        incarnation.ended = answer.ended
-        incarnation.has_all_ends = answer.has_all_ends
-        incarnation.lists_answered += 1
-        incarnation.listed_fence = fence
-        incarnation.listed_at = now
-        incarnation.runs_lost = incarnation.leases_lapsed = False
-        incarnation.is_doubtful = False
-        incarnation.refusals = 0
-        if incarnation.lists_answered == 1:
-            max_lease = self._lease * CLOCK_DRIFT_FACTOR
-            incarnation.lease_until = max(incarnation.lease_until, now + max_lease)
-        await self.orders.notify_listed()
+        changed = incarnation.take_list(answer, fence=fence, now=now, lease=self._lease)
+        if incarnation.is_leaving:
+            for key in incarnation.take_runs_to_stop():
+                self.orders.stop(key)
         if changed:
             self._on_change()
+        await self.orders.notify_listed()
         return True
 
-    def _lose_all_after_lease(self, incarnation: WorkerIncarnation) -> None:
+    def _end_after_lease(self, incarnation: WorkerIncarnation) -> None:
         # A worker that can't be reached kills its runs when their leases expire. A
         # start that it carries out later has an expired lease of its own, or a fencing
         # token below that of the next list, and is refused.
-        if incarnation.leases_lapsed or not incarnation.lists_answered:
-            return
-        if self._clock() < leases_lapse_at(incarnation):
+        if incarnation.leases_lapsed or self._clock() < leases_lapse_at(incarnation):
             return
         incarnation.leases_lapsed = True
+        if not incarnation.lists_answered:
+            return
         self._raise_fence(incarnation)
         if not incarnation.runs_lost:
             self._lose_runs(incarnation, "its leases have lapsed")
--- a/wagtailcleat/cluster/worker_events.py
+++ b/wagtailcleat/cluster/worker_events.py
@@ -27,6 +27,24 @@
     )
 
 
+def log_worker(worker: WorkerInfo) -> None:
+    """Log a worker's state, when it is new or has changed."""
+    log.info("Worker", extra={"worker": worker.id, "state": worker.state.value})
+
+
+def log_leave(incarnation: WorkerIncarnation, *, unsettled: int, now: float) -> None:
+    """Log that a worker leaves, with what it runs until its end is known."""
+    log.info(
+        "Worker leaves",
+        extra={
+            "worker": incarnation.instance,
+            "running": len(incarnation.running),
+            "unsettled": unsettled,
+            "lease_left": round(incarnation.lease_until - now, 3),
+        },
+    )
+
+
 def log_loss(
     incarnation: WorkerIncarnation, why: str, *, unsettled: int, now: float
 ) -> None:
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR
-from wagtailcleat.platform.runs import RunWorker
+from wagtailcleat.platform.runs import RunList, RunWorker
 from wagtailcleat.scheduling.models import Ended, RunKey, Running
 
 MakeWorker = Callable[..., RunWorker]
@@ -59,12 +59,57 @@
     It may have the same id. Until this one answers a list, it gets no start, and lists
     neither renew leases nor acknowledge ends.
     """
+    process_ended: bool = False
+    """Whether its process has ended since the last list.
+
+    Nobody listens at its port on this VM, or another incarnation has answered there.
+    """
+    is_leaving: bool = False
+    """Whether it has announced that it ends soon. It gets no starts and no leases."""
+    told_to_stop: set[RunKey] = field(default_factory=set)
+    """Runs that were ordered to stop because it is leaving."""
 
     @property
     def is_confirmed(self) -> bool:
         """Whether it has answered a list, and no later call speaks against it."""
         return self.lists_answered > 0 and not self.is_doubtful
 
+    def take_list(
+        self, answer: RunList, *, fence: int, now: float, lease: float
+    ) -> bool:
+        """Update the runs from a list; return whether a run is new or has ended.
+
+        Parameters: `fence` is the token of the call; `lease` is the longest lease in
+        seconds, which an earlier incarnation of the agent may have granted just now.
+        """
+        changed = (
+            not self.lists_answered
+            or [ended.number for ended in answer.ended]
+            != [ended.number for ended in self.ended]
+            or {running.key for running in answer.running}
+            != {running.key for running in self.running}
+        )
+        if not self.lists_answered:
+            self.lease_until = max(self.lease_until, now + lease * CLOCK_DRIFT_FACTOR)
+        self.lists_answered += 1
+        self.clock_ahead = answer.worker_seconds - now
+        self.running = answer.running
+        self.ended = answer.ended
+        self.has_all_ends = answer.has_all_ends
+        self.listed_fence = fence
+        self.listed_at = now
+        self.runs_lost = self.leases_lapsed = False
+        self.is_doubtful = self.process_ended = False
+        self.refusals = 0
+        return changed
+
+    def take_runs_to_stop(self) -> list[RunKey]:
+        """Return the listed runs that were not returned before; it is leaving."""
+        listed = {running.key for running in self.running}
+        new = listed - self.told_to_stop
+        self.told_to_stop |= new
+        return sorted(new)
+
     def close_later(self) -> None:
         """Close the connections once all calls on them have timed out."""
         loop = asyncio.get_running_loop()
@@ -85,6 +130,11 @@
     )
 
 
+def has_ended(incarnation: WorkerIncarnation) -> bool:
+    """Return whether everything that was started on an incarnation has ended."""
+    return incarnation.process_ended or incarnation.leases_lapsed
+
+
 def leases_lapse_at(incarnation: WorkerIncarnation) -> float:
     """Return when all leases have certainly lapsed, on this VM's clock.
 
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -55,7 +55,7 @@
     worker: WorkerInfo | None
     """None until the worker has identified itself, and after it has left."""
     left: bool
-    """Whether the worker has left permanently, so that nothing runs there."""
+    """Whether the worker has left and ended, so that nothing of it runs any more."""
     listed: bool
     """Whether the worker has listed `running` and `ended` in this incarnation."""
     running: list[Running]
