A schedule has tasks for a limited number of its overdue occurrences at one time

Cause: `JobTable.begin_due` created the tasks of all due occurrences in one call, each round ranked a step for each of them, and a new leader did the same while it restored, also for a cancelled schedule. The record of a schedule grew with each occurrence that was done.

Change: at most 100 occurrences of a job have tasks, or as many as have 10,000 tasks; `overdue_occurrences` counts the rest. Occurrences that are done are dropped in order and stored as a number. A cancelled job gets no tasks while it is restored. A step that becomes ready looks at its own occurrence only.

Why it works: what a round, a record and a restore look at is bounded for each job, whatever it asks for.

Found beside it: an occurrence of a schedule without `startMs` counted as due at once; it is due K x interval after 1970.

--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -12,6 +12,7 @@
     CANCELLED,
     JOB_PREFIX,
     RECORD_PREFIX,
+    cancel_key,
     decode,
     job_key,
     record_key,
@@ -81,21 +82,34 @@
         records = await list_until_answered(self._store, RECORD_PREFIX, self._clock)
         self._revision = jobs.store_revision
         found_by_key = {found.key: found for found in records.found}
+        keys = {found.key for found in jobs.found}
         for found in jobs.found:
             if not found.key.endswith(CANCELLED):
                 job = JobId(found.key.removeprefix(JOB_PREFIX))
-                record = found_by_key.get(record_key(job))
-                self.add(job, found.value, found.mod_revision, record)
+                self.add(
+                    job,
+                    found.value,
+                    found.mod_revision,
+                    found_by_key.get(record_key(job)),
+                    is_cancelled=cancel_key(job) in keys,
+                )
         for found in jobs.found:
             self._apply_key(found.key, found.value, found.mod_revision)
 
     def add(
-        self, job: JobId, data: bytes, revision: int, record: Found | None = None
+        self,
+        job: JobId,
+        data: bytes,
+        revision: int,
+        record: Found | None = None,
+        *,
+        is_cancelled: bool = False,
     ) -> JobEntry:
         """Return the entry of a job, and add it first if it is new.
 
         Parameters: `data` is the stored job; `revision` is the store revision that
-        wrote it, 0 if not known; `record` is its stored progress, if there is any.
+        wrote it, 0 if not known; `record` is its stored progress, if there is any;
+        `is_cancelled` says that its cancellation is stored, and will be applied next.
         """
         entry_by_id = self._scheduler.job_table.entry_by_id
         entry = entry_by_id.get(job)
@@ -109,6 +123,7 @@
                 wall_now=self._wall_clock(),
                 record=decode(record.value, JobRecord) if record else None,
                 store_revision=record.mod_revision if record else 0,
+                is_cancelled=is_cancelled,
             )
             # An earlier leader may have started it at an agent that has not reported.
             entry.may_start_tasks = not self._scheduler.unreported_agents
--- a/wagtailcleat/cluster/metrics.py
+++ b/wagtailcleat/cluster/metrics.py
@@ -72,6 +72,12 @@
         "state",
         lambda: _tasks(scheduler()),
     )
+    introspection.metric(
+        Kind.GAUGE,
+        "overdue_occurrences",
+        "Due occurrences without tasks: their jobs have the most open ones they may.",
+        lambda: leading.overdue_occurrences() if (leading := scheduler()) else 0,
+    )
     introspection.labelled(
         Kind.GAUGE,
         "cores",
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -16,6 +16,15 @@
 Each report brings a change, most of them far below what decides anything.
 """
 
+MAX_OPEN_OCCURRENCES = 100
+"""Most occurrences of a job that have tasks at one time; further due ones wait.
+
+The cost of a placement round grows with the waiting steps, and a schedule may have any
+number of overdue occurrences.
+"""
+MAX_OPEN_TASKS = 10_000
+"""Most tasks that these occurrences have together, unless a single one has more."""
+
 StepKey = tuple[int, int]
 """Number of the occurrence and of the step."""
 
@@ -95,6 +104,8 @@
     tasks_by_step: dict[StepKey, list[Task]] = field(default_factory=dict)
     unfinished_by_step: dict[StepKey, int] = field(default_factory=dict)
     """Number of tasks that have not succeeded."""
+    occurrences_done: int = 0
+    """Number of first occurrences that have succeeded; they have no tasks any more."""
     occurrences_begun: int = 0
     waiting_by_step: dict[StepKey, int] = field(default_factory=dict)
     """Number of tasks without a run, including those of steps that are not ready."""
@@ -165,6 +176,38 @@
         task.state = state
 
 
+def max_open_occurrences(job: Job) -> int:
+    """Return how many occurrences of a job may have tasks at one time."""
+    tasks = sum(step.count for step in job.steps)
+    return max(1, min(MAX_OPEN_OCCURRENCES, MAX_OPEN_TASKS // max(1, tasks)))
+
+
+def overdue_occurrences(entry: JobEntry, wall_now: float) -> int:
+    """Return the number of occurrences that are due and have not begun."""
+    job = entry.job
+    due = job.occurrences
+    if job.interval > 0:
+        due = min(due, int((wall_now - job.first_at) // job.interval) + 1)
+    elif job.first_at > wall_now:
+        due = 0
+    return max(0, due - entry.occurrences_begun)
+
+
+def drop_done_occurrences(entry: JobEntry) -> None:
+    """Remove the tasks of the first occurrences that have succeeded."""
+    steps = range(len(entry.job.steps))
+    while entry.occurrences_done < entry.occurrences_begun:
+        occurrence = entry.occurrences_done
+        if any(entry.unfinished_by_step[occurrence, number] for number in steps):
+            return
+        for number in steps:
+            del entry.tasks_by_step[occurrence, number]
+            del entry.unfinished_by_step[occurrence, number]
+            del entry.waiting_by_step[occurrence, number]
+        entry.remaining_work_by_occurrence.pop(occurrence, None)
+        entry.occurrences_done += 1
+
+
 def begin_through(entry: JobEntry, occurrence: int, now: float) -> None:
     """Create the tasks of all occurrences up to and including `occurrence`."""
     last = min(occurrence, entry.job.occurrences - 1)
--- a/wagtailcleat/scheduling/job_records.py
+++ b/wagtailcleat/scheduling/job_records.py
@@ -1,6 +1,11 @@
 """The durable part of a job's progress, and how an entry is restored from it."""
 
-from wagtailcleat.scheduling.job_entry import JobEntry, TaskState, begin_through
+from wagtailcleat.scheduling.job_entry import (
+    JobEntry,
+    TaskState,
+    begin_through,
+    drop_done_occurrences,
+)
 from wagtailcleat.scheduling.models import JobRecord, JobState, TaskRecord
 
 
@@ -27,14 +32,15 @@
             if t.state is not TaskState.SUCCEEDED and (t.failed_runs or t.checkpoint)
         ]
     state = JobState.RUNNING if entry.has_begun else JobState.QUEUED
-    return JobRecord(state, rows, records)
+    return JobRecord(state, rows, records, occurrences_done=entry.occurrences_done)
 
 
-def restore(entry: JobEntry, record: JobRecord, now: float, wall_now: float) -> None:
-    """Set a job's progress to that of a stored record."""
+def restore(entry: JobEntry, record: JobRecord, now: float) -> None:
+    """Set the progress of a job without tasks to that of a stored record."""
+    entry.occurrences_done = entry.occurrences_begun = record.occurrences_done
     # Earlier versions may have stored progress of a job in state `QUEUED`.
     entry.has_begun = record.state is not JobState.QUEUED or bool(
-        record.succeeded or record.tasks
+        record.succeeded or record.tasks or record.occurrences_done
     )
     # Stored progress begins its occurrence whether or not it is due: the wall clock of
     # this VM may be behind that of the previous leader, and without the progress the
@@ -56,3 +62,5 @@
             # numbers of this leader's range. If such a number were reused, a new
             # failure would be taken for one that is already counted.
             task.highest_run = max(task.checkpoint_run, *task.failed_runs, 0)
+    if entry.job.occurrences > 1:
+        drop_done_occurrences(entry)
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -11,6 +11,9 @@
     Task,
     TaskState,
     begin_through,
+    drop_done_occurrences,
+    max_open_occurrences,
+    overdue_occurrences,
 )
 from wagtailcleat.scheduling.job_records import restore
 from wagtailcleat.scheduling.models import (
@@ -50,11 +53,13 @@
         wall_now: float,
         record: JobRecord | None = None,
         store_revision: int = 0,
+        is_cancelled: bool = False,
     ) -> JobEntry:
         """Add a job and return its entry, or return the entry that exists already.
 
         Parameters: `record` is the job's stored progress, from which it is restored;
-        `store_revision` is that of the record in the store.
+        `store_revision` is that of the record in the store; `is_cancelled` says that
+        the job will be cancelled next, and needs no tasks.
         """
         known = self.entry_by_id.get(job.id)
         if known is not None:
@@ -64,25 +69,27 @@
         if record is not None:
             entry.state = record.state
             entry.ended_at = record.ended_at
-        if entry.open:
-            self.open_by_id[job.id] = entry
-            self._run_times.predict(entry)
-            self.begin_due(entry, now=now, wall_now=wall_now)
-        if record is not None and entry.open:
-            restore(entry, record, now, wall_now)
+        if not entry.open:
+            return entry
+        self.open_by_id[job.id] = entry
+        if is_cancelled:
+            return entry
+        self._run_times.predict(entry)
+        if record is not None:
+            restore(entry, record, now)
+        self.begin_due(entry, now=now, wall_now=wall_now)
         return entry
 
     def begin_due(self, entry: JobEntry, *, now: float, wall_now: float) -> bool:
-        """Create the tasks of each occurrence that is due; return whether any was."""
-        begun = False
-        job = entry.job
-        while entry.occurrences_begun < job.occurrences:
-            number = entry.occurrences_begun
-            if job.first_at and wall_now < job.first_at + number * job.interval:
-                break
-            begin_through(entry, number, now)
-            begun = True
-        return begun
+        """Create the tasks of occurrences that are due; return whether any was begun.
+
+        A limited number of occurrences has tasks at one time.
+        """
+        limit = entry.occurrences_done + max_open_occurrences(entry.job)
+        last = entry.occurrences_begun + overdue_occurrences(entry, wall_now) - 1
+        before = entry.occurrences_begun
+        begin_through(entry, min(last, limit - 1), now)
+        return entry.occurrences_begun > before
 
     def begin_occurrence_of(self, run: RunKey, *, now: float) -> None:
         """Begin the occurrence of a run that was reported, whether or not it is due.
@@ -96,7 +103,7 @@
             begin_through(entry, run.task.occurrence, now)
 
     def find_task(self, key: TaskKey) -> Task | None:
-        """Return a task of an occurrence that has begun, or None."""
+        """Return a task of an occurrence that has begun and is not done, or None."""
         entry = self.entry_by_id.get(key.job)
         if entry is None:
             return None
@@ -118,6 +125,8 @@
         entry = self.entry_by_id.get(run.task.job)
         if entry is None or entry.state.final:
             return True
+        if run.task.occurrence < entry.occurrences_done:
+            return True
         task = self.find_task(run.task)
         return task is not None and task.state is TaskState.SUCCEEDED
 
@@ -209,13 +218,14 @@
             self._mark_ready(entry, task.key.occurrence, now)
         if self._all_succeeded(entry):
             self._end_job(entry, JobState.SUCCEEDED, wall_now)
+        elif entry.job.occurrences > 1:
+            drop_done_occurrences(entry)
 
     def _mark_ready(self, entry: JobEntry, occurrence: int, now: float) -> None:
-        for (number, _), tasks in entry.tasks_by_step.items():
-            if number == occurrence:
-                for task in tasks:
-                    if task.state is TaskState.WAITING:
-                        task.ready_at = now
+        for number in range(len(entry.job.steps)):
+            for task in entry.tasks_by_step[occurrence, number]:
+                if task.state is TaskState.WAITING:
+                    task.ready_at = now
 
     def _record_failure(
         self, task: Task, run: int, node: NodeId, wall_now: float
--- a/wagtailcleat/scheduling/models.py
+++ b/wagtailcleat/scheduling/models.py
@@ -157,6 +157,11 @@
     tasks: list[TaskRecord] = []
     ended_at: float = 0.0
     """Wall clock seconds at which the job ended; 0 before that."""
+    occurrences_done: int = 0
+    """Number of first occurrences all of whose tasks have succeeded.
+
+    `succeeded` has only those of later ones.
+    """
 
 
 class WorkerState(Enum):
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -16,7 +16,7 @@
 from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.events import Event, LoggedEvent
 from wagtailcleat.scheduling.hosted_runs import HostedRuns
-from wagtailcleat.scheduling.job_entry import JobEntry, Task
+from wagtailcleat.scheduling.job_entry import JobEntry, Task, overdue_occurrences
 from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.models import (
     Pace,
@@ -342,6 +342,13 @@
             return False
         return not self._runs.has_other_run(end.run)
 
+    def overdue_occurrences(self) -> int:
+        """Return how many due occurrences wait for earlier ones of their jobs."""
+        return sum(
+            overdue_occurrences(entry, self._wall_now)
+            for entry in self.job_table.open_by_id.values()
+        )
+
     @property
     def holds_starts(self) -> bool:
         """Whether the rate limit holds back some starts."""
