Submissions: fields strictly by type, and a bound on steps and dependencies

One with half of a surrogate pair in a text gets 500.

Cause: `_decode_step` took a bool for a number; `Jobs.restore` decodes strictly and ends at the first job that it can't read. `get_text` passed on texts that no encoding holds.

Change: entries of `after` are integers, texts are valid Unicode, a step has at least one task, a job at most 1,000 steps and 10,000 dependencies; anything else is refused with 400. A placement round looks at each dependency of each waiting step, and steps without tasks had no limit at all.

Why it works: what is accepted can be restored. 2,000 submissions with one field of any type are refused, or equal after encoding and decoding (hypothesis).

Tests, seen failing before: platform/adapter, "A submission is decoded" (`[false]`) and "Submissions with fields of any type are decoded" (the surrogate).

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -10,6 +10,10 @@
     Then a submission of 2 steps is decoded to a job whose second step depends on the first
     And a submission that depends on a later step, or has no steps or too many tasks, is rejected
 
+  Scenario: Submissions with fields of any type are decoded
+    # Guards against a job that is accepted and that no later leader can restore.
+    Then 2000 submissions with fields of any type are refused, or can be restored
+
   Scenario: A list of runs is decoded
     # Guards against latencies off by a factor of 1000 when milliseconds stay as they are.
     Then a serving run listed with 18 ms is decoded to a value of 0.018 s
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -100,7 +100,18 @@
     " is rejected"
 )
 def step_invalid_submission(context):
-    for steps in ([{"count": 1, "after": [1]}], [], [{"count": 100_000}], [3]):
+    one = {"count": 1}
+    for steps in (
+        [one | {"after": [1]}],
+        [one, one | {"after": [False]}],
+        [one, one | {"after": [0.0]}],
+        [],
+        [{}],
+        [{"count": 100_000}],
+        [one] * 1_001,
+        [one] * 150 + [one | {"after": list(range(150))}] * 100,
+        [3],
+    ):
         try:
             body = json.dumps({"spec": "", "steps": steps}).encode()
             decode_job(JobId("0" * 16), QUEUE, body, wall_now=WALL_NOW)
--- a/wagtailcleat/platform/fields.py
+++ b/wagtailcleat/platform/fields.py
@@ -47,6 +47,11 @@
     value = raw.get(name, default)
     if not isinstance(value, str):
         raise BodyError(f"{name}: missing or no text")
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        # JSON can escape one half of a surrogate pair, which no other format holds.
+        raise BodyError(f"{name}: no valid Unicode") from None
     return value
 
 
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -42,6 +42,9 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_TASKS = 10_000
 """Limit for one occurrence of a job: a larger one could exhaust the memory."""
+MAX_STEPS = 1_000
+MAX_DEPENDENCIES = 10_000
+"""Limit of the entries in all `after` lists: each placement round examines them."""
 MAX_SPEC_BYTES = 4_000
 OTHER_METHOD = "other"
 """Recorded for all unsupported methods: callers can send any number of made-up ones."""
@@ -94,8 +97,12 @@
     )
     if not steps:
         raise BodyError("steps: there are none")
+    if len(steps) > MAX_STEPS:
+        raise BodyError(f"steps: more than {MAX_STEPS}")
     if sum(step.count for step in steps) > MAX_TASKS:
-        raise BodyError("steps: too many tasks")
+        raise BodyError(f"steps: more than {MAX_TASKS} tasks")
+    if sum(len(step.after) for step in steps) > MAX_DEPENDENCIES:
+        raise BodyError(f"after: more than {MAX_DEPENDENCIES} dependencies")
     times = get_integer(raw, "times", default=0)
     return Job(
         job,
@@ -119,12 +126,13 @@
     if not isinstance(raw, dict):
         raise BodyError("steps: not an object")
     after = tuple(get_list(raw, "after"))
-    if not all(
-        isinstance(earlier, int) and 0 <= earlier < position for earlier in after
-    ):
+    if not all(type(earlier) is int and 0 <= earlier < position for earlier in after):
         raise BodyError("after: names a step that is not earlier")
+    count = get_integer(raw, "count", default=0)
+    if not count:
+        raise BodyError("count: the step has no tasks")
     return Step(
-        get_integer(raw, "count", default=0),
+        count,
         Resources(
             get_number(raw, "cpu", default=0) / MILLICORES,
             get_integer(raw, "memMb", default=0),
