Run numbers of one leader stay below those of the next; a task that fails at once pauses

Cause: `PlacementRounds._next_run` gave each leader a thousand numbers for a task. A leader that started it more often had used those of the next one, which are stored nowhere for a lasting task, and the worker refuses them as old. And nothing slowed down a task that failed at once.

Evidence: features/scheduling/restarts before the change: run 1001 follows run 1201; 200 starts in 60 s.

Ruled out: the fencing tokens (the worker's answer is `old` at a token that it accepts in lists).

Change: 2^20 numbers for each leader; after three runs in a row that ended within 5 s a lasting task pauses 0.5, 1, 2, then 4 s. The users ask for a lasting task to run again from 6 s after its last run.

Why it works: with these pauses one leader needs 48 days for 2^20 starts of one task; JSON holds the numbers exactly up to epoch 2^33.

After: at most 24 starts in 60 s, no pause longer than 6 s, and the next leader's number is the higher one. The scenario with run 1001 stays and has a second example with the first number of the new range.

--- a/features/scheduling/late_words.feature
+++ b/features/scheduling/late_words.feature
@@ -30,13 +30,18 @@
     When its run ends, and a new leader gets a report of that
     Then no two runs of job "w" have one number
 
-  Scenario: A failure counts although an earlier leader used a run number of this one
+  Scenario Outline: A failure counts although an earlier leader used run number <run>
     # Guards against a task run beyond its attempts when leaders reuse a run number.
     Given 2 VMs of 32 cores
-    And job "a" of 1 task with 2 attempts, whose run 1001 has failed, as leader 1 stored
+    And job "a" of 1 task with 2 attempts, whose run <run> has failed, as leader 1 stored
     When leader 2 restores it, and its run fails
     Then job "a" has ended as failed, and runs no more
 
+    Examples:
+      | run     |
+      | 1001    |
+      | 1048577 |
+
   Scenario: An acknowledged failure of a recurring job counts when a leader's clock is behind
     # Guards against a failure that is forgotten because its occurrence is not yet due.
     Given 1 VM of 32 cores
--- /dev/null
+++ b/features/scheduling/restarts.feature
@@ -0,0 +1,25 @@
+Feature: Lasting tasks that end again and again
+
+  Scenario: The next leader starts a task that was started often
+    # Guards against a task that never runs again because its worker refuses run numbers below those of the leader before.
+    Given 1 VM of 32 cores
+    And job "w" of 1 serving task runs
+    And this leader has started it 1200 times more
+    When its worker fails each run, and the next leader knows of none of them
+    Then the next run of job "w" has a higher number than all before
+
+  Scenario: A task fails at once for a minute
+    # Guards against a task that starts many times a second for as long as it fails.
+    Given 4 VMs of 32 cores
+    And job "w" of 1 serving task runs
+    When its runs fail at once for 60 s
+    Then it was started at most 24 times
+    And no pause between two starts was longer than 6 s
+
+  Scenario: A task runs well after it has failed often
+    # Guards against pauses that stay long after the fault is over.
+    Given 4 VMs of 32 cores
+    And job "w" of 1 serving task runs
+    When its runs fail at once for 20 s
+    And its run goes on for 6 s, and then fails
+    Then it is started again within 1 s
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -61,6 +61,10 @@
     """Number of the run that wrote the checkpoint."""
     ready_at: float = 0.0
     """When the task last became ready to start, in seconds on the leader's clock."""
+    short_runs: int = 0
+    """Number of runs in a row that ended soon, see `restart_backoff`."""
+    not_before: float = 0.0
+    """Before this time it does not start again, in seconds on the leader's clock."""
     failed_on: set[NodeId] = field(default_factory=set)
     """Nodes on which runs of the task failed, as far as this leader knows."""
 
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -26,8 +26,13 @@
 from wagtailcleat.scheduling.sharing import STARVED_ADDED, Sharing
 from wagtailcleat.scheduling.vms import HostedRun, Vm
 
-RUNS_PER_EPOCH = 1_000
-"""Run numbers reserved for each leader; a task is rarely started more often."""
+RUNS_PER_EPOCH = 2**20
+"""Run numbers reserved for each leader.
+
+A worker refuses a run below the last one that it has ended, so the numbers of a task
+must rise over changes of leader. With the pauses of `restart_backoff` one leader starts
+a task this often in 48 days; numbers stay exact in JSON for 2**33 leaders.
+"""
 STARVED_SECONDS = 1.3
 """How long a filling job without a run waits before it counts as starved.
 
@@ -215,7 +220,13 @@
 
     def _place_step(self, entry: JobEntry, step: StepKey, now: float) -> int:
         tasks = entry.tasks_by_step[step]
-        waiting = [task for task in tasks if task.state is TaskState.WAITING]
+        waiting = [
+            task
+            for task in tasks
+            if task.state is TaskState.WAITING and task.not_before <= now
+        ]
+        if not waiting:
+            return 0
         search = _Search(entry.job.id, step, starved=False)
         vms = self._candidates(search, entry.job.service)
         if waiting[0].step.gang:
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -13,6 +13,7 @@
 from wagtailcleat.scheduling.models import Ended, Refusal, RunEnd, Running
 from wagtailcleat.scheduling.outgoing import EndTracker, ReceivedEnd
 from wagtailcleat.scheduling.pacing import FULL_PACE
+from wagtailcleat.scheduling.restart_backoff import record_run
 from wagtailcleat.scheduling.run_times import RunTimes
 from wagtailcleat.scheduling.sharing import affects_sharing
 from wagtailcleat.scheduling.vms import HostedRun, Vm
@@ -88,6 +89,8 @@
             tracker.recent_runs.append(ended.key)
             self._runs.record_event(Event.ENDED, ended.key, vm, ended.how.value)
             task = self._job_table.find_task(ended.key.task)
+            if task is not None and dropped is not None:
+                record_run(task, ended.how, now - dropped.ordered_at, now)
             is_other_run = task is not None and task.run != ended.key.run
             if task is not None and ended.key.run in task.failed_runs:
                 # A failure that is already stored says nothing about the VM's present
