A stored value that can't be decoded holds back its own job, not the leader

The state of a job whose record can't be decoded was an internal error.

Cause: `Jobs.restore`, `Jobs.watch`, `Leader._restore` and `Submissions._stored_state` decoded strictly and let the error end what called them.

Change: such a job is held back: logged once, counted (`unreadable_jobs`), kept in the store, not added. An agent's entry that can't be decoded is passed over; the agent finds the leader itself. The state of a job whose record can't be decoded is not answered, since any state could be wrong.

Why it works: nothing that is read from the store ends the leader any more, but for the leader's own keys, which only leaders write.

Not built: a line in a state dump or the command line, since the platform's programs have neither for jobs; `wagtailcleat explain JOB` shows the log line.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -235,6 +235,12 @@
             "1 while this entry leads and does not know yet what is stored.",
             lambda: self.leader is not None and not self.leader.ready,
         )
+        metric(
+            Kind.GAUGE,
+            "unreadable_jobs",
+            "Stored jobs that this leader can't decode; they are kept and don't run.",
+            lambda: len(self.leader.jobs.why_by_unreadable) if self.leader else 0,
+        )
         metric(
             Kind.GAUGE,
             "epoch",
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -6,6 +6,9 @@
 import asyncio
 from collections.abc import Callable
 from itertools import count
+from typing import TypeVar
+
+import msgspec
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import (
@@ -37,6 +40,8 @@
 
 log = part_logger("leader")
 
+T = TypeVar("T")
+
 RETRY_PAUSE_SECONDS = 0.2
 """Pause after a call to the store that failed."""
 
@@ -69,6 +74,9 @@
         self._on_cancel = on_cancel
         self._revision = 0
         """Store revision up to which all changes have been applied."""
+        self.why_by_unreadable: dict[JobId, str] = {}
+        """Stored jobs that this version can't decode. They stay in the store, and no
+        task of theirs starts."""
         self._absent_jobs: set[JobId] = set()
         """Jobs that are not in the store although agents have reported runs of them."""
 
@@ -104,9 +112,11 @@
         record: Found | None = None,
         *,
         is_cancelled: bool = False,
-    ) -> JobEntry:
+    ) -> JobEntry | None:
         """Return the entry of a job, and add it first if it is new.
 
+        Return None if the job or its record can't be decoded.
+
         Parameters: `data` is the stored job; `revision` is the store revision that
         wrote it, 0 if not known; `record` is its stored progress, if there is any;
         `is_cancelled` says that its cancellation is stored, and will be applied next.
@@ -117,21 +127,33 @@
             del entry_by_id[job]
             entry = None
         if entry is None:
+            try:
+                decoded = decode(data, Job)
+                progress = decode(record.value, JobRecord) if record else None
+            except msgspec.MsgspecError as error:
+                self._hold_back(job, str(error))
+                return None
             entry = self._scheduler.job_table.add(
-                decode(data, Job),
+                decoded,
                 now=self._clock(),
                 wall_now=self._wall_clock(),
-                record=decode(record.value, JobRecord) if record else None,
+                record=progress,
                 store_revision=record.mod_revision if record else 0,
                 is_cancelled=is_cancelled,
             )
             # An earlier leader may have started it at an agent that has not reported.
             entry.may_start_tasks = not self._scheduler.unreported_agents
+        self.why_by_unreadable.pop(job, None)
         expired_revision = self._lease.predecessors_expired_revision
         if expired_revision is not None and revision > expired_revision:
             entry.may_start_tasks = True
         return entry
 
+    def _hold_back(self, job: JobId, why: str) -> None:
+        if self.why_by_unreadable.get(job) != why:
+            self.why_by_unreadable[job] = why
+            log.error("Stored job is unreadable", extra={"job": job, "why": why})
+
     async def load_reported_jobs(self, report: Report) -> bool:
         """Add the jobs whose runs a report names; return False if the store fails.
 
@@ -146,6 +168,8 @@
         for job in {key.task.job for key in keys}:
             if job in entry_by_id or job in self._absent_jobs:
                 continue
+            if job in self.why_by_unreadable:
+                continue
             # A job is stored before it is started, so the store has it by now.
             found = await self._store.get(job_key(job))
             if isinstance(found, Unavailable):
@@ -180,6 +204,9 @@
     def _apply_key(self, key: str, value: bytes, revision: int) -> None:
         if not key.endswith(CANCELLED):
             job = JobId(key.removeprefix(JOB_PREFIX))
+            if job in self.why_by_unreadable:
+                # Its record may be what can't be decoded: it must not be added without.
+                return
             known = self._scheduler.job_table.entry_by_id.get(job)
             may_start_tasks = known is not None and known.may_start_tasks
             if self.add(job, value, revision) is known and may_start_tasks:
@@ -201,6 +228,18 @@
     return is_stored and revision > entry.store_revision
 
 
+def decode_readable(stored: list[Found], kind: type[T]) -> list[T]:
+    """Return the values that can be decoded; log the others."""
+    values = []
+    for found in stored:
+        try:
+            values.append(decode(found.value, kind))
+        except msgspec.MsgspecError as error:
+            fields = {"key": found.key, "why": str(error)}
+            log.error("Stored value is unreadable", extra=fields)
+    return values
+
+
 async def list_until_answered(
     store: KeyValueStore, prefix: str, clock: Clock
 ) -> Listing:
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -11,11 +11,10 @@
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.advice_questions import ask_advice
-from wagtailcleat.cluster.jobs import Jobs, list_until_answered
+from wagtailcleat.cluster.jobs import Jobs, decode_readable, list_until_answered
 from wagtailcleat.cluster.keys import (
     AGENT_PREFIX,
     ProcessInfo,
-    decode,
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease
 from wagtailcleat.cluster.leader_log import log_decisions, log_orders
@@ -132,7 +131,7 @@
             on_progress=self._wake.set,
             link_bytes_per_second=link_bytes_per_second,
         )
-        self._jobs = Jobs(
+        self.jobs = Jobs(
             lease,
             self.scheduler,
             store=store,
@@ -167,7 +166,7 @@
         supervisor.spawn("entries", self._maintain_entries)
         try:
             await self._restore()
-            supervisor.spawn("jobs", self._jobs.watch)
+            supervisor.spawn("jobs", self.jobs.watch)
             supervisor.spawn("records", self._records.run)
             supervisor.spawn("rounds", self._rounds)
             supervisor.spawn("learnt", self._persist_learnt)
@@ -187,7 +186,7 @@
             node = NodeId(found.key.removeprefix(AGENT_PREFIX))
             self._records.restore_agent(node, found.mod_revision)
             self.scheduler.unreported_agents.add(node)
-        await self._jobs.restore()
+        await self.jobs.restore()
         self.ready = True
         log.info(
             "Restored the jobs",
@@ -197,7 +196,7 @@
                 "seconds": round(self._now - started_at, 3),
             },
         )
-        self._announce([decode(found.value, ProcessInfo) for found in agents.found])
+        self._announce(decode_readable(agents.found, ProcessInfo))
 
     def _announce(self, agent_infos: list[ProcessInfo]) -> None:
         for agent in agent_infos:
@@ -219,7 +218,7 @@
             # the beginning if it were added without its record. The lists, or the
             # watch that follows them, add it.
             return Refused(Code.RESTORING.value, "the leader is still restoring")
-        self._jobs.add(message.id, message.job, 0)
+        self.jobs.add(message.id, message.job, 0)
         self._wake.set()
         return StateShown("")
 
@@ -284,7 +283,7 @@
             # order would start a run that this report does not list, and the same task
             # would be started elsewhere.
             return FollowFirst(self.lease.epoch)
-        if not await self._jobs.load_reported_jobs(message):
+        if not await self.jobs.load_reported_jobs(message):
             return Refused(Code.UNAVAILABLE.value, "the store is asked for a job")
         if self._report_order.is_stale(message):
             return Refused(Code.CONFLICT.value, "a later report was taken in")
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import (
     cancel_key,
@@ -213,7 +215,12 @@
     async def _stored_state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
         record = await self._store.get(record_key(job))
         if isinstance(record, Found):
-            return decode(record.value, JobRecord).state
+            try:
+                return decode(record.value, JobRecord).state
+            except msgspec.MsgspecError as error:
+                fields = {"job": job, "why": str(error)}
+                log.error("Stored record is unreadable", extra=fields)
+                return NotAnswered()
         found = await self._store.get(job_key(job))
         if isinstance(found, Absent):
             return NoSuchJob()
