An agent that hears a worker of another VM first takes up its own once that is known not to be there

Cause: the birth time alone decided which heartbeat is of an earlier worker, also against one that has never answered.

Change: a worker with an earlier birth time waits as any other while the present one has never answered a list; it begins once that has ended or no lease of it can hold any more.

Test, seen failing before: platform/hosting, "A worker of another VM is heard first".

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -99,6 +99,14 @@
     And another worker answers at its address
     Then "i-2" is the worker of this VM
 
+  Scenario: A worker of another VM is heard first
+    # Guards against an agent that ignores its own worker for as long as a stranger's heartbeat has the later birth time.
+    Given an agent that has heard a worker, born later, whose address refuses connections
+    When a heartbeat of its own worker arrives
+    And the leases have certainly expired
+    Then "i-1" is the worker of this VM
+    And the runs of that worker are known
+
   Scenario: A burst of orders to a worker
     # Guards against a connection opened for each order of a burst, and closed after it.
     Given a worker that counts the connections to it
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+from dataclasses import replace
 
 from behave import given, then, when
 from tornado.httpserver import HTTPServer
@@ -104,6 +105,9 @@
         self.server = HTTPServer(self.make_application())
         self.server.add_sockets(sockets)
         self.work = asyncio.create_task(self.hosting.run())
+        await self._hear_first()
+
+    async def _hear_first(self):
         await self.hosting.take_heartbeat(self._heartbeat(BORN))
 
     def _heartbeat(self, born, cores=8.0, labels=(), instance="i-1", sequence=1):
@@ -190,12 +194,40 @@
     context.add_cleanup(context.hosting_world.close)
 
 
+@given(
+    "an agent that has heard a worker, born later, whose address refuses connections"
+)
+def step_stranger(context):
+    context.hosting_world = _StrangerWorld(OWN_HOST)
+    context.add_cleanup(context.hosting_world.close)
+
+
+@when("a heartbeat of its own worker arrives")
+def step_own_heard(context):
+    context.hosting_world.begin_incarnation(BORN)
+
+
+@then("the runs of that worker are known")
+def step_runs_listed(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+
+
 @given("an agent whose worker listens at another address than its VM's")
 def step_other(context):
     context.hosting_world = HostingWorld(OTHER_HOST)
     context.add_cleanup(context.hosting_world.close)
 
 
+class _StrangerWorld(HostingWorld):
+    """An agent that has heard only a worker of another VM."""
+
+    async def _hear_first(self):
+        stranger = self._heartbeat(BORN + 5000, instance="i-9")
+        address = f"{OTHER_HOST}:1"
+        await self.hosting.take_heartbeat(replace(stranger, address=address))
+
+
 @when("the worker runs a task and its port refuses {count:d} connections")
 def step_refuses(context, count):
     world = context.hosting_world
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -139,7 +139,9 @@
             return Sender.NEXT
         if identity == (present.born, present.instance):
             return Sender.PRESENT
-        return Sender.EARLIER if worker.born < present.born else Sender.NEXT
+        # One that has never answered may not be of this VM, whatever its birth time.
+        is_earlier = worker.born < present.born and present.lists_answered > 0
+        return Sender.EARLIER if is_earlier else Sender.NEXT
 
     def _update(self, present: WorkerIncarnation, heartbeat: Heartbeat) -> None:
         if heartbeat.sequence <= self._last_sequence:
