A leaving worker that runs nothing any more makes way for the next one, although it goes on

What callers would see: a VM that takes no work for as long as a worker that has said it leaves does not end.

Change: a worker that has announced its leave, lists neither runs nor unacknowledged ends, and has no start in doubt counts as ended. It gets no starts, so nothing can begin on it.

Test: platform/hosting, "A worker that has announced its leave does not end"; on the code before, the next worker was never begun while the one before answered.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -65,6 +65,19 @@
     When its process ends
     Then its worker has left
 
+  Scenario: A worker that has announced its leave does not end
+    # Guards against a VM that stays without a worker because the one before runs nothing, and goes on.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and the leave of its present incarnation arrives
+    And a heartbeat of another worker arrives
+    Then the task still counts as running
+    And "i-1" is still the worker of this VM
+    When the worker lists that the task has stopped
+    Then the task counts as ended
+    And "i-1" is still the worker of this VM
+    When the end is acknowledged, and the worker lists nothing any more
+    Then "i-2" is the worker of this VM
+
   Scenario: A worker that has announced its leave can't be reached
     # Guards against duplicate runs when a worker leaves behind a network that refuses connections.
     Given an agent whose worker listens at another address than its VM's
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -333,6 +333,16 @@
     world.begin_incarnation(BORN + 1, instance="i-2")
 
 
+@when("a heartbeat of another worker arrives")
+def step_other_arrives(context):
+    context.hosting_world.begin_incarnation(BORN + 1, instance="i-2")
+
+
+@when("the end is acknowledged, and the worker lists nothing any more")
+def step_lists_nothing(context):
+    context.hosting_world.ends = []
+
+
 @when("another worker answers at its address")
 def step_replaced(context):
     context.hosting_world.is_replaced = True
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -197,8 +197,7 @@
         It ends once the message is acknowledged, or some seconds later. Until its end
         is known its runs count as in progress; they are ordered to stop.
 
-        Parameters: `born` is the birth time of the incarnation that leaves; 0 if it is
-        not known.
+        Parameters: `born` is its birth time; 0 if that is not known.
         """
         self._succession.leave(instance, born)
 
@@ -239,16 +238,17 @@
                 continue
             started_at = self._clock()
             was_doubtful = incarnation.is_doubtful
-            if await self._list_unless_urgent(incarnation):
+            listed = await self._list_unless_urgent(incarnation)
+            if not listed and incarnation is self._incarnation:
+                self._end_after_lease(incarnation)
+            self._succession.advance(may_leave=not self.orders.unsettled_by_run)
+            if incarnation is not self._incarnation:
+                continue
+            if listed:
                 await asyncio.sleep(
                     max(0.0, started_at + MIN_LIST_INTERVAL_SECONDS - self._clock())
                 )
                 continue
-            if incarnation is self._incarnation:
-                self._end_after_lease(incarnation)
-                self._succession.advance(may_leave=not self.orders.unsettled_by_run)
-            if incarnation is not self._incarnation:
-                continue
             if incarnation.is_doubtful and not was_doubtful:
                 # The next incarnation may have begun; a list shows that at once.
                 continue
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -74,6 +74,12 @@
         """Whether it has answered a list, and no later call speaks against it."""
         return self.lists_answered > 0 and not self.is_doubtful
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether its last list has neither runs nor unacknowledged ends."""
+        is_empty = not self.running and not self.ended and self.has_all_ends
+        return self.lists_answered > 0 and is_empty
+
     def take_list(
         self, answer: RunList, *, fence: int, now: float, lease: float
     ) -> bool:
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -114,10 +114,14 @@
     def advance(self, *, may_leave: bool) -> None:
         """If the present worker has ended, begin the next, or record that it has left.
 
-        Parameters: `may_leave` is whether nothing of it is in doubt any more.
+        Parameters: `may_leave` is whether no start on it is in doubt any more.
         """
         present = self.present
-        if present is None or not has_ended(present):
+        if present is None:
+            return
+        # It gets no more starts, so a worker that runs nothing may as well have ended.
+        is_done = present.is_leaving and present.is_idle and may_leave
+        if not is_done and not has_ended(present):
             return
         if self._next is not None:
             self._begin(self._next)
