Soak: workers that drain and leave, and end at once or run on for seconds

The stand-in worker drains, sends `leave` and ends a given time after it, whatever is answered; with `--emphasis departures` nearly half of all faults are such leaves.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,6 +43,8 @@
     """Workers are replaced by others, and jobs restrict where their tasks run."""
     LEADERS = "leaders"
     """The leader is paused, killed, silenced or turned away; one entry is larger."""
+    DEPARTURES = "departures"
+    """Workers drain and leave; they end at once, or run on for seconds after that."""
 
 
 @dataclass(order=True)
@@ -97,6 +99,8 @@
             self._kinds += [self._replace_worker] * EMPHASIS_WEIGHT
         elif emphasis is Emphasis.LEADERS:
             self._kinds += [self._leader] * EMPHASIS_WEIGHT
+        elif emphasis is Emphasis.DEPARTURES:
+            self._kinds += [self._leave] * EMPHASIS_WEIGHT
 
     def inject(self, seconds: float) -> None:
         """Inject faults for `seconds`, then end them all."""
@@ -176,6 +180,23 @@
             seconds = self._random.uniform(0.1, 3.0)
             self._inject(worker.name, f"kill {worker.name}", seconds, worker.start)
 
+    def _leave(self) -> None:
+        """Let a worker drain and leave; the next one begins after its end."""
+        worker = self._pick_unaffected(list(self._deployment.workers))
+        if worker is None:
+            return
+        seconds = self._random.choice([0.02, 0.3, 0.8, self._random.uniform(1.0, 6.0)])
+        worker.faults(leave_seconds=seconds)
+
+        def restart() -> None:
+            worker.wait_for_end()
+            self.killed.append((time.time(), worker.name))
+            worker.start()
+
+        description = f"{worker.name} leaves and ends after {seconds:.2f} s"
+        pause = self._random.uniform(0.6, 2.0)
+        self._inject(worker.name, description, seconds + pause, restart)
+
     def _replace_worker(self) -> None:
         """Kill a worker; one of another kind and size takes its place.
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -30,6 +31,9 @@
 
 MILLISECONDS = 1000
 MILLICORES = 1000
+DRAIN_SECONDS = 0.5
+"""How long a worker that is told to leave drains before it sends `leave`."""
+LEAVE_TIMEOUT_SECONDS = 1.0
 TICK_SECONDS = 0.01
 HEARTBEAT_SECONDS = 0.3
 MAX_LEASE_SECONDS = 6.0
@@ -45,6 +49,8 @@
     fail: bool = False
     """Every run fails as soon as it has started."""
     draining: bool = False
+    leave_seconds: float = 0.0
+    """Drain, send `leave`, and end this long after it, whatever is answered; 0: not."""
     silent: bool = False
     """Send no heartbeat and no answer; running tasks continue."""
 
@@ -286,7 +292,8 @@
     number = 0
     while True:
         number += 1
-        state_name = "draining" if switches.current.draining else "ready"
+        faults = switches.current
+        state_name = "draining" if faults.draining or faults.leave_seconds else "ready"
         body = heartbeat | {
             "state": state_name,
             "seq": number,
@@ -302,6 +309,33 @@
         await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
+async def _leave_when_told(
+    state: State, switches: Switches[Faults], control: str
+) -> None:
+    told = asyncio.Event()
+
+    def notice(_: Faults, after: Faults) -> None:
+        if after.leave_seconds:
+            told.set()
+
+    switches.on_change = notice
+    await told.wait()
+    seconds = switches.current.leave_seconds
+    await asyncio.sleep(DRAIN_SECONDS)
+    message = HTTPRequest(
+        f"http://{control}/instances/{state.instance}/leave",
+        method="POST",
+        body=json.dumps({"born": state.started_wall_ms}),
+        request_timeout=LEAVE_TIMEOUT_SECONDS,
+    )
+    # The answer is not waited for: `leave_seconds` says when the worker ends.
+    AsyncHTTPClient().fetch(message, raise_error=False)
+    await asyncio.sleep(seconds)
+    for task in list(state.run_by_task):
+        state.end(task, "terminated")
+    os._exit(0)
+
+
 async def _tick(state: State) -> None:
     while True:
         state.tick()
@@ -345,6 +379,9 @@
         asyncio.create_task(_send_heartbeats(state, switches, heartbeat))
     )
     state.background.add(asyncio.create_task(_tick(state)))
+    state.background.add(
+        asyncio.create_task(_leave_when_told(state, switches, control))
+    )
     return {"port": bound}
 
 
