--- a/features/model/late_calls.feature
+++ b/features/model/late_calls.feature
@@ -22,6 +22,8 @@
       | FIRST_RENEWS        | late start, agent restarts            |
       | LEASES_LAPSE        | late start, agents report             |
       | PORT_CLOSED         | late start, closed port               |
+      | LEAVE_IS_NO_END     | leave                                 |
+      | LEAVE_IS_NO_END     | late start, leave                     |
       | DOUBT_OUTLIVES_PORT | late start, closed port, id is reused |
       | BOOT_NAMED          | late start, worker restarts           |
       | BOOT_NAMED          | end, worker restarts, one worker      |
@@ -54,6 +56,9 @@
       | late start, worker restarts, one worker |
       | end, worker restarts, one worker        |
       | late start, leader changes              |
+      | leave                                   |
+      | leave, leader changes                   |
+      | late start, leave                       |
       | late start, closed port                 |
       | late start, closed port, id is reused   |
       | slow start, closed port, id is reused   |
--- a/features/steps/late_call_agents.py
+++ b/features/steps/late_call_agents.py
@@ -19,6 +19,7 @@
     with_agent,
     with_worker,
 )
+from features.steps.late_call_workers import stop_run
 
 FAR_AHEAD = 3
 """Ticks to the end of a lease on the clock of an earlier boot; more than any lease."""
@@ -30,6 +31,7 @@
     yield from list_moves(state, bounds, number)
     yield from start_moves(state, bounds, number)
     yield from _loss_moves(state, bounds, number)
+    yield from _leave_moves(state, bounds, number)
     if state.faults_left.raised_tokens:
         after = with_agent(state, number, agent._replace(token=agent.token + 1))
         text = f"agent {number} raises its token for a start of another task"
@@ -127,6 +129,20 @@
     yield f"{text} lost", use_up(after, closed_ports=1)
 
 
+def _leave_moves(state: State, bounds: Bounds, number: int) -> Iterator[Move]:
+    if not state.faults_left.leaves or state.workers[number].down:
+        return
+    agent = state.agents[number]
+    after = state
+    if Rule.LEAVE_IS_NO_END in bounds.rules:
+        for run in agent.runs:
+            after = stop_run(after, bounds, number, run)
+    else:
+        after = with_agent(after, number, agent._replace(lost=True, runs=(), starts=()))
+        after = after._replace(calls=unawaited(after.calls, number, Call.START))
+    yield f"worker {number} says that it leaves", use_up(after, leaves=1)
+
+
 def _lapsed(agent: Agent, bounds: Bounds) -> Agent:
     if Rule.DOUBT_UNTIL_FENCED in bounds.rules:
         for start in agent.starts:
--- a/features/steps/late_call_state.py
+++ b/features/steps/late_call_state.py
@@ -25,6 +25,7 @@
     LEASES_LAPSE = "an agent counts runs as lost only once their leases have lapsed"
     LAPSE_RAISES = "the token rises when the leases have lapsed"
     PORT_CLOSED = "a worker whose port refuses connections runs nothing any more"
+    LEAVE_IS_NO_END = "a worker that says that it leaves may go on with its runs"
     DOUBT_OUTLIVES_PORT = "a start in doubt outlives a worker whose port is closed"
     BOOT_NAMED = "a call names the boot that it is meant for, and others refuse it"
     BOOT_LISTED = "a list of another boot settles no start"
@@ -185,6 +186,8 @@
     agent_restarts: int = 0
     leader_changes: int = 0
     closed_ports: int = 0
+    leaves: int = 0
+    """Messages of workers that they leave, after which they run on."""
     worker_restarts: int = 0
 
 
--- a/features/steps/late_call_worlds.py
+++ b/features/steps/late_call_worlds.py
@@ -83,6 +83,11 @@
     "late start, leader changes": World(
         Faults(late_starts=1, leader_changes=1), prefix=UNANSWERED
     ),
+    "leave": World(Faults(leaves=1), {"gives_up": False}, (STARTED,)),
+    "leave, leader changes": World(Faults(leaves=1, leader_changes=1)),
+    "late start, leave": World(
+        Faults(late_starts=1, leaves=1), {"gives_up": False}, UNANSWERED
+    ),
     "late start, closed port": World(
         Faults(late_starts=1, closed_ports=1), {"gives_up": False}
     ),
