A worker that was heard long ago does not succeed the one that ends now

What callers would see: a VM without a worker for 5 s after its own has ended, because a stranger's heartbeat came hours before.

Change: it may begin for 3 s after its last heartbeat; workers send one about each second.

Test: platform/hosting, "A worker of another VM was heard long ago". The scenario of an agent that hears a stranger first now delivers the own worker's heartbeat a second time, as a worker does.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -112,11 +112,23 @@
     And another worker answers at its address
     Then "i-2" is the worker of this VM
 
+  Scenario: A worker of another VM was heard long ago
+    # Guards against a VM that waits for a stranger's worker once its own has ended.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and a heartbeat of another worker arrives
+    And 4 s pass without another heartbeat
+    And its process ends
+    Then the task counts as lost
+    And "i-1" is still the worker of this VM
+    When a heartbeat of a third worker arrives
+    Then "i-3" is the worker of this VM
+
   Scenario: A worker of another VM is heard first
     # Guards against an agent that ignores its own worker for as long as a stranger's heartbeat has the later birth time.
     Given an agent that has heard a worker, born later, whose address refuses connections
     When a heartbeat of its own worker arrives
     And the leases have certainly expired
+    And a heartbeat of its own worker arrives
     Then "i-1" is the worker of this VM
     And the runs of that worker are known
 
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -338,6 +338,16 @@
     context.hosting_world.begin_incarnation(BORN + 1, instance="i-2")
 
 
+@when("{seconds:d} s pass without another heartbeat")
+def step_time_passes(context, seconds):
+    context.hosting_world.now += seconds
+
+
+@when("a heartbeat of a third worker arrives")
+def step_third_arrives(context):
+    context.hosting_world.begin_incarnation(BORN + 2, instance="i-3")
+
+
 @when("the end is acknowledged, and the worker lists nothing any more")
 def step_lists_nothing(context):
     context.hosting_world.ends = []
@@ -351,8 +361,8 @@
 @then('"{instance}" is still the worker of this VM')
 def step_still_worker(context, instance):
     world = context.hosting_world
-    lists = len(world.lists)
-    world.until(lambda: len(world.lists) >= lists + LATER_LISTS)
+    seen = len(world.lists) + world.hosting.refusals
+    world.until(lambda: len(world.lists) + world.hosting.refusals >= seen + LATER_LISTS)
     assert world.hosting.info.id == instance, world.hosting.info
 
 
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -189,7 +189,7 @@
 
     async def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Handle a heartbeat; ignore one of an earlier incarnation of the worker."""
-        self._succession.take_heartbeat(heartbeat)
+        self._succession.take_heartbeat(heartbeat, self._clock())
 
     async def leave(self, instance: str, born: int) -> None:
         """Handle the message that a worker leaves for good.
@@ -241,7 +241,8 @@
             listed = await self._list_unless_urgent(incarnation)
             if not listed and incarnation is self._incarnation:
                 self._end_after_lease(incarnation)
-            self._succession.advance(may_leave=not self.orders.unsettled_by_run)
+            may_leave = not self.orders.unsettled_by_run
+            self._succession.advance(self._clock(), may_leave=may_leave)
             if incarnation is not self._incarnation:
                 continue
             if listed:
@@ -308,9 +309,8 @@
         # network may refuse while the worker is still running. Its tasks would then
         # start a second time elsewhere, so their leases must expire first.
         incarnation.refusals += 1
-        if split_address(incarnation.address)[0] != self._own_host:
-            return
-        if incarnation.refusals < REFUSALS_UNTIL_LOST:
+        is_local = split_address(incarnation.address)[0] == self._own_host
+        if not is_local or incarnation.refusals < REFUSALS_UNTIL_LOST:
             return
         incarnation.process_ended = True
         if incarnation.lists_answered and not incarnation.runs_lost:
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -18,6 +18,13 @@
 
 log = part_logger("hosting")
 
+NEXT_VALID_SECONDS = 3.0
+"""How long after its last heartbeat a worker may succeed the present one.
+
+Workers send heartbeats about once a second. One that has fallen silent meanwhile may be
+a worker of another VM, and would keep the next one of this VM waiting.
+"""
+
 
 class Sender(Enum):
     """Which worker sent a heartbeat, as seen from the present one."""
@@ -63,6 +70,8 @@
         self._last_sequence = -1
         self._next: Heartbeat | None = None
         """The last heartbeat of the worker that waits for the present one's end."""
+        self._next_until = 0.0
+        """Until when it may begin."""
         self._departed: tuple[int, str] | None = None
         """Birth time and id of the worker that has left last."""
 
@@ -70,7 +79,7 @@
         """Show the present worker."""
         return f"<WorkerSuccession at {self.info and self.info.id}>"
 
-    def take_heartbeat(self, heartbeat: Heartbeat) -> None:
+    def take_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Update the worker's description, or begin the next worker."""
         present = self.present
         sender = self._sender(heartbeat)
@@ -84,7 +93,7 @@
         elif sender is Sender.PRESENT:
             self._update(present, heartbeat)
         else:
-            self._wait_for_end(present, heartbeat)
+            self._wait_for_end(present, heartbeat, now)
 
     def leave(self, instance: str, born: int) -> None:
         """Handle the message that a worker leaves; see `Hosting.leave`."""
@@ -111,7 +120,7 @@
         self._on_leave(present)
         self._on_change()
 
-    def advance(self, *, may_leave: bool) -> None:
+    def advance(self, now: float, *, may_leave: bool) -> None:
         """If the present worker has ended, begin the next, or record that it has left.
 
         Parameters: `may_leave` is whether no start on it is in doubt any more.
@@ -123,7 +132,7 @@
         is_done = present.is_leaving and present.is_idle and may_leave
         if not is_done and not has_ended(present):
             return
-        if self._next is not None:
+        if self._next is not None and now <= self._next_until:
             self._begin(self._next)
         elif present.is_leaving and may_leave:
             log.info("Worker has left", extra={"worker": present.instance})
@@ -160,12 +169,16 @@
             log_worker(worker)
             self._on_change()
 
-    def _wait_for_end(self, present: WorkerIncarnation, heartbeat: Heartbeat) -> None:
+    def _wait_for_end(
+        self, present: WorkerIncarnation, heartbeat: Heartbeat, now: float
+    ) -> None:
         worker = heartbeat.worker
-        known = self._next.worker if self._next is not None else None
+        is_valid = self._next is not None and now <= self._next_until
+        known = self._next.worker if is_valid and self._next is not None else None
         if known is not None and worker.born < known.born:
             return
         self._next = heartbeat
+        self._next_until = now + NEXT_VALID_SECONDS
         if known is not None and (known.born, known.id) == (worker.born, worker.id):
             return
         log.info(
