A submission that is cancelled before it is stored never runs

Cause: `Submissions._cancel_in_store` left nothing behind for an id that is not in the store, and the write of a submission required only that its own key is absent.

Change: the cancellation of an unknown id is stored as a tombstone, and each write of a submission requires that there is none. The 410 is given only once the tombstone is known to be stored. A submission that comes again is refused at once as not stored.

Why it works: the store orders the two writes; whichever is first, the other one fails or finds it. That holds through any entry and across leaders.

Ruled out: a memory of cancelled ids in the leader, which is lost with it.

--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -39,6 +39,7 @@
     def __init__(self):
         """Start empty, and answer everything at once."""
         self.found_by_key = {}
+        self.down_since = None
         self.revision = 0
         self.open = asyncio.Event()
         """Set while lists are answered."""
@@ -53,6 +54,10 @@
         self.unanswered_writes = 0
         self.delays_deletes = False
         """Whether a write that deletes gets no answer and is kept for later."""
+        self.delays_writes = False
+        """Whether any write gets no answer and is kept for later."""
+        self.is_silent = False
+        """Whether no write is answered or carried out."""
         self.delayed_writes = []
 
     def put(self, key, value):
@@ -71,6 +76,10 @@
         """Return a key with its value, or its absence."""
         return self.found_by_key.get(key) or Absent(self.revision)
 
+    def is_unavailable(self, now):
+        """Return whether it is known not to answer."""
+        return False
+
     async def changes(self, prefix, after, *, wait_seconds):
         """Wait until a key under a prefix has changed."""
         while True:
@@ -87,7 +96,9 @@
         """Apply a write, or leave it without an answer."""
         if len(txn.compares) + len(txn.puts) + len(txn.deletes) > MAX_TXN_ENTRIES:
             return Unavailable("too many entries")
-        if txn.deletes and self.delays_deletes:
+        if self.is_silent:
+            return Unknown("no answer")
+        if self.delays_writes or (txn.deletes and self.delays_deletes):
             self.delayed_writes.append(txn)
             return Unknown("no answer")
         size = sum(len(value) for value in txn.puts.values())
@@ -97,6 +108,11 @@
             return Unknown("no answer")
         return self.apply(txn)
 
+    def apply_delayed(self):
+        """Carry out the writes that were kept for later; return their outcomes."""
+        delayed, self.delayed_writes = self.delayed_writes, []
+        return [self.apply(txn) for txn in delayed]
+
     def apply(self, txn):
         """Apply a write if its compares hold."""
         for compare in txn.compares:
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -59,11 +59,13 @@
         wall_clock: Clock,
         on_change: Callable[[], None],
         on_cancel: Callable[[], None],
+        on_tombstone: Callable[[JobId], None],
     ) -> None:
         """Create it without any job.
 
         Parameters: `on_change` is called after each key that changes a job,
-        `on_cancel` after each cancellation.
+        `on_cancel` after each cancellation, `on_tombstone` after one whose job is not
+        known.
         """
         self._lease = lease
         self._scheduler = scheduler
@@ -72,6 +74,7 @@
         self._wall_clock = wall_clock
         self._on_change = on_change
         self._on_cancel = on_cancel
+        self._on_tombstone = on_tombstone
         self._revision = 0
         """Store revision up to which all changes have been applied."""
         self.why_by_unreadable: dict[JobId, str] = {}
@@ -213,7 +216,9 @@
                 return
         else:
             job = JobId(key.removeprefix(JOB_PREFIX).removesuffix(CANCELLED))
-            self._scheduler.cancel(job, now=self._clock(), wall_now=self._wall_clock())
+            now, wall_now = self._clock(), self._wall_clock()
+            if self._scheduler.cancel(job, now=now, wall_now=wall_now) is None:
+                self._on_tombstone(job)
             self._on_cancel()
         self._on_change()
 
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -23,6 +23,7 @@
 from wagtailcleat.cluster.records import Records
 from wagtailcleat.cluster.report_order import ReportOrder
 from wagtailcleat.cluster.timing import AGENT_EXPIRY_SECONDS, STOP_REPEAT_SECONDS
+from wagtailcleat.cluster.tombstones import Tombstones
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import NodeId, ZoneName
 from wagtailcleat.logs import part_logger
@@ -131,6 +132,7 @@
             on_progress=self._wake.set,
             link_bytes_per_second=link_bytes_per_second,
         )
+        self._tombstones = Tombstones(lease, store=store, clock=clock)
         self.jobs = Jobs(
             lease,
             self.scheduler,
@@ -139,6 +141,7 @@
             wall_clock=wall_clock,
             on_change=self._wake.set,
             on_cancel=self._records.dirty.set,
+            on_tombstone=self._tombstones.add,
         )
         self._report_order = ReportOrder()
         self._stream_by_node: dict[NodeId, Stream] = {}
@@ -168,6 +171,7 @@
             await self._restore()
             supervisor.spawn("jobs", self.jobs.watch)
             supervisor.spawn("records", self._records.run)
+            supervisor.spawn("tombstones", self._tombstones.run)
             supervisor.spawn("rounds", self._rounds)
             supervisor.spawn("learnt", self._persist_learnt)
             if self._advice is not None:
@@ -196,10 +200,7 @@
                 "seconds": round(self._now - started_at, 3),
             },
         )
-        self._announce(decode_readable(agents.found, ProcessInfo))
-
-    def _announce(self, agent_infos: list[ProcessInfo]) -> None:
-        for agent in agent_infos:
+        for agent in decode_readable(agents.found, ProcessInfo):
             self._spawn(self._send_leader(agent))
 
     async def _send_leader(self, agent: ProcessInfo) -> None:
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -71,6 +71,8 @@
     """The job is not stored, and this attempt will not store it later."""
     UNKNOWN = "unknown"
     """In doubt: the job may be stored already, or may be stored later."""
+    CANCELLED = "cancelled"
+    """The job was cancelled before it was stored, and is not stored any more."""
 
 
 @dataclass(frozen=True)
@@ -124,6 +126,9 @@
             if outcome is Acceptance.ACCEPTED:
                 log.info("Accepted", extra={"job": job.id, "queue": job.queue})
                 return outcome
+            if outcome is Acceptance.CANCELLED:
+                log.info("Cancelled before it was stored", extra={"job": job.id})
+                return Acceptance.NOT_STORED
             # Once an attempt may have stored the job, a later refusal proves nothing.
             unknown = unknown or outcome is Acceptance.UNKNOWN
             now = self._clock()
@@ -149,7 +154,8 @@
         outcome = Acceptance.NOT_STORED
         if not self._store.is_unavailable(self._clock()):
             outcome = await self.store(job, value)
-        if outcome is Acceptance.ACCEPTED or self._leadership.leads:
+        is_settled = outcome in (Acceptance.ACCEPTED, Acceptance.CANCELLED)
+        if is_settled or self._leadership.leads:
             return outcome
         answer = await self._call_leader(StoreJob(job, value))
         if isinstance(answer, JobStored):
@@ -165,14 +171,17 @@
         """Store a job by one write of this entry."""
         if self._store.is_unavailable(self._clock()):
             return Acceptance.NOT_STORED
-        key = job_key(job)
-        outcome = await self._store.write(
-            Txn([Compare(key, absent=True)], {key: value})
-        )
-        if isinstance(outcome, Written | Conflict):
-            if isinstance(outcome, Written):
-                self._spawn_notification(Submitted(job, value))
+        key, cancelled = job_key(job), cancel_key(job)
+        absent = [Compare(key, absent=True), Compare(cancelled, absent=True)]
+        outcome = await self._store.write(Txn(absent, {key: value}))
+        if isinstance(outcome, Written):
+            self._spawn_notification(Submitted(job, value))
             return Acceptance.ACCEPTED
+        if isinstance(outcome, Conflict):
+            present = {found.key for found in outcome.current}
+            return (
+                Acceptance.CANCELLED if present == {cancelled} else Acceptance.ACCEPTED
+            )
         if isinstance(outcome, Unknown):
             return Acceptance.UNKNOWN
         return Acceptance.NOT_STORED
@@ -255,9 +264,26 @@
     async def _cancel_in_store(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
         found = await self._store.get(job_key(job))
         if isinstance(found, Absent):
-            return NoSuchJob()
+            return await self._leave_tombstone(job)
         if not isinstance(found, Found):
             return NotAnswered()
+        return await self._write_cancellation(job)
+
+    async def _leave_tombstone(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
+        """Cancel a job that is not stored, so that no late write stores it."""
+        key, cancelled = job_key(job), cancel_key(job)
+        absent = [Compare(key, absent=True), Compare(cancelled, absent=True)]
+        outcome = await self._store.write(Txn(absent, {cancelled: b"1"}))
+        if isinstance(outcome, Written):
+            log.info("Cancelled before it is stored", extra={"job": job})
+            return NoSuchJob()
+        if not isinstance(outcome, Conflict):
+            return NotAnswered()
+        if any(found.key == key for found in outcome.current):
+            return await self._write_cancellation(job)
+        return NoSuchJob()
+
+    async def _write_cancellation(self, job: JobId) -> JobState | NotAnswered:
         key = cancel_key(job)
         txn = Txn([Compare(key, absent=True)], {key: b"1"})
         outcome = await self._store.write(txn)
