--- a/wagtailcleat/platform/advice.py
+++ b/wagtailcleat/platform/advice.py
@@ -11,9 +11,6 @@
 
 OK = 200
 MILLISECONDS = 1000
-CALL_TIMEOUT_SECONDS = 4.0
-"""The service takes longer the more workers a call names, and it answers one call of a
-machine at a time."""
 
 
 @dataclass(frozen=True)
@@ -39,16 +36,17 @@
         """Close the connection."""
         self._client.close()
 
-    async def ask(self, question: Question) -> Granted | None:
-        """Return the tickets that the service grants; None without a valid answer."""
+    async def ask(self, question: Question, *, timeout: float) -> Granted | None:
+        """Return the tickets that the service grants.
+
+        Return None without a valid answer within `timeout` seconds.
+        """
         occurrence, number_of_step = question.step
         body = {
             "step": f"{question.job}.{occurrence}.{number_of_step}",
             "workers": [worker.id for worker in question.workers],
         }
-        reply = await self._client.call(
-            "POST", "/advise", body, timeout=CALL_TIMEOUT_SECONDS
-        )
+        reply = await self._client.call("POST", "/advise", body, timeout=timeout)
         if not isinstance(reply, Reply) or reply.code != OK:
             return None
         try:
--- a/wagtailcleat/scheduling/advice.py
+++ b/wagtailcleat/scheduling/advice.py
@@ -72,7 +72,13 @@
         return ticket.text
 
     def question(
-        self, job_table: JobTable, vms: Iterable[Vm], *, now: float, wall_now: float
+        self,
+        job_table: JobTable,
+        vms: Iterable[Vm],
+        *,
+        now: float,
+        wall_now: float,
+        max_workers: int = MAX_WORKERS_PER_QUESTION,
     ) -> Question | None:
         """Return the next question, for the highest-ranked step that needs one."""
         waiting = [
@@ -87,9 +93,7 @@
         for _, entry, step in waiting:
             workers = self._workers_to_ask(entry, step, usable, now)
             if workers:
-                return Question(
-                    entry.job.id, step, tuple(workers[:MAX_WORKERS_PER_QUESTION])
-                )
+                return Question(entry.job.id, step, tuple(workers[:max_workers]))
         return None
 
     def _workers_to_ask(
