A record that is larger than the store's values is stored without its longest checkpoints

What callers would see: a job whose ends are never acknowledged, and that begins anew with each leader, because its record is larger than what the store takes (suspected by the review from reading; shown by a test).

Cause: the record had the checkpoints of all tasks, whatever their size, and its write was repeated for good.

Change: `value_bytes` of the settings (1 MiB, from the platform's figure); longest checkpoints first, as many as are too much.

Why it works: what is left out is work to repeat if the leader ends; the ends and the failures are stored.

Test: platform/restoring, "A record that is larger than the values that the store takes", seen failing without the limit.

--- a/features/platform/restoring.feature
+++ b/features/platform/restoring.feature
@@ -53,6 +53,13 @@
     When a job's run ends with 300000 bytes of checkpoint and 20 others with 10 bytes
     Then the progress of the 20 others is stored within 10 s
 
+  Scenario: A record that is larger than the values that the store takes
+    # Guards against ends that are never acknowledged because their job's checkpoints are too long.
+    Given a leader whose store takes values of 200000 bytes at most
+    When a job of 3 tasks has a run that succeeds and two with 150000 bytes of checkpoint
+    Then its end is stored within 10 s, with the checkpoint of 1 task
+    And the end is acknowledged
+
   Scenario: Many records wait for the store to answer again
     # Guards against one write for each record after an outage.
     Given a leader whose store answers no write above 200000 bytes
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -9,6 +9,7 @@
 from wagtailcleat.cluster.keys import JOB_PREFIX, LEADER_KEY, encode, record_key
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import NO_LEADER, LeaderLease
+from wagtailcleat.cluster.records import DEFAULT_MAX_VALUE_BYTES
 from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.storage import (
@@ -176,6 +177,7 @@
         self.stream_by_node = {}
         self.leader = None
         self.work = None
+        self.max_value_bytes = DEFAULT_MAX_VALUE_BYTES
         self.rounds_counted = 0
         """Number of rounds in which a leader was allowed to act."""
         self.now = 100.0
@@ -201,6 +203,7 @@
             wall_clock=lambda: 1_800_000_000.0,
             status_kept=1000.0,
             zones_out=self._zones_out,
+            max_value_bytes=self.max_value_bytes,
         )
         self.work = self.loop.create_task(self.leader.run())
 
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -171,6 +171,7 @@
             zones_out=lambda: self.operators.zones_out,
             advice=self.advice,
             link_bytes_per_second=self.settings.link_mbps * BYTES_PER_MEGABIT,
+            max_value_bytes=self.settings.value_bytes,
             options=self.settings.scheduling_options,
         )
         self.leader = leader
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -20,7 +20,7 @@
 from wagtailcleat.cluster.leader_log import log_decisions, log_orders
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.learnt_store import learnt_parts, persist_learnt
-from wagtailcleat.cluster.records import Records
+from wagtailcleat.cluster.records import DEFAULT_MAX_VALUE_BYTES, Records
 from wagtailcleat.cluster.report_order import ReportOrder
 from wagtailcleat.cluster.timing import AGENT_EXPIRY_SECONDS, STOP_REPEAT_SECONDS
 from wagtailcleat.cluster.tombstones import Tombstones
@@ -96,6 +96,7 @@
         zones_out: Callable[[], frozenset[ZoneName]],
         advice: AdviceService | None = None,
         link_bytes_per_second: float = math.inf,
+        max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES,
         options: SchedulingOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Create a leader that has not read the stored jobs yet.
@@ -103,7 +104,7 @@
         Parameters: `status_kept` is how long the state of an ended job is kept, in
         seconds; `zones_out` returns the zones that operators have taken out; `advice`
         is asked which workers may run a step, if it is given; `options` as in
-        `Scheduler`.
+        `Scheduler`; the others as in `Records`.
         """
         self._advice = advice
         self._zones_out = zones_out
@@ -131,6 +132,7 @@
             status_kept=status_kept,
             on_progress=self._wake.set,
             link_bytes_per_second=link_bytes_per_second,
+            max_value_bytes=max_value_bytes,
         )
         self._tombstones = Tombstones(lease, store=store, clock=clock)
         self.jobs = Jobs(
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -21,13 +21,16 @@
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease
 from wagtailcleat.ids import JobId, NodeId
+from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import MAX_TXN_ENTRIES, KeyValueStore
 from wagtailcleat.scheduling.job_entry import JobEntry
-from wagtailcleat.scheduling.job_records import record_of
+from wagtailcleat.scheduling.job_records import record_of, without_checkpoints
 from wagtailcleat.scheduling.progress import CheckpointSaver
 from wagtailcleat.scheduling.scheduler import Scheduler
 from wagtailcleat.storage import Compare, Conflict, Txn, WriteOutcome, Written
 
+log = part_logger("leader")
+
 COMMIT_INTERVAL_SECONDS = 0.03
 """Pause between two writes of records, so that one write has all ends of that time.
 
@@ -40,6 +43,7 @@
 
 One more compare is for the leader key.
 """
+DEFAULT_MAX_VALUE_BYTES = 1_048_576
 SPEC_KEPT_BYTES = 100
 """A spec up to this size is not worth a put to remove it when its job has ended."""
 BYTES_PER_WRITE = 128 * 1024
@@ -77,12 +81,14 @@
         status_kept: float,
         on_progress: Callable[[], None],
         link_bytes_per_second: float = math.inf,
+        max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES,
     ) -> None:
         """Create it with nothing to write.
 
         Parameters: `status_kept` is how long the state of an ended job is kept, in
         seconds; `on_progress` is called when ends may be acknowledged, or agents may
-        be given work; `link_bytes_per_second` is the rate of this VM's link.
+        be given work; `link_bytes_per_second` is the rate of this VM's link;
+        `max_value_bytes` is the size of the largest value that the store takes.
         """
         self.dirty = asyncio.Event()
         """Set when there may be something to write."""
@@ -99,6 +105,7 @@
         self._status_kept = status_kept
         self._on_progress = on_progress
         self._committed = asyncio.Condition()
+        self._max_value_bytes = max_value_bytes
         self._failures_by_job: dict[JobId, int] = {}
         """Failed writes of each job's record, less those that all records share."""
 
@@ -270,12 +277,34 @@
     def _leader_unchanged(self) -> Compare:
         return Compare(LEADER_KEY, self._lease.leader_revision)
 
+    def _batch(self, changed: list[JobEntry]) -> tuple[list[JobEntry], list[bytes]]:
+        """Return the first jobs whose records fit into one write, and the records."""
+        values: list[bytes] = []
+        size = 0
+        for entry in changed[:RECORDS_PER_WRITE]:
+            value = self._encode_record(entry)
+            size += len(value)
+            if values and size > BYTES_PER_WRITE:
+                break
+            values.append(value)
+        return changed[: len(values)], values
+
+    def _encode_record(self, entry: JobEntry) -> bytes:
+        record = record_of(entry)
+        value = encode(record)
+        excess = len(value) - self._max_value_bytes
+        if excess > 0:
+            value = encode(without_checkpoints(record, excess))
+            fields = {"job": entry.job.id, "excess": excess, "bytes": len(value)}
+            log.warning("Checkpoints are left out of a large record", extra=fields)
+        return value
+
     async def _write_records(self, changed: list[JobEntry]) -> bool:
         """Write the first of the changed records, as many as fit into one write.
 
         Return False if the write failed or is in doubt.
         """
-        entries, values = _batch(changed)
+        entries, values = self._batch(changed)
         versions = [entry.version for entry in entries]
         compares = [self._leader_unchanged()]
         puts = {}
@@ -362,18 +391,5 @@
     return Compare(record_key(entry.job.id), revision, absent=revision == 0)
 
 
-def _batch(changed: list[JobEntry]) -> tuple[list[JobEntry], list[bytes]]:
-    """Return the first jobs whose records fit into one write, and the records."""
-    values: list[bytes] = []
-    size = 0
-    for entry in changed[:RECORDS_PER_WRITE]:
-        value = encode(record_of(entry))
-        size += len(value)
-        if values and size > BYTES_PER_WRITE:
-            break
-        values.append(value)
-    return changed[: len(values)], values
-
-
 def _keys(jobs: Iterable[JobId]) -> list[str]:
     return [key(job) for job in jobs for key in (job_key, cancel_key, record_key)]
--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -54,6 +54,8 @@
     """Speed of that core, relative to a usual one."""
     link_mbps: Positive = 1_000.0
     """Rate of this VM's link, in megabits a second."""
+    value_bytes: Count = 1_048_576
+    """Size of the largest value that the store takes."""
     silent_leader_ms: Count = 1_200
     """How long a leader that answers no probe must have shown no sign of life in the
     store before another entry claims; from 2,500 on its lease is waited for."""
--- a/wagtailcleat/scheduling/job_records.py
+++ b/wagtailcleat/scheduling/job_records.py
@@ -1,5 +1,7 @@
 """The durable part of a job's progress, and how an entry is restored from it."""
 
+import msgspec
+
 from wagtailcleat.scheduling.job_entry import (
     JobEntry,
     TaskState,
@@ -35,6 +37,21 @@
     return JobRecord(state, rows, records, occurrences_done=entry.occurrences_done)
 
 
+def without_checkpoints(record: JobRecord, excess: int) -> JobRecord:
+    """Return a record without its longest checkpoints, `excess` bytes or more in all.
+
+    The tasks continue from an earlier checkpoint, or begin again, if the leader ends.
+    """
+    tasks = []
+    for saved in sorted(record.tasks, key=lambda task: -len(task.checkpoint)):
+        if excess > 0 and saved.checkpoint:
+            excess -= len(saved.checkpoint.encode())
+            saved = msgspec.structs.replace(saved, checkpoint="", checkpoint_run=0)
+        if saved.failed_runs or saved.checkpoint:
+            tasks.append(saved)
+    return msgspec.structs.replace(record, tasks=tasks)
+
+
 def restore(entry: JobEntry, record: JobRecord, now: float) -> None:
     """Set the progress of a job without tasks to that of a stored record."""
     entry.occurrences_done = entry.occurrences_begun = record.occurrences_done
