Soak: jobs far overdue, endless or invalid, unreadable values, heartbeats of other VMs' workers

With `--emphasis poison` callers submit schedules of up to 300,000 overdue occurrences and lasting tasks that fail at once, and cancel them at the end; invalid submissions must be refused; the store holds jobs that can't be decoded; agents hear workers of other VMs; and entries and agents are told to stop more often.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from soak.deployment import SoakDeployment
+from soak.poison import endless_body, invalid_body
 from standins.platform_cluster import PREFIX
 
 SUBMIT_ATTEMPTS = 6
@@ -15,6 +16,8 @@
 """A run that began before a cut then outlasts the next leader's recovery."""
 LONG_TASK_SHARE = 0.2
 """Share of the jobs; the workers have capacity for all of these beside the others."""
+ENDLESS_SHARE = 0.06
+INVALID_SHARE = 0.1
 
 RESTRICTIONS: list[dict[str, Any]] = [
     {},
@@ -36,6 +39,10 @@
     cancelled_at: float = 0.0
     """When its cancellation was acknowledged."""
     cancel_tried: bool = False
+    is_endless: bool = False
+    """Whether it ends only when it is cancelled."""
+    is_invalid: bool = False
+    """Whether it must be refused."""
     states: list[tuple[float, str]] = field(default_factory=list)
     """Time and value of each state returned; `gone` for status 410."""
 
@@ -56,11 +63,13 @@
         *,
         long: bool = False,
         restricted: bool = False,
+        poison: bool = False,
     ) -> None:
         """Seed the random choices.
 
         Parameters: with `long`, some tasks take `LONG_TASK_SECONDS`; with `restricted`,
-        some steps name a label or bound their tasks on one worker.
+        some steps name a label or bound their tasks on one worker; with `poison`, some
+        jobs do not end, and others are invalid.
         """
         super().__init__(daemon=True)
         self.jobs: list[Submitted] = []
@@ -68,6 +77,7 @@
         self._deployment = deployment
         self._long = long
         self._restricted = restricted
+        self._poison = poison
         self._random = random.Random(f"callers/{seed}/{number}")
 
     def run(self) -> None:
@@ -100,9 +110,16 @@
             seconds = LONG_TASK_SECONDS
         if self._restricted:
             steps = [step | self._random.choice(RESTRICTIONS) for step in steps]
-        job = Submitted(secrets.token_hex(8), steps)
-        self.jobs.append(job)
         body = {"spec": f'{{"seconds": {seconds}}}', "steps": steps}
+        kind = self._random.random() if self._poison else 1.0
+        if kind < ENDLESS_SHARE:
+            body = endless_body(self._random)
+        elif kind < ENDLESS_SHARE + INVALID_SHARE:
+            body = invalid_body(self._random)
+        job = Submitted(secrets.token_hex(8), body["steps"])
+        job.is_endless = kind < ENDLESS_SHARE
+        job.is_invalid = ENDLESS_SHARE <= kind < ENDLESS_SHARE + INVALID_SHARE
+        self.jobs.append(job)
         for _ in range(SUBMIT_ATTEMPTS):
             path = PREFIX + job.job
             status, _ = self._deployment.call(
@@ -111,6 +128,7 @@
             job.statuses.append(status)
             if status == 200:
                 job.accepted_at = time.time()
+            if status in (200, 400):
                 return
             self.stopping.wait(self._random.uniform(0.1, 0.5))
 
@@ -125,8 +143,9 @@
             job.states.append((time.time(), "gone"))
 
     def cancel(self, job: Submitted) -> None:
-        """Cancel a job once, if it was accepted."""
-        if not job.accepted_at or job.cancel_tried:
+        """Cancel a job once, or until that is acknowledged if it is endless."""
+        is_over = job.cancelled_at if job.is_endless else job.cancel_tried
+        if not job.accepted_at or is_over:
             return
         job.cancel_tried = True
         status, _ = self._deployment.call(
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -150,6 +150,8 @@
             violations.append(f"shown as {final} and then as {state}: {job.job}")
         if state in ("done", "cancelled"):
             final = state
+    if job.is_invalid and job.accepted_at:
+        violations.append(f"accepted, although it is invalid: {job.job}")
     if job.accepted_at and not final:
         violations.append(f"never ended: {job.job}, last shown {job.states[-1:]}")
     if final == "cancelled" and not job.cancel_tried:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from soak.deployment import SoakDeployment
+from soak.poison import send_foreign_heartbeat, store_unreadable_job
 from standins.processes import Process
 
 Undo = Callable[[], None]
@@ -45,6 +46,8 @@
     """The leader is paused, killed, silenced or turned away; one entry is larger."""
     DEPARTURES = "departures"
     """Workers drain and leave; they end at once, or run on for seconds after that."""
+    POISON = "poison"
+    """Jobs far overdue, endless or invalid, unreadable values, foreign heartbeats."""
 
 
 @dataclass(order=True)
@@ -101,6 +104,9 @@
             self._kinds += [self._leader] * EMPHASIS_WEIGHT
         elif emphasis is Emphasis.DEPARTURES:
             self._kinds += [self._leave] * EMPHASIS_WEIGHT
+        elif emphasis is Emphasis.POISON:
+            self._kinds += [self._foreign_heartbeat] * EMPHASIS_WEIGHT
+            self._kinds += [self._unreadable_job, self._terminate] * 2
 
     def inject(self, seconds: float) -> None:
         """Inject faults for `seconds`, then end them all."""
@@ -180,6 +186,18 @@
             seconds = self._random.uniform(0.1, 3.0)
             self._inject(worker.name, f"kill {worker.name}", seconds, worker.start)
 
+    def _foreign_heartbeat(self) -> None:
+        agent = self._random.randrange(len(self._deployment.agents))
+        name = self._deployment.agents[agent].name
+        if name not in self._affected:
+            self._record(f"heartbeat of a worker of another VM at {name}")
+            send_foreign_heartbeat(self._deployment, agent)
+
+    def _unreadable_job(self) -> None:
+        if "store" not in self._affected:
+            self._record("a job that can't be read")
+            store_unreadable_job(self._deployment)
+
     def _leave(self) -> None:
         """Let a worker drain and leave; the next one begins after its end."""
         worker = self._pick_unaffected(list(self._deployment.workers))
--- a/soak/run.py
+++ b/soak/run.py
@@ -51,7 +51,14 @@
             store_ended_jobs(deployment.store, ENDED_JOBS, ENDED_JOB_BYTES)
         restricted = emphasis is Emphasis.KINDS
         callers = [
-            Caller(deployment, seed, number, long=long, restricted=restricted)
+            Caller(
+                deployment,
+                seed,
+                number,
+                long=long,
+                restricted=restricted,
+                poison=emphasis is Emphasis.POISON,
+            )
             for number in range(CALLERS)
         ]
         for caller in callers:
@@ -82,6 +89,8 @@
     left = [(c, job) for c in callers for job in c.jobs if job.accepted_at]
     while left and time.monotonic() < end:
         for caller, job in left:
+            if job.is_endless:
+                caller.cancel(job)
             caller.poll(job)
         left = [
             (caller, job)
