A failing feature: an entry that stops cuts the requests that it has got

Callers saw a broken connection, up to 1.3 s after the last byte of their request, 2.3 s after SIGTERM.

--- /dev/null
+++ b/features/platform/stopping.feature
@@ -0,0 +1,54 @@
+Feature: An entry that is told to stop answers every request that it has got
+
+  Scenario: An entry is stopped while the store answers slowly
+    # Guards against requests in progress that are cut as soon as the balancer sends no more.
+    Given a deployment of 1 entry and 1 agent
+    And 8 callers that use their connections until the entry ends them
+    And the store takes 0.6 s to answer
+    When the entry is told to stop
+    Then it ends by itself within its grace period
+    And no caller waited for an answer that did not come
+
+  Scenario: An entry is stopped twice, and told to reload, while the store answers slowly
+    # Guards against a second signal that ends the process at once.
+    Given a deployment of 1 entry and 1 agent
+    And 8 callers that use their connections until the entry ends them
+    And the store takes 0.6 s to answer
+    When the entry is told to stop
+    And it gets SIGTERM, SIGINT and SIGHUP while it stops
+    Then it ends by itself within its grace period
+    And no caller waited for an answer that did not come
+
+  Scenario: The store does not answer before an entry's grace period is over
+    # Guards against callers that learn of the stop only by a broken connection.
+    Given a deployment of 1 entry and 1 agent
+    And the store takes 30 s to answer
+    When the entry is told to stop
+    And callers send a POST, a GET and a DELETE that have 60 s, 2 s later
+    Then it ends by itself within its grace period
+    And each of these requests was answered 503 or 504
+
+  Scenario: An entry stands still just before it closes its port
+    # Guards against requests in the kernel's buffers and connections not yet accepted.
+    Given a deployment of 1 entry and 1 agent
+    And 4 callers with an idle connection
+    When the entry is told to stop, and stands still from 2 s to 3 s on
+    And all callers, and 4 new ones, send a request while it does
+    Then each of these requests was answered
+
+  Scenario: A request is sent in two halves while an entry stops
+    # Guards against a connection that is taken for idle because its request is not whole.
+    Given a deployment of 1 entry and 1 agent
+    And 2 callers with an idle connection
+    When the entry is told to stop
+    And the callers send half of the head, or half of the body, 2 s later
+    And they send the rest 0.6 s later
+    Then each of these requests was answered
+
+  Scenario: An entry that stops announces the end of its connections
+    # Guards against callers that send another request just as the connection ends.
+    Given a deployment of 1 entry and 1 agent
+    And 4 callers with an idle connection
+    When the entry is told to stop
+    And all callers send a request
+    Then each of these answers announces the end of the connection
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -219,6 +219,11 @@
         port = self.ready.get("http_port") or self.ready["port"]
         return f"http://127.0.0.1:{port}"
 
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code; None while it runs, and the negated signal that ended it."""
+        return self._child.poll()
+
     def start(self) -> None:
         """Start the program and wait until it is ready; restart it on the same ports.
 
