Log and count calls whose connection ends before their answer, and the calls in progress at a stop

Until now a call that was read whole and got no answer left no trace: it was counted as answered, with the status of an answer that nobody got. Now a line names its method, job, age and reason ("caller gone" or "process ends"), the metrics calls_in_progress and unanswered_calls count them, and the lines Stops and Stopped give both numbers.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -52,3 +52,11 @@
     When the entry is told to stop
     And all callers send a request
     Then each of these answers announces the end of the connection
+
+  Scenario: A caller goes away before its answer
+    # Guards against requests without an answer of which nobody can say why.
+    Given a deployment of 1 entry and 1 agent
+    And the store takes 0.6 s to answer
+    When a caller sends a POST and closes its connection
+    Then the entry logs that its connection ended before the answer, as "caller gone"
+    And the entry counts 1 unanswered call, as "caller gone"
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -12,7 +12,7 @@
 from standins.persistent_callers import Call, PersistentCaller, make_request
 from standins.persistent_callers import receive_answer as receive
 from standins.platform_cluster import host_of
-from standins.processes import wait_for
+from standins.processes import http, wait_for
 
 GRACE_SECONDS = 4.0
 CUT_SECONDS = 0.2
@@ -183,3 +183,41 @@
 @then("each of these answers announces the end of the connection")
 def step_announced(context):
     assert all(a.status and a.says_close for a in context.answers), context.answers
+
+
+@when("a caller sends a POST and closes its connection")
+def step_caller_leaves(context):
+    connection = _connect(context)
+    context.job = secrets.token_hex(8)
+    connection.sendall(make_request("POST", context.job))
+    wait_for(
+        lambda: b"calls_in_progress 1.0" in _metrics(context),
+        CALLS_SECONDS,
+        "the request was read",
+    )
+    connection.close()
+
+
+def _metrics(context):
+    return http("GET", f"http://{host_of(1)}:{context.cluster.ports[1]}/metrics").body
+
+
+@then('the entry logs that its connection ended before the answer, as "{why}"')
+def step_logged(context, why):
+    lines = wait_for(
+        lambda: [
+            line
+            for line in context.cluster.entries[0].log_lines()
+            if line["message"] == "callers: Connection ended before the answer"
+        ],
+        CALLS_SECONDS,
+        "the line is logged",
+    )
+    shown = [(line["method"], line["job"], line["why"]) for line in lines]
+    assert shown == [("POST", context.job, why)], shown
+
+
+@then('the entry counts {count:d} unanswered call, as "{why}"')
+def step_counted(context, count, why):
+    line = f'unanswered_calls_total{{reason="{why}"}} {count}.0'
+    assert line.encode() in _metrics(context), _metrics(context).decode()
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -76,6 +76,10 @@
         server.listen(port, host)
         serve_metrics(self.common, self.settings)
 
+    def stop_fields(self) -> dict[str, int]:
+        """Return the number of runs, which continue."""
+        return {"runs": len(self.hosting.running)}
+
     async def stop(self) -> None:
         """End without stopping the runs.
 
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 
@@ -24,6 +25,7 @@
 from wagtailcleat.introspection import Kind
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
+from wagtailcleat.platform.calls import CallsInProgress
 from wagtailcleat.platform.submissions import caller_server, ready_server
 from wagtailcleat.wire.answer_writer import AnswerWriter
 from wagtailcleat.wire.handshake import Role
@@ -109,6 +111,7 @@
         common.dispatch.add({Report: self._report})
         self.advice = AdviceService(settings.advice) if settings.advice else None
         self.metrics = CallerMetrics()
+        self.calls: CallsInProgress[Any] = CallsInProgress()
         self._servers: list[HTTPServer] = []
         self._add_metrics()
 
@@ -127,6 +130,7 @@
             clock=boot_time,
             wall_clock=wall_time,
             note=self.metrics.record,
+            calls=self.calls,
         )
         ready = ready_server(self.ready)
         for server, address in (
@@ -142,6 +146,11 @@
         """Return whether the balancer should send new connections."""
         return self.operators.queues is not None and not self.stopping
 
+    def stop_fields(self) -> dict[str, int]:
+        """Return the calls in progress, and those whose connection ended before."""
+        reasons = self.calls.count_by_reason
+        return {"in_progress": len(self.calls.open), "unanswered": reasons.total()}
+
     async def stop(self) -> None:
         """Hand over leadership, finish requests in progress, then end."""
         self.stopping = True
@@ -152,6 +161,7 @@
         front = self._servers[0]
         for server in self._servers:
             server.stop()
+        self.calls.is_closing = True
         try:
             async with asyncio.timeout(max(MIN_CLOSE_SECONDS, end - boot_time())):
                 await front.close_all_connections()
@@ -219,6 +229,7 @@
 
     def _add_metrics(self) -> None:
         self.metrics.register(self.common.introspection)
+        self.calls.register(self.common.introspection)
         register_scheduler_metrics(
             self.common.introspection,
             lambda: self.leader.scheduler if self.leader else None,
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -82,6 +82,9 @@
     async def stop(self) -> None:
         """Finish requests in progress, then end."""
 
+    def stop_fields(self) -> dict[str, int]:
+        """Return the fields of the log lines at the beginning and end of a stop."""
+
 
 def make_common_parts(settings: CommonSettings, role: Role) -> CommonParts:
     """Create the parts that every program has, and bind the peer port."""
@@ -221,9 +224,9 @@
         },
     )
     await _wait_for_stop(program)
-    log.info("Stops")
+    log.info("Stops", extra=program.stop_fields())
     await program.stop()
-    log.info("Stopped")
+    log.info("Stopped", extra=program.stop_fields())
     return EXIT_OK
 
 
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -14,6 +14,7 @@
 from wagtailcleat.cluster.submissions import Acceptance, NoSuchJob, NotAnswered
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
+from wagtailcleat.platform.calls import CallsInProgress
 from wagtailcleat.platform.fields import (
     BodyError,
     get_boolean,
@@ -48,7 +49,8 @@
 MAX_SPEC_BYTES = 4_000
 OTHER_METHOD = "other"
 """Recorded for all unsupported methods: callers can send any number of made-up ones."""
-ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+ID_LENGTH = 16
+ID_PATTERN = re.compile(rf"[0-9a-fA-F]{{{ID_LENGTH}}}")
 
 NAME_BY_STATE = {
     JobState.QUEUED: "queued",
@@ -163,19 +165,41 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         note: Callable[[str, int, float], None],
+        calls: CallsInProgress["_CallerHandler"],
     ) -> None:
         self._record_call = note
+        self._calls = calls
         self._job_service = desk
         self._queues = queues
         self._wall_clock = wall_clock
         self._clock = clock
         self._started_at = clock()
+        calls.open.add(self)
+
+    def on_connection_close(self) -> None:
+        reason = self._calls.abandon(self)
+        if reason is not None:
+            log.warning(
+                "Connection ended before the answer",
+                extra={
+                    "method": self._method,
+                    "job": self.request.path.rpartition("/")[2][:ID_LENGTH],
+                    "why": reason.value,
+                    "seconds": round(self._clock() - self._started_at, 3),
+                },
+            )
 
     def on_finish(self) -> None:
-        method = self.request.method
-        if method not in self.SUPPORTED_METHODS:
-            method = OTHER_METHOD
-        self._record_call(method, self.get_status(), self._clock() - self._started_at)
+        if self not in self._calls.open:
+            return
+        self._calls.open.remove(self)
+        seconds = self._clock() - self._started_at
+        self._record_call(self._method, self.get_status(), seconds)
+
+    @property
+    def _method(self) -> str:
+        method = self.request.method or ""
+        return method if method in self.SUPPORTED_METHODS else OTHER_METHOD
 
     def prepare(self) -> None:
         queue_table = self._queues()
@@ -283,11 +307,13 @@
     clock: Callable[[], float],
     wall_clock: Callable[[], float],
     note: Callable[[str, int, float], None] = lambda method, status, seconds: None,
+    calls: CallsInProgress[Any] | None = None,
 ) -> HTTPServer:
     """Return the HTTP server for callers.
 
     Parameters: `queues` returns None until a configuration is in force; `note` is
-    called with the method, status and seconds of each answered call.
+    called with the method, status and seconds of each answered call; `calls` holds
+    those in progress.
     """
     handler_arguments = {
         "desk": job_service,
@@ -295,6 +321,7 @@
         "clock": clock,
         "wall_clock": wall_clock,
         "note": note,
+        "calls": CallsInProgress() if calls is None else calls,
     }
     application = Application(
         [(r".*", _CallerHandler, handler_arguments)], log_function=lambda handler: None
