An entry that stops answers every request that has reached it before it ends

What callers saw: 2.3 s after SIGTERM, every connection of the entry ended, also those whose request was in progress; requests in the kernel's buffers and connections not yet accepted got a reset.

Cause: Entry.stop relied on tornado's close_all_connections to wait for requests. It does not: it closes each stream first and then waits for the serving loop, which has nothing to write to any more. The warning about requests still in progress could therefore hardly appear. Neither did an answer tell callers that the connection ends.

Evidence: the log of one such stop, 8 calls in progress at SIGTERM, 8 lines "Connection ended before the answer", "process ends", 0.2 to 1.0 s after they were read.

Ruled out: a second SIGTERM, a SIGINT, a SIGHUP while it stops and a new configuration change nothing, and the handlers stand until the end (13 stops, exit code 0 each).

Change: DrainingServer accepts what the kernel holds before it closes the port, closes a connection only when nothing of a request has arrived on it (also not in the kernel's buffer), and waits for the others. From SIGTERM on, answers say Connection: close. Calls that still wait 1 s before the end of the grace period are answered 503 or 504, without their outcome, instead of being cut.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import sys
-from typing import Any
 
 from tornado.httpserver import HTTPServer
 
@@ -26,6 +25,7 @@
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.calls import CallsInProgress
+from wagtailcleat.platform.draining_server import DrainingServer
 from wagtailcleat.platform.submissions import caller_server, ready_server
 from wagtailcleat.wire.answer_writer import AnswerWriter
 from wagtailcleat.wire.handshake import Role
@@ -56,7 +56,8 @@
 STOP_MARGIN_SECONDS = 1.0
 """How long before the end of the grace period this process ends by itself."""
 MIN_CLOSE_SECONDS = 0.1
-"""Shortest time for which a stop waits for requests in progress."""
+"""Shortest time for which a stop waits for requests in progress, and for the end of
+connections whose request it has given up."""
 BYTES_PER_MEGABIT = 125_000
 
 
@@ -111,8 +112,9 @@
         common.dispatch.add({Report: self._report})
         self.advice = AdviceService(settings.advice) if settings.advice else None
         self.metrics = CallerMetrics()
-        self.calls: CallsInProgress[Any] = CallsInProgress()
-        self._servers: list[HTTPServer] = []
+        self.calls = CallsInProgress()
+        self._front: DrainingServer | None = None
+        self._ready: HTTPServer | None = None
         self._add_metrics()
 
     def __repr__(self) -> str:
@@ -124,7 +126,7 @@
         supervisor = self.common.supervisor
         supervisor.spawn("operators", self.operators.run)
         supervisor.spawn("leadership", self.leadership.run)
-        front = caller_server(
+        self._front = caller_server(
             self.submissions,
             queues=lambda: self.operators.queues,
             clock=boot_time,
@@ -132,14 +134,13 @@
             note=self.metrics.record,
             calls=self.calls,
         )
-        ready = ready_server(self.ready)
+        self._ready = ready_server(self.ready)
         for server, address in (
-            (front, self.settings.front),
-            (ready, self.settings.ready),
+            (self._front, self.settings.front),
+            (self._ready, self.settings.ready),
         ):
             host, port = split_address(address)
             server.listen(port, host, backlog=512)
-            self._servers.append(server)
         serve_metrics(self.common, self.settings)
 
     def ready(self) -> bool:
@@ -152,21 +153,31 @@
         return {"in_progress": len(self.calls.open), "unanswered": reasons.total()}
 
     async def stop(self) -> None:
-        """Hand over leadership, finish requests in progress, then end."""
+        """Hand over leadership, answer requests, then end.
+
+        The port stays open until the balancer has noticed. A request that is still in
+        progress `STOP_MARGIN_SECONDS` before the end of the grace period is answered
+        without its outcome.
+        """
+        assert self._front and self._ready
         self.stopping = True
+        self.calls.is_stopping = True
+        self._front.announce_close()
         started_at = boot_time()
         await self.leadership.step_down()
         await asyncio.sleep(BALANCER_NOTICE_SECONDS)
         end = started_at + self.settings.grace - STOP_MARGIN_SECONDS
-        front = self._servers[0]
-        for server in self._servers:
-            server.stop()
+        self._ready.stop()
+        await self._front.drain(max(MIN_CLOSE_SECONDS, end - boot_time()))
+        given_up = self.calls.give_up()
+        if given_up:
+            log.warning(
+                "Requests still in progress at the end of the grace period",
+                extra={"given_up": given_up},
+            )
+        await self._front.drain(MIN_CLOSE_SECONDS)
         self.calls.is_closing = True
-        try:
-            async with asyncio.timeout(max(MIN_CLOSE_SECONDS, end - boot_time())):
-                await front.close_all_connections()
-        except TimeoutError:
-            log.warning("Requests still in progress at the end of the grace period")
+        await self._front.close_all_connections()
         self.common.close()
 
     async def _lead(self, lease: LeaderLease) -> None:
--- a/wagtailcleat/platform/calls.py
+++ b/wagtailcleat/platform/calls.py
@@ -2,11 +2,16 @@
 
 from collections import Counter
 from enum import Enum
-from typing import Generic, TypeVar
+from typing import Protocol
 
 from wagtailcleat.introspection import Introspection, Kind
 
-C = TypeVar("C")
+
+class Call(Protocol):
+    """A call in progress."""
+
+    def give_up(self) -> None:
+        """Answer that the outcome is not known, without waiting for it."""
 
 
 class Unanswered(Enum):
@@ -16,12 +21,14 @@
     PROCESS_ENDS = "process ends"
 
 
-class CallsInProgress(Generic[C]):
+class CallsInProgress:
     """The calls in progress, and counts of those whose connections ended before."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.open: set[C] = set()
+        self.open: set[Call] = set()
+        self.is_stopping = False
+        """Whether the process has been told to stop."""
         self.is_closing = False
         """Whether it is this process that ends connections now."""
         self.count_by_reason: Counter[str] = Counter(
@@ -32,7 +39,14 @@
         """Show the number of open calls."""
         return f"<CallsInProgress {len(self.open)}>"
 
-    def abandon(self, call: C) -> Unanswered | None:
+    def give_up(self) -> int:
+        """Answer all calls without their outcome; return their number."""
+        calls = list(self.open)
+        for call in calls:
+            call.give_up()
+        return len(calls)
+
+    def abandon(self, call: Call) -> Unanswered | None:
         """Remove a call whose connection has ended; None if it was answered before."""
         if call not in self.open:
             return None
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -4,6 +4,7 @@
 process of `wagtailcleat.cluster` starts both servers.
 """
 
+import asyncio
 import re
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -15,6 +16,7 @@
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.calls import CallsInProgress
+from wagtailcleat.platform.draining_server import DrainingServer
 from wagtailcleat.platform.fields import (
     BodyError,
     get_boolean,
@@ -165,7 +167,7 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         note: Callable[[str, int, float], None],
-        calls: CallsInProgress["_CallerHandler"],
+        calls: CallsInProgress,
     ) -> None:
         self._record_call = note
         self._calls = calls
@@ -176,6 +178,22 @@
         self._started_at = clock()
         calls.open.add(self)
 
+    def finish(self, chunk: Any = None) -> "asyncio.Future[None]":
+        if self._finished:
+            # It was given up, and its outcome has come after that.
+            answered: asyncio.Future[None] = asyncio.Future()
+            answered.set_result(None)
+            return answered
+        if self._calls.is_stopping:
+            self.set_header("Connection", "close")
+        return super().finish(chunk)
+
+    def give_up(self) -> None:
+        if self.request.method == "GET":
+            self._refuse(503, "this entry stops")
+        else:
+            self._refuse(504, "this entry stops, and the outcome is not known")
+
     def on_connection_close(self) -> None:
         reason = self._calls.abandon(self)
         if reason is not None:
@@ -307,8 +325,8 @@
     clock: Callable[[], float],
     wall_clock: Callable[[], float],
     note: Callable[[str, int, float], None] = lambda method, status, seconds: None,
-    calls: CallsInProgress[Any] | None = None,
-) -> HTTPServer:
+    calls: CallsInProgress | None = None,
+) -> DrainingServer:
     """Return the HTTP server for callers.
 
     Parameters: `queues` returns None until a configuration is in force; `note` is
@@ -326,7 +344,7 @@
     application = Application(
         [(r".*", _CallerHandler, handler_arguments)], log_function=lambda handler: None
     )
-    return HTTPServer(
+    return DrainingServer(
         application, max_body_size=MAX_BODY_BYTES, idle_connection_timeout=300
     )
 
