Log and count ends of jobs, 410 and late answers, and agents that starts wait for

No change of logic. New lines: 'callers: No such job', 'Answered too late', 'Not answered'; 'leader: Job ended'; 'leader: Starts wait for agents that have not reported', 'Starts wait for no agent'. 'State is not known' says what the leader and the store told. New metrics: states_told_total{basis}, job_ends_total{state}, unreported_agents.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -223,6 +223,13 @@
             self.common.introspection,
             lambda: self.leader.scheduler if self.leader else None,
         )
+        self.common.introspection.labelled(
+            Kind.COUNTER,
+            "states_told",
+            "Answers to questions for a job's state, by what they rest on.",
+            "basis",
+            lambda: self.submissions.count_by_basis,
+        )
         metric = self.common.introspection.metric
         metric(
             Kind.GAUGE,
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -217,7 +217,8 @@
         else:
             job = JobId(key.removeprefix(JOB_PREFIX).removesuffix(CANCELLED))
             now, wall_now = self._clock(), self._wall_clock()
-            if self._scheduler.cancel(job, now=now, wall_now=wall_now) is None:
+            why = f"in the store at revision {revision}"
+            if not self._scheduler.cancel(job, now=now, wall_now=wall_now, why=why):
                 self._on_tombstone(job)
             self._on_cancel()
         self._on_change()
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -17,7 +17,7 @@
     ProcessInfo,
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease
-from wagtailcleat.cluster.leader_log import log_decisions, log_orders
+from wagtailcleat.cluster.leader_log import WaitLog, log_decisions, log_orders
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.learnt_store import learnt_parts, persist_learnt
 from wagtailcleat.cluster.records import DEFAULT_MAX_VALUE_BYTES, Records
@@ -145,6 +145,7 @@
             on_cancel=self._records.dirty.set,
             on_tombstone=self._tombstones.add,
         )
+        self._wait_log = WaitLog()
         self._report_order = ReportOrder()
         self._stream_by_node: dict[NodeId, Stream] = {}
         self._session_by_stream: dict[int, int] = {}
@@ -257,7 +258,7 @@
         stored within `timeout` seconds.
         """
         entry = self.scheduler.cancel(
-            message.id, now=self._now, wall_now=self._wall_clock()
+            message.id, now=self._now, wall_now=self._wall_clock(), why="by a call"
         )
         if entry is None:
             return StateShown("")
@@ -340,6 +341,7 @@
             log.warning("Gave up the runs of an agent", extra={"agent": node})
             self._records.dirty.set()
         log_decisions(self.scheduler)
+        self._wait_log.update(self.scheduler, now)
         if not self.acting:
             return
         self.scheduler.zones_out = self._zones_out()
--- a/wagtailcleat/cluster/metrics.py
+++ b/wagtailcleat/cluster/metrics.py
@@ -78,6 +78,21 @@
         "Due occurrences without tasks: their jobs have the most open ones they may.",
         lambda: leading.overdue_occurrences() if (leading := scheduler()) else 0,
     )
+    introspection.labelled(
+        Kind.COUNTER,
+        "job_ends",
+        "Jobs that ended since this entry began to lead, by state.",
+        "state",
+        lambda: (
+            dict(leading.job_table.count_by_end) if (leading := scheduler()) else {}
+        ),
+    )
+    introspection.metric(
+        Kind.GAUGE,
+        "unreported_agents",
+        "Agents that have not reported to this leader; restored jobs wait for them.",
+        lambda: len(leading.unreported_agents) if (leading := scheduler()) else 0,
+    )
     introspection.labelled(
         Kind.GAUGE,
         "cores",
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -7,8 +7,9 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 import msgspec
@@ -40,6 +41,7 @@
 from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
+from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
@@ -77,12 +79,16 @@
 
 @dataclass(frozen=True)
 class NoSuchJob:
-    """There is no such job."""
+    """There is no such job; `why` says what that rests on."""
+
+    why: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True)
 class NotAnswered:
-    """Neither the leader nor the store answered in time."""
+    """Neither the leader nor the store answered in time; `why` is for the log."""
+
+    why: str = field(default="", compare=False)
 
 
 class Submissions:
@@ -106,6 +112,8 @@
         self._notifying: set[asyncio.Task[None]] = set()
         self._count_by_queue: dict[str, tuple[float, int]] = {}
         """The last counts of waiting jobs, with when the leader was asked."""
+        self.count_by_basis: Counter[str] = Counter()
+        """Number of states told, by what the answer rests on."""
 
     def __repr__(self) -> str:
         """Show the leader."""
@@ -212,8 +220,18 @@
         """Return a job's state, from the leader or else from the store."""
         answer = await self._ask_leader(ShowState(job))
         if isinstance(answer, StateShown) and answer.state:
+            self.count_by_basis["leader"] += 1
             return JobState(answer.state)
-        return await self._stored_state(job)
+        state = await self._stored_state(job)
+        leader = f"leader of epoch {self._leadership.leader.epoch}: {_told(answer)}"
+        if isinstance(state, NoSuchJob):
+            self.count_by_basis["store: no such job"] += 1
+            return NoSuchJob(f"{leader}; {state.why}")
+        if isinstance(state, NotAnswered):
+            self.count_by_basis["not answered"] += 1
+            return NotAnswered(f"{leader}; {state.why}")
+        self.count_by_basis["store"] += 1
+        return state
 
     async def _ask_leader(self, message: ShowState) -> AnyMessage | Lost:
         own_leader = self._leader()
@@ -229,12 +247,13 @@
             except msgspec.MsgspecError as error:
                 fields = {"job": job, "why": str(error)}
                 log.error("Stored record is unreadable", extra=fields)
-                return NotAnswered()
+                return NotAnswered("the record is unreadable")
         found = await self._store.get(job_key(job))
         if isinstance(found, Absent):
-            return NoSuchJob()
-        if isinstance(found, Unavailable) or isinstance(record, Unavailable):
-            return NotAnswered()
+            return NoSuchJob(f"not stored at revision {found.store_revision}")
+        for read in (found, record):
+            if isinstance(read, Unavailable):
+                return NotAnswered(f"store: {read.reason}")
         return JobState.QUEUED
 
     async def cancel(
@@ -312,3 +331,10 @@
         if self._clock() - last_asked_at <= COUNT_AGE_LIMIT_SECONDS:
             return last_count
         return NotAnswered()
+
+
+def _told(answer: AnyMessage | Lost) -> str:
+    """Return for the log what the leader told instead of a state."""
+    if isinstance(answer, Lost):
+        return f"no answer ({answer.reason})"
+    return answer.reason if isinstance(answer, Refused) else "does not know for sure"
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -48,6 +48,8 @@
 MAX_SPEC_BYTES = 4_000
 OTHER_METHOD = "other"
 """Recorded for all unsupported methods: callers can send any number of made-up ones."""
+MAX_LOGGED_ID = 16
+"""Longest part of a path that is logged as a job's id."""
 ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 
 NAME_BY_STATE = {
@@ -173,6 +175,10 @@
 
     def on_finish(self) -> None:
         method = self.request.method
+        if self._clock() > self._deadline():
+            path = self.request.path.rpartition("/")[2]
+            fields = self._fields(JobId(path[:MAX_LOGGED_ID]), str(self.get_status()))
+            log.info("Answered too late", extra={"method": method, **fields})
         if method not in self.SUPPORTED_METHODS:
             method = OTHER_METHOD
         self._record_call(method, self.get_status(), self._clock() - self._started_at)
@@ -205,6 +211,15 @@
             return None
         return JobId(self._id_text)
 
+    def _fields(self, job: JobId, why: str) -> dict[str, Any]:
+        seconds = round(self._clock() - self._started_at, 3)
+        return {"job": job, "why": why, "seconds": seconds}
+
+    def on_connection_close(self) -> None:
+        path = self.request.path.rpartition("/")[2]
+        fields = self._fields(JobId(path[:MAX_LOGGED_ID]), "the caller has left")
+        log.info("Not answered", extra={"method": self.request.method, **fields})
+
     def _deadline(self) -> float:
         header = self.request.headers.get(DEADLINE_HEADER, "")
         seconds = DEFAULT_DEADLINE_SECONDS
@@ -241,9 +256,10 @@
         if isinstance(state, JobState):
             self.finish({"state": NAME_BY_STATE[state]})
         elif isinstance(state, NoSuchJob):
+            log.info("No such job", extra=self._fields(job, state.why))
             self._refuse(410, "no such submission")
         else:
-            log.info("State is not known", extra={"job": job})
+            log.info("State is not known", extra=self._fields(job, state.why))
             self._refuse(504, "its state is not known at present")
 
     async def _get_waiting(self) -> None:
@@ -263,7 +279,8 @@
         elif isinstance(state, NoSuchJob):
             self._refuse(410, "no such submission")
         else:
-            log.info("Cancellation is not known", extra={"job": job})
+            fields = self._fields(job, state.why)
+            log.info("Cancellation is not known", extra=fields)
             self._refuse(504, "it is not known whether the submission is cancelled")
 
 
--- a/wagtailcleat/scheduling/events.py
+++ b/wagtailcleat/scheduling/events.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wagtailcleat.ids import NodeId
-from wagtailcleat.scheduling.models import RunKey
+from wagtailcleat.ids import JobId, NodeId
+from wagtailcleat.scheduling.models import JobState, RunKey
 
 
 class Event(Enum):
@@ -29,3 +29,12 @@
     run: RunKey
     node: NodeId
     why: str
+
+
+@dataclass(frozen=True)
+class JobEnd:
+    """The end of a job, with its reason in `why`."""
+
+    job: JobId
+    state: JobState
+    why: str
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -4,7 +4,10 @@
 the rest (what runs where) is learned from the agents' reports after a change of leader.
 """
 
+from collections import Counter
+
 from wagtailcleat.ids import JobId, NodeId
+from wagtailcleat.scheduling.events import JobEnd
 from wagtailcleat.scheduling.job_entry import (
     JobEntry,
     StepKey,
@@ -40,6 +43,10 @@
         self.entry_by_id: dict[JobId, JobEntry] = {}
         self.open_by_id: dict[JobId, JobEntry] = {}
         """The jobs that have not ended; a placement round examines only these."""
+        self.count_by_end: Counter[str] = Counter()
+        """Jobs that this leader has ended, by state."""
+        self._ends: list[JobEnd] = []
+        """Ends since the last call of `take_ends`."""
 
     def __repr__(self) -> str:
         """Show the number of jobs."""
@@ -217,7 +224,8 @@
         if not entry.unfinished_by_step[step]:
             self._mark_ready(entry, task.key.occurrence, now)
         if self._all_succeeded(entry):
-            self._end_job(entry, JobState.SUCCEEDED, wall_now)
+            why = "all tasks have succeeded"
+            self._end_job(entry, JobState.SUCCEEDED, wall_now, why)
         elif entry.job.occurrences > 1:
             drop_done_occurrences(entry)
 
@@ -237,8 +245,12 @@
             return
         task.failed_runs.add(run)
         task.entry.mark_changed()
-        if len(self._counted_failures(task)) >= task.entry.job.attempts:
-            self._end_job(task.entry, JobState.FAILED, wall_now)
+        failures = self._counted_failures(task)
+        if len(failures) >= task.entry.job.attempts:
+            _, occurrence, step, position = task.key
+            runs = ", ".join(map(str, sorted(failures)))
+            why = f"runs {runs} of task {occurrence}/{step}/{position} have failed"
+            self._end_job(task.entry, JobState.FAILED, wall_now, why)
 
     def _counted_failures(self, task: Task) -> set[int]:
         """Return the failed runs that count towards a task's attempts."""
@@ -266,14 +278,26 @@
         if entry.has_begun and not has_record:
             entry.mark_changed()
 
-    def cancel(self, job: JobId, *, wall_now: float) -> JobEntry | None:
-        """Cancel a job unless it has ended; return its entry if it is known."""
+    def cancel(self, job: JobId, *, wall_now: float, why: str) -> JobEntry | None:
+        """Cancel a job unless it has ended; return its entry if it is known.
+
+        Parameters: `why` is for the log.
+        """
         entry = self.entry_by_id.get(job)
         if entry is not None and entry.open:
-            self._end_job(entry, JobState.CANCELLED, wall_now)
+            self._end_job(entry, JobState.CANCELLED, wall_now, why)
         return entry
 
-    def _end_job(self, entry: JobEntry, state: JobState, wall_now: float) -> None:
+    def take_ends(self) -> list[JobEnd]:
+        """Return the ends of jobs since the last call."""
+        ends, self._ends = self._ends, []
+        return ends
+
+    def _end_job(
+        self, entry: JobEntry, state: JobState, wall_now: float, why: str
+    ) -> None:
+        self._ends.append(JobEnd(entry.job.id, state, why))
+        self.count_by_end[state.value] += 1
         entry.state = state
         entry.ended_at = wall_now
         entry.run_samples_by_step.clear()
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -248,9 +248,14 @@
         """Return the events since the last call."""
         return self._runs.take_logged_events()
 
-    def cancel(self, job: JobId, *, now: float, wall_now: float) -> JobEntry | None:
-        """Cancel a job and stop its runs; return its entry if it is known."""
-        entry = self.job_table.cancel(job, wall_now=wall_now)
+    def cancel(
+        self, job: JobId, *, now: float, wall_now: float, why: str = ""
+    ) -> JobEntry | None:
+        """Cancel a job and stop its runs; return its entry if it is known.
+
+        Parameters: `why` is for the log.
+        """
+        entry = self.job_table.cancel(job, wall_now=wall_now, why=why)
         if entry is not None and entry.state.final:
             self._runs.stop_tasks(entry.tasks(), now)
         return entry
