Start what a new leader has heard of without waiting for silent agents

Cause: the wait is one flag for each job. It is needed only where an earlier leader may have given the task to the silent agent.

Change: a task with a run that its worker listed after its agent began to follow this leader is accounted for, and so are the tasks of the steps that wait for it. These start at once; all others wait as before. Why that is safe: the run was there after this leader's claim, so no earlier leader has counted it as lapsed (that would be 0.3 s after its end, as of a renewal before the claim), and its agent tells its end to this leader alone. A list that may have been requested before counts for nothing (Report.listed_in_epoch, computed by the agent on its own clock; reports of earlier versions lack it and wait). The members of a gang count one by one, and account for no later step, for another member may list the end of all.

Ruled out: a shorter wait (leases need it); the service or the jobs of each agent in the store (a write for each start).

--- a/features/platform/takeover.feature
+++ b/features/platform/takeover.feature
@@ -176,3 +176,9 @@
     # Guards against duplicate runs, and starts that stall, after faults in any order.
     When 40 random histories with changes of leaders are played
     Then no task ran in two places, and work started again after each
+
+  Scenario: Random histories with failed runs and changes of leaders
+    # Guards against duplicate runs of tasks that start again, and of later steps, while
+    # an agent that an earlier leader gave work has not reported.
+    When 30 random histories with failed runs and changes of leaders are played
+    Then no task ran in two places, and work started again after each
--- /dev/null
+++ b/features/scheduling/heard_runs.feature
@@ -0,0 +1,37 @@
+Feature: What a new leader has heard of waits for no agent that is silent
+
+  Scenario Outline: A run that was heard ends while another agent is silent
+    # Guards against retries and next steps that wait for seconds for an agent that is
+    # gone, although they can't run there.
+    Given 3 VMs of 32 cores
+    And job "a" of 1 task, and then of 1 task, of which the first runs
+    When a new leader restores the jobs and gets the reports of all agents but an idle one
+    And the run of job "a" <ends>
+    Then a task of step <step> of job "a" is started at once
+
+    Examples:
+      | ends     | step |
+      | fails    | 0    |
+      | succeeds | 1    |
+
+  Scenario Outline: What a new leader has heard may be from before its claim
+    # Guards against duplicate runs: an earlier leader may have counted the run as lapsed,
+    # or have known its end, and started the next one at the silent agent.
+    Given 3 VMs of 32 cores
+    And job "a" of 1 task, and then of 1 task, of which the first runs
+    When <before>
+    Then no task of job "a" is started
+    When it has waited for as long as runs can go on without a leader
+    Then a task of step 0 of job "a" is started at once
+
+    Examples:
+      | before                                                              |
+      | a new leader gets a list of before its claim, and the run fails     |
+      | a new leader first hears of the run when it has failed              |
+
+  Scenario: One member of a gang is heard
+    # Guards against a gang that starts again while a member runs at a silent agent.
+    Given 2 VMs of 6 cores
+    And a gang "a" of 2 tasks of 4 cores runs
+    When a new leader gets the report of one of its agents, and that run breaks
+    Then no task of job "a" is started
--- a/features/steps/scheduling_fuzz.py
+++ b/features/steps/scheduling_fuzz.py
@@ -238,8 +238,12 @@
         usable = [vm for vm in scheduler.vm_by_node.values() if vm.is_usable]
         for entry in scheduler.job_table.entry_by_id.values():
             for step, tasks in entry.tasks_by_step.items():
-                waiting = [t for t in tasks if t.state is TaskState.WAITING]
-                if not entry.open or not entry.may_start_tasks or not waiting:
+                waiting = [
+                    task
+                    for task in tasks
+                    if task.state is TaskState.WAITING and entry.may_start(task)
+                ]
+                if not entry.open or not waiting:
                     continue
                 if waiting[0].step.gang or waiting[0].step.fills:
                     continue
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -365,7 +365,7 @@
     run_kinds_histories(count)
 
 
-def _restored(context):
+def restored(context):
     """Replace the leader by one that restores the stored records; return the world."""
     world = context.world
     job_table = world.scheduler.job_table
@@ -383,7 +383,7 @@
 
 @when("a new leader restores the jobs and gets only the report of the idle VM")
 def step_new_leader_partly(context):
-    world = _restored(context)
+    world = restored(context)
     for node, worker in world.worker_by_node.items():
         if node != context.node:
             world.report(worker)
@@ -391,7 +391,7 @@
 
 @when("a new leader restores the jobs and gets the reports of all agents")
 def step_new_leader(context):
-    world = _restored(context)
+    world = restored(context)
     for worker in world.worker_by_node.values():
         world.report(worker)
 
@@ -409,7 +409,7 @@
 
 @when("a new leader hears of the {first} run first")
 def step_hears_first(context, first):
-    world = _restored(context)
+    world = restored(context)
     hosts = context.hosts
     for worker in (hosts[first], *(w for w in hosts.values() if w is not hosts[first])):
         world.report(worker)
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -62,6 +62,8 @@
     unsettled: list = field(default_factory=list)
     has_all_ends: bool = True
     """Whether its list contains every end."""
+    listed_in_epoch: bool = True
+    """Whether its list was requested after it began to follow the leader."""
 
     @property
     def capability(self) -> Capability:
@@ -136,6 +138,7 @@
             lease_seconds=HORIZON,
             orders_taken=self.orders_taken,
             has_all_ends=self.has_all_ends,
+            listed_in_epoch=self.listed_in_epoch,
         )
 
 
--- a/features/steps/takeover_histories.py
+++ b/features/steps/takeover_histories.py
@@ -164,12 +164,33 @@
         entry.kill()
 
 
-def play_histories(seeds: range) -> list[str]:
+class RetryHistory(History):
+    """A history of jobs of two steps, in which runs also fail."""
+
+    def do_submit_steps(self) -> None:
+        """Submit a job whose second step waits for the first."""
+        self.world.submit(self.random.randint(1, 2), cores=2.0, then=1)
+
+    # A second name doubles the probability of a submission.
+    do_submit_steps_more = do_submit_steps
+
+    def do_fail(self) -> None:
+        """Let a run fail; its task starts again."""
+        if running := self.world.running():
+            agent, key = self.random.choice(running)
+            agent.worker.end(key, RunEnd.FAILED)
+            agent.following.report_soon()
+
+    # A second name doubles the probability of a failure.
+    do_fail_more = do_fail
+
+
+def play_histories(seeds: range, history_type: type[History] = History) -> list[str]:
     """Play a history per seed; return the messages of the failed checks."""
     failures = []
     for seed in seeds:
         try:
-            History(seed).play()
+            history_type(seed).play()
         except AssertionError as error:
             failures.append(str(error))
     return failures
--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from features.steps.scheduling_world import make_job, plain
-from features.steps.takeover_histories import play_histories
+from features.steps.takeover_histories import RetryHistory, play_histories
 from features.steps.takeover_world import LinkState, TakeoverWorld
 from wagtailcleat.cluster.keys import LEADER_KEY, decode, encode, job_key
 from wagtailcleat.cluster.timing import (
@@ -375,6 +375,11 @@
     context.failures = play_histories(range(1, count + 1))
 
 
+@when("{count:d} random histories with failed runs and changes of leaders are played")
+def step_retry_histories(context, count):
+    context.failures = play_histories(range(1, count + 1), RetryHistory)
+
+
 @then("no task ran in two places, and work started again after each")
 def step_histories_held(context):
     assert not context.failures, context.failures
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -573,10 +573,12 @@
             self.wait(0.01)
         return self.clock() - started_at
 
-    def submit(self, count: int = 1, cores: float = 4.0) -> str:
-        """Store a job of `count` tasks; return its id."""
+    def submit(self, count: int = 1, cores: float = 4.0, *, then: int = 0) -> str:
+        """Store a job of `count` tasks, and then of `then` tasks; return its id."""
         self.job_count += 1
-        job = make_job(f"job-{self.job_count}", plain(count, cores=cores))
+        steps = [plain(count, cores=cores)]
+        steps += [plain(then, cores=cores, after=(0,))] if then else []
+        job = make_job(f"job-{self.job_count}", *steps)
         self.keyspace.commit(Txn([], {job_key(job.id): encode(job)}))
         return job.id
 
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -6,13 +6,17 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 
+import msgspec
+
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.checkpoint_delta import CheckpointDelta
 from wagtailcleat.cluster.keys import LEADER_KEY, decode
 from wagtailcleat.cluster.timing import (
     LEADER_SEARCH_PAUSE_SECONDS,
+    LIST_AGE_SECONDS,
     PREDECESSOR_LEASE_SECONDS,
     REPORT_INTERVAL_SECONDS,
     REPORT_TIMEOUT_SECONDS,
@@ -108,6 +112,8 @@
         self._searches_since_contact = 0
         """Searches since a report was last answered."""
         self._started_at = clock()
+        self._followed_at = math.inf
+        """When this agent began to follow its epoch."""
 
     def __repr__(self) -> str:
         """Show the epoch that is followed."""
@@ -167,8 +173,7 @@
         if isinstance(stream, Lost):
             return False
         sent_at = self._clock()
-        full_report = self._make_report(self.epoch, self._orders_taken)
-        report = self._delta.shorten(full_report)
+        report = self._delta.shorten(self._full_report(sent_at))
         answer = await stream.call(report, timeout=REPORT_TIMEOUT_SECONDS)
         if isinstance(answer, Lost):
             self._delta.lost()
@@ -198,6 +203,12 @@
         self._on_answer(report)
         return True
 
+    def _full_report(self, now: float) -> Report:
+        report = self._make_report(self.epoch, self._orders_taken)
+        is_recent = report.listed and not report.silent_seconds
+        in_epoch = is_recent and now - self._followed_at >= LIST_AGE_SECONDS
+        return msgspec.structs.replace(report, listed_in_epoch=in_epoch)
+
     async def _wait_until_announced(self) -> None:
         # A leader that is restoring its jobs accepts no reports, and announces itself
         # once it does. If all agents repeated their reports at once, they would fill
@@ -213,6 +224,7 @@
             return False
         log.info("Follows", extra={"epoch": epoch})
         self.epoch = epoch
+        self._followed_at = self._clock()
         self._orders_taken = 0
         self.valid_until = 0.0
         self._report_due.set()
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -73,6 +73,8 @@
 """How long the worker may delay the answer to a list until a run ends."""
 WORKER_SILENT_SECONDS = 0.9
 """How long after its last list a worker is given no more starts."""
+LIST_AGE_SECONDS = WORKER_SILENT_SECONDS + LIST_WAIT_SECONDS + WORKER_CALL_SECONDS
+"""How long ago the list of a worker that is not silent was requested, at most."""
 STOP_REPEAT_SECONDS = 1.0
 """How long after a stop it is repeated if the run is still listed."""
 STORE_CALL_SECONDS = 1.0
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -65,6 +65,8 @@
     """Number of runs in a row that ended soon, see `restart_backoff`."""
     not_before: float = 0.0
     """Before this time it does not start again, in seconds on the leader's clock."""
+    is_accounted_for: bool = False
+    """Whether no agent that has not reported to this leader can run it."""
     failed_on: set[NodeId] = field(default_factory=set)
     """Nodes on which runs of the task failed, as far as this leader knows."""
 
@@ -96,7 +98,8 @@
     has_begun: bool = False
     """Whether a task has started: an agent has listed a run of it, or its end."""
     may_start_tasks: bool = True
-    """False while agents that have not reported to this leader may run its tasks."""
+    """False while agents that have not reported to this leader may run its tasks,
+    except for those tasks that are accounted for."""
     ended_at: float = 0.0
     """Wall clock seconds."""
     version: int = 0
@@ -151,6 +154,10 @@
             self.expected_seconds[step] = seconds
             self.remaining_work_by_occurrence.clear()
 
+    def may_start(self, task: Task) -> bool:
+        """Return whether no agent that has not reported may run a task of this job."""
+        return self.may_start_tasks or task.is_accounted_for
+
     def tasks(self) -> Iterator[Task]:
         """Yield every task of the occurrences that have begun."""
         for tasks in self.tasks_by_step.values():
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -152,6 +152,26 @@
         task.highest_run = max(task.highest_run, run)
         task.node = node
 
+    def account_for(self, task: Task) -> None:
+        """Record that a task had a run after this leader's claim.
+
+        No earlier leader has ended that run, so none has started the task again, or
+        any task of a step that waits for this one.
+        """
+        if task.entry.may_start(task):
+            return
+        task.is_accounted_for = True
+        if task.step.gang:
+            # Another member may have listed the end of all of them.
+            return
+        following = {task.key.step}
+        for number, step in enumerate(task.entry.job.steps):
+            if following.isdisjoint(step.after):
+                continue
+            following.add(number)
+            for later in task.entry.tasks_by_step[task.key.occurrence, number]:
+                later.is_accounted_for = True
+
     def mark_begun(self, job: JobId) -> None:
         """Record that an agent has listed a run of a job, or the end of one."""
         entry = self.entry_by_id.get(job)
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -155,6 +155,9 @@
                 self._dispatch.pending(vm.node).stops.append(running.key)
                 continue
             self._job_table.mark_begun(running.key.task.job)
+            task = self._job_table.find_task(running.key.task)
+            if report.listed_in_epoch and task and task.run == running.key.run:
+                self._job_table.account_for(task)
             hosted.measurement = running.measurement
             self._measure_progress(vm, hosted, running.percent, now)
             hosted.listed = True
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -79,6 +79,8 @@
     """Sequence number, which rises with each report of one incarnation of the agent."""
     has_all_ends: bool = True
     """Whether `ended` is complete; if not, an ended run may be listed nowhere."""
+    listed_in_epoch: bool = False
+    """Whether the list was requested after the agent began to follow `epoch`."""
 
 
 class FollowFirst(Message, frozen=True, tag="follow_first"):
