--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -197,14 +197,10 @@
     def on_connection_close(self) -> None:
         reason = self._calls.abandon(self)
         if reason is not None:
+            fields = self._fields(self._last_of_path, reason.value)
             log.warning(
                 "Connection ended before the answer",
-                extra={
-                    "method": self._method,
-                    "job": self.request.path.rpartition("/")[2][:ID_LENGTH],
-                    "why": reason.value,
-                    "seconds": round(self._clock() - self._started_at, 3),
-                },
+                extra={"method": self._method, **fields},
             )
 
     def on_finish(self) -> None:
@@ -212,6 +208,9 @@
             return
         self._calls.open.remove(self)
         seconds = self._clock() - self._started_at
+        if self._clock() > self._deadline():
+            fields = self._fields(self._last_of_path, str(self.get_status()))
+            log.info("Answered too late", extra={"method": self._method, **fields})
         self._record_call(self._method, self.get_status(), seconds)
 
     @property
@@ -219,6 +218,10 @@
         method = self.request.method or ""
         return method if method in self.SUPPORTED_METHODS else OTHER_METHOD
 
+    @property
+    def _last_of_path(self) -> JobId:
+        return JobId(self.request.path.rpartition("/")[2][:ID_LENGTH])
+
     def prepare(self) -> None:
         queue_table = self._queues()
         if queue_table is None:
@@ -247,6 +250,10 @@
             return None
         return JobId(self._id_text)
 
+    def _fields(self, job: JobId, why: str) -> dict[str, Any]:
+        seconds = round(self._clock() - self._started_at, 3)
+        return {"job": job, "why": why, "seconds": seconds}
+
     def _deadline(self) -> float:
         header = self.request.headers.get(DEADLINE_HEADER, "")
         seconds = DEFAULT_DEADLINE_SECONDS
@@ -283,9 +290,10 @@
         if isinstance(state, JobState):
             self.finish({"state": NAME_BY_STATE[state]})
         elif isinstance(state, NoSuchJob):
+            log.info("No such job", extra=self._fields(job, state.why))
             self._refuse(410, "no such submission")
         else:
-            log.info("State is not known", extra={"job": job})
+            log.info("State is not known", extra=self._fields(job, state.why))
             self._refuse(504, "its state is not known at present")
 
     async def _get_waiting(self) -> None:
@@ -305,7 +313,8 @@
         elif isinstance(state, NoSuchJob):
             self._refuse(410, "no such submission")
         else:
-            log.info("Cancellation is not known", extra={"job": job})
+            fields = self._fields(job, state.why)
+            log.info("Cancellation is not known", extra=fields)
             self._refuse(504, "it is not known whether the submission is cancelled")
 
 
