--- a/wagtailcleat/cluster/leader_log.py
+++ b/wagtailcleat/cluster/leader_log.py
@@ -59,6 +59,8 @@
             "Job ended",
             extra={"job": end.job, "state": end.state.value, "why": end.why},
         )
+    for wait in scheduler.long_waits.take_to_log():
+        log.info("Task waits although there is room", extra=wait.fields())
     for logged in scheduler.take_logged_events():
         log.info(
             logged.event.value,
