A deadline header that is no decimal number does not fail its call

What callers saw: 500 for a submission or a cancellation whose Wagtailcleat-Deadline-Ms header holds a digit other than 0 to 9 (a superscript two) or thousands of digits; the call was not carried out.

Cause: str.isdigit accepts digits that int refuses, and int refuses texts of more than 4,300 digits.

Change: an invalid header counts as none, a longer time as the longest one.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -14,6 +14,18 @@
     # Guards against a job that is accepted and that no later leader can restore.
     Then 2000 submissions with fields of any type are refused, or can be restored
 
+  Scenario Outline: A call has an odd deadline
+    # Guards against calls that fail without being carried out because of one header.
+    Given a deployment of 1 entry and 1 agent
+    When a submission has the deadline header <deadline>
+    Then that submission is accepted
+
+    Examples:
+      | deadline                  |
+      | "-1"                      |
+      | "²"                       |
+      | of 5000 digits            |
+
   Scenario: A list of runs is decoded
     # Guards against latencies off by a factor of 1000 when milliseconds stay as they are.
     Then a serving run listed with 18 ms is decoded to a value of 0.018 s
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -39,6 +39,8 @@
 """Deadline of calls without a deadline header; the callers of the deployments wait this
 long."""
 MAX_DEADLINE_SECONDS = 60.0
+MAX_DEADLINE_DIGITS = 9
+"""Python converts no text of several thousand digits to a number."""
 RETRY_AFTER_SECONDS = 1
 """Entries without a configuration or a store try several times a second to reach them,
 so a retry after this time can succeed."""
@@ -126,6 +128,18 @@
     )
 
 
+def decode_deadline(header: str) -> float:
+    """Return how long a caller waits for its answer, in seconds.
+
+    An invalid header counts as none, and a longer time as `MAX_DEADLINE_SECONDS`.
+    """
+    if not (header.isascii() and header.isdigit()):
+        return DEFAULT_DEADLINE_SECONDS
+    if len(header.lstrip("0")) > MAX_DEADLINE_DIGITS:
+        return MAX_DEADLINE_SECONDS
+    return min(int(header[-MAX_DEADLINE_DIGITS:]) / MILLISECONDS, MAX_DEADLINE_SECONDS)
+
+
 def _decode_step(raw: Any, position: int) -> Step:
     if not isinstance(raw, dict):
         raise BodyError("steps: not an object")
@@ -256,10 +270,7 @@
 
     def _deadline(self) -> float:
         header = self.request.headers.get(DEADLINE_HEADER, "")
-        seconds = DEFAULT_DEADLINE_SECONDS
-        if header.isdigit():
-            seconds = min(int(header) / MILLISECONDS, MAX_DEADLINE_SECONDS)
-        return self._started_at + seconds
+        return self._started_at + decode_deadline(header)
 
     async def post(self) -> None:
         job = self._job_id()
