Answer for the state of a job within the caller's deadline

Cause: leader and store were asked one after the other, each once, whatever the caller's deadline.

Change: cluster/job_states.py asks the leader, after 0.4 s the store as well, repeats a call that failed, and answers 0.15 s before the deadline. 504 at once where the store is known to be away or the record is unreadable.

Ruled out: both from the start (a priced read for each question).

--- a/features/steps/late_writes_steps.py
+++ b/features/steps/late_writes_steps.py
@@ -7,14 +7,10 @@
 from features.steps.leader_world import LeaderWorld
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.cluster import tombstones
+from wagtailcleat.cluster.job_states import NoSuchJob, NotAnswered
 from wagtailcleat.cluster.keys import JOB_PREFIX, job_key
 from wagtailcleat.cluster.leadership import NO_LEADER
-from wagtailcleat.cluster.submissions import (
-    Acceptance,
-    NoSuchJob,
-    NotAnswered,
-    Submissions,
-)
+from wagtailcleat.cluster.submissions import Acceptance, Submissions
 from wagtailcleat.ids import JobId
 from wagtailcleat.scheduling.models import JobState
 
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -8,13 +8,16 @@
 
 from features.steps.leader_world import LeaderWorld, PretendedStore
 from features.steps.scheduling_world import make_job, plain
+from wagtailcleat.cluster.job_states import NotAnswered
 from wagtailcleat.cluster.keys import AGENT_PREFIX, JOB_PREFIX, encode, record_key
 from wagtailcleat.cluster.leadership import NO_LEADER
-from wagtailcleat.cluster.submissions import NotAnswered, Submissions
+from wagtailcleat.cluster.submissions import Submissions
 from wagtailcleat.scheduling.models import RunKey, Start, TaskKey
 
 UNREADABLE = b"\xc1 of another version"
 OTHER = "bad-1"
+ASKED_AT = 100.0
+WAIT_SECONDS = 3.0
 KEY_BY_NAME = {
     "a job": JOB_PREFIX + OTHER,
     "the record of another job": record_key(OTHER),
@@ -124,11 +127,12 @@
         peers=None,
         leadership=SimpleNamespace(leader=NO_LEADER, leads=False),
         leader=lambda: None,
-        clock=lambda: 100.0,
+        clock=lambda: ASKED_AT,
     )
 
 
 @then("the state of that job is not answered")
 def step_not_answered(context):
-    state = asyncio.run(context.submissions.state(OTHER))
+    asked = context.submissions.state(OTHER, deadline=ASKED_AT + WAIT_SECONDS)
+    state = asyncio.run(asked)
     assert isinstance(state, NotAnswered), state
--- a/features/steps/waiting_answers_steps.py
+++ b/features/steps/waiting_answers_steps.py
@@ -9,8 +9,9 @@
 
 from features.steps.leader_world import VALID_SECONDS, LeaderWorld
 from features.steps.scheduling_world import make_job, plain
+from wagtailcleat.cluster.job_states import NotAnswered
 from wagtailcleat.cluster.keys import ProcessInfo, agent_key, encode
-from wagtailcleat.cluster.submissions import NotAnswered, Submissions
+from wagtailcleat.cluster.submissions import Submissions
 from wagtailcleat.errors import Code
 from wagtailcleat.ids import ServiceName
 from wagtailcleat.platform.submissions import caller_server
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -228,7 +228,7 @@
             "states_told",
             "Answers to questions for a job's state, by what they rest on.",
             "basis",
-            lambda: self.submissions.count_by_basis,
+            lambda: self.submissions.job_states.count_by_basis,
         )
         metric = self.common.introspection.metric
         metric(
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -7,41 +7,34 @@
 
 import asyncio
 import math
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from enum import Enum
 
-import msgspec
-
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.job_states import JobStates, NoSuchJob, NotAnswered
 from wagtailcleat.cluster.keys import (
     cancel_key,
-    decode,
     encode,
     job_key,
-    record_key,
 )
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
-from wagtailcleat.scheduling.models import Job, JobRecord, JobState
+from wagtailcleat.scheduling.models import Job, JobState
 from wagtailcleat.storage import (
     Absent,
     Compare,
     Conflict,
     Found,
     Txn,
-    Unavailable,
     Unknown,
     Written,
 )
 from wagtailcleat.wire.messages import AnyMessage
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.peers import Peers
-from wagtailcleat.wire.results import Refused
 from wagtailcleat.wire.scheduling import (
     CancelSteps,
     CountWaiting,
@@ -59,6 +52,8 @@
 """Time limit for an answer of the leader; the store is asked after that."""
 CANCEL_TIMEOUT_SECONDS = 1.2
 RETRY_PAUSE_SECONDS = 0.1
+MIN_WAIT_SECONDS = 0.1
+"""Shortest wait for an answer, also for a caller that hardly waits."""
 ANSWER_MARGIN_SECONDS = 0.15
 """How long before the caller's deadline the answer is sent."""
 COUNT_AGE_LIMIT_SECONDS = 2.0 - ANSWER_MARGIN_SECONDS
@@ -77,20 +72,6 @@
     """The job was cancelled before it was stored, and is not stored any more."""
 
 
-@dataclass(frozen=True)
-class NoSuchJob:
-    """There is no such job; `why` says what that rests on."""
-
-    why: str = field(default="", compare=False)
-
-
-@dataclass(frozen=True)
-class NotAnswered:
-    """Neither the leader nor the store answered in time; `why` is for the log."""
-
-    why: str = field(default="", compare=False)
-
-
 class Submissions:
     """Operations on jobs that an entry offers to its callers."""
 
@@ -112,8 +93,9 @@
         self._notifying: set[asyncio.Task[None]] = set()
         self._count_by_queue: dict[str, tuple[float, int]] = {}
         """The last counts of waiting jobs, with when the leader was asked."""
-        self.count_by_basis: Counter[str] = Counter()
-        """Number of states told, by what the answer rests on."""
+        self.job_states = JobStates(
+            store=store, ask_leader=self._ask_leader, clock=clock
+        )
 
     def __repr__(self) -> str:
         """Show the leader."""
@@ -216,22 +198,16 @@
             leader.host, leader.port, message, timeout=timeout
         )
 
-    async def state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
-        """Return a job's state, from the leader or else from the store."""
-        answer = await self._ask_leader(ShowState(job))
-        if isinstance(answer, StateShown) and answer.state:
-            self.count_by_basis["leader"] += 1
-            return JobState(answer.state)
-        state = await self._stored_state(job)
-        leader = f"leader of epoch {self._leadership.leader.epoch}: {_told(answer)}"
-        if isinstance(state, NoSuchJob):
-            self.count_by_basis["store: no such job"] += 1
-            return NoSuchJob(f"{leader}; {state.why}")
-        if isinstance(state, NotAnswered):
-            self.count_by_basis["not answered"] += 1
-            return NotAnswered(f"{leader}; {state.why}")
-        self.count_by_basis["store"] += 1
-        return state
+    async def state(
+        self, job: JobId, *, deadline: float
+    ) -> JobState | NoSuchJob | NotAnswered:
+        """Return a job's state, from the leader or else from the store.
+
+        Parameters: `deadline` in seconds on this process's clock.
+        """
+        shortest = self._clock() + MIN_WAIT_SECONDS
+        answer_by = max(shortest, deadline - ANSWER_MARGIN_SECONDS)
+        return await self.job_states.find(job, answer_by=answer_by)
 
     async def _ask_leader(self, message: ShowState) -> AnyMessage | Lost:
         own_leader = self._leader()
@@ -239,23 +215,6 @@
             return own_leader.state(message)
         return await self._call_leader(message)
 
-    async def _stored_state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
-        record = await self._store.get(record_key(job))
-        if isinstance(record, Found):
-            try:
-                return decode(record.value, JobRecord).state
-            except msgspec.MsgspecError as error:
-                fields = {"job": job, "why": str(error)}
-                log.error("Stored record is unreadable", extra=fields)
-                return NotAnswered("the record is unreadable")
-        found = await self._store.get(job_key(job))
-        if isinstance(found, Absent):
-            return NoSuchJob(f"not stored at revision {found.store_revision}")
-        for read in (found, record):
-            if isinstance(read, Unavailable):
-                return NotAnswered(f"store: {read.reason}")
-        return JobState.QUEUED
-
     async def cancel(
         self, job: JobId, *, deadline: float
     ) -> JobState | NoSuchJob | NotAnswered:
@@ -265,7 +224,7 @@
         """
         own_leader = self._leader()
         remaining = max(
-            0.1,
+            MIN_WAIT_SECONDS,
             min(
                 CANCEL_TIMEOUT_SECONDS, deadline - self._clock() - ANSWER_MARGIN_SECONDS
             ),
@@ -331,10 +290,3 @@
         if self._clock() - last_asked_at <= COUNT_AGE_LIMIT_SECONDS:
             return last_count
         return NotAnswered()
-
-
-def _told(answer: AnyMessage | Lost) -> str:
-    """Return for the log what the leader told instead of a state."""
-    if isinstance(answer, Lost):
-        return f"no answer ({answer.reason})"
-    return answer.reason if isinstance(answer, Refused) else "does not know for sure"
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -11,7 +11,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from wagtailcleat.cluster.submissions import Acceptance, NoSuchJob, NotAnswered
+from wagtailcleat.cluster.job_states import NoSuchJob, NotAnswered
+from wagtailcleat.cluster.submissions import Acceptance
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.fields import (
@@ -70,7 +71,9 @@
     async def submit(self, job: Job, *, deadline: float) -> Acceptance:
         """Store a job."""
 
-    async def state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
+    async def state(
+        self, job: JobId, *, deadline: float
+    ) -> JobState | NoSuchJob | NotAnswered:
         """Return the state of a job."""
 
     async def cancel(
@@ -252,7 +255,7 @@
         job = self._job_id()
         if job is None:
             return
-        state = await self._job_service.state(job)
+        state = await self._job_service.state(job, deadline=self._deadline())
         if isinstance(state, JobState):
             self.finish({"state": NAME_BY_STATE[state]})
         elif isinstance(state, NoSuchJob):
