Log and count tasks that wait for long although there is room, with what they wait for

When work stood still for seconds beside free VMs, no line said what it waited for: a worker or an agent without a sign of life, agents that a new leader has not heard, a pause after failures, tickets, or a choice of the scheduler.

The leader now looks once a second (scheduling/long_waits.py, nothing is decided there) and logs 'Task waits although there is room' after 2 s, each 4 s for a job at most, five lines a look; the gauge longest_wait_seconds{reason} has the longest wait of each reason. Work without room, and jobs that make progress, are not told.

The failing scenario of departures.feature, with its logs: it started 5.053 s later leader: Task waits although there is room task=0/0/0 seconds=2.41 why='its run may go on: the worker does not answer its agent' agent=agent-1

--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -10,6 +10,9 @@
 ACKNOWLEDGED_SECONDS = 0.02
 """Time from a worker's `leave` to its end, if it reads the acknowledgement."""
 
+SHOWN = ("hosting: ", "leader: ")
+"""Parts whose log lines tell what a task waited for."""
+
 
 @when("a task of {seconds:d} s runs, and its worker leaves and ends at once")
 def step_leaves(context, seconds):
@@ -31,8 +34,9 @@
 
     started_at = wait_for(starts, TIMEOUT_SECONDS, "the task runs elsewhere")[0]
     waited = started_at - context.ended_at
-    lines = [line for agent in context.cluster.agents for line in agent.log_lines()]
-    shown = [line for line in lines if line["message"].startswith("hosting: ")]
+    programs = [*context.cluster.entries, *context.cluster.agents]
+    lines = [line for program in programs for line in program.log_lines()]
+    shown = [line for line in lines if line["message"].startswith(SHOWN)]
     assert waited <= seconds, (f"it started {waited:.3f} s later", shown)
 
 
--- a/wagtailcleat/cluster/leader_log.py
+++ b/wagtailcleat/cluster/leader_log.py
@@ -15,6 +15,8 @@
     for decision in scheduler.delay_scheduling.take_decisions():
         message = "Waits for its rack" if decision.waits else "Leaves its rack"
         log.info(message, extra=decision.fields())
+    for wait in scheduler.long_waits.take_to_log():
+        log.info("Task waits although there is room", extra=wait.fields())
     for logged in scheduler.take_logged_events():
         log.info(
             logged.event.value,
--- a/wagtailcleat/cluster/metrics.py
+++ b/wagtailcleat/cluster/metrics.py
@@ -86,6 +86,18 @@
         lambda: _cores(scheduler()),
     )
 
+    def long_waits() -> dict[str, float]:
+        leading = scheduler()
+        return dict(leading.long_waits.seconds_by_reason) if leading else {}
+
+    introspection.labelled(
+        Kind.GAUGE,
+        "longest_wait_seconds",
+        "Longest wait over 2 s for a run although there is room, by reason.",
+        "reason",
+        long_waits,
+    )
+
     def run_time_errors() -> dict[str, float]:
         leading = scheduler()
         return dict(leading.run_times.error_by_predictor) if leading else {}
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 from wagtailcleat.scheduling.hosted_runs import HostedRuns
 from wagtailcleat.scheduling.job_entry import JobEntry, Task, overdue_occurrences
 from wagtailcleat.scheduling.job_table import JobTable
+from wagtailcleat.scheduling.long_waits import LongWaits
 from wagtailcleat.scheduling.models import (
     Pace,
     RunEnd,
@@ -68,6 +69,7 @@
         self.job_table = JobTable(self.run_times)
         self.sharing = Sharing()
         self.advice = Advice()
+        self.long_waits = LongWaits(self.job_table, self.advice)
         self.zones_out: frozenset[ZoneName] = frozenset()
         self.unreported_agents: set[NodeId] = set()
         """Agents that may run tasks and have not yet reported to this leader."""
@@ -273,6 +275,7 @@
         self._placement.run(
             vms, self.zones_out, now=now, wall_now=wall_now, may_continue=may_continue
         )
+        self.long_waits.search(vms, self.zones_out, now=now)
         return not self._placement.cut_short
 
     def _start(self, vm: Vm, task: Task, run: int, now: float) -> None:
