--- a/features/scheduling/long_waits.feature
+++ b/features/scheduling/long_waits.feature
@@ -19,7 +19,7 @@
     # Guards against the same where an agent is stored that is gone.
     Given 2 VMs of 32 cores
     And a job "w" that an earlier leader may have started
-    When 3 s pass
+    When rounds go on for 3 s
     Then the leader has said once that a task of job "w" waits: "some agents have not reported to this leader"
 
   Scenario: A task pauses after it has failed often
@@ -48,5 +48,5 @@
     Given 2 VMs of 32 cores
     And job "w" of 1 serving task runs
     When its worker does not answer its agent for 3 s
-    And 1 s passes
+    And rounds go on for 2 s
     Then there is no longest wait
--- a/features/steps/long_waits_steps.py
+++ b/features/steps/long_waits_steps.py
@@ -63,8 +63,7 @@
     _rounds(context, seconds, unheard=node)
 
 
-@when("{seconds:d} s pass")
-@when("{seconds:d} s passes")
+@when("rounds go on for {seconds:d} s")
 def step_pass(context, seconds):
     _rounds(context, seconds)
 
