Signals do not end a process while it imports its modules, nor while it ends

Cause: the handler of SIGHUP was added by a task after all imports, and the end of the loop restores the default action, which ends the process, for what is left of its life.

Change: wagtailcleat_start ignores SIGHUP before it imports the program (wagtailcleat itself imports its configuration, so this can't be a module of it); all handlers are added before ports are opened; at the end of a stop the signals are ignored. The text of the settings that changes are compared with is read before the settings, so that a change between the two isn't overlooked. SIGTERM and SIGINT still end a process at once while it imports: it holds nothing then.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -9,13 +9,13 @@
     Then it ends by itself within its grace period
     And no caller waited for an answer that did not come
 
-  Scenario: An entry is stopped twice, and told to reload, while the store answers slowly
-    # Guards against a second signal that ends the process at once.
+  Scenario: An entry that stops gets further signals until it has ended
+    # Guards against a second signal that ends the process at once, or its exit code.
     Given a deployment of 1 entry and 1 agent
     And 8 callers that use their connections until the entry ends them
     And the store takes 0.6 s to answer
     When the entry is told to stop
-    And it gets SIGTERM, SIGINT and SIGHUP while it stops
+    And it gets SIGTERM, SIGINT and SIGHUP again and again
     Then it ends by itself within its grace period
     And no caller waited for an answer that did not come
 
@@ -60,3 +60,9 @@
     When a caller sends a POST and closes its connection
     Then the entry logs that its connection ended before the answer, as "caller gone"
     And the entry counts 1 unanswered call, as "caller gone"
+
+  Scenario: A process is told to reload its settings before it has read them
+    # Guards against a process that a reload ends because its handler is not there yet.
+    Given a deployment of 1 entry and 1 agent
+    When entry 1 and agent 1 are started again, and get SIGHUP while they import modules
+    Then both have started, and a job is done
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -1,11 +1,13 @@
 """Steps on entries that are told to stop while callers use their connections."""
 
+import itertools
 import os
 import secrets
 import signal
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -20,6 +22,9 @@
 READ_SECONDS = 12.0
 USED_CALLS = 3
 CALLS_SECONDS = 10.0
+SIGNAL_INTERVAL_SECONDS = 0.01
+LINES_SHOWN = 12
+FIRST_LIBRARY = "msgspec"
 
 
 def _address(context):
@@ -73,11 +78,13 @@
     context.cluster.entries[0].signal_to_stop()
 
 
-@when("it gets SIGTERM, SIGINT and SIGHUP while it stops")
+@when("it gets SIGTERM, SIGINT and SIGHUP again and again")
 def step_signals(context):
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP) * 2:
-        os.kill(context.cluster.entries[0].pid, number)
-        _sleep_until(time.monotonic() + 0.3)
+    entry = context.cluster.entries[0]
+    numbers = itertools.cycle((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    while entry.alive and time.monotonic() - context.stopped_at < GRACE_SECONDS:
+        os.kill(entry.pid, next(numbers))
+        time.sleep(SIGNAL_INTERVAL_SECONDS)
 
 
 @when("the entry is told to stop, and stands still from {start:g} s to {end:g} s on")
@@ -156,7 +163,8 @@
     entry = context.cluster.entries[0]
     entry.wait_for_end(GRACE_SECONDS + 1.0)
     seconds = time.monotonic() - context.stopped_at
-    assert seconds <= GRACE_SECONDS, seconds
+    lines = [f"{line['time']} {line['message']}" for line in entry.log_lines()]
+    assert seconds <= GRACE_SECONDS, f"{seconds} s: {lines[-LINES_SHOWN:]}"
     assert entry.exit_code == 0, entry.exit_code
 
 
@@ -221,3 +229,31 @@
 def step_counted(context, count, why):
     line = f'unanswered_calls_total{{reason="{why}"}} {count}.0'
     assert line.encode() in _metrics(context), _metrics(context).decode()
+
+
+@when("entry 1 and agent 1 are started again, and get SIGHUP while they import modules")
+def step_reload_early(context):
+    for program in (context.cluster.entries[0], context.cluster.agents[0]):
+        program.kill()
+        before = program.pid
+        with ThreadPoolExecutor(1) as pool:
+            starting = pool.submit(program.start)
+            wait_for(
+                lambda p=program, b=before: p.pid != b and _has_imported(p.pid),
+                CALLS_SECONDS,
+                f"{program.name} imports its modules",
+            )
+            os.kill(program.pid, signal.SIGHUP)
+            starting.result()
+
+
+def _has_imported(pid):
+    """Return whether a process has loaded one of the first libraries it imports."""
+    return FIRST_LIBRARY in Path(f"/proc/{pid}/maps").read_text()
+
+
+@then("both have started, and a job is done")
+def step_started(context):
+    context.cluster.wait_until_ready()
+    job = context.cluster.submit([{"count": 1, "cpu": 1000, "memMb": 1, "estMs": 50}])
+    context.cluster.wait_for_state(job, "done")
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -72,7 +72,7 @@
         if self.speeds:
             extra["cpu_speed"] = self.speeds[number]
         settings = self._common_settings(name, number, host) | extra
-        return self._start_program(name, "wagtailcleat.cluster.entry_app", settings)
+        return self._start_program(name, "wagtailcleat_start.entry", settings)
 
     def _start_worker(self, number: int, host: str) -> Process:
         announced_port = free_ports(1, HOST)[0]
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -133,13 +133,13 @@
         if self.speeds:
             extra["cpu_speed"] = self.speeds[number]
         settings = self._common_settings(name, number, host) | extra
-        return self._start_program(name, "wagtailcleat.cluster.entry_app", settings)
+        return self._start_program(name, "wagtailcleat_start.entry", settings)
 
     def _start_agent(self, number: int, host: str) -> Program:
         name = f"agent-{number + 1}"
         extra = {"control": f"{host}:{self.ports[4]}"}
         settings = self._common_settings(name, number, host) | extra
-        return self._start_program(name, "wagtailcleat.cluster.agent_app", settings)
+        return self._start_program(name, "wagtailcleat_start.agent", settings)
 
     def _start_worker(self, number: int, host: str) -> Process:
         arguments = ["--instance", f"i-{number + 1}", "--cores", str(self.cores)]
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -46,6 +46,7 @@
 """How often the settings file is checked for a change without a signal."""
 SETTINGS_VARIABLE = "WAGTAILCLEAT_BOOT"
 """Environment variable with the settings file if the command line has none."""
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 USAGE = f"usage: PROGRAM SETTINGS.json, or {SETTINGS_VARIABLE} names the file"
 
 S = TypeVar("S", bound=CommonSettings)
@@ -197,20 +198,26 @@
         print(USAGE, file=sys.stderr)
         return EXIT_SETTINGS
     path = Path(named)
+    text = _read(path)
     try:
         settings = load(path, kind)
     except SettingsError as error:
         return report_problems(path, error)
     start_bounded_logging(NodeId(settings.node), level=settings.log_level)
-    return run_to_end(_serve(path, settings, kind, make))
+    reload = _Reload(path, text, settings, kind)
+    return run_to_end(_serve(reload, settings, make))
 
 
-async def _serve(
-    path: Path, settings: S, kind: type[S], make: Callable[[S], Program]
-) -> int:
+async def _serve(reload: "_Reload", settings: S, make: Callable[[S], Program]) -> int:
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    # The ports open after that: a signal must not end a process that has connections.
+    loop.add_signal_handler(signal.SIGHUP, reload.request)
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop_requested.set)
     program = make(settings)
+    program.common.supervisor.broken.add_done_callback(lambda _: stop_requested.set())
     program.start()
-    reload = _Reload(path, settings, kind)
     program.common.supervisor.spawn("settings", reload.run)
     program.common.supervisor.spawn(
         "store", program.common.store.probe_while_unavailable
@@ -223,37 +230,47 @@
             "peer_port": settings.peer_port,
         },
     )
-    await _wait_for_stop(program)
+    await stop_requested.wait()
     log.info("Stops", extra=program.stop_fields())
     await program.stop()
     log.info("Stopped", extra=program.stop_fields())
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        # The end of the loop would restore what they do by default: end the process.
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
     return EXIT_OK
 
 
-async def _wait_for_stop(program: Program) -> None:
-    requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, requested.set)
-    program.common.supervisor.broken.add_done_callback(lambda _: requested.set())
-    await requested.wait()
+def _read(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
 
 
 class _Reload:
     """Reloads changed settings: the log level at once, the rest at the next restart."""
 
     def __init__(
-        self, path: Path, settings: CommonSettings, kind: type[CommonSettings]
+        self,
+        path: Path,
+        text: bytes,
+        settings: CommonSettings,
+        kind: type[CommonSettings],
     ) -> None:
+        """Compare with `text`, which was read no later than `settings`."""
         self._path = path
+        self._text = text
         self._settings = settings
         self._kind = kind
         self._requested = asyncio.Event()
-        self._text = self._read()
+
+    def request(self) -> None:
+        """Reload the file even if it is the same."""
+        self._requested.set()
 
     async def run(self) -> None:
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._requested.set)
+        self._check(signalled=False)
         while True:
             try:
                 async with asyncio.timeout(SETTINGS_POLL_SECONDS):
@@ -262,16 +279,10 @@
                 pass
             signalled = self._requested.is_set()
             self._requested.clear()
-            self._check(signalled)
-
-    def _read(self) -> bytes:
-        try:
-            return self._path.read_bytes()
-        except OSError:
-            return b""
+            self._check(signalled=signalled)
 
-    def _check(self, signalled: bool) -> None:
-        found = self._read()
+    def _check(self, *, signalled: bool) -> None:
+        found = _read(self._path)
         if found == self._text and not signalled:
             return
         self._text = found
--- /dev/null
+++ b/wagtailcleat_start/entry.py
@@ -0,0 +1,16 @@
+"""Start `wagtailcleat.cluster.entry_app`."""
+
+import signal
+import sys
+
+
+def main() -> int:
+    """Run the program; SIGHUP has no effect until its handler is installed."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from wagtailcleat.cluster.entry_app import main as run
+
+    return run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
