A worker that leaves has ended when nobody listens at its port, at any address of its VM

Cause: a refused connection counted as the worker's end only where the worker's address was that in the agent's settings. Where it names another address of the same VM, such as 127.0.0.1, its leases (4.8 s) had to lapse.

Change: at another address of the agent's VM, three refusals show the end of a worker that has answered there and has said that it leaves.

Why this is safe: on an address of this VM the kernel refuses only if no process listens. What listened may be a relay to a living worker, so a refusal alone still proves nothing there; and another VM's worker may name the same address, so it must have answered there.

Tests: hosting.feature's 'another address than its VM's' stood on a loopback address, which belongs to this VM; the steps now tell Hosting which addresses the VM has, so these scenarios check what they did. The random histories with departures place half of the workers that are not at the agent's address at another one of the VM; what else they draw is unchanged.

--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -23,6 +23,22 @@
     Then each of its tasks runs on another worker within 12 s
     And no task had two runs at the same time
 
+  Scenario Outline: A worker at another address of its VM leaves, and <what>
+    # Guards against tasks that wait for leases to lapse, or that run twice, where a worker's address is not its agent's.
+    Given a leader and 3 agents, each worker at another address of its VM
+    When 6 tasks of 20 s run and a worker of theirs leaves: <what>
+    Then each of its tasks runs on another worker within <seconds> s
+    And no task had two runs at the same time
+
+    Examples:
+      | what                                                    | seconds |
+      | it reads the acknowledgement at once                    | 2       |
+      | it reads the acknowledgement after 0.8 s                | 2       |
+      | the acknowledgement is lost                             | 12      |
+      | the message is lost                                     | 12      |
+      | its agent ends with the acknowledgement on its way      | 12      |
+      | its agent ends before the acknowledgement has been read | 12      |
+
   Scenario: A worker at another address of its VM than the agent's leaves
     # Guards against work that waits for leases to lapse, with room elsewhere, after planned work at such a worker.
     Given a deployment of 1 entry and 2 agents
--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -87,6 +87,35 @@
     When the leases have certainly expired
     Then its worker has left
 
+  Scenario: A worker at another address of the agent's VM leaves and ends
+    # Guards against tasks that wait for leases to lapse although their worker has left and nobody listens at its port.
+    Given an agent whose worker listens at another address of its VM
+    When the worker runs a task and the leave of its present incarnation arrives
+    And its process ends
+    Then its worker has left
+
+  Scenario: What listens at another address of the agent's VM refuses, and the worker has not said that it leaves
+    # Guards against duplicate runs when a process that relays to a living worker is taken for the worker.
+    Given an agent whose worker listens at another address of its VM
+    When the worker runs a task and its port refuses 5 connections
+    Then the task still counts as running
+    When the leases have certainly expired
+    Then the task counts as lost
+
+  Scenario: A worker at another address of the agent's VM has announced its leave, and continues
+    # Guards against duplicate runs when such a worker gets no acknowledgement of its leave and runs on for seconds.
+    Given an agent whose worker listens at another address of its VM
+    When the worker runs a task and the leave of its present incarnation arrives
+    Then the task still counts as running
+    And the worker is told to stop the task
+    And no list renews its leases any more
+
+  Scenario: A worker of another VM, at an address that both VMs have, leaves
+    # Guards against duplicate runs when the leave of another VM's worker counts for the own one, which is not heard yet.
+    Given an agent that has heard a worker of another VM, at an address that both have
+    When the leave of that worker arrives, and its address refuses 5 connections
+    Then its worker does not count as having left
+
   Scenario: A worker that has left is heard again
     # Guards against a worker that counts as present for as long as its late heartbeats arrive.
     Given an agent whose worker listens at its VM's address
@@ -132,6 +161,25 @@
     Then "i-1" is the worker of this VM
     And the runs of that worker are known
 
+  Scenario Outline: The address <address> <what>
+    # Guards against a refusal by another VM that is taken for one of the agent's own VM.
+    Then the address "<address>" <what>
+
+    Examples:
+      | address         | what                             |
+      | 127.0.0.1       | belongs to this VM               |
+      | 127.9.8.7       | belongs to this VM               |
+      | 198.51.100.7    | does not belong to this VM       |
+      | 0.0.0.0         | does not belong to this VM       |
+      | 224.0.0.1       | does not belong to this VM       |
+      | 255.255.255.255 | does not belong to this VM       |
+      | worker-host     | does not belong to this VM       |
+      | ::1             | does not belong to this VM       |
+
+  Scenario: The addresses of this VM's interfaces belong to it
+    # Guards against leases that are waited for because an address of this VM is not known as such.
+    Then each address that the kernel uses as a source belongs to this VM
+
   Scenario: A burst of orders to a worker
     # Guards against a connection opened for each order of a burst, and closed after it.
     Given a worker that counts the connections to it
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -26,10 +26,26 @@
 
 @given("a leader and {agents:d} agents, each on the VM of its worker")
 def step_local_world(context, agents):
+    world = _new_world(context, agents)
+    world.local_nodes |= set(world.worker_by_node)
+    _settle(world)
+
+
+@given("a leader and {agents:d} agents, each worker at another address of its VM")
+def step_second_world(context, agents):
+    world = _new_world(context, agents)
+    world.second_nodes |= set(world.worker_by_node)
+    _settle(world)
+
+
+def _new_world(context, agents):
     world = context.world = LateWorld(entries=2, agents=agents, random=Random(1))
     context.add_cleanup(world.close)
     context.workers = list(world.worker_by_node.values())
-    world.local_nodes |= set(world.worker_by_node)
+    return world
+
+
+def _settle(world):
     world.until_led()
     # Until every agent is registered and the leader's first heartbeats are stored.
     world.wait(2.0)
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import socket
 from dataclasses import replace
 
 from behave import given, then, when
@@ -11,6 +12,7 @@
 from tornado.web import Application, RequestHandler
 
 from wagtailcleat.cluster.hosting import Hosting
+from wagtailcleat.cluster.local_addresses import is_local_address
 from wagtailcleat.cluster.timing import RUN_CONTACT_LIMIT_SECONDS
 from wagtailcleat.ids import JobId, ServiceName, ZoneName
 from wagtailcleat.platform.heartbeats import Heartbeat, decode_leave
@@ -25,7 +27,10 @@
 )
 
 OWN_HOST = "127.0.1.9"
+SECOND_HOST = "127.0.1.11"
+"""Another address of the agent's VM."""
 OTHER_HOST = "127.0.1.10"
+"""Stands for the address of another VM."""
 BORN = 1_800_000_000_000
 TASK = "00ff00ff00ff00ff.0.0.0"
 TIMEOUT_SECONDS = 10.0
@@ -89,6 +94,7 @@
             leader_contact_at=lambda: self.now,
             is_zone_out=lambda zone: False,
             on_change=lambda: None,
+            is_local_address=lambda host: host in (OWN_HOST, SECOND_HOST),
         )
         self.loop.run_until_complete(self._begin())
 
@@ -219,15 +225,47 @@
     context.add_cleanup(context.hosting_world.close)
 
 
+@given("an agent whose worker listens at another address of its VM")
+def step_second(context):
+    context.hosting_world = HostingWorld(SECOND_HOST)
+    context.add_cleanup(context.hosting_world.close)
+
+
 class _StrangerWorld(HostingWorld):
     """An agent that has heard only a worker of another VM."""
 
+    stranger_host = OTHER_HOST
+
     async def _hear_first(self):
         stranger = self._heartbeat(BORN + 5000, instance="i-9")
-        address = f"{OTHER_HOST}:1"
+        address = f"{self.stranger_host}:1"
         await self.hosting.take_heartbeat(replace(stranger, address=address))
 
 
+class _LocalStrangerWorld(_StrangerWorld):
+    """The same; the other worker's address is one that this VM has as well."""
+
+    stranger_host = SECOND_HOST
+
+
+@given("an agent that has heard a worker of another VM, at an address that both have")
+def step_local_stranger(context):
+    context.hosting_world = _LocalStrangerWorld(OWN_HOST)
+    context.add_cleanup(context.hosting_world.close)
+
+
+@when("the leave of that worker arrives, and its address refuses {count:d} connections")
+def step_stranger_leaves(context, count):
+    world = context.hosting_world
+    world.loop.run_until_complete(world.hosting.leave("i-9", 0))
+    world.until(lambda: world.hosting.refusals >= count)
+
+
+@then("its worker does not count as having left")
+def step_not_left(context):
+    assert not context.hosting_world.hosting.left
+
+
 @when("the worker runs a task and its port refuses {count:d} connections")
 def step_refuses(context, count):
     world = context.hosting_world
@@ -477,3 +515,24 @@
 def step_kind_logged(context, cores, kind):
     (began,) = [r for r in context.records if r.getMessage().endswith("Worker began")]
     assert (began.cores, began.labels) == (cores, [kind]), vars(began)
+
+
+@then('the address "{address}" belongs to this VM')
+def step_local(context, address):
+    assert is_local_address(address)
+
+
+@then('the address "{address}" does not belong to this VM')
+def step_not_local(context, address):
+    assert not is_local_address(address)
+
+
+@then("each address that the kernel uses as a source belongs to this VM")
+def step_sources(context):
+    for far in ("127.0.0.1", "198.51.100.7"):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as unsent:
+            try:
+                unsent.connect((far, 9))
+            except OSError:
+                continue  # A machine without a network has no route there.
+            assert is_local_address(unsent.getsockname()[0]), unsent
--- a/features/steps/late_histories.py
+++ b/features/steps/late_histories.py
@@ -79,6 +79,8 @@
             left_out |= {"do_leave", "do_replace", "do_replace_more"}
             nodes = self.world.worker_by_node
             self.world.local_nodes |= {n for n in nodes if random.random() < 0.7}
+            addresses = Random(f"addresses/{seed}")
+            self.world.second_nodes |= {n for n in nodes if addresses.random() < 0.5}
         else:
             left_out |= {"do_depart", "do_depart_more", "do_depart_again"}
         self._operations = [
--- a/features/steps/late_world.py
+++ b/features/steps/late_world.py
@@ -43,6 +43,8 @@
 CAPABILITY = Capability(Resources(8.0, 128_000, 0), SERVICE, ("a", RACK))
 """What a worker is capable of, unless a test says otherwise."""
 HEARTBEAT_SECONDS = 0.3
+SECOND_HOST = "second-host"
+"""An address that each VM has besides its own one, as `127.0.0.1` is."""
 
 
 class FreezableProcess(SimulatedProcess):
@@ -116,6 +118,7 @@
             is_zone_out=lambda zone: False,
             on_change=self.following.report_soon,
             make_worker=self._make_client,
+            is_local_address=lambda address: address == SECOND_HOST,
         )
         self.handlers = {
             Leads: self.without_stream(self.following.leader_announced),
@@ -192,6 +195,8 @@
 
         Connections to the other workers cross a network that may refuse them.
         """
+        self.second_nodes: set[str] = set()
+        """Nodes whose workers listen at another address of their VM."""
         super().__init__(
             entries=entries, agents=agents, weights=weights, loop=FreezableLoop()
         )
@@ -243,8 +248,9 @@
             RACK,
         )
         sequence = next(self._heartbeat_numbers)
-        is_local = node in self.local_nodes
-        host = self.agent(node).host if is_local else "worker-host"
+        host = SECOND_HOST if node in self.second_nodes else "worker-host"
+        if node in self.local_nodes:
+            host = self.agent(node).host
         heartbeat = Heartbeat(info, f"{host}:1", sequence)
         self.loop.create_task(self._deliver(node, heartbeat))
 
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -11,11 +11,12 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.fencing import FencingTokens
+from wagtailcleat.cluster.local_addresses import is_local_address
 from wagtailcleat.cluster.run_orders import RunOrders
-from wagtailcleat.cluster.settings import split_address
 from wagtailcleat.cluster.timing import (
     LIST_WAIT_SECONDS,
     RUN_CONTACT_LIMIT_SECONDS,
@@ -30,10 +31,10 @@
     log_return,
 )
 from wagtailcleat.cluster.worker_incarnation import (
-    REFUSALS_UNTIL_LOST,
     MakeWorker,
     WorkerIncarnation,
     leases_lapse_at,
+    refusals_show_end,
     retry_pause,
 )
 from wagtailcleat.cluster.worker_lists import first_list
@@ -82,6 +83,7 @@
         is_zone_out: Callable[[ZoneName], bool],
         on_change: Callable[[], None],
         make_worker: MakeWorker = RunWorker,
+        is_local_address: Callable[[str], bool] = is_local_address,
     ) -> None:
         """Create it without a worker.
 
@@ -90,17 +92,20 @@
         leader's orders may be carried out now; `leader_contact_at` returns when the
         leader was last reached; `is_zone_out` returns whether operators have taken a
         zone out; `on_change` is called when there is something to report;
-        `make_worker` creates the client of a worker.
+        `make_worker` creates the client of a worker; `is_local_address` returns whether
+        an address is certainly of this VM.
         """
         self._clock = clock
         self._wall_clock = wall_clock
-        self._own_host = own_host
         self._lease = min(RUN_LEASE_SECONDS, lease_limit)
         self._may_start = may_start
         self._leader_contact_at = leader_contact_at
         self._is_zone_out = is_zone_out
         self._on_change = on_change
         self._make_worker = make_worker
+        self._refusals_show_end = partial(
+            refusals_show_end, own_host=own_host, is_local_address=is_local_address
+        )
         self._fencing_tokens = FencingTokens()
         self._listing: asyncio.Task[bool] | None = None
         self._worker_known = asyncio.Event()
@@ -304,14 +309,9 @@
         return False
 
     def _record_refusal(self, incarnation: WorkerIncarnation) -> None:
-        # On this VM's own address the kernel refuses a connection only if no process
-        # listens, so the worker's runs have ended with it. For any other address, the
-        # network may refuse while the worker is still running. Its tasks would then
-        # start a second time elsewhere, so their leases must expire first.
         incarnation.refusals += 1
-        is_local = split_address(incarnation.address)[0] == self._own_host
-        if not is_local or incarnation.refusals < REFUSALS_UNTIL_LOST:
-            return
+        if not self._refusals_show_end(incarnation):
+            return  # Its runs may go on until their leases expire.
         incarnation.process_ended = True
         if incarnation.lists_answered and not incarnation.runs_lost:
             self._lose_runs(incarnation, "nobody listens at its port")
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from wagtailcleat.cluster.settings import split_address
 from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR
 from wagtailcleat.platform.runs import RunList, RunWorker
 from wagtailcleat.scheduling.models import Ended, RunKey, Running
@@ -62,7 +63,7 @@
     process_ended: bool = False
     """Whether its process has ended since the last list.
 
-    Nobody listens at its port on this VM, or another incarnation has answered there.
+    See `refusals_show_end`; or another incarnation has answered at its address.
     """
     is_leaving: bool = False
     """Whether it has announced that it ends soon. It gets no starts and no leases."""
@@ -141,6 +142,32 @@
     return incarnation.process_ended or incarnation.leases_lapsed
 
 
+def refusals_show_end(
+    incarnation: WorkerIncarnation,
+    *,
+    own_host: str,
+    is_local_address: Callable[[str], bool],
+) -> bool:
+    """Return whether the connections refused in a row show that the process has ended.
+
+    On an address of this VM the kernel refuses a connection only if no process listens.
+    At `own_host`, the address of this agent, that is the worker's process. At another
+    address of this VM it may be one that relays to the worker, so the worker must also
+    have said that it ends. For any other address, the network may refuse while the
+    worker is still running.
+
+    Parameters: `is_local_address` returns whether an address is certainly of this VM.
+    """
+    if incarnation.refusals < REFUSALS_UNTIL_LOST:
+        return False
+    host, _ = split_address(incarnation.address)
+    if host == own_host:
+        return True
+    # A heartbeat of another VM's worker may name an address that is local here too.
+    has_answered = incarnation.lists_answered > 0
+    return incarnation.is_leaving and has_answered and is_local_address(host)
+
+
 def leases_lapse_at(incarnation: WorkerIncarnation) -> float:
     """Return when all leases have certainly lapsed, on this VM's clock.
 
