Accept a submission only if the refused write names its key

Cause: each conflict that did not name the tombstone alone counted as 'stored already'.

Change: accepted only if the conflict names the job's key; in doubt, so tried again, if it names neither key.

--- a/features/platform/late_writes.feature
+++ b/features/platform/late_writes.feature
@@ -35,3 +35,12 @@
     When the submission gets no answer, and is cancelled at the other entry
     And a leader has led for 70 s
     Then the store holds no key of the job
+
+  Scenario: The store refuses a submission and does not say why
+    # Guards against a job that is accepted, is not in the store, and is answered 410.
+    Given a store that refuses a condition, and names no key, 1 time
+    When the submission is sent
+    Then it is accepted, and in the store
+    Given a store that refuses a condition, and names no key, 99 times
+    When the submission is sent
+    Then it is not known whether it is stored
--- a/features/steps/late_writes_steps.py
+++ b/features/steps/late_writes_steps.py
@@ -13,6 +13,7 @@
 from wagtailcleat.cluster.submissions import Acceptance, Submissions
 from wagtailcleat.ids import JobId
 from wagtailcleat.scheduling.models import JobState
+from wagtailcleat.storage import Conflict
 
 JOB = JobId("ab" * 8)
 DEADLINE_SECONDS = 0.4
@@ -150,3 +151,33 @@
 def step_no_key(context):
     keys = context.leader_world.store.found_by_key
     assert not [key for key in keys if key.startswith(JOB_PREFIX + JOB)], keys
+
+
+@given("a store that refuses a condition, and names no key, {count:d} time")
+@given("a store that refuses a condition, and names no key, {count:d} times")
+def step_names_no_key(context, count):
+    step_store(context)
+    store = context.leader_world.store
+    left = [Conflict(())] * count
+    write = store.write
+
+    async def write_after_refusals(txn):
+        return left.pop() if left else await write(txn)
+
+    store.write = write_after_refusals
+
+
+@when("the submission is sent")
+def step_sent(context):
+    context.outcome = _submit(context)
+
+
+@then("it is accepted, and in the store")
+def step_accepted(context):
+    assert context.outcome is Acceptance.ACCEPTED, context.outcome
+    assert job_key(JOB) in context.leader_world.store.found_by_key
+
+
+@then("it is not known whether it is stored")
+def step_not_accepted(context):
+    assert context.outcome is Acceptance.UNKNOWN, context.outcome
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -169,9 +169,11 @@
             return Acceptance.ACCEPTED
         if isinstance(outcome, Conflict):
             present = {found.key for found in outcome.current}
-            return (
-                Acceptance.CANCELLED if present == {cancelled} else Acceptance.ACCEPTED
-            )
+            if key in present:
+                return Acceptance.ACCEPTED
+            # Neither key: a refusal that can't be read does not show which one exists.
+            is_cancelled = cancelled in present
+            return Acceptance.CANCELLED if is_cancelled else Acceptance.UNKNOWN
         if isinstance(outcome, Unknown):
             return Acceptance.UNKNOWN
         return Acceptance.NOT_STORED
