Acknowledge ends of tasks that are accounted for while another agent is silent

Seen (new scenario 'The end of a run that was heard before', first example failed before): after a change of leader no end that finishes a task of a restored job was acknowledged until each registered agent had reported or was given up, up to 8 s; ends are owed within 4 to 6 s.

Cause: one flag for each job, as for starts. Change: the end is acknowledged if the task, or each member of its gang, is accounted for: then no silent agent has another run or a start in doubt of it.

Ruled out: nothing else; the second example (a list of before the claim) still waits.

--- a/features/scheduling/heard_runs.feature
+++ b/features/scheduling/heard_runs.feature
@@ -35,3 +35,16 @@
     And a gang "a" of 2 tasks of 4 cores runs
     When a new leader gets the report of one of its agents, and that run breaks
     Then no task of job "a" is started
+
+  Scenario Outline: The end of a run that was heard before
+    # Guards against ends that are not acknowledged for seconds because an agent is gone.
+    Given 3 VMs of 32 cores
+    And job "a" of 1 task, and then of 1 task, of which the first runs
+    When <before>
+    And the success of its run is stored
+    Then its success is <acknowledged>
+
+    Examples:
+      | before                                                                        | acknowledged     |
+      | a new leader restores the jobs and gets the reports of all agents but an idle one | acknowledged     |
+      | a new leader gets a list of before its claim                                  | not acknowledged |
--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -94,3 +94,27 @@
     tasks = [key.task for _, key in started]
     assert [(task.job, task.step) for task in tasks] == [(name, step)], started
     assert all(node != context.silent.node for node, _ in started), started
+
+
+@when("a new leader gets a list of before its claim")
+def step_only_old_list(context):
+    restored(context)
+    context.host.listed_in_epoch = False
+    _hear(context)
+
+
+@when("the success of its run is stored")
+def step_success_stored(context):
+    _end(context, RunEnd.SUCCEEDED)
+    context.world.commit()
+    _decide(context)
+
+
+@then("its success is acknowledged")
+def step_acknowledged(context):
+    assert not context.host.ended, context.host.ended
+
+
+@then("its success is not acknowledged")
+def step_not_acknowledged(context):
+    assert context.host.ended
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -172,6 +172,11 @@
             for later in task.entry.tasks_by_step[task.key.occurrence, number]:
                 later.is_accounted_for = True
 
+    def is_accounted_for(self, key: TaskKey) -> bool:
+        """Return whether no agent that has not reported can run a task."""
+        task = self.find_task(key)
+        return task is not None and task.is_accounted_for
+
     def mark_begun(self, job: JobId) -> None:
         """Record that an agent has listed a run of a job, or the end of one."""
         entry = self.entry_by_id.get(job)
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -343,8 +343,11 @@
         if end.how not in FINISHING_ENDS or not self.job_table.is_finished(end.run):
             return True
         entry = end.entry
-        if self.unreported_agents and entry is not None and not entry.may_start_tasks:
-            return False
+        is_waiting = entry is not None and not entry.may_start_tasks
+        if self.unreported_agents and is_waiting:
+            ended = self.job_table.tasks_ending_with(end.run.task)
+            if not all(map(self.job_table.is_accounted_for, ended)):
+                return False
         return not self._runs.has_other_run(end.run)
 
     def overdue_occurrences(self) -> int:
