Odd keys of entries and agents are passed over; overwritten ones are waited for

Seen: with one odd value among the agents' keys a new leader let work wait for 5 to 8 s; one among the entries' keys ended the leader's reading of entries, so a dead entry behind it was never deregistered, and entries could not claim.

Cause: the name in an agent's key was taken for an agent whatever the key held; the entries' values were decoded without bounds and by an exception that ended the task.

Change: `read_registrations` passes over a key that names no node, and one that was created with an unreadable value: only another program writes that. A value that was replaced may be a process's, so its agent is waited for, and its entry's promise counts as missing until the key is deregistered.

Why not pass over all: with that as a trial, the scenario "The key of an agent that runs a task is overwritten" runs the task twice, and "The key of an entry is overwritten as the store fails" has two leaders.

--- a/features/platform/odd_values.feature
+++ b/features/platform/odd_values.feature
@@ -114,6 +114,81 @@
     When 30 random histories of odd values in the leader's keys are played
     Then work went on after each, and no task ran in two places
 
+  Scenario Outline: An agent's key that no leader has written holds <value>
+    # Guards against work that waits for the report of an agent that does not exist.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When another writer stores the key of an agent with <value>, and the leader is killed
+    And a job is stored
+    Then the job starts within 2 s
+
+    Examples:
+      | value |
+      | bytes that can't be decoded |
+      | nothing |
+      | text |
+      | 100000 nested lists |
+      | a last field of 100000 nested lists |
+      | port 70000 |
+      | port 0 |
+      | port -1 |
+      | port 2^63 |
+      | a host of 300 letters |
+      | a host name |
+      | an empty host |
+
+  Scenario Outline: The key of an agent is <key>
+    # Guards against work that waits for an agent that no process can be named after.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When another writer stores a valid value under the agent's key "<key>", and the leader is killed
+    And a job is stored
+    Then the job starts within 2 s
+
+    Examples:
+      | key     |
+      |         |
+      | a/b     |
+      | A B     |
+      | é       |
+
+  Scenario: The key of an agent that runs a task is overwritten
+    # Guards against duplicate runs: a new leader must wait for the agent all the same.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And a task runs
+    When the key of the task's agent is overwritten with bytes that can't be decoded
+    And the leader is killed, and the task's agent is cut off from everything else
+    Then no task runs in two places in 15 s
+    And the epoch has risen by 1
+
+  Scenario Outline: An entry's key holds <value>
+    # Guards against entries that can't claim, or that are not told of, behind one value.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When another writer stores the key of an entry with <value>, and the leader is killed
+    And a job is stored
+    Then the job starts within 2 s
+    And the killed entry is no longer registered 25 s later
+
+    Examples:
+      | value |
+      | bytes that can't be decoded |
+      | nothing |
+      | text |
+      | 100000 nested lists |
+      | a last field of 100000 nested lists |
+      | port 70000 |
+      | port 0 |
+      | port -1 |
+      | port 2^63 |
+      | a host of 300 letters |
+      | a host name |
+      | an empty host |
+
+  Scenario: The key of an entry is overwritten as the store fails
+    # Guards against two leaders: one renews without the promise of an entry it can't read.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    When another entry's key is overwritten, the leader restarts, and no entry but that one reaches the store
+    And 15 s pass
+    Then at no time two entries could lead
+
   Scenario: The leader's key is overwritten, and real processes take over
     # Guards against processes whose parts crash for as long as the value is stored.
     Given a deployment of 2 entries and 2 agents
@@ -121,3 +196,11 @@
     And 6 jobs are submitted
     Then all of them are done within 10 s
     And no part of any process has crashed
+
+  Scenario: Odd keys among the entries and agents, and real processes take over
+    # Guards against processes whose parts crash, or that wait, while odd keys are stored.
+    Given a deployment of 2 entries and 2 agents
+    When another writer stores odd keys of entries and agents, and the leader is killed
+    And 6 jobs are submitted
+    Then all of them are done within 6 s
+    And no part of any process has crashed
--- a/features/steps/odd_process_steps.py
+++ b/features/steps/odd_process_steps.py
@@ -7,7 +7,7 @@
 
 from features.steps.odd_values import UNDECODABLE, addressed_values, packed
 from standins.processes import http, wait_for
-from wagtailcleat.cluster.keys import ENTRY_PREFIX, LEADER_KEY
+from wagtailcleat.cluster.keys import AGENT_PREFIX, ENTRY_PREFIX, LEADER_KEY
 
 SMALL_STEP = [{"count": 1, "cpu": 500, "memMb": 50, "estMs": 300}]
 
@@ -29,14 +29,16 @@
     context.killed = leader
 
 
-@when("another writer stores an entry each that {what}, and the leader is killed")
-def step_entry_keys(context, what):
+@when("another writer stores odd keys of entries and agents, and the leader is killed")
+def step_odd_keys(context):
     cluster = context.cluster
     leader = cluster.leader()
     fields = msgspec.msgpack.decode(next(iter(cluster.stored(ENTRY_PREFIX).values())))
-    odd = addressed_values(fields, host=0, port=1)
-    for number, value in enumerate([*odd.values(), packed(fields)]):
-        _put(cluster, f"{ENTRY_PREFIX}odd-{number}", value)
+    odd = addressed_values(fields, host=0, port=1).values()
+    for prefix in (ENTRY_PREFIX, AGENT_PREFIX):
+        for number, value in enumerate(odd):
+            _put(cluster, f"{prefix}0-odd-{number}", value)
+        _put(cluster, prefix + "0/odd", packed(fields))
     leader.kill()
     context.killed = leader
 
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -104,7 +104,9 @@
         self.revision += 1
         self.written.set()
         for key, value in txn.puts.items():
-            self.found_by_key[key] = Found(key, value, self.revision)
+            old = self.found_by_key.get(key)
+            created = old.create_revision if old else self.revision
+            self.found_by_key[key] = Found(key, value, self.revision, created)
         for key in txn.deletes:
             self.found_by_key.pop(key, None)
         return Written(self.revision)
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -26,9 +26,10 @@
     context.lines = lines = []
     handler = logging.Handler()
     handler.emit = lambda record: lines.append(record.getMessage())
-    logger = logging.getLogger("wagtailcleat.leader")
-    logger.addHandler(handler)
-    context.add_cleanup(logger.removeHandler, handler)
+    for part in ("leader", "store"):
+        logger = logging.getLogger(f"wagtailcleat.{part}")
+        logger.addHandler(handler)
+        context.add_cleanup(logger.removeHandler, handler)
 
 
 @given("a store with {count:d} jobs, and {what} that can't be decoded")
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -174,6 +174,7 @@
             link_bytes_per_second=self.settings.link_mbps * BYTES_PER_MEGABIT,
             max_value_bytes=self.settings.value_bytes,
             options=self.settings.scheduling_options,
+            values=self.common.values,
         )
         self.leader = leader
         try:
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -233,18 +233,6 @@
     return is_stored and revision > entry.store_revision
 
 
-def decode_readable(stored: list[Found], kind: type[T]) -> list[T]:
-    """Return the values that can be decoded; log the others."""
-    values = []
-    for found in stored:
-        try:
-            values.append(decode(found.value, kind))
-        except msgspec.MsgspecError as error:
-            fields = {"key": found.key, "why": str(error)}
-            log.error("Stored value is unreadable", extra=fields)
-    return values
-
-
 async def list_until_answered(
     store: KeyValueStore, prefix: str, clock: Clock
 ) -> Listing:
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -11,17 +11,16 @@
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.advice_questions import ask_advice
-from wagtailcleat.cluster.jobs import Jobs, decode_readable, list_until_answered
-from wagtailcleat.cluster.keys import (
-    AGENT_PREFIX,
-    ProcessInfo,
-)
+from wagtailcleat.cluster.jobs import Jobs, list_until_answered
+from wagtailcleat.cluster.keys import AGENT_PREFIX, ProcessInfo
 from wagtailcleat.cluster.leader_lease import LeaderLease
 from wagtailcleat.cluster.leader_log import log_decisions, log_orders
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.learnt_store import learnt_parts, persist_learnt
 from wagtailcleat.cluster.records import DEFAULT_MAX_VALUE_BYTES, Records
+from wagtailcleat.cluster.registrations import read_registrations
 from wagtailcleat.cluster.report_order import ReportOrder
+from wagtailcleat.cluster.stored_values import StoredValues
 from wagtailcleat.cluster.timing import AGENT_EXPIRY_SECONDS, STOP_REPEAT_SECONDS
 from wagtailcleat.cluster.tombstones import Tombstones
 from wagtailcleat.errors import Code
@@ -98,13 +97,14 @@
         link_bytes_per_second: float = math.inf,
         max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES,
         options: SchedulingOptions = DEFAULT_OPTIONS,
+        values: StoredValues | None = None,
     ) -> None:
         """Create a leader that has not read the stored jobs yet.
 
         Parameters: `status_kept` is how long the state of an ended job is kept, in
         seconds; `zones_out` returns the zones that operators have taken out; `advice`
         is asked which workers may run a step, if it is given; `options` as in
-        `Scheduler`; the others as in `Records`.
+        `Scheduler`; `values` decodes what is stored; the others as in `Records`.
         """
         self._advice = advice
         self._zones_out = zones_out
@@ -118,6 +118,7 @@
         )
         self.ready = False
         self._store = store
+        self._values = values or StoredValues()
         self._peers = peers
         self._leadership = leadership
         self._clock = clock
@@ -187,23 +188,24 @@
     async def _restore(self) -> None:
         started_at = self._now
         log.info("Restoring the jobs", extra={"epoch": self.lease.epoch})
-        agents = await list_until_answered(self._store, AGENT_PREFIX, self._clock)
-        for found in agents.found:
-            node = NodeId(found.key.removeprefix(AGENT_PREFIX))
-            self._records.restore_agent(node, found.mod_revision)
-            self.scheduler.unreported_agents.add(node)
+        listing = await list_until_answered(self._store, AGENT_PREFIX, self._clock)
+        agents = read_registrations(self._values, listing.found, AGENT_PREFIX)
+        for agent in agents:
+            self._records.restore_agent(agent.node, agent.revision)
+            self.scheduler.unreported_agents.add(agent.node)
         await self.jobs.restore()
         self.ready = True
         log.info(
             "Restored the jobs",
             extra={
                 "jobs": len(self.scheduler.job_table.entry_by_id),
-                "agents": len(agents.found),
+                "agents": len(agents),
                 "seconds": round(self._now - started_at, 3),
             },
         )
-        for agent in decode_readable(agents.found, ProcessInfo):
-            self._spawn(self._send_leader(agent))
+        for agent in agents:
+            if agent.process is not None:
+                self._spawn(self._send_leader(agent.process))
 
     async def _send_leader(self, agent: ProcessInfo) -> None:
         await self._peers.call(
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -125,7 +125,12 @@
             learn=self._learn,
         )
         self._other_entries = OtherEntries(
-            own_info, store=store, peers=peers, clock=clock
+            identity.node,
+            own_info,
+            store=store,
+            peers=peers,
+            clock=clock,
+            values=self._values,
         )
         self._claims = Claims(
             identity,
--- a/wagtailcleat/cluster/lease_renewer.py
+++ b/wagtailcleat/cluster/lease_renewer.py
@@ -177,9 +177,9 @@
         )
 
     async def _renew_by_promises(self, lease: LeaderLease) -> None:
-        if not self._other_entries.has_read:
-            # With no entry known, promises of none would count as promises of all, and
-            # this leader would continue to act beside the next one.
+        if not self._other_entries.all_known:
+            # Promises of those that are known would count as promises of all, and this
+            # leader would continue to act beside the next one.
             return
         sent_at = self._clock()
         other_entries = self._other_entries.entries()
--- a/wagtailcleat/cluster/other_entries.py
+++ b/wagtailcleat/cluster/other_entries.py
@@ -8,9 +8,16 @@
 from collections.abc import Awaitable, Callable
 
 from wagtailcleat.clock import Clock
-from wagtailcleat.cluster.keys import ENTRY_PREFIX, LEADER_KEY, ProcessInfo, decode
+from wagtailcleat.cluster.keys import (
+    ENTRY_PREFIX,
+    LEADER_KEY,
+    ProcessInfo,
+    entry_key,
+)
+from wagtailcleat.cluster.registrations import read_registrations
+from wagtailcleat.cluster.stored_values import StoredValues
 from wagtailcleat.cluster.timing import PROBE_INTERVAL_SECONDS, PROBE_TIMEOUT_SECONDS
-from wagtailcleat.ids import Epoch
+from wagtailcleat.ids import Epoch, NodeId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.storage import Compare, Listing, Txn, Written
@@ -52,19 +59,29 @@
 
     def __init__(
         self,
+        own_node: NodeId,
         own_info: ProcessInfo,
         *,
         store: KeyValueStore,
         peers: Peers,
         clock: Clock,
+        values: StoredValues,
     ) -> None:
-        """Start with no other entry; `own_info` is this entry's own address."""
+        """Start with no other entry.
+
+        Parameters: `own_node` and `own_info` are this entry's own name and address;
+        `values` decodes what is stored.
+        """
+        self._own_node = own_node
         self._own_info = own_info
+        self._values = values
         self._store = store
         self._peers = peers
         self._clock = clock
         self._entry_by_address: dict[Address, ProcessInfo] = {}
         self._key_by_address: dict[Address, str] = {}
+        self._unknown_keys: set[str] = set()
+        """Keys of entries whose addresses another program has overwritten."""
         self._silent_since_by_key: dict[str, float] = {}
         self.has_read = False
         """Whether the registered entries have been read from the store."""
@@ -96,17 +113,31 @@
         if not isinstance(listing, Listing):
             return False
         self.has_read = True
+        address_by_key = {key: a for a, key in self._key_by_address.items()}
         self._key_by_address = {}
-        for found in listing.found:
-            entry = decode(found.value, ProcessInfo)
-            address = (entry.host, entry.port)
-            self._key_by_address[address] = found.key
-            self._entry_by_address.setdefault(address, entry)
-        registered = self._key_by_address.values()
+        self._unknown_keys = set()
+        for registration in read_registrations(
+            self._values, listing.found, ENTRY_PREFIX
+        ):
+            key, entry = registration.key, registration.process
+            if entry is not None:
+                address = (entry.host, entry.port)
+                self._key_by_address[address] = key
+                self._entry_by_address.setdefault(address, entry)
+            elif key in address_by_key:
+                self._key_by_address[address_by_key[key]] = key
+            elif key != entry_key(self._own_node):
+                self._unknown_keys.add(key)
+        registered = {*self._key_by_address.values(), *self._unknown_keys}
         for key in self._silent_since_by_key.keys() - registered:
             del self._silent_since_by_key[key]
         return True
 
+    @property
+    def all_known(self) -> bool:
+        """Whether the address of each registered entry is known."""
+        return self.has_read and not self._unknown_keys
+
     async def promise(self, entry: ProcessInfo, epoch: Epoch) -> Follows | None:
         """Ask an entry not to claim while `epoch` leads; return its promise or None."""
         answer = await self._peers.call(
@@ -131,6 +162,8 @@
         entry that is gone for good would never give it. A deregistered entry can't
         claim before it has registered again.
 
+        An entry whose address is overwritten counts as silent.
+
         Parameters: `leader_revision` is the revision of the leader key as this leader
         wrote it.
         """
@@ -143,18 +176,26 @@
             if await self.promise(entry, epoch):
                 self._silent_since_by_key.pop(key, None)
                 continue
-            since = self._silent_since_by_key.setdefault(key, now)
-            if now - since >= DEREGISTER_AFTER_SECONDS:
-                leader_unchanged = Compare(LEADER_KEY, leader_revision)
-                deleted = await self._store.write(
-                    Txn([leader_unchanged], deletes=[key])
-                )
-                if not isinstance(deleted, Written):
-                    # The entry may still claim, so its promise is still needed.
-                    continue
+            if await self._deregister_if_long_silent(key, now, leader_revision):
                 self._entry_by_address.pop(address, None)
-                del self._silent_since_by_key[key]
-                log.warning("Silent entry deregistered", extra={"entry": key})
+        for key in list(self._unknown_keys):
+            if await self._deregister_if_long_silent(key, now, leader_revision):
+                self._unknown_keys.discard(key)
+
+    async def _deregister_if_long_silent(
+        self, key: str, now: float, leader_revision: int
+    ) -> bool:
+        """Return whether the key was deleted; if not, its entry may still claim."""
+        since = self._silent_since_by_key.setdefault(key, now)
+        if now - since < DEREGISTER_AFTER_SECONDS:
+            return False
+        leader_unchanged = Compare(LEADER_KEY, leader_revision)
+        deleted = await self._store.write(Txn([leader_unchanged], deletes=[key]))
+        if not isinstance(deleted, Written):
+            return False
+        del self._silent_since_by_key[key]
+        log.warning("Silent entry deregistered", extra={"entry": key})
+        return True
 
 
 def reaches_store(promise: Follows) -> bool:
--- a/wagtailcleat/cluster/stored_values.py
+++ b/wagtailcleat/cluster/stored_values.py
@@ -61,15 +61,11 @@
         """Return the value of type `kind` that a key holds."""
         value = decode_stored(found, kind)
         if isinstance(value, Unreadable):
-            self._note(found, value.why)
+            self.reject(found, value.why)
         return value
 
-    def read_all(self, stored: list[Found], kind: type[T]) -> list[T]:
-        """Return the values that can be used, without the others."""
-        values = [self.read(found, kind) for found in stored]
-        return [value for value in values if not isinstance(value, Unreadable)]
-
-    def _note(self, found: Found, why: str) -> None:
+    def reject(self, found: Found, why: str) -> None:
+        """Count and log a key that can't be used, once per revision."""
         known = self._revision_by_key.pop(found.key, None)
         self._revision_by_key[found.key] = found.mod_revision
         if known == found.mod_revision:
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -255,7 +255,12 @@
 
 def _found(item: dict[str, Any]) -> Found:
     value = base64.b64decode(get_text(item, "value", default=""))
-    return Found(get_text(item, "key"), value, get_integer(item, "rev", default=0))
+    return Found(
+        get_text(item, "key"),
+        value,
+        get_integer(item, "rev", default=0),
+        get_integer(item, "created", default=0),
+    )
 
 
 def _event(item: dict[str, Any]) -> Event:
--- a/wagtailcleat/storage.py
+++ b/wagtailcleat/storage.py
@@ -14,6 +14,8 @@
     key: str
     value: bytes
     mod_revision: int
+    create_revision: int = 0
+    """Store revision of the write that created the key; 0: not known."""
 
 
 @dataclass(frozen=True)
