A leader that stops hands over while it waits for the balancer, within its grace period

A leader that is told to stop asks the other entries one after the other to take over, 0.6 s each if they don't answer, and only then begins the 2.3 s in which the balancer notices. With five entries that are gone or stand still that is more than a grace period of 4 s (with eight more than 6 s): the process is killed with its connections, answered or not.

Change: the hand-over runs beside the wait, and is given up at the end of the grace period less its margin. Leadership is laid down first, as before.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -28,6 +28,13 @@
     Then it ends by itself within its grace period
     And each of these requests was answered 503 or 504
 
+  Scenario: No other entry answers as the leader is told to stop
+    # Guards against a stop that asks one entry after the other beyond its grace period.
+    Given a deployment of 1 entry and 1 agent
+    And 5 entries are registered that do not answer
+    When the entry is told to stop
+    Then it ends by itself within its grace period
+
   Scenario: An entry stands still just before it closes its port
     # Guards against requests in the kernel's buffers and connections not yet accepted.
     Given a deployment of 1 entry and 1 agent
--- a/features/steps/odd_process_steps.py
+++ b/features/steps/odd_process_steps.py
@@ -12,7 +12,8 @@
 SMALL_STEP = [{"count": 1, "cpu": 500, "memMb": 50, "estMs": 300}]
 
 
-def _put(cluster, key, value):
+def put_value(cluster, key, value):
+    """Store a value as another writer does."""
     put = {"key": key, "value": b64encode(value).decode()}
     body = {"expectRev": [], "setKeys": [put], "remove": []}
     url = f"{cluster.store.url}/kv-txn"
@@ -24,7 +25,7 @@
 def step_leader_key(context):
     cluster = context.cluster
     leader = cluster.leader()
-    _put(cluster, LEADER_KEY, UNDECODABLE)
+    put_value(cluster, LEADER_KEY, UNDECODABLE)
     leader.kill()
     context.killed = leader
 
@@ -37,8 +38,8 @@
     odd = addressed_values(fields, host=0, port=1).values()
     for prefix in (ENTRY_PREFIX, AGENT_PREFIX):
         for number, value in enumerate(odd):
-            _put(cluster, f"{prefix}0-odd-{number}", value)
-        _put(cluster, prefix + "0/odd", packed(fields))
+            put_value(cluster, f"{prefix}0-odd-{number}", value)
+        put_value(cluster, prefix + "0/odd", packed(fields))
     leader.kill()
     context.killed = leader
 
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -11,10 +11,13 @@
 
 from behave import given, then, when
 
+from features.steps.odd_process_steps import put_value
 from standins.persistent_callers import Call, PersistentCaller, make_request
 from standins.persistent_callers import receive_answer as receive
 from standins.platform_cluster import host_of
 from standins.processes import http, wait_for
+from wagtailcleat.cluster.keys import ProcessInfo, encode, entry_key
+from wagtailcleat.ids import NodeId
 
 GRACE_SECONDS = 4.0
 CUT_SECONDS = 0.2
@@ -158,6 +161,18 @@
     return [line["message"] for line in context.cluster.entries[0].log_lines()]
 
 
+@given("{count:d} entries are registered that do not answer")
+def step_silent_entries(context, count):
+    for number in range(count):
+        silent = socket.create_server((host_of(1), 0))
+        silent.settimeout(CALLS_SECONDS)
+        context.add_cleanup(silent.close)
+        info = ProcessInfo(host_of(1), silent.getsockname()[1], 1)
+        put_value(context.cluster, entry_key(NodeId(f"silent-{number}")), encode(info))
+    # The leader has read the keys when it calls the last one.
+    context.add_cleanup(silent.accept()[0].close)
+
+
 @then("it ends by itself within its grace period")
 def step_ends(context):
     entry = context.cluster.entries[0]
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -164,12 +164,14 @@
         self.stopping = True
         self.calls.is_stopping = True
         self._front.announce_close()
-        started_at = boot_time()
-        await self.leadership.step_down()
+        end = boot_time() + self.settings.grace - STOP_MARGIN_SECONDS
+        # Each entry that does not answer delays the hand-over.
+        stepping_down = asyncio.create_task(self.leadership.step_down())
         await asyncio.sleep(BALANCER_NOTICE_SECONDS)
-        end = started_at + self.settings.grace - STOP_MARGIN_SECONDS
         self._ready.stop()
         await self._front.drain(max(MIN_CLOSE_SECONDS, end - boot_time()))
+        await asyncio.wait([stepping_down], timeout=max(0.0, end - boot_time()))
+        stepping_down.cancel()
         given_up = self.calls.give_up()
         if given_up:
             log.warning(
