Deregister agents whose workers are gone while they are still in touch

New scenario 'The worker of an agent in touch has ended, and nothing ran there': first example failed before (both agents registered).

Cause: a new leader waits for each registered agent, and one that is restarted without its worker has no list to report. Agents were deregistered when out of touch only, or when the worker had said that it leaves.

Change: the key of an agent that hosts no run is removed when its worker has not answered for 2 s, and its ends are stored; it is registered again before it gets work. Also an agent whose worker has left waits until its ends are stored.

Ruled out: a shorter wait (leases need it); to take a restarted agent without heartbeats for empty (its worker may be frozen).

Checked: features of leader, takeover, restoring, power_loss, recovery, heard_runs, acknowledgements.

--- a/features/platform/leader.feature
+++ b/features/platform/leader.feature
@@ -74,6 +74,22 @@
     And the store answers again
     Then the agent is no longer registered in the store
 
+  Scenario Outline: The worker of an agent in touch has ended, and nothing ran there
+    # Guards against a next leader that starts nothing for seconds, because it waits for
+    # agents whose workers were gone before: all VMs then lose power at once.
+    Given a leader of 2 agents, and a job that runs at the first
+    When the worker of the <agent> agent has not answered for <seconds> s<ends>
+    Then the agents that a next leader waits for are <registered>
+    When the worker of the <agent> agent answers again
+    Then the agents that a next leader waits for are the first and the second
+
+    Examples:
+      | agent  | seconds | ends                        | registered           |
+      | second | 3       |                             | the first            |
+      | second | 1       |                             | the first and the second |
+      | second | 3       | , and has an end to be stored | the first and the second |
+      | first  | 3       |                             | the first and the second |
+
   Scenario: Ended jobs are deleted late
     # Guards against an accepted job that a late delete of an earlier one removes.
     Given a leader that deletes 20 ended jobs from a store, which does not answer
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -489,7 +489,7 @@
 
 @then("the agent may be removed from the store")
 def step_removable(context):
-    idle = [vm.node for vm in context.world.scheduler.idle_disconnected_vms()]
+    idle = [vm.node for vm in context.world.scheduler.idle_vms_without_worker()]
     assert idle == [context.node], idle
 
 
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -62,6 +62,8 @@
     unsettled: list = field(default_factory=list)
     has_all_ends: bool = True
     """Whether its list contains every end."""
+    silent_seconds: float = 0.0
+    """For how long the worker has not answered its agent."""
     listed_in_epoch: bool = True
     """Whether its list was requested after it began to follow the leader."""
 
@@ -134,7 +136,7 @@
             ended=[] if self.unknown or self.unlisted else list(self.ended),
             unsettled=list(self.unsettled),
             refused=list(self.refused),
-            silent_seconds=0.0,
+            silent_seconds=self.silent_seconds,
             lease_seconds=HORIZON,
             orders_taken=self.orders_taken,
             has_all_ends=self.has_all_ends,
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -185,7 +185,7 @@
         vms = [
             vm
             for vm in self._scheduler.vm_by_node.values()
-            if not vm.registered and vm.is_connected and vm.worker is not None
+            if not vm.registered and vm.has_worker
         ]
         new = [vm for vm in vms if vm.node not in self.registered]
         for first in range(0, len(new), AGENTS_PER_WRITE):
@@ -211,7 +211,7 @@
     async def _deregister_agents(self) -> None:
         # A new leader waits for each registered agent before it starts work again that
         # was running: an agent that is gone would delay all of it.
-        idle = {vm.node for vm in self._scheduler.idle_disconnected_vms()}
+        idle = {vm.node for vm in self._scheduler.idle_vms_without_worker()}
         # The agents that may still be registered count, not those that were last sent
         # to the store: a delete that was not carried out must be tried again.
         registered = [node for node, at in self._revision_by_agent.items() if at]
--- a/wagtailcleat/scheduling/dispatch.py
+++ b/wagtailcleat/scheduling/dispatch.py
@@ -69,6 +69,11 @@
             tracker = self._tracker_by_node[node] = EndTracker(born)
         return tracker
 
+    def has_unsettled_ends(self, node: NodeId) -> bool:
+        """Return whether ends that an agent has listed may not be acknowledged yet."""
+        tracker = self._tracker_by_node.get(node)
+        return tracker is not None and bool(tracker.unsettled)
+
     def orders(
         self,
         vm_by_node: Mapping[NodeId, Vm],
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -236,12 +236,17 @@
                 vm, now, "its agent knows no worker, and the lease lapsed"
             )
 
-    def idle_disconnected_vms(self) -> list[Vm]:
-        """Return the VMs without runs that have no worker or no connected agent."""
+    def idle_vms_without_worker(self) -> list[Vm]:
+        """Return the VMs without runs that have no worker or no connected agent.
+
+        Ends of a worker that has fallen silent must have been stored.
+        """
         return [
             vm
             for vm in self.vm_by_node.values()
-            if not vm.hosted_by_run and (vm.worker is None or not vm.is_connected)
+            if not vm.hosted_by_run
+            and not vm.has_worker
+            and not (vm.is_connected and self._dispatch.has_unsettled_ends(vm.node))
         ]
 
     def take_logged_events(self) -> list[LoggedEvent]:
--- a/wagtailcleat/scheduling/vms.py
+++ b/wagtailcleat/scheduling/vms.py
@@ -26,6 +26,11 @@
 AVOID_SECONDS = 6.0
 """How long a VM is avoided or quarantined after its last failure; then it is tried."""
 
+SILENT_WORKER_SECONDS = 2.0
+"""How long a worker that runs nothing must not answer until it counts as absent.
+
+Longer than most silences of workers that are there: each change costs two writes.
+"""
 PERCENT = 100
 SLOW_SPEED = 0.4
 """Speed below which a VM is avoided.
@@ -192,6 +197,15 @@
         self.changed_at = now
         self.version += 1
 
+    @property
+    def has_worker(self) -> bool:
+        """Whether its agent is in touch, and its worker answers or did so just now."""
+        return (
+            self.is_connected
+            and self.worker is not None
+            and self.silent_seconds < SILENT_WORKER_SECONDS
+        )
+
     @property
     def is_usable(self) -> bool:
         """Whether the VM may be given work, by its agent's last report."""
