Heartbeats out of bounds are answered 400 and name no worker

Seen: a heartbeat with an `addr` without a port, with a port that is no number or 99999, with an empty service or zone, with a birth time of 2^53 or with labels that are no text was answered 200, and its sender taken for a worker.

Cause: `decode_heartbeat` checked types but no address, no name and no range. `FencingTokens.first` begins with the birth time, so one of 2^53 also raised the tokens for the real worker beyond what JSON holds exactly.

Change: addresses, names, ids, birth times and capacities have bounds; host names stay valid in `addr`, since the HTTP client does not look names up in the event loop. What is invalid is counted (`heartbeats_rejected_total`) and logged at most each 10 s.

A service that no queue names is not checked by the agent, which does not follow the queues: no work is placed at such a worker, as a scenario shows.

Not covered: a well-formed heartbeat of another writer, with a birth time that rises each second, keeps a restarted worker of this VM waiting.

--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -15,7 +15,7 @@
 from wagtailcleat.cluster.timing import ZONES_WATCH_SECONDS
 from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
-from wagtailcleat.platform.heartbeats import heartbeat_application
+from wagtailcleat.platform.heartbeats import Rejections, heartbeat_application
 from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.scheduling import Leads, Orders, Report
 
@@ -56,6 +56,7 @@
             is_zone_out=lambda zone: zone in self.operators.zones_out,
             on_change=self.following.report_soon,
         )
+        self.rejections = Rejections(clock=boot_time)
         common.dispatch.add_plain({Leads: self.following.leader_announced})
         common.dispatch.add({Orders: self.following.orders})
         self._add_metrics()
@@ -72,7 +73,9 @@
         supervisor.spawn("hosting", self.hosting.run)
         host, port = split_address(self.settings.control)
         server = HTTPServer(
-            heartbeat_application(self.hosting.take_heartbeat, self.hosting.leave)
+            heartbeat_application(
+                self.hosting.take_heartbeat, self.hosting.leave, self.rejections
+            )
         )
         server.listen(port, host)
         serve_metrics(self.common, self.settings)
@@ -130,6 +133,12 @@
             "Runs at the worker of this VM.",
             lambda: len(self.hosting.running),
         )
+        metric(
+            Kind.COUNTER,
+            "heartbeats_rejected",
+            "Heartbeats that are invalid, so that they name no worker.",
+            lambda: self.rejections.count,
+        )
         metric(
             Kind.GAUGE,
             "epoch",
--- a/wagtailcleat/cluster/stored_values.py
+++ b/wagtailcleat/cluster/stored_values.py
@@ -9,11 +9,11 @@
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
-from ipaddress import ip_address
 from typing import Any, TypeVar
 
 import msgspec
 
+from wagtailcleat.addresses import address_problem
 from wagtailcleat.cluster.keys import (
     MAX_EPOCH,
     LeaderHeartbeat,
@@ -30,7 +30,6 @@
 
 T = TypeVar("T")
 
-MAX_PORT = 65_535
 MAX_INTEGER = 2**53
 """Larger integers are not exact in JSON, and no stored field holds them."""
 MAX_LOGGED_KEYS = 1_000
@@ -110,20 +109,6 @@
     return ""
 
 
-def address_problem(host: str, port: int) -> str:
-    """Return why peers can't be called at an address; "" if they can.
-
-    Hosts are numeric: a name would be looked up in the event loop.
-    """
-    if not 1 <= port <= MAX_PORT:
-        return f"port {port} is out of range"
-    try:
-        ip_address(host)
-    except ValueError:
-        return "the host is not numeric"
-    return ""
-
-
 def _epoch_problem(epoch: int, revision: int, *, least: int) -> str:
     # Each claim raises the epoch by one and the store's revision by one or more, so no
     # leader has written an epoch above the revision of its own write.
