Soak: lost answers and idle jobs are checked; emphases on shutdowns and on odd entries

Faults know whether they are planned and whom they affect. Two emphases add what the mix had not: series of signals to processes that stop, start or run, settings that change without a signal, VMs that stand still, and a loss of all power; and odd values of another writer under every key that programs read.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -38,9 +38,13 @@
     accepted_at: float = 0.0
     cancelled_at: float = 0.0
     """When its cancellation was acknowledged."""
+    cancel_sent_at: float = 0.0
+    """When it was first asked to be cancelled."""
     cancel_tried: bool = False
     is_endless: bool = False
     """Whether it ends only when it is cancelled."""
+    is_lasting: bool = False
+    """Whether it is endless and its one task lasts until then."""
     is_invalid: bool = False
     """Whether it must be refused."""
     states: list[tuple[float, str]] = field(default_factory=list)
@@ -148,6 +152,7 @@
         if not job.accepted_at or is_over:
             return
         job.cancel_tried = True
+        job.cancel_sent_at = job.cancel_sent_at or time.time()
         status, _ = self._deployment.call(
             "DELETE", PREFIX + job.job, entry=self._pick_entry()
         )
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -32,7 +32,11 @@
         key=lambda row: row[1],
     )
     job_by_id = {job.job: job for job in jobs}
-    violations = _check_runs(rows, job_by_id, cores)
+    unknown = {r[3] for r in rows if r[0] in ("start", "end")}
+    unknown = {task for task in unknown if task.partition(".")[0] not in job_by_id}
+    rows = [row for row in rows if row[3] not in unknown]
+    violations = [f"submitted by nobody: {task}" for task in sorted(unknown)]
+    violations += _check_runs(rows, job_by_id, cores)
     violations += _check_step_order(rows, job_by_id)
     for job in jobs:
         violations += _check_shown_states(job)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,14 +11,16 @@
     PlatformCluster,
     Program,
     free_ports,
+    host_of,
 )
-from standins.processes import Process
+from standins.processes import HttpError, Process, http
 
 LINK_NETWORK = f"{NETWORK}.3"
 """Nodes advertise addresses in this network; the last number is that of the node's
 own address."""
 LINK_MODULE = "standins.link"
 DEFAULT_KIND = "a"
+CRASHES_METRIC = "wagtailcleat_child_restarts"
 
 
 class SoakDeployment(PlatformCluster):
@@ -110,5 +112,21 @@
         return link
 
 
+def find_crashed_parts(deployment: PlatformCluster) -> list[str]:
+    """Return a line for each program of which a part has crashed since its start."""
+    found = []
+    for number, program in enumerate([*deployment.entries, *deployment.agents]):
+        url = f"http://{host_of(number + 1)}:{deployment.ports[1]}/metrics"
+        try:
+            lines = http("GET", url).body.decode().splitlines()
+        except HttpError:
+            found.append(f"no metrics: {program.name}")
+            continue
+        counts = [float(x.split()[1]) for x in lines if x.startswith(CRASHES_METRIC)]
+        if any(counts):
+            found.append(f"parts crashed: {program.name}, {counts[0]:.0f} times")
+    return found
+
+
 def _capability(cores: float, kind: str) -> list[str]:
     return ["--cores", str(cores), "--kind", kind]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,16 +1,15 @@
 """Fault injection: signals to programs, and fault switches of links and stand-ins."""
 
-import random
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
+from soak.active_faults import ActiveFaults
 from soak.deployment import SoakDeployment
+from soak.emphasis import Emphasis
+from soak.odd_entries import OddEntries
 from soak.poison import send_foreign_heartbeat, store_unreadable_job
+from soak.shutdowns import Shutdowns
 from standins.processes import Process
 
-Undo = Callable[[], None]
 LONGEST_PAUSE_SECONDS = 6.0
 """Longer than a leader acts without a renewal, and than runs go on without an agent."""
 
@@ -26,40 +25,19 @@
 This makes it nearly half of all faults: most seeds see two cuts, one around the leader,
 and few other faults at the same time, which would hide the effect of the cut alone.
 """
+ALONE_SHARE = 0.6
+"""Share of the seeds with shutdowns that have no faults but planned ones and pauses."""
+LONGEST_INTERVAL_SECONDS = 1.5
+POWER_LOSS_SHARE = 0.7
+CONFIGURE_SECONDS = 2.0
+"""Within this a configuration must be in force."""
 CORES = (2.0, 4.0, 6.0)
 KINDS = ("a", "b")
 SLOWEST_BYTES_PER_SECOND = 200_000
 FASTEST_BYTES_PER_SECOND = 800_000
 
 
-class Emphasis(Enum):
-    """A kind of fault that is made frequent; each has its own recorded seeds."""
-
-    NONE = ""
-    REFUSALS = "refusals"
-    """Zones are cut off by refused connections."""
-    SLOW_ANSWERS = "slow-answers"
-    """Long answers of the store take seconds to arrive, or stall midway."""
-    KINDS = "kinds"
-    """Workers are replaced by others, and jobs restrict where their tasks run."""
-    LEADERS = "leaders"
-    """The leader is paused, killed, silenced or turned away; one entry is larger."""
-    DEPARTURES = "departures"
-    """Workers drain and leave; they end at once, or run on for seconds after that."""
-    POISON = "poison"
-    """Jobs far overdue, endless or invalid, unreadable values, foreign heartbeats."""
-
-
-@dataclass(order=True)
-class _ActiveFault:
-    """An active fault: when it ends, and the function that ends it."""
-
-    at: float
-    undo: Undo = field(compare=False)
-    description: str = field(compare=False, default="")
-
-
-class Faults:
+class Faults(ActiveFaults):
     """Injects random faults, decided by a seed; faults may overlap."""
 
     def __init__(
@@ -69,15 +47,10 @@
         emphasis: Emphasis = Emphasis.NONE,
     ) -> None:
         """Start without faults."""
-        self.log: list[tuple[float, str]] = []
-        """Wall clock seconds and description of each start and end of a fault."""
-        self.killed: list[tuple[float, str]] = []
-        """Wall clock seconds and name of each worker that was killed with its runs."""
-        self._deployment = deployment
-        self._random = random.Random(f"faults/{seed}")
-        self._active: list[_ActiveFault] = []
-        self._affected: set[str] = set()
+        super().__init__(deployment, seed)
         self._version = 10
+        self._longest_interval = LONGEST_INTERVAL_SECONDS
+        self._shutdowns: Shutdowns | None = None
         self._kinds = [
             self._kill,
             self._kill,
@@ -107,58 +80,52 @@
         elif emphasis is Emphasis.POISON:
             self._kinds += [self._foreign_heartbeat] * EMPHASIS_WEIGHT
             self._kinds += [self._unreadable_job, self._terminate] * 2
-
-    def inject(self, seconds: float) -> None:
-        """Inject faults for `seconds`, then end them all."""
-        end = time.monotonic() + seconds
-        next_at = time.monotonic()
-        while time.monotonic() < end:
-            self._end_due(time.monotonic())
-            if time.monotonic() >= next_at:
-                self._random.choice(self._kinds)()
-                next_at = time.monotonic() + self._random.uniform(0.1, 1.5)
-            time.sleep(0.02)
-        self._end_due(float("inf"))
-
-    def _end_due(self, now: float) -> None:
-        while self._active and min(self._active).at <= now:
-            fault = min(self._active)
-            self._active.remove(fault)
-            self._record(f"end of {fault.description}")
-            fault.undo()
-
-    def _record(self, description: str) -> None:
-        self.log.append((time.time(), description))
-
-    def _inject(self, name: str, description: str, seconds: float, undo: Undo) -> None:
-        self._record(description)
-        self._affected.add(name)
-
-        def end_fault() -> None:
-            self._affected.discard(name)
-            undo()
-
-        self._active.append(
-            _ActiveFault(time.monotonic() + seconds, end_fault, description)
-        )
-
-    def _pick_unaffected(self, processes: list[Process]) -> Process | None:
-        """Return a random live process without an active fault, or None."""
-        left = [p for p in processes if p.name not in self._affected and p.alive]
-        return self._random.choice(left) if left else None
-
-    def _programs(self) -> list[Process]:
-        return [*self._deployment.entries, *self._deployment.agents]
+        elif emphasis is Emphasis.SHUTDOWNS:
+            self._shutdowns = Shutdowns(self, self._configure)
+            shutdowns = self._shutdowns.kinds
+            alone = self.random.random() < ALONE_SHARE
+            others = [] if alone else self._kinds
+            self._kinds = [*shutdowns * 2, self._leave, self._configure, *others]
+            self._longest_interval *= 2 if alone else 1
+        elif emphasis is Emphasis.ODD_ENTRIES:
+            odd = OddEntries(self).kinds
+            self._kinds = odd * 2 + [self._kill, self._terminate, self._configure]
+            self._longest_interval *= 2
+
+    def inject_random(self, seconds: float) -> None:
+        """Inject faults for `seconds`, then end them all; power may fail at last."""
+        self.inject(self._kinds, seconds, self._longest_interval)
+        if self._shutdowns and self.random.random() < POWER_LOSS_SHARE:
+            if self.random.random() < 0.5:
+                self._configure()
+            self.play(self._shutdowns.lose_power)
+
+    def find_unfollowed(self) -> list[str]:
+        """Write a configuration; return a line for each entry without its queue."""
+        self._configure()
+        prefix = f"/extra-{self._version}/"
+
+        def status(entry: int) -> int:
+            return self.deployment.call("GET", prefix, entry=entry)[0]
+
+        left = dict.fromkeys(range(len(self.deployment.entries)), 0)
+        end = time.monotonic() + CONFIGURE_SECONDS
+        while left and time.monotonic() < end:
+            left = {entry: seen for entry in left if (seen := status(entry)) != 200}
+        return [
+            f"last configuration not served: entry-{entry + 1} answers {seen}"
+            for entry, seen in left.items()
+        ]
 
     def _kill(self) -> None:
-        program = self._pick_unaffected(self._programs())
+        program = self.pick_unaffected(self.programs())
         if program is not None:
             program.kill()
-            seconds = self._random.uniform(0.1, 2.5)
-            self._inject(program.name, f"kill {program.name}", seconds, program.start)
+            seconds = self.random.uniform(0.1, 2.5)
+            self.begin([program.name], f"kill {program.name}", seconds, program.start)
 
     def _terminate(self) -> None:
-        program = self._pick_unaffected(self._programs())
+        program = self.pick_unaffected(self.programs())
         if program is None:
             return
         # SIGTERM: the process keeps serving its open connections until it exits.
@@ -168,42 +135,43 @@
             program.wait_for_end()
             program.start()
 
-        seconds = self._random.uniform(0.5, 4.0)
-        self._inject(program.name, f"terminate {program.name}", seconds, restart)
+        seconds = self.random.uniform(0.5, 4.0)
+        description = f"terminate {program.name}"
+        self.begin([program.name], description, seconds, restart, planned=True)
 
     def _pause(self) -> None:
-        program = self._pick_unaffected(self._programs())
+        program = self.pick_unaffected(self.programs())
         if program is not None:
             program.freeze()
-            seconds = self._random.uniform(0.2, LONGEST_PAUSE_SECONDS)
-            self._inject(program.name, f"pause {program.name}", seconds, program.thaw)
+            seconds = self.random.uniform(0.2, LONGEST_PAUSE_SECONDS)
+            self.begin([program.name], f"pause {program.name}", seconds, program.thaw)
 
     def _kill_worker(self) -> None:
-        worker = self._pick_unaffected(list(self._deployment.workers))
+        worker = self.pick_unaffected(list(self.deployment.workers))
         if worker is not None:
             worker.kill()
             self.killed.append((time.time(), worker.name))
-            seconds = self._random.uniform(0.1, 3.0)
-            self._inject(worker.name, f"kill {worker.name}", seconds, worker.start)
+            seconds = self.random.uniform(0.1, 3.0)
+            self.begin([worker.name], f"kill {worker.name}", seconds, worker.start)
 
     def _foreign_heartbeat(self) -> None:
-        agent = self._random.randrange(len(self._deployment.agents))
-        name = self._deployment.agents[agent].name
-        if name not in self._affected:
-            self._record(f"heartbeat of a worker of another VM at {name}")
-            send_foreign_heartbeat(self._deployment, agent)
+        agent = self.random.randrange(len(self.deployment.agents))
+        name = self.deployment.agents[agent].name
+        if name not in self.affected:
+            self.record(f"heartbeat of a worker of another VM at {name}")
+            send_foreign_heartbeat(self.deployment, agent)
 
     def _unreadable_job(self) -> None:
-        if "store" not in self._affected:
-            self._record("a job that can't be read")
-            store_unreadable_job(self._deployment)
+        if "store" not in self.affected:
+            self.record("a job that can't be read")
+            store_unreadable_job(self.deployment)
 
     def _leave(self) -> None:
         """Let a worker drain and leave; the next one begins after its end."""
-        worker = self._pick_unaffected(list(self._deployment.workers))
+        worker = self.pick_unaffected(list(self.deployment.workers))
         if worker is None:
             return
-        seconds = self._random.choice([0.02, 0.3, 0.8, self._random.uniform(1.0, 6.0)])
+        seconds = self.random.choice([0.02, 0.3, 0.8, self.random.uniform(1.0, 6.0)])
         worker.faults(leave_seconds=seconds)
 
         def restart() -> None:
@@ -212,108 +180,108 @@
             worker.start()
 
         description = f"{worker.name} leaves and ends after {seconds:.2f} s"
-        pause = self._random.uniform(0.6, 2.0)
-        self._inject(worker.name, description, seconds + pause, restart)
+        pause = self.random.uniform(0.6, 2.0)
+        self.begin([worker.name], description, seconds + pause, restart, planned=True)
 
     def _replace_worker(self) -> None:
         """Kill a worker; one of another kind and size takes its place.
 
         The first worker stays as it is, so that each job can end.
         """
-        worker = self._pick_unaffected(list(self._deployment.workers[1:]))
+        worker = self.pick_unaffected(list(self.deployment.workers[1:]))
         if worker is None:
             return
         worker.kill()
         self.killed.append((time.time(), worker.name))
-        cores, kind = self._random.choice(CORES), self._random.choice(KINDS)
-        self._deployment.change_worker(worker, cores, kind)
+        cores, kind = self.random.choice(CORES), self.random.choice(KINDS)
+        self.deployment.change_worker(worker, cores, kind)
         description = f"replace {worker.name}: {cores} cores, kind {kind}"
-        seconds = self._random.uniform(0.05, 1.0)
-        self._inject(worker.name, description, seconds, worker.start)
+        seconds = self.random.uniform(0.05, 1.0)
+        self.begin([worker.name], description, seconds, worker.start)
 
     def _worker_late(self) -> None:
-        self._switch_worker(late_seconds=self._random.uniform(0.3, 2.0))
+        self._switch_worker(late_seconds=self.random.uniform(0.3, 2.0))
 
     def _worker_silent(self) -> None:
         self._switch_worker(silent=True)
 
     def _switch_worker(self, **switches: float | bool) -> None:
-        worker = self._pick_unaffected(list(self._deployment.workers))
+        worker = self.pick_unaffected(list(self.deployment.workers))
         if worker is not None:
             worker.faults(**switches)
-            seconds = self._random.uniform(0.5, 5.0)
+            seconds = self.random.uniform(0.5, 5.0)
             description = f"{worker.name} {switches}"
-            self._inject(worker.name, description, seconds, worker.faults)
+            self.begin([worker.name], description, seconds, worker.faults)
 
     def _store(self) -> None:
-        store = self._pick_unaffected([self._deployment.store])
+        store = self.pick_unaffected([self.deployment.store])
         if store is None:
             return
-        switches: dict[str, object] = self._random.choice(
+        switches: dict[str, object] = self.random.choice(
             [
                 {"hang": True},
                 {"busy": True},
-                {"lose_answers": self._random.randint(1, 6)},
-                {"late_seconds": self._random.uniform(0.2, 2.0)},
-                {"slow_seconds": self._random.uniform(0.05, 0.4)},
+                {"lose_answers": self.random.randint(1, 6)},
+                {"late_seconds": self.random.uniform(0.2, 2.0)},
+                {"slow_seconds": self.random.uniform(0.05, 0.4)},
                 {"refused_bodies": True},
             ]
         )
         store.faults(**switches)
-        seconds = self._random.uniform(0.5, 4.0)
-        self._inject(store.name, f"store {switches}", seconds, store.faults)
+        seconds = self.random.uniform(0.5, 4.0)
+        self.begin([store.name], f"store {switches}", seconds, store.faults)
 
     def _slow_answers(self) -> None:
-        store = self._pick_unaffected([self._deployment.store])
+        store = self.pick_unaffected([self.deployment.store])
         if store is None:
             return
-        rate = self._random.randint(SLOWEST_BYTES_PER_SECOND, FASTEST_BYTES_PER_SECOND)
+        rate = self.random.randint(SLOWEST_BYTES_PER_SECOND, FASTEST_BYTES_PER_SECOND)
         switches = {"bytes_per_second": rate}
-        if self._random.random() < 0.25:
+        if self.random.random() < 0.25:
             switches["stall_after_bytes"] = rate
         store.faults(**switches)
-        seconds = self._random.uniform(2.0, 6.0)
-        self._inject(store.name, f"store {switches}", seconds, store.faults)
+        seconds = self.random.uniform(2.0, 6.0)
+        self.begin([store.name], f"store {switches}", seconds, store.faults)
 
     def _link(self) -> None:
-        name = self._random.choice(sorted(self._deployment.links))
-        link = self._deployment.links[name]
-        if link.name in self._affected:
+        name = self.random.choice(sorted(self.deployment.links))
+        link = self.deployment.links[name]
+        if link.name in self.affected:
             return
-        switches: dict[str, object] = self._random.choice(
+        switches: dict[str, object] = self.random.choice(
             [
                 {"cut": True},
                 {"silent": True},
                 {"silent_new": True},
                 {"hold": True},
-                {"delay_seconds": self._random.uniform(0.05, 0.6)},
+                {"delay_seconds": self.random.uniform(0.05, 0.6)},
             ]
         )
         link.faults(**switches)
-        seconds = self._random.uniform(0.3, 4.0)
-        self._inject(link.name, f"link {name} {switches}", seconds, link.faults)
+        seconds = self.random.uniform(0.3, 4.0)
+        self.begin([link.name], f"link {name} {switches}", seconds, link.faults)
 
     def _leader(self) -> None:
         """Pause, kill or silence the leader, or let the store turn it away."""
-        leader = self._deployment.find_leader()
-        links = self._deployment.links
-        if leader is None or leader.name in self._affected:
+        leader = self.deployment.find_leader()
+        links = self.deployment.links
+        if leader is None or leader.name in self.affected:
             return
         to_store, to_peers = (
             links[f"{leader.name}>store"],
             links[f"peers>{leader.name}"],
         )
-        if self._affected & {to_store.name, to_peers.name}:
+        if self.affected & {to_store.name, to_peers.name}:
             return
-        kind = self._random.choice(("pause", "kill", "silence", "turn away"))
-        seconds = self._random.uniform(0.5, 5.0)
+        kind = self.random.choice(("pause", "kill", "silence", "turn away"))
+        seconds = self.random.uniform(0.5, 5.0)
         description = f"{kind} the leader {leader.name}"
         if kind == "pause":
             leader.freeze()
-            self._inject(leader.name, description, seconds, leader.thaw)
+            self.begin([leader.name], description, seconds, leader.thaw)
         elif kind == "kill":
             leader.kill()
-            self._inject(leader.name, description, seconds, leader.start)
+            self.begin([leader.name], description, seconds, leader.start)
         else:
             switches = {"silent": True, "silent_new": True}
             if kind == "turn away":
@@ -328,17 +296,15 @@
         description: str,
         seconds: float,
     ) -> None:
-        names = {link.name for link in links}
         for link in links:
             link.faults(**switches)
-        self._affected |= names
 
         def end_fault() -> None:
-            self._affected -= names
             for link in links:
                 link.faults()
 
-        self._inject(min(names), description, seconds, end_fault)
+        names = [link.name for link in links]
+        self.begin(names, description, seconds, end_fault)
 
     def _refuse_zone(self) -> None:
         """Cut the entry and the agent of a zone off together, by refused connections.
@@ -346,48 +312,46 @@
         All processes stay alive, and those on one side keep the connections among
         themselves. Sometimes new connections are refused on both sides.
         """
-        inside = self._deployment.zone_names(self._random.randrange(CUTTABLE_ZONES))
-        seconds = self._random.uniform(SHORTEST_CUT_SECONDS, LONGEST_CUT_SECONDS)
-        refuse_both = self._random.random() < 0.5
-        outside = [p.name for p in self._programs() if p.name not in inside]
-        links = self._deployment.links
+        inside = self.deployment.zone_names(self.random.randrange(CUTTABLE_ZONES))
+        seconds = self.random.uniform(SHORTEST_CUT_SECONDS, LONGEST_CUT_SECONDS)
+        refuse_both = self.random.random() < 0.5
+        outside = [p.name for p in self.programs() if p.name not in inside]
+        links = self.deployment.links
         to_store = [links[f"{name}>store"] for name in inside]
         to_peers = {name: links[f"peers>{name}"] for name in [*inside, *outside]}
         affected_links = [*to_store, *to_peers.values()]
         # The programs inside must stay alive, and the end of another fault on one of
         # these links would also end this one.
         affected = {ZONE_CUT, *inside, *(link.name for link in affected_links)}
-        if self._affected & affected:
+        if self.affected & affected:
             return
         for link in to_store:
             link.faults(refuse=True, cut=True)
         for name, link in to_peers.items():
             others = outside if name in inside else inside
             link.faults(refuse=refuse_both or name in inside, reset_from=others)
-        self._affected |= affected
 
         def end_fault() -> None:
-            self._affected -= affected
             for link in affected_links:
                 link.faults()
 
         description = f"refusals around {inside}{', of all new' if refuse_both else ''}"
-        self._inject(ZONE_CUT, description, seconds, end_fault)
+        self.begin(affected, description, seconds, end_fault)
 
     def _configure(self) -> None:
-        if "store" not in self._affected:
+        if "store" not in self.affected:
             self._version += 1
             queues = ("holds", f"extra-{self._version}")
-            self._deployment.configure(version=self._version, queues=queues)
-            self._record(f"configuration {self._version}")
+            self.deployment.configure(version=self._version, queues=queues)
+            self.record(f"configuration {self._version}")
 
     def _zone(self) -> None:
-        if "store" in self._affected or "zone" in self._affected:
+        if "store" in self.affected or "zone" in self.affected:
             return
-        key = f"op/evacuate/{self._random.choice(['zilina-a', 'zilina-b'])}"
-        self._deployment.write_as_operator({key: {}})
-        self._inject("zone", f"{key}", 2.0, lambda: self._cancel_evacuation(key))
+        key = f"op/evacuate/{self.random.choice(['zilina-a', 'zilina-b'])}"
+        self.deployment.write_as_operator({key: {}})
+        self.begin(["zone"], key, 2.0, lambda: self._cancel_evacuation(key))
 
     def _cancel_evacuation(self, key: str) -> None:
-        self._deployment.store.faults()
-        self._deployment.write_as_operator({}, remove=(key,))
+        self.deployment.store.faults()
+        self.deployment.write_as_operator({}, remove=(key,))
--- a/soak/poison.py
+++ b/soak/poison.py
@@ -51,7 +51,16 @@
     """Send an agent the heartbeat of a worker that is not on its VM."""
     host = host_of(len(deployment.entries) + agent + 1)
     instance = f"i-foreign-{secrets.token_hex(2)}"
-    body = {
+    url = f"http://{host}:{deployment.ports[4]}/instances/{instance}/heartbeat"
+    try:
+        http("POST", url, foreign_heartbeat(host), timeout=TIMEOUT_SECONDS)
+    except HttpError:
+        return
+
+
+def foreign_heartbeat(host: str) -> dict[str, Any]:
+    """Return the heartbeat of a worker that is not there."""
+    return {
         "service": "no-such-service",
         "addr": f"{host}:1",
         "zone": "zilina-a",
@@ -65,8 +74,3 @@
         "labels": ["a", "r9"],
         "clockMs": 1,
     }
-    url = f"http://{host}:{deployment.ports[4]}/instances/{instance}/heartbeat"
-    try:
-        http("POST", url, body, timeout=TIMEOUT_SECONDS)
-    except HttpError:
-        return
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -269,6 +269,10 @@
         """Send SIGTERM without waiting for the end."""
         self._child.terminate()
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal; nothing happens if the process has ended."""
+        self._child.send_signal(number)
+
     def wait_for_end(self, timeout: float = STOP_SECONDS) -> None:
         """Wait until the process has ended; kill it after `timeout` seconds."""
         try:
