Stand-in worker: what lapses while it is paused ends when its lease does

It now dates them by the lease, and looks at the lease before it carries out an order that arrived during the pause. The scenario in features/soak/lost.feature failed before (the end 1.5 s after the start).

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -99,27 +99,31 @@
         """Return the milliseconds since the worker started, its own clock."""
         return int((boot_time() - self.started_at) * MILLISECONDS)
 
-    def end(self, task: str, result: str) -> None:
-        """End the run of a task, such as with the result `done`."""
+    def end(self, task: str, result: str, *, late: float = 0.0) -> None:
+        """End the run of a task, such as with the result `done`, `late` seconds ago."""
         ended = self.run_by_task.pop(task).run
         closed = self.last_closed_run_by_task.get(task, 0)
         self.last_closed_run_by_task[task] = max(closed, ended)
         self.last_end_number += 1
         self.unacknowledged_ends.append([self.last_end_number, task, ended, result, ""])
-        self.record.add("end", time.time(), self.instance, task, ended, result)
+        self.record.add("end", time.time() - late, self.instance, task, ended, result)
         self.ended.set()
         self.ended = asyncio.Event()
 
     def tick(self) -> None:
-        """End the runs that are due, or all runs if the lease has expired."""
+        """End the runs that are due, or all runs if the lease has expired.
+
+        A worker that was paused notices late, but it has run nothing in between.
+        """
         now = boot_time()
         before = self.lapsed
         self.lapsed = self.clock_ms() >= self.lease_until * MILLISECONDS
+        late = max(now - self.started_at - self.lease_until, 0.0)
         if self.lapsed and not before:
-            self.record.add("lapse", time.time(), self.instance, "", 0, "")
+            self.record.add("lapse", time.time() - late, self.instance, "", 0, "")
         for task, running in list(self.run_by_task.items()):
             if self.lapsed:
-                self.end(task, "lapsed")
+                self.end(task, "lapsed", late=late)
             elif running.stops_at and now >= running.stops_at:
                 self.end(task, "stopped")
             elif now >= running.ends_at:
@@ -132,7 +136,8 @@
     state: State
 
     async def prepare(self) -> None:
-        """Apply the fault switches."""
+        """Apply the fault switches; end first what has lapsed during a pause."""
+        self.state.tick()
         if self.switches.current.silent:
             await self.disconnected.wait()
             self.drop()
