Soak: signals reach processes that start, agents that are away excuse a wait, 500 is a finding

Started by nohup or in the background a session ignores SIGHUP and SIGINT, and so did the programs that it started until their handlers stood. An agent that is told to stop ends at once, and what its worker runs is unknown until it is back: such waits are not counted. Output of earlier lives of a process is kept in NAME.earlier.

--- a/features/soak/lost.feature
+++ b/features/soak/lost.feature
@@ -31,7 +31,14 @@
       | 14.5  | not lasting | "entry-1" is told to stop at 10.9 s                         | 1     | 3.5     |
       | 14.5  | not lasting | "entry-1" is killed at 10.9 s and back at 11.0 s            | 0     | 0.0     |
       | 18.5  | not lasting | "entry-1" is killed at 10.9 s and back at 11.0 s            | 1     | 3.5     |
-      | 14.5  | not lasting | the agents of all workers are told to stop at 10.9 s        | 0     | 0.0     |
+      | 14.5  | not lasting | an agent is told to stop at 10.9 s                          | 0     | 0.0     |
+      | 14.5  | not lasting | "worker-1" leaves at 10.9 s                                 | 1     | 3.5     |
       | 14.5  | not lasting | all entries are told to stop at 10.9 s                      | 0     | 0.0     |
       | 16.9  | lasting     | nothing else happens                                        | 0     | 0.0     |
       | 17.5  | lasting     | nothing else happens                                        | 1     | 6.5     |
+
+  Scenario: A worker that was paused dates the end of its runs by its lease
+    # Guards against two runs at once reported for a run that lapsed while its worker stood still.
+    Given a worker that runs a task for 60 s with a lease of 0.5 s
+    When the worker is paused for 1.5 s
+    Then the record says that the run lapsed 0.5 s after its start
--- a/features/steps/soak_lost_steps.py
+++ b/features/steps/soak_lost_steps.py
@@ -1,16 +1,24 @@
 """Steps on the soak's checks for answers that are missing and tasks that wait."""
 
+import tempfile
+import time
+from pathlib import Path
+
 from behave import given, then, when
 
 from soak.active_faults import FaultSpan
 from soak.callers import Submitted
 from soak.connections import Cut
 from soak.lost import FinalAnswer, find_cut_answers, find_idle, find_unanswered
+from standins.platform_cluster import free_ports
+from standins.processes import Process, http, wait_for
 
 JOB = "ab12"
 OTHER = "cd34"
 MILLICORES = 1000
 END = 30.0
+WAIT_SECONDS = 5.0
+LEASE_SLACK_SECONDS = 0.2
 ENTRIES = frozenset({"entry-1", "entry-2"})
 
 
@@ -95,6 +103,7 @@
     ]
 
 
+@when('"{name}" leaves at {at:f} s')
 @when('"{name}" is told to stop at {at:f} s')
 def step_told(context, name, at):
     context.spans.append(span(at, at + 1.0, [name], planned=True))
@@ -105,10 +114,9 @@
     context.spans.append(span(at, back, [name], planned=False))
 
 
-@when("the agents of all workers are told to stop at {at:f} s")
-def step_agents_told(context, at):
-    names = [f"agent-{number}" for number in (1, 2, 3)]
-    context.spans.append(span(at, at + 1.0, names, planned=True))
+@when("an agent is told to stop at {at:f} s")
+def step_agent_told(context, at):
+    context.spans.append(span(at, at + 1.0, ["agent-2"], planned=True))
 
 
 @when("all entries are told to stop at {at:f} s")
@@ -122,3 +130,44 @@
     found = find_idle(context.jobs, rows, context.spans, END, ENTRIES)
     assert len(found) == count, found
     assert all(f"for {seconds:.2f} s" in line for line in found), found
+
+
+@given("a worker that runs a task for {seconds:d} s with a lease of {lease:f} s")
+def step_leased_worker(context, seconds, lease):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    control = f"127.0.0.1:{free_ports(1, '127.0.0.1')[0]}"
+    arguments = ["--instance", "i-1", "--control", control]
+    worker = Process("worker", Path(folder.name), "standins.platform_worker", arguments)
+    context.add_cleanup(worker.kill)
+    context.worker = worker
+    clock = http("POST", f"{worker.url}/hold", {}).json()["clockMs"]
+    start = {
+        "task": f"{JOB}.0.0.0",
+        "run": 1,
+        "spec": f'{{"seconds": {seconds}}}',
+        "deadlineMs": clock + int(lease * 1000),
+    }
+    assert http("POST", f"{worker.url}/run-start", start).status == 200
+    assert http("POST", f"{worker.url}/hold", {}).json()["running"]
+
+
+@when("the worker is paused for {seconds:f} s")
+def step_paused(context, seconds):
+    context.worker.freeze()
+    # The length of the pause is what is tested.
+    time.sleep(seconds)
+    context.worker.thaw()
+
+
+@then("the record says that the run lapsed {seconds:f} s after its start")
+def step_lapsed(context, seconds):
+    def rows():
+        found = {row[0]: row for row in context.worker.record()["rows"]}
+        return found if "end" in found else None
+
+    found = wait_for(rows, WAIT_SECONDS, "the run has ended")
+    assert found["end"][5] == "lapsed", found
+    for kind in ("lapse", "end"):
+        lasted = found[kind][1] - found["start"][1]
+        assert abs(lasted - seconds) <= LEASE_SLACK_SECONDS, found
--- a/soak/active_faults.py
+++ b/soak/active_faults.py
@@ -21,7 +21,10 @@
     names: frozenset[str] = frozenset()
     """Processes that it affects."""
     planned: bool = False
-    """Whether work and connections must survive it: stops, reloads and the like."""
+    """Whether work and connections must survive it: stops, reloads and the like.
+
+    One that takes time is a stop, as long as the process is away; others do not last.
+    """
 
 
 @dataclass(order=True)
@@ -87,10 +90,9 @@
         self, description: str, names: Iterable[str] = (), *, planned: bool = True
     ) -> None:
         """Record a fault that is over at once."""
-        now = time.time()
-        self.log.append((now, description))
-        span = FaultSpan(self._called_at, now, description, frozenset(names), planned)
-        self.spans.append(span)
+        at = self._called_at
+        self.log.append((time.time(), description))
+        self.spans.append(FaultSpan(at, at, description, frozenset(names), planned))
 
     def begin(
         self,
--- a/soak/connections.py
+++ b/soak/connections.py
@@ -18,6 +18,7 @@
 """How long callers wait for an answer; also what they tell the entry."""
 RECONNECT_PAUSE_SECONDS = 0.02
 BYTES = 65_536
+INTERNAL_ERROR = 500
 SUBMIT_SHARE = 0.2
 LASTING_SHARE = 0.05
 MOST_LASTING = 2
@@ -52,6 +53,8 @@
         self.cuts: list[Cut] = []
         self.silent: list[tuple[float, str]] = []
         """Wall clock seconds and request of each that got no answer in time."""
+        self.errors: list[str] = []
+        """One for each answer that says that the entry has failed."""
         self.stopping = threading.Event()
         self._entry = deployment.entries[entry].name
         self._address = (host_of(entry + 1), deployment.ports[2])
@@ -152,7 +155,10 @@
         status, closes, content = answer
         if closes or not self._keep:
             self._close()
-        return status, json.loads(content) if content else None
+        if status == INTERNAL_ERROR:
+            shown = f"internal error: {method} {path} at {self._entry}: {content!r:.99}"
+            self.errors.append(shown)
+        return status, json.loads(content) if status == 200 and content else None
 
     def _connect(self) -> socket.socket | None:
         if self._connection is None:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -27,9 +27,20 @@
     """Entries, agents and workers, with links to the store, peers and workers."""
 
     def __init__(
-        self, folder: Path, *, entries: int, agents: int, speeds: tuple[float, ...] = ()
+        self,
+        folder: Path,
+        *,
+        entries: int,
+        agents: int,
+        speeds: tuple[float, ...] = (),
+        grace: float,
     ) -> None:
-        """Start all programs and links; `speeds` are the entries', if they differ."""
+        """Start all programs and links.
+
+        Parameters: `speeds` are the entries', if they differ; `grace` is how long after
+        SIGTERM a process is killed, in seconds.
+        """
+        self.grace = grace
         self.links: dict[str, Process] = {}
         """By both ends, such as `agent-1>store`."""
         super().__init__(
@@ -61,6 +72,7 @@
         overrides = {
             "store": f"{HOST}:{store.ready['port']}",
             "advertised_host": link_host,
+            "grace": self.grace,
         }
         return settings | overrides | {"seeds": seeds}
 
--- a/soak/lost.py
+++ b/soak/lost.py
@@ -207,6 +207,11 @@
     return best
 
 
+def _stops_agent(span: FaultSpan) -> bool:
+    """Return whether an agent is away, so that nobody can ask its worker."""
+    return span.end > span.start and any(n.startswith("agent-") for n in span.names)
+
+
 def _has_room(
     step: dict[str, Any],
     at: float,
@@ -218,6 +223,8 @@
     near = [span for span in spans if span.start <= at <= span.end + CALM_SECONDS]
     if not all(span.planned for span in near):
         return False
+    if any(_stops_agent(span) for span in near):
+        return False
     affected = {name for span in near for name in span.names}
     stopped = {n for span in near if at <= span.end + ENTRY_SECONDS for n in span.names}
     if entries <= stopped:
@@ -225,7 +232,7 @@
     workers = [
         worker
         for instance, worker in up.items()
-        if not affected & {f"agent-{instance[2:]}", f"worker-{instance[2:]}"}
+        if f"worker-{instance[2:]}" not in affected
     ]
     if 2 * sum(w.used for w in workers) >= sum(w.millicores for w in workers):
         return False
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 from soak.emphasis import Emphasis
 from soak.faults import Faults
 from soak.lost import FinalAnswer, find_cut_answers, find_idle, find_unanswered
+from soak.shutdowns import GRACE_SECONDS, let_children_receive_signals
 from standins.platform_cluster import PREFIX
 from standins.stored_jobs import store_ended_jobs
 
@@ -27,6 +28,7 @@
 MORE_ENTRIES = 3
 MORE_AGENTS = 3
 """With shutdowns or odd entries: some of them go on while others stop."""
+SHORT_GRACE_SECONDS = 4.0
 CALLERS = 2
 FINISH_SECONDS = 14.0
 """So long after the end of the traffic, each entry is asked for the jobs."""
@@ -55,6 +57,7 @@
     answers adds many ended jobs to the store, and one on shutdowns or odd entries adds
     callers that keep their connections, and lasting tasks.
     """
+    let_children_receive_signals()
     speeds = UNEVEN_SPEEDS if emphasis is Emphasis.LEADERS else ()
     more = emphasis in (Emphasis.SHUTDOWNS, Emphasis.ODD_ENTRIES)
     deployment = SoakDeployment(
@@ -62,6 +65,7 @@
         entries=len(speeds) or (MORE_ENTRIES if more else ENTRIES),
         agents=MORE_AGENTS if more else AGENTS,
         speeds=speeds,
+        grace=GRACE_SECONDS if more else SHORT_GRACE_SECONDS,
     )
     try:
         deployment.wait_until_ready()
@@ -103,6 +107,7 @@
         violations += find_unanswered(observed.answers)
         entries = frozenset(entry.name for entry in deployment.entries)
         violations += find_idle(jobs, rows, faults.spans, observed.until, entries)
+        violations += [error for c in connections for error in c.errors]
         violations += faults.broken + observed.broken
         return violations + [
             f"ended by itself: {p.name}" for p in deployment.processes if not p.alive
--- a/soak/shutdowns.py
+++ b/soak/shutdowns.py
@@ -96,7 +96,7 @@
             self._rewrite(program)
         _signal_later(program, [signal.SIGHUP] * count, 0.0)
         description = f"{count} SIGHUP to {program.name}{', changed' if change else ''}"
-        self._faults.begin([program.name], description, 0.5, _nothing, planned=True)
+        self._faults.record(description, [program.name])
         if self._random.random() < 0.3:
             self._configure()
 
@@ -164,8 +164,15 @@
         self._faults.end_all()
 
 
-def _nothing() -> None:
-    """End a fault that ends by itself."""
+def let_children_receive_signals() -> None:
+    """Let processes started from now on not inherit that a signal is ignored.
+
+    A shell starts commands in the background so. A signal with a handler has its
+    default effect in a new process.
+    """
+    for number in (signal.SIGHUP, signal.SIGINT):
+        if signal.getsignal(number) is signal.SIG_IGN:
+            signal.signal(number, lambda number, frame: None)
 
 
 def _signal_later(
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -194,7 +194,10 @@
     def call(
         self, method: str, path: str, body: Any = None, *, entry: int = 0
     ) -> tuple[int, Any]:
-        """Call an entry; return status and body, with status 0 if no answer came."""
+        """Call an entry; return status and body, with status 0 if no answer came.
+
+        The body is None where it isn't JSON, as with an internal error.
+        """
         try:
             answer = http(
                 method,
@@ -205,7 +208,8 @@
             )
         except HttpError:
             return 0, None
-        return answer.status, answer.json() if answer.body else None
+        is_json = answer.headers.get("content-type", "").startswith("application/json")
+        return answer.status, answer.json() if answer.body and is_json else None
 
     def wait_until_ready(self) -> None:
         """Wait until every entry serves the queue and the leader knows all agents."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -241,6 +241,9 @@
         command += self._port_arguments()
         paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
+        if self._stdout.exists():
+            with self._stdout.with_suffix(".earlier").open("ab") as earlier:
+                earlier.write(self._stdout.read_bytes())
         with self._stdout.open("wb") as out, self.stderr.open("ab") as err:
             self._child = subprocess.Popen(
                 command, stdout=out, stderr=err, cwd=self.folder, env=environment
