--- a/standins/processes.py
+++ b/standins/processes.py
@@ -246,6 +246,9 @@
         command += self._port_arguments()
         paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
+        if self._stdout.exists():
+            with self._stdout.with_suffix(".earlier").open("ab") as earlier:
+                earlier.write(self._stdout.read_bytes())
         with self._stdout.open("wb") as out, self.stderr.open("ab") as err:
             self._child = subprocess.Popen(
                 command, stdout=out, stderr=err, cwd=self.folder, env=environment
@@ -274,6 +277,10 @@
         """Send SIGTERM without waiting for the end."""
         self._child.terminate()
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal; nothing happens if the process has ended."""
+        self._child.send_signal(number)
+
     def wait_for_end(self, timeout: float = STOP_SECONDS) -> None:
         """Wait until the process has ended; kill it after `timeout` seconds."""
         try:
