--- a/tools/verify.py
+++ b/tools/verify.py
@@ -38,6 +38,7 @@
     "batch/zone_out",
     "fuzz/batch",
     "platform/faults",
+    "platform/stopping",
     "batch/capacity",
     "batch/store_outage",
     "platform/worker_faults",
