Answers that can't be read are outcomes: of the store, the worker, the advice service

Seen: an answer nested 100,000 deep ended its caller with a RecursionError; a 200 of the store without the fields of a value ended `get` and `list` with a BodyError, and counted as a write at revision 0; a list of runs with a short row, a number that is infinite or too large, or half of a surrogate pair ended the agent's part that lists, or the report that carries it. Before: none of the 29 scenarios of features/platform/odd_answers passed (29 errors, RecursionError, BodyError, binascii.Error), the first call of each being the store's.

Cause: only `changes` and the rows of lists guarded their decoding, the latter without IndexError and OverflowError, and numbers were converted without range.

Change: `KeyValueStore` returns Unavailable for reads and Unknown for writes whose answers lack fields; rows of lists are checked by type and range; routes of a configuration must be objects. A measurement that is not finite counts as 0.

Why a list with one odd row counts as no answer: a run that is passed over would be taken for one that does not run, and started elsewhere.

Measured: 29 scenarios pass, and the features adapter, store_faults, worker_faults and whole_path.

--- a/wagtailcleat/platform/advice.py
+++ b/wagtailcleat/platform/advice.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from wagtailcleat.platform.fields import BodyError, get_list, get_number
+from wagtailcleat.platform.fields import BodyError, get_list, get_number, text
 from wagtailcleat.platform.http_client import HttpClient, Reply
 from wagtailcleat.scheduling.advice import Question
 
@@ -52,10 +52,10 @@
         try:
             return Granted(
                 {
-                    str(pair[0]): str(pair[1])
+                    text(pair[0], "id"): text(pair[1], "ticket")
                     for pair in get_list(reply.body, "granted")
                 },
                 get_number(reply.body, "validMs", default=0.0) / MILLISECONDS,
             )
-        except (BodyError, IndexError, TypeError):
+        except (BodyError, LookupError, TypeError):
             return None
--- a/wagtailcleat/platform/fields.py
+++ b/wagtailcleat/platform/fields.py
@@ -77,6 +77,16 @@
     return float(value)
 
 
+def whole(value: object, name: str) -> int:
+    """Return a number from 0 to `MAX_NUMBER`, without its fraction."""
+    return int(get_number({name: value}, name))
+
+
+def text(value: object, name: str) -> str:
+    """Return a string."""
+    return get_text({name: value}, name)
+
+
 def get_boolean(raw: dict[str, Any], name: str) -> bool:
     """Return the boolean field `name`; False where it is missing."""
     value = raw.get(name, False)
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -182,6 +182,6 @@
     # An error answer may have no body, or the body of a proxy or gateway in between.
     try:
         value = json.loads(body or b"{}")
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
     return value if isinstance(value, dict) else {}
--- a/wagtailcleat/platform/keyvalue.py
+++ b/wagtailcleat/platform/keyvalue.py
@@ -124,9 +124,12 @@
         reply = await self._read(path)
         if isinstance(reply, Reply) and reply.code == NOT_FOUND:
             return Absent(get_integer(reply.body, "storeRevision", default=0))
-        if isinstance(reply, Reply) and reply.code == OK:
+        if not isinstance(reply, Reply) or reply.code != OK:
+            return Unavailable(_reason(reply))
+        try:
             return _found(reply.body)
-        return Unavailable(_reason(reply))
+        except BodyError as error:
+            return Unavailable(error.message)
 
     async def list(self, prefix: str) -> Listing | Unavailable:
         """Return all keys that begin with `prefix`.
@@ -141,8 +144,11 @@
             reply = await self._page(prefix, after)
             if not isinstance(reply, Reply) or not _is_ok(reply):
                 return Unavailable(_reason(reply))
-            revision = revision or get_integer(reply.body, "storeRevision")
-            page = [_found(item) for item in get_list(reply.body, "items")]
+            try:
+                revision = revision or get_integer(reply.body, "storeRevision")
+                page = [_found(item) for item in get_list(reply.body, "items")]
+            except BodyError as error:
+                return Unavailable(error.message)
             found += page
             if not page or not get_boolean(reply.body, "hasMore"):
                 return Listing(found, revision)
@@ -168,11 +174,14 @@
         reply = await self._post("/kv-txn", _txn_body(txn))
         if not isinstance(reply, Reply):
             return Unknown("no answer")
-        if reply.code == OK:
-            return Written(get_integer(reply.body, "rev", default=0))
-        if reply.code == CONDITION_FAILED:
-            items = get_list(reply.body, "items")
-            return Conflict(tuple(_found(item) for item in items if _is_present(item)))
+        try:
+            if reply.code == OK:
+                return Written(get_integer(reply.body, "rev"))
+            if reply.code == CONDITION_FAILED:
+                items = [_found(item) for item in get_list(reply.body, "items")]
+                return Conflict(tuple(found for found in items if found.mod_revision))
+        except BodyError as error:
+            return Unknown(error.message)
         if reply.code in (TOO_MANY_REQUESTS, UNAVAILABLE):
             return Unavailable(str(reply.code))
         if reply.code in INVALID_CODES:
@@ -249,12 +258,18 @@
     return str(reply.code) if isinstance(reply, Reply) else reply.value
 
 
-def _is_present(item: dict[str, Any]) -> bool:
-    return get_integer(item, "rev", default=0) > 0
+def _item(item: object) -> dict[str, Any]:
+    if not isinstance(item, dict):
+        raise BodyError("an item is no object")
+    return item
 
 
-def _found(item: dict[str, Any]) -> Found:
-    value = base64.b64decode(get_text(item, "value", default=""))
+def _found(raw: object) -> Found:
+    item = _item(raw)
+    try:
+        value = base64.b64decode(get_text(item, "value", default=""), validate=True)
+    except ValueError as error:
+        raise BodyError(f"value: {error}") from None
     return Found(
         get_text(item, "key"),
         value,
@@ -263,7 +278,8 @@
     )
 
 
-def _event(item: dict[str, Any]) -> Event:
+def _event(raw: object) -> Event:
+    item = _item(raw)
     if get_boolean(item, "tombstone"):
         return Event(get_text(item, "key"), None, get_integer(item, "rev"))
     found = _found(item)
--- a/wagtailcleat/platform/operators.py
+++ b/wagtailcleat/platform/operators.py
@@ -36,7 +36,10 @@
 
     """
     raw = parse_object(value)
-    queues = [_queue(route) for route in get_list(raw, "routes")]
+    queues = [
+        _queue(get_object({"route": route}, "route"))
+        for route in get_list(raw, "routes")
+    ]
     return queue_table(
         get_integer(raw, "version"), queues, _limits(get_object(raw, "limits"))
     )
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -6,12 +6,19 @@
 later.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
 from wagtailcleat.ids import JobId
-from wagtailcleat.platform.fields import BodyError, get_integer, get_list
+from wagtailcleat.platform.fields import (
+    BodyError,
+    get_integer,
+    get_list,
+    text,
+    whole,
+)
 from wagtailcleat.platform.http_client import HttpClient, NoAnswer, Reply
 from wagtailcleat.scheduling.models import (
     Ended,
@@ -43,6 +50,8 @@
 MAX_LISTED_ENDS = 500
 """Maximum of ended runs in one list; the worker lists further ones after earlier ones
 are acknowledged."""
+ROW_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
+"""What access to a row raises that is too short, or of other types."""
 EXPECT_INSTANCE_HEADER = "Wagtailcleat-Expect-Instance"
 
 END_BY_NAME = {
@@ -185,7 +194,7 @@
             return OtherIncarnation()
         try:
             return _parse_run_list(reply)
-        except (BodyError, ValueError, TypeError, KeyError):
+        except (BodyError, *ROW_ERRORS):
             return NoAnswer.LOST
 
     async def _call(
@@ -229,16 +238,19 @@
 
 
 def _parse_running(row: list[Any]) -> Running:
-    key = RunKey(_parse_task_key(row[0]), int(row[1]))
-    measurement = float(row[4]) if len(row) > 4 else 0.0
+    key = RunKey(_parse_task_key(row[0]), whole(row[1], "run"))
     # A serving run reports milliseconds, any other run thousandths of a core. The same
     # factor converts both, to seconds and to cores.
-    return Running(key, str(row[2]), int(row[3]), measurement / MILLISECONDS)
+    measurement = float(row[4]) / MILLISECONDS if len(row) > 4 else 0.0
+    if not math.isfinite(measurement):
+        measurement = 0.0
+    return Running(key, text(row[2], "saved"), whole(row[3], "percent"), measurement)
 
 
 def _parse_ended(row: list[Any]) -> Ended:
-    key = RunKey(_parse_task_key(row[1]), int(row[2]))
-    return Ended(int(row[0]), key, END_BY_NAME[row[3]], str(row[4]))
+    key = RunKey(_parse_task_key(row[1]), whole(row[2], "run"))
+    saved = text(row[4], "saved")
+    return Ended(whole(row[0], "number"), key, END_BY_NAME[row[3]], saved)
 
 
 def _format_task_key(key: TaskKey) -> str:
@@ -246,5 +258,6 @@
 
 
 def _parse_task_key(name: str) -> TaskKey:
-    job, occurrence, step, position = name.rsplit(".", 3)
-    return TaskKey(JobId(job), int(occurrence), int(step), int(position))
+    job, *numbers = text(name, "task").rsplit(".", 3)
+    occurrence, step, position = (whole(int(number), "task") for number in numbers)
+    return TaskKey(JobId(job), occurrence, step, position)
