Peers are called at numeric hosts and valid ports only

Seen: a call to port 2^63 ended its caller with an OverflowError, one to a host of 300 letters or "a..b" with a UnicodeError; port 70000 was connected to as port 4464; a host name was looked up in the event loop, which stops the process for as long as that takes; a probe of port 0 passed for a refusal by the leader; and an entry that asks who leads with such an address was one whose promise is needed.

Cause: addresses of peers were used as they came; the error types that `Peers` expects do not cover what the resolver raises.

Change: `Peers.stream` returns Lost for an address out of bounds, which all calls and streams pass through; `connection_refused` and `who_leads` check it too.

--- a/wagtailcleat/cluster/other_entries.py
+++ b/wagtailcleat/cluster/other_entries.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Awaitable, Callable
 
+from wagtailcleat.addresses import address_problem
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import (
     ENTRY_PREFIX,
@@ -43,6 +44,8 @@
 
 async def connection_refused(host: str, port: int) -> bool:
     """Return whether a connection is refused, by the peer's VM or by the network."""
+    if address_problem(host, port):
+        return False
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
             _, writer = await asyncio.open_connection(host, port)
@@ -91,7 +94,9 @@
         return f"<OtherEntries: {len(self.entries())}>"
 
     def add(self, entry: ProcessInfo) -> None:
-        """Remember an entry that asked who leads."""
+        """Remember an entry that asked who leads, if it can be called."""
+        if address_problem(entry.host, entry.port):
+            return
         self._entry_by_address[entry.host, entry.port] = entry
 
     def entries(self) -> list[ProcessInfo]:
--- a/wagtailcleat/wire/peers.py
+++ b/wagtailcleat/wire/peers.py
@@ -12,6 +12,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from wagtailcleat.addresses import address_problem
 from wagtailcleat.errors import HelloError, StreamError
 from wagtailcleat.ids import Incarnation, NodeId
 from wagtailcleat.logs import part_logger
@@ -208,6 +209,9 @@
 
     async def stream(self, host: str, port: int) -> Stream | Lost:
         """Return the open stream to an address, or open one; `Lost` if that fails."""
+        problem = address_problem(host, port)
+        if problem:
+            return Lost(False, problem)
         address = (host, port)
         stream = self._stream_by_address.get(address)
         if stream is not None and stream.is_usable:
