A restarted agent without a worker is waited for from its own start

Cause: the leader knows nothing of such an agent but its claim's time.

It renews no leases before its worker has listed its runs, so those of its earlier incarnation have lapsed. Reports of earlier versions say 0 and wait.

Ruled out: to take it for empty at once (its worker may be alive). Shorter only if the worker's address were stored, so that the agent can find its port closed.

--- a/features/scheduling/heard_runs.feature
+++ b/features/scheduling/heard_runs.feature
@@ -48,3 +48,16 @@
       | before                                                                        | acknowledged     |
       | a new leader restores the jobs and gets the reports of all agents but an idle one | acknowledged     |
       | a new leader gets a list of before its claim                                  | not acknowledged |
+
+  Scenario Outline: An agent that was restarted knows no worker
+    # Guards against a claim some seconds after a loss of power, from which all work waits
+    # as long again for an agent whose worker does not come back.
+    Given 3 VMs of 32 cores
+    And job "a" of 1 task, and then of 1 task, of which the first runs
+    When a new leader hears that the agent of the run was restarted <up> s before
+    Then job "a" <starts>
+
+    Examples:
+      | up  | starts       |
+      | 4.5 | starts not   |
+      | 5.2 | starts again |
--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -118,3 +118,19 @@
 @then("its success is not acknowledged")
 def step_not_acknowledged(context):
     assert context.host.ended
+
+
+@when("a new leader hears that the agent of the run was restarted {seconds:g} s before")
+def step_agent_restarted(context, seconds):
+    restored(context)
+    context.host.unknown = True
+    context.host.up_seconds = seconds
+    for worker in context.world.worker_by_node.values():
+        context.world.report(worker)
+    _decide(context)
+
+
+@then('job "{name}" starts {word}')
+def step_starts(context, name, word):
+    started = context.world.starts[context.starts_before :]
+    assert [key.task.job for _, key in started] == [name] * (word == "again"), started
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -64,6 +64,8 @@
     """Whether its list contains every end."""
     silent_seconds: float = 0.0
     """For how long the worker has not answered its agent."""
+    up_seconds: float = 0.0
+    """For how long its agent has run."""
     listed_in_epoch: bool = True
     """Whether its list was requested after it began to follow the leader."""
 
@@ -141,6 +143,7 @@
             orders_taken=self.orders_taken,
             has_all_ends=self.has_all_ends,
             listed_in_epoch=self.listed_in_epoch,
+            up_seconds=self.up_seconds,
         )
 
 
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -12,7 +12,7 @@
 from wagtailcleat.cluster.program import CommonParts, make_common_parts, serve_metrics
 from wagtailcleat.cluster.program import main as run
 from wagtailcleat.cluster.settings import AgentSettings, split_address
-from wagtailcleat.cluster.timing import ZONES_WATCH_SECONDS
+from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR, ZONES_WATCH_SECONDS
 from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
 from wagtailcleat.platform.heartbeats import heartbeat_application
@@ -29,6 +29,7 @@
         """Create the parts; nothing runs yet."""
         self.settings = settings
         self._report_numbers = itertools.count(1)
+        self._created_at = boot_time()
         self.common: CommonParts = make_common_parts(settings, Role.AGENT)
         common = self.common
         self.operators = OperatorWatch(
@@ -106,6 +107,7 @@
             epoch,
             number=next(self._report_numbers),
             has_all_ends=hosting.has_all_ends,
+            up_seconds=(now - self._created_at) / CLOCK_DRIFT_FACTOR,
         )
 
     def _answered(self, report: Report) -> None:
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -118,6 +118,11 @@
         if report.left:
             self._runs.drop_all(vm, now, "its worker has left")
             self._mark_reported(vm.node)
+        knows_nothing = not report.listed and not report.unsettled
+        if knows_nothing and report.up_seconds >= self._lease_horizon:
+            # It renews no leases before its worker has listed its runs, so those that
+            # its earlier incarnation renewed have lapsed.
+            self._mark_reported(vm.node)
         if report.worker is None or not report.listed:
             return
         vm.listed_at = now
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -81,6 +81,8 @@
     """Whether `ended` is complete; if not, an ended run may be listed nowhere."""
     listed_in_epoch: bool = False
     """Whether the list was requested after the agent began to follow `epoch`."""
+    up_seconds: float = 0.0
+    """For how long this incarnation of the agent has run, at least."""
 
 
 class FollowFirst(Message, frozen=True, tag="follow_first"):
