--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,6 +8,7 @@
 
 from soak.callers import Submitted
 from soak.checker import MILLICORES, find_violations
+from soak.emphasis import Emphasis
 from soak.run import run_seed
 from standins.processes import Process, wait_for
 
@@ -25,6 +26,15 @@
     context.violations = run_seed(seed, Path(folder.name), float(seconds))
 
 
+@when('seed {seed:d} of "{emphasis}" is run with {seconds:d} s of faults')
+def step_run_seed_of(context, seed, emphasis, seconds):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.violations = run_seed(
+        seed, Path(folder.name), float(seconds), emphasis=Emphasis(emphasis)
+    )
+
+
 @then("no guarantee was violated")
 def step_no_violation(context):
     assert not context.violations, context.violations
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -45,6 +45,7 @@
     "golden/operators",
     "operator/faults",
     "soak/soak",
+    "soak/emphases",
     "platform/whole_path",
 )
 """Features that take 20 s or more, in the order in which they start. A long feature
