Settings of the platform's programs name hosts by IP number

What operators saw: processes whose settings name a host by a name start (or end with 'can't listen'), and since addresses of peers must be numeric they never reach each other, without a word. The product's other programs check this already.

Change: the same check as in wagtailcleat/settings.py, each problem with its path.

--- a/features/operator/settings.feature
+++ b/features/operator/settings.feature
@@ -68,3 +68,22 @@
       """
     When "wagtailcleat.entry.app" is started with it and --check
     Then it ends with 0 and has opened nothing
+
+  Scenario: An entry on the platform has hosts that are names
+    # Guards against processes that start and never reach each other, without a word.
+    Given a settings file
+      """
+      {
+        "node": "entry-1", "zone": "zilina-a", "secret": "0123456789abcdef",
+        "host": "entry-1.example", "advertised_host": "localhost", "peer_port": 7000,
+        "metrics_port": 7001, "store": "10.0.0.9:2379", "front": "10.0.0.1:80",
+        "ready": "10.0.0.1:81", "seeds": ["10.0.0.1:7000", "entry-2:7000"]
+      }
+      """
+    When "wagtailcleat.cluster.entry_app" of the platform is started with it
+    Then it ends with 78 and has opened nothing
+    And these lines are printed, each after the file's name
+      | line                                           |
+      | $.host: 'entry-1.example' is no IP number      |
+      | $.advertised_host: 'localhost' is no IP number |
+      | $.seeds[1]: 'entry-2' is no IP number          |
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -276,10 +276,18 @@
     _start(context, module, "--check")
 
 
+@when('"{module}" of the platform is started with it')
+def step_start_on_platform(context, module):
+    _run(context, module, str(context.settings))
+
+
 def _start(context, module, *options):
-    command = [sys.executable, "-m", module, "--settings", str(context.settings)]
+    _run(context, module, "--settings", str(context.settings), *options)
+
+
+def _run(context, module, *arguments):
     context.started = subprocess.run(
-        [*command, *options],
+        [sys.executable, "-m", module, *arguments],
         cwd=ROOT,
         capture_output=True,
         text=True,
--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -9,7 +9,15 @@
 from wagtailcleat.configuration.models import Name
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.scheduling.options import SchedulingOptions
-from wagtailcleat.settings import Address, Count, LogLevel, Port, Positive, Secret
+from wagtailcleat.settings import (
+    Address,
+    Count,
+    LogLevel,
+    Port,
+    Positive,
+    Secret,
+    host_problems,
+)
 
 Addresses = list[Address]
 MILLISECONDS = 1000
@@ -111,7 +119,21 @@
     if not isinstance(raw, dict):
         raise SettingsError(["$: not an object"])
     known = {field.encode_name for field in msgspec.structs.fields(kind)}
-    return convert({key: raw[key] for key in raw if key in known}, kind)
+    settings = convert({key: raw[key] for key in raw if key in known}, kind)
+    problems = _host_problems(settings)
+    if problems:
+        raise SettingsError(problems)
+    return settings
+
+
+def _host_problems(settings: CommonSettings) -> list[str]:
+    """Return the hosts of processes that are names, which processes don't look up."""
+    problems = host_problems("$.host", settings.host)
+    if settings.advertised_host:
+        problems += host_problems("$.advertised_host", settings.advertised_host)
+    for index, seed in enumerate(settings.seeds):
+        problems += host_problems(f"$.seeds[{index}]", split_address(seed)[0])
+    return problems
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/wagtailcleat/settings.py
+++ b/wagtailcleat/settings.py
@@ -138,19 +138,20 @@
     found: list[str] = []
     if settings.store == []:
         found.append("$.store: name at least one address of the store")
-    found += _host_problems("$.host", settings.host)
+    found += host_problems("$.host", settings.host)
     if settings.host in ANY_ADDRESS:
         found.append("$.host: others call this process there: give its own address")
     for index, seed in enumerate(settings.seeds or []):
         if seed is not None:
             host, _, port = seed.rpartition(":")
-            found += _host_problems(f"$.seeds[{index}]", host)
+            found += host_problems(f"$.seeds[{index}]", host)
             if not 0 < int(port) <= MAX_PORT:
                 found.append(f"$.seeds[{index}]: {port} is no port")
     return found + _port_problems(settings) + _timing_problems(settings.timing)
 
 
-def _host_problems(path: str, host: str | None) -> list[str]:
+def host_problems(path: str, host: str | None) -> list[str]:
+    """Return why a host can't be used, with its path in the settings; [] if it can."""
     if host is None:
         return []
     try:
