Stored jobs, records and estimates out of bounds hold back themselves only

Seen: a stored job nested 100,000 deep, and a record that names a step or a position its job doesn't have, ended each leader that read it ("maximum recursion depth exceeded", "(0, 7)", "list index out of range"). A job with another id than its key, an infinite stretch or an estimate that is no number was run or scheduled; learnt interference that is no number replaced what was measured.

Cause: values were checked by type only, and restored by code that trusts them.

Change: `job_problem` and `record_problem` state the bounds of what entries accept and leaders write; what is outside is held back, logged and counted as what can't be decoded. Accepted submissions are checked against the same bounds by the drawn test of submissions.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -32,3 +32,40 @@
     # Guards against an internal error, or a wrong state, in place of "not known".
     Given an entry that reaches no leader, and a store with such a record
     Then the state of that job is not answered
+
+  Scenario Outline: <what> has <odd>
+    # Guards against a leader that ends, or works without end, because of one value.
+    Given a store with 3 jobs, and <what> with <odd>
+    When a leader begins, and its agents report
+    Then the tasks of the 3 jobs run
+    And 1 log line names what is unreadable
+
+    Examples: jobs
+      | what  | odd                              |
+      | a job | another id than its key          |
+      | a job | no steps                         |
+      | a job | a step of 10^15 tasks            |
+      | a job | a step of -1 tasks               |
+      | a job | a step that depends on itself    |
+      | a job | a stretch that is infinite       |
+      | a job | an estimate that is no number    |
+      | a job | -1 occurrences                   |
+      | a job | cores that are no number         |
+      | a job | 100000 nested lists              |
+
+    Examples: records
+      | what                      | odd                                 |
+      | the record of another job | a step that does not exist          |
+      | the record of another job | a position that does not exist      |
+      | the record of another job | a position that is named twice      |
+      | the record of another job | a step that is named twice          |
+      | the record of another job | 10^15 occurrences done              |
+      | the record of another job | a task of occurrence 10^15          |
+      | the record of another job | a task at position -1               |
+      | the record of another job | 10^15 failed runs                   |
+      | the record of another job | a run of number 2^63                |
+      | the record of another job | an end at no number                 |
+
+  Scenario: What was learnt has numbers that are not finite
+    # Guards against weights that make all comparisons of a scheduler false.
+    Then learnt interference with such numbers is passed over
--- a/features/steps/submission_types_steps.py
+++ b/features/steps/submission_types_steps.py
@@ -10,6 +10,7 @@
 from wagtailcleat.ids import JobId
 from wagtailcleat.platform.fields import BodyError
 from wagtailcleat.platform.submissions import decode_job
+from wagtailcleat.scheduling.job_bounds import job_problem
 from wagtailcleat.scheduling.models import Job
 
 STEP = {
@@ -60,7 +61,7 @@
         job = decode_job(JobId("0" * 16), QUEUE, data, wall_now=WALL_NOW)
     except BodyError:
         return True
-    return decode(encode(job), Job) == job
+    return not job_problem(job) and decode(encode(job), Job) == job
 
 
 @then("{count:d} submissions with fields of any type are refused, or can be restored")
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import math
 from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 
 from features.steps.leader_world import LeaderWorld, PretendedStore
@@ -11,7 +13,16 @@
 from wagtailcleat.cluster.keys import AGENT_PREFIX, JOB_PREFIX, encode, record_key
 from wagtailcleat.cluster.leadership import NO_LEADER
 from wagtailcleat.cluster.submissions import NotAnswered, Submissions
-from wagtailcleat.scheduling.models import RunKey, Start, TaskKey
+from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling.interference import Interference, StoredEstimates
+from wagtailcleat.scheduling.models import (
+    JobRecord,
+    JobState,
+    RunKey,
+    Start,
+    TaskKey,
+    TaskRecord,
+)
 
 UNREADABLE = b"\xc1 of another version"
 OTHER = "bad-1"
@@ -133,3 +144,78 @@
 def step_not_answered(context):
     state = asyncio.run(context.submissions.state(OTHER))
     assert isinstance(state, NotAnswered), state
+
+
+JOB = make_job(OTHER, plain(2))
+REPEATED = msgspec.structs.replace(
+    make_job(OTHER, plain(2)), occurrences=2**50, interval=1e6
+)
+DEEP = b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0"
+
+
+def _with_step(**changes):
+    step = msgspec.structs.replace(JOB.steps[0], **changes)
+    return msgspec.structs.replace(JOB, steps=(step,))
+
+
+def _replaced(**changes):
+    return msgspec.structs.replace(JOB, **changes)
+
+
+ODD_JOBS = {
+    "another id than its key": _replaced(id="bad-2"),
+    "no steps": _replaced(steps=()),
+    "a step of 10^15 tasks": _with_step(count=10**15),
+    "a step of -1 tasks": _with_step(count=-1),
+    "a step that depends on itself": _with_step(after=(0,)),
+    "a stretch that is infinite": _replaced(stretch=math.inf),
+    "an estimate that is no number": _with_step(estimate_seconds=math.nan),
+    "-1 occurrences": _replaced(occurrences=-1),
+    "cores that are no number": _with_step(size=Resources(math.nan)),
+}
+RUNNING = JobState.RUNNING
+ODD_RECORDS = {
+    "a step that does not exist": JobRecord(RUNNING, [(0, 7, [0])]),
+    "a position that does not exist": JobRecord(RUNNING, [(0, 0, [7])]),
+    "a position that is named twice": JobRecord(RUNNING, [(0, 0, [0, 0])]),
+    "a step that is named twice": JobRecord(RUNNING, [(0, 0, [0]), (0, 0, [0])]),
+    "10^15 occurrences done": JobRecord(RUNNING, occurrences_done=10**15),
+    "a task of occurrence 10^15": JobRecord(
+        RUNNING, tasks=[TaskRecord(10**15, 0, 0, [])]
+    ),
+    "a task at position -1": JobRecord(RUNNING, tasks=[TaskRecord(0, 0, -1, [1])]),
+    "10^15 failed runs": JobRecord(RUNNING, tasks=[TaskRecord(0, 0, 0, 10**15)]),
+    "a run of number 2^63": JobRecord(RUNNING, tasks=[TaskRecord(0, 0, 0, [2**63])]),
+    "an end at no number": JobRecord(RUNNING, ended_at=math.nan),
+}
+
+
+@given("a store with {count:d} jobs, and {what} with {odd}")
+def step_odd_store(context, count, what, odd):
+    _capture(context)
+    world = context.leader_world = LeaderWorld()
+    context.add_cleanup(world.close)
+    context.key = KEY_BY_NAME[what]
+    if "record" in what:
+        job = REPEATED if "of occurrence" in odd else JOB
+        world.store.put(JOB_PREFIX + OTHER, encode(job))
+        world.store.put(context.key, encode(ODD_RECORDS[odd]))
+    else:
+        value = encode(ODD_JOBS[odd]) if odd in ODD_JOBS else DEEP
+        world.store.put(context.key, value)
+    for number in range(count):
+        world.store_job(make_job(f"job-{number}", plain(1)))
+
+
+@then("learnt interference with such numbers is passed over")
+def step_learnt(context):
+    model = Interference()
+    model.restore(
+        StoredEstimates(
+            [("a", "b", math.nan, 1e-9), ("a", "c", math.inf, math.nan)],
+            [("a", math.nan, 1.0), ("b", 0.1, math.inf)],
+        )
+    )
+    exported = model.export()
+    numbers = [n for row in [*exported.added, *exported.images] for n in row[-2:]]
+    assert all(math.isfinite(number) for number in numbers), exported
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -6,9 +6,6 @@
 import asyncio
 from collections.abc import Callable
 from itertools import count
-from typing import TypeVar
-
-import msgspec
 
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import (
@@ -16,15 +13,16 @@
     JOB_PREFIX,
     RECORD_PREFIX,
     cancel_key,
-    decode,
     job_key,
     record_key,
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease
+from wagtailcleat.cluster.stored_values import Unreadable, decode_stored
 from wagtailcleat.cluster.timing import JOBS_WATCH_SECONDS
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.scheduling.job_bounds import record_problem
 from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import Job, JobRecord
 from wagtailcleat.scheduling.scheduler import Scheduler
@@ -40,8 +38,6 @@
 
 log = part_logger("leader")
 
-T = TypeVar("T")
-
 RETRY_PAUSE_SECONDS = 0.2
 """Pause after a call to the store that failed."""
 
@@ -130,11 +126,13 @@
             del entry_by_id[job]
             entry = None
         if entry is None:
-            try:
-                decoded = decode(data, Job)
-                progress = decode(record.value, JobRecord) if record else None
-            except msgspec.MsgspecError as error:
-                self._hold_back(job, str(error))
+            decoded = _decode_job(job, data, revision)
+            if isinstance(decoded, Unreadable):
+                self._hold_back(job, decoded.why)
+                return None
+            progress = _decode_record(record, decoded) if record else None
+            if isinstance(progress, Unreadable):
+                self._hold_back(job, progress.why)
                 return None
             entry = self._scheduler.job_table.add(
                 decoded,
@@ -233,6 +231,20 @@
     return is_stored and revision > entry.store_revision
 
 
+def _decode_job(job: JobId, data: bytes, revision: int) -> Job | Unreadable:
+    decoded = decode_stored(Found(job_key(job), data, revision), Job)
+    if not isinstance(decoded, Unreadable) and decoded.id != job:
+        return Unreadable("the job has another id than its key")
+    return decoded
+
+
+def _decode_record(found: Found, job: Job) -> JobRecord | Unreadable:
+    record = decode_stored(found, JobRecord)
+    if not isinstance(record, Unreadable) and (why := record_problem(record, job)):
+        return Unreadable(why)
+    return record
+
+
 async def list_until_answered(
     store: KeyValueStore, prefix: str, clock: Clock
 ) -> Listing:
--- a/wagtailcleat/cluster/learnt_store.py
+++ b/wagtailcleat/cluster/learnt_store.py
@@ -8,16 +8,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
 from wagtailcleat.cluster.keys import (
     INTERFERENCE_KEY,
     LEADER_KEY,
     RUN_TIMES_KEY,
-    decode,
     encode,
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease
+from wagtailcleat.cluster.stored_values import Unreadable, decode_stored
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.scheduling.interference import StoredEstimates
@@ -85,9 +83,8 @@
         found = await store.get(part.key)
     if not isinstance(found, Found):
         return
-    try:
-        values: Any = decode(found.value, part.kind)
-    except msgspec.MsgspecError:
+    values: Any = decode_stored(found, part.kind)
+    if isinstance(values, Unreadable):
         log.warning(
             "What was learnt is unreadable",
             extra={"key": part.key, "bytes": len(found.value)},
--- a/wagtailcleat/cluster/stored_values.py
+++ b/wagtailcleat/cluster/stored_values.py
@@ -23,6 +23,8 @@
 )
 from wagtailcleat.configuration.models import NAME_PATTERN
 from wagtailcleat.logs import part_logger
+from wagtailcleat.scheduling.job_bounds import job_problem
+from wagtailcleat.scheduling.models import Job
 from wagtailcleat.storage import Found
 from wagtailcleat.wire.scheduling import Leads
 
@@ -106,6 +108,8 @@
             return _number_problem("written_at", value.written_at) or _epoch_problem(
                 value.epoch, revision, least=0
             )
+        case Job():
+            return job_problem(value)
     return ""
 
 
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -11,18 +11,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
-import msgspec
-
 from wagtailcleat.clock import Clock
 from wagtailcleat.cluster.keys import (
     cancel_key,
-    decode,
     encode,
     job_key,
     record_key,
 )
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import Leadership
+from wagtailcleat.cluster.stored_values import Unreadable, decode_stored
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -224,12 +222,12 @@
     async def _stored_state(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
         record = await self._store.get(record_key(job))
         if isinstance(record, Found):
-            try:
-                return decode(record.value, JobRecord).state
-            except msgspec.MsgspecError as error:
-                fields = {"job": job, "why": str(error)}
-                log.error("Stored record is unreadable", extra=fields)
-                return NotAnswered()
+            progress = decode_stored(record, JobRecord)
+            if not isinstance(progress, Unreadable):
+                return progress.state
+            fields = {"job": job, "why": progress.why}
+            log.error("Stored record is unreadable", extra=fields)
+            return NotAnswered()
         found = await self._store.get(job_key(job))
         if isinstance(found, Absent):
             return NoSuchJob()
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -24,6 +24,7 @@
     parse_object,
 )
 from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling.job_bounds import MAX_STEPS, MAX_TASKS
 from wagtailcleat.scheduling.models import Job, JobState, Step
 from wagtailcleat.scheduling.queues import Queue, QueueTable
 
@@ -40,9 +41,6 @@
 """Entries without a configuration or a store try several times a second to reach them,
 so a retry after this time can succeed."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_TASKS = 10_000
-"""Limit for one occurrence of a job: a larger one could exhaust the memory."""
-MAX_STEPS = 1_000
 MAX_DEPENDENCIES = 10_000
 """Limit of the entries in all `after` lists: each placement round examines them."""
 MAX_SPEC_BYTES = 4_000
--- a/wagtailcleat/scheduling/interference.py
+++ b/wagtailcleat/scheduling/interference.py
@@ -287,11 +287,15 @@
     def restore(self, stored: StoredEstimates) -> None:
         """Adopt an earlier leader's estimates where they are more certain."""
         for serving, filling, mean, variance in stored.added:
+            if not (math.isfinite(mean) and math.isfinite(variance)):
+                continue
             variance = max(variance, MIN_RESTORED_VARIANCE)
             known = self.added_by_pair.get((serving, filling), UNKNOWN)
             if variance < known.variance:
                 self.added_by_pair[serving, filling] = Estimate(mean, variance)
         for image, idle, base in stored.images:
+            if not (math.isfinite(idle) and math.isfinite(base)):
+                continue
             self.idle_by_image[image] = min(self.idle(image), idle)
             self.base_by_image.setdefault(image, base)
 
