--- a/wagtailcleat/cluster/job_states.py
+++ b/wagtailcleat/cluster/job_states.py
@@ -10,10 +10,9 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-import msgspec
-
 from wagtailcleat.clock import Clock
-from wagtailcleat.cluster.keys import decode, job_key, record_key
+from wagtailcleat.cluster.keys import job_key, record_key
+from wagtailcleat.cluster.stored_values import Unreadable, decode_stored
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -119,12 +118,12 @@
     async def _read(self, job: JobId) -> JobState | NoSuchJob | NotAnswered:
         record = await self._store.get(record_key(job))
         if isinstance(record, Found):
-            try:
-                return decode(record.value, JobRecord).state
-            except msgspec.MsgspecError as error:
-                fields = {"job": job, "why": str(error)}
-                log.error("Stored record is unreadable", extra=fields)
-                return NotAnswered("the record is unreadable", is_lasting=True)
+            progress = decode_stored(record, JobRecord)
+            if not isinstance(progress, Unreadable):
+                return progress.state
+            fields = {"job": job, "why": progress.why}
+            log.error("Stored record is unreadable", extra=fields)
+            return NotAnswered("the record is unreadable", is_lasting=True)
         if isinstance(record, Unavailable):
             return NotAnswered(f"store: {record.reason}")
         found = await self._store.get(job_key(job))
