A task that has failed starts again only when no silent agent may hold another failure

Cause: 'accounted for' says that no other run of the task goes on. It does not say that all ends of earlier runs are known. Next steps, and tasks whose run lapsed or broke, don't wait.

--- a/features/scheduling/heard_runs.feature
+++ b/features/scheduling/heard_runs.feature
@@ -11,9 +11,20 @@
 
     Examples:
       | ends     | step |
-      | fails    | 0    |
+      | lapses   | 0    |
       | succeeds | 1    |
 
+  Scenario: A run that was heard fails while another agent is silent
+    # Guards against more failed runs than a job's attempts: the silent agent may hold
+    # the end of an earlier run.
+    Given 3 VMs of 32 cores
+    And job "a" of 1 task, and then of 1 task, of which the first runs
+    When a new leader restores the jobs and gets the reports of all agents but an idle one
+    And the run of job "a" fails
+    Then no task of job "a" is started
+    When it has waited for as long as runs can go on without a leader
+    Then a task of step 0 of job "a" is started at once
+
   Scenario Outline: What a new leader has heard may be from before its claim
     # Guards against duplicate runs: an earlier leader may have counted the run as lapsed,
     # or have known its end, and started the next one at the silent agent.
--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -6,7 +6,11 @@
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.scheduling.models import RunEnd
 
-END_BY_WORD = {"fails": RunEnd.FAILED, "succeeds": RunEnd.SUCCEEDED}
+END_BY_WORD = {
+    "fails": RunEnd.FAILED,
+    "lapses": RunEnd.LAPSED,
+    "succeeds": RunEnd.SUCCEEDED,
+}
 
 
 @given('job "{name}" of 1 task, and then of 1 task, of which the first runs')
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -155,8 +155,14 @@
             self.remaining_work_by_occurrence.clear()
 
     def may_start(self, task: Task) -> bool:
-        """Return whether no agent that has not reported may run a task of this job."""
-        return self.may_start_tasks or task.is_accounted_for
+        """Return whether a task may start while some agents have not reported.
+
+        They may hold ends of earlier runs, so a task that has failed, and has a limited
+        number of attempts, waits for them.
+        """
+        if self.may_start_tasks or not task.is_accounted_for:
+            return self.may_start_tasks
+        return task.step.long_running or not task.failed_runs
 
     def tasks(self) -> Iterator[Task]:
         """Yield every task of the occurrences that have begun."""
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -158,7 +158,7 @@
         No earlier leader has ended that run, so none has started the task again, or
         any task of a step that waits for this one.
         """
-        if task.entry.may_start(task):
+        if task.entry.may_start_tasks or task.is_accounted_for:
             return
         task.is_accounted_for = True
         if task.step.gang:
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -189,14 +189,16 @@
         ranked = []
         known, self._failed_round_by_search = self._failed_round_by_search, {}
         for entry in list(self._job_table.open_by_id.values()):
-            is_partly = not entry.may_start_tasks
-            if not is_partly and entry.occurrences_begun < entry.job.occurrences:
+            if (
+                entry.may_start_tasks
+                and entry.occurrences_begun < entry.job.occurrences
+            ):
                 self._job_table.begin_due(entry, now=now, wall_now=wall_now)
             for step, count in entry.waiting_by_step.items():
                 if not count or not self._job_table.is_ready(entry, step):
                     continue
                 tasks = entry.tasks_by_step[step]
-                if is_partly and not any(t.is_accounted_for for t in tasks):
+                if not any(map(entry.may_start, tasks)):
                     continue
                 # Only searches of waiting steps are kept: while a step runs, room may
                 # become free and be taken again.
