A list shows that runs go on only if its worker has not stood still before it

Cause: 'listed in the epoch' looked at the age of the list only. Change: the worker must have answered without a silence for as long as a list may be old (answers_steadily).

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -211,3 +211,14 @@
       | 502  | unknown   |
       | 503  | refused   |
       | 504  | unknown   |
+
+  Scenario Outline: A worker lists a run <when>
+    # Guards against duplicate runs: a worker that has stood still may list once more what has lapsed meanwhile.
+    Given a worker that has listed a run each 0.5 s from 10 s to 20 s
+    When it lists the run again at <time> s
+    Then that list <shows> that the run was in progress before it
+
+    Examples:
+      | when                     | time | shows         |
+      | as before                | 20.5 | shows         |
+      | after it has stood still | 26.0 | does not show |
--- a/features/steps/late_world.py
+++ b/features/steps/late_world.py
@@ -154,6 +154,7 @@
             epoch,
             number=next(self._report_numbers),
             has_all_ends=hosting.has_all_ends,
+            listed_in_epoch=hosting.answers_steadily(now),
         )
 
     def _answered(self, report: Report) -> None:
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -115,6 +115,7 @@
             epoch,
             number=next(self._report_numbers),
             has_all_ends=hosting.has_all_ends,
+            listed_in_epoch=hosting.answers_steadily(now),
             up_seconds=(now - self._created_at) / CLOCK_DRIFT_FACTOR,
         )
 
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -209,9 +209,9 @@
 
     def _full_report(self, now: float) -> Report:
         report = self._make_report(self.epoch, self._orders_taken)
-        is_recent = report.listed and not report.silent_seconds
-        in_epoch = is_recent and now - self._followed_at >= LIST_AGE_SECONDS
-        return msgspec.structs.replace(report, listed_in_epoch=in_epoch)
+        if now - self._followed_at >= LIST_AGE_SECONDS:
+            return report
+        return msgspec.structs.replace(report, listed_in_epoch=False)
 
     async def _wait_until_announced(self) -> None:
         # A leader that is restoring its jobs accepts no reports, and announces itself
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -33,9 +33,11 @@
 from wagtailcleat.cluster.worker_incarnation import (
     MakeWorker,
     WorkerIncarnation,
+    answers_steadily,
     leases_lapse_at,
     refusals_show_end,
     retry_pause,
+    silent_seconds,
 )
 from wagtailcleat.cluster.worker_lists import first_list
 from wagtailcleat.cluster.worker_succession import WorkerSuccession
@@ -177,14 +179,12 @@
 
     def silent_seconds(self, now: float) -> float:
         """Return for how many seconds the worker has not answered; 0 while it does."""
-        if self._incarnation is None or not self._incarnation.lists_answered:
-            return 0.0
-        silent = now - self._incarnation.listed_at
-        if self._incarnation.runs_lost:
-            # Its runs count as lost, so the leader would take the VM for free, and
-            # starts there would be in doubt until the worker is back, if ever.
-            return max(silent, WORKER_SILENT_SECONDS)
-        return silent if silent > WORKER_SILENT_SECONDS else 0.0
+        incarnation = self._incarnation
+        return 0.0 if incarnation is None else silent_seconds(incarnation, now)
+
+    def answers_steadily(self, now: float) -> bool:
+        """Return whether the runs listed last were all in progress a moment ago."""
+        return bool(self._incarnation and answers_steadily(self._incarnation, now))
 
     def lease_seconds(self, now: float) -> float:
         """Return for how many seconds, at most, runs continue without a renewal."""
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -177,7 +177,9 @@
             supervisor.spawn("records", self._records.run)
             supervisor.spawn("tombstones", self._tombstones.run)
             supervisor.spawn("rounds", self._rounds)
-            supervisor.spawn("learnt", self._persist_learnt)
+            parts = learnt_parts(self.scheduler)
+            persist = partial(persist_learnt, parts, self.lease, self._store)
+            supervisor.spawn("learnt", persist)
             if self._advice is not None:
                 supervisor.spawn("advice", partial(self._ask_advice, self._advice))
             await asyncio.Event().wait()
@@ -204,9 +206,8 @@
                 "seconds": round(self._now - started_at, 3),
             },
         )
-        for agent in agents:
-            if agent.process is not None:
-                self._spawn(self._send_leader(agent.process))
+        for process in filter(None, (agent.process for agent in agents)):
+            self._spawn(self._send_leader(process))
 
     async def _send_leader(self, agent: ProcessInfo) -> None:
         await self._peers.call(
@@ -387,9 +388,6 @@
             on_granted=self._wake.set,
         )
 
-    async def _persist_learnt(self) -> None:
-        await persist_learnt(learnt_parts(self.scheduler), self.lease, self._store)
-
     async def _maintain_entries(self) -> None:
         while True:
             ready = self.ready
--- a/wagtailcleat/cluster/worker_incarnation.py
+++ b/wagtailcleat/cluster/worker_incarnation.py
@@ -1,11 +1,16 @@
 """One incarnation of the worker on an agent's VM, as the agent knows it."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from wagtailcleat.cluster.settings import split_address
-from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR
+from wagtailcleat.cluster.timing import (
+    CLOCK_DRIFT_FACTOR,
+    LIST_AGE_SECONDS,
+    WORKER_SILENT_SECONDS,
+)
 from wagtailcleat.platform.runs import RunList, RunWorker
 from wagtailcleat.scheduling.models import Ended, RunKey, Running
 
@@ -41,6 +46,8 @@
     listed_fence: int = 0
     """Fencing token of the last answered list."""
     listed_at: float = 0.0
+    answers_since: float = math.inf
+    """When the first list was answered after which it was never silent."""
     running: list[Running] = field(default_factory=list)
     ended: list[Ended] = field(default_factory=list)
     has_all_ends: bool = True
@@ -98,6 +105,9 @@
         )
         if not self.lists_answered:
             self.lease_until = max(self.lease_until, now + lease * CLOCK_DRIFT_FACTOR)
+        was_silent = now - self.listed_at > WORKER_SILENT_SECONDS
+        if was_silent or self.runs_lost or not self.lists_answered:
+            self.answers_since = now
         self.lists_answered += 1
         self.clock_ahead = answer.worker_seconds - now
         self.running = answer.running
@@ -142,6 +152,27 @@
     return incarnation.process_ended or incarnation.leases_lapsed
 
 
+def silent_seconds(incarnation: WorkerIncarnation, now: float) -> float:
+    """Return for how many seconds a worker has not answered; 0 while it does."""
+    if not incarnation.lists_answered:
+        return 0.0
+    silent = now - incarnation.listed_at
+    if incarnation.runs_lost:
+        # Its runs count as lost, so the leader would take the VM for free, and starts
+        # there would be in doubt until the worker is back, if ever.
+        return max(silent, WORKER_SILENT_SECONDS)
+    return silent if silent > WORKER_SILENT_SECONDS else 0.0
+
+
+def answers_steadily(incarnation: WorkerIncarnation, now: float) -> bool:
+    """Return whether the runs listed last were all in progress a moment ago.
+
+    A worker that has stood still may list runs once more whose leases have lapsed.
+    """
+    is_silent = silent_seconds(incarnation, now) > 0
+    return not is_silent and now - incarnation.answers_since >= LIST_AGE_SECONDS
+
+
 def refusals_show_end(
     incarnation: WorkerIncarnation,
     *,
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -115,6 +115,8 @@
         if present.is_leaving:
             return
         present.is_leaving = True
+        # Refusals before its message may be those of a process that relays to it.
+        present.refusals = 0
         assert self.info is not None
         self.info = msgspec.structs.replace(self.info, state=WorkerState.DRAINING)
         self._on_leave(present)
--- a/wagtailcleat/wire/scheduling.py
+++ b/wagtailcleat/wire/scheduling.py
@@ -80,7 +80,8 @@
     has_all_ends: bool = True
     """Whether `ended` is complete; if not, an ended run may be listed nowhere."""
     listed_in_epoch: bool = False
-    """Whether the list was requested after the agent began to follow `epoch`."""
+    """Whether all runs in the list were in progress after the agent began to follow
+    `epoch`: the list is recent, and its worker has not stood still before it."""
     up_seconds: float = 0.0
     """For how long this incarnation of the agent has run, at least."""
 
