--- a/features/steps/odd_leader_steps.py
+++ b/features/steps/odd_leader_steps.py
@@ -234,7 +234,7 @@
             if rng.random() < 0.4:
                 _put(world, HEARTBEAT_KEY, draw_value([True, False, 0.0, 1], rng))
             world.wait(rng.uniform(0.0, 1.5))
-        fault = rng.randrange(4)
+        fault = rng.randrange(5)
         if fault == 0:
             leader.kill()
         elif fault == 1:
@@ -246,6 +246,8 @@
             for entry in list(world.entries):
                 entry.kill()
                 world.restart(entry)
+        elif fault == 3:
+            _cut_store(world, rng, leader_fields)
         _assert_starts(world, STALL_SECONDS)
         world.wait(3.0)
         assert not world.overlaps, world.overlaps
@@ -254,6 +256,24 @@
         world.close()
 
 
+def _cut_store(world, rng, leader_fields):
+    """Let some entries not reach the store for a while, and overwrite a key then."""
+    cut = [entry for entry in world.entries if rng.random() < 0.7]
+    for entry in cut:
+        entry.store.reachable = False
+    if rng.random() < 0.5:
+        hosts = {rng.choice(world.entries).host}
+        state = rng.choice([LinkState.REFUSED, LinkState.SILENT])
+        world.network.partitions.append((hosts, state))
+    world.wait(rng.uniform(0.0, 3.0))
+    _put(world, LEADER_KEY, draw_value(leader_fields, rng))
+    world.submit(cores=0.1)
+    world.wait(rng.uniform(0.0, 5.0))
+    world.network.partitions.clear()
+    for entry in cut:
+        entry.store.reachable = True
+
+
 @then("work went on after each, and no task ran in two places")
 def step_no_failures(context):
     assert not context.failures, "\n".join(context.failures)
