--- a/features/steps/states_steps.py
+++ b/features/steps/states_steps.py
@@ -82,7 +82,7 @@
 @when("a caller asks for the state and waits for {seconds:g} s")
 def step_asks(context, seconds):
     loop = VirtualLoop()
-    context.add_cleanup(loop.close)
+    context.add_cleanup(loop.end)
     submissions = Submissions(
         store=context.read_store,
         peers=context.asked_leader,
