Soak: workers that leave for long, long tasks beside shutdowns, signals by processor time

A worker that leaves stays away for 7 s, one at a time, and its port refuses connections after its end, as on a VM.

--- a/features/steps/soak_lost_steps.py
+++ b/features/steps/soak_lost_steps.py
@@ -104,6 +104,11 @@
 
 
 @when('"{name}" leaves at {at:f} s')
+def step_leaves(context, name, at):
+    names = [name, f"agent-1-to-{name}"]
+    context.spans.append(span(at, at + 1.0, names, planned=True))
+
+
 @when('"{name}" is told to stop at {at:f} s')
 def step_told(context, name, at):
     context.spans.append(span(at, at + 1.0, [name], planned=True))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,7 +85,12 @@
             shutdowns = self._shutdowns.kinds
             alone = self.random.random() < ALONE_SHARE
             others = [] if alone else self._kinds
-            self._kinds = [*shutdowns * 2, self._leave, self._configure, *others]
+            self._kinds = [
+                *shutdowns * 2,
+                self._shutdowns.leave,
+                self._configure,
+                *others,
+            ]
             self._longest_interval *= 2 if alone else 1
         elif emphasis is Emphasis.ODD_ENTRIES:
             odd = OddEntries(self).kinds
--- a/soak/lost.py
+++ b/soak/lost.py
@@ -1,6 +1,7 @@
 """Checks for lost work: answers that are missing, and tasks that wait beside room."""
 
 import math
+import re
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
 ENTRY_SECONDS = 1.0
 """So long after the start of the first of them, entries may have no leader."""
 CLOCK_SLACK = 0.05
+AGENT = re.compile(r"agent-\d+")
 
 
 @dataclass(frozen=True)
@@ -209,7 +211,7 @@
 
 def _stops_agent(span: FaultSpan) -> bool:
     """Return whether an agent is away, so that nobody can ask its worker."""
-    return span.end > span.start and any(n.startswith("agent-") for n in span.names)
+    return span.end > span.start and any(AGENT.fullmatch(name) for name in span.names)
 
 
 def _has_room(
--- a/soak/run.py
+++ b/soak/run.py
@@ -76,7 +76,7 @@
                 deployment,
                 seed,
                 number,
-                long=emphasis is Emphasis.REFUSALS,
+                long=emphasis in (Emphasis.REFUSALS, Emphasis.SHUTDOWNS),
                 restricted=emphasis is Emphasis.KINDS,
                 poison=emphasis is Emphasis.POISON,
             )
--- a/soak/shutdowns.py
+++ b/soak/shutdowns.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 from soak.active_faults import ActiveFaults
@@ -13,8 +14,13 @@
 GRACE_SECONDS = 6.0
 """How long after SIGTERM the platform kills a process."""
 PAUSE_SECONDS = 4.5
+AWAY_SECONDS = 7.0
+"""Longer than leases last, so that no new worker tells what has become of the old."""
 POLL_SECONDS = 0.005
 START_SECONDS = 15.0
+EARLIEST_SIGNAL_SECONDS = 0.1
+"""Processor time after which the interpreter itself has started, twice over."""
+LATEST_SIGNAL_SECONDS = 0.6
 LOG_LEVELS = ("INFO", "DEBUG")
 """Those with which a program logs that it has started."""
 
@@ -64,9 +70,10 @@
             name = signal.Signals(repeated).name
             description += f", {name} after {after} s"
             _signal_later(program, [repeated], after)
-        early = self._random.uniform(0.05, 1.0) if self._random.random() < 0.3 else None
-        if early is not None:
-            description += f", SIGHUP {early:.2f} s after its next start"
+        early = None
+        if self._random.random() < 0.3:
+            early = self._random.uniform(EARLIEST_SIGNAL_SECONDS, LATEST_SIGNAL_SECONDS)
+            description += f", SIGHUP after {early:.2f} s of work of its next start"
 
         def restart() -> None:
             program.wait_for_end(GRACE_SECONDS)
@@ -76,7 +83,7 @@
         self._faults.begin([program.name], description, seconds, restart, planned=True)
 
     def _start(self, program: Process, reload_after: float | None) -> None:
-        """Start a program, with a SIGHUP so long after it unless that is None."""
+        """Start a program, with a SIGHUP after so much work unless that is None."""
         if reload_after is not None:
             _signal_next_life(program, reload_after)
         try:
@@ -136,6 +143,38 @@
         description = f"{' and '.join(names)} stand still"
         self._faults.begin(names, description, PAUSE_SECONDS, thaw)
 
+    def leave(self) -> None:
+        """Let a worker drain and leave; the next one begins long after its end."""
+        workers = self._deployment.workers
+        worker = self._faults.pick_unaffected(workers)
+        # The others have room for its tasks.
+        if worker is None or self._faults.affected & {w.name for w in workers}:
+            return
+        number = worker.name.removeprefix("worker-")
+        link = self._deployment.links[f"agent-{number}>{worker.name}"]
+        if link.name in self._faults.affected:
+            return
+        seconds = self._random.choice([0.02, 0.3, 0.8])
+        worker.faults(leave_seconds=seconds)
+
+        def refuse_after_end() -> None:
+            # As a VM does where nobody listens at a port any more.
+            worker.wait_for_end()
+            self._faults.killed.append((time.time(), worker.name))
+            link.faults(refuse=True, cut=True)
+
+        refusing = threading.Thread(target=refuse_after_end)
+        refusing.start()
+
+        def restart() -> None:
+            refusing.join()
+            link.faults()
+            worker.start()
+
+        description = f"{worker.name} leaves for long, ends after {seconds} s"
+        names = [worker.name, link.name]
+        self._faults.begin(names, description, AWAY_SECONDS, restart, planned=True)
+
     def lose_power(self) -> None:
         """Kill the processes of all VMs at one moment, and start them all again."""
         deployment = self._deployment
@@ -192,14 +231,19 @@
 
 
 def _signal_next_life(program: Process, seconds: float) -> None:
-    """Send SIGHUP to the next process of this program, `seconds` after its start."""
+    """Send SIGHUP to the next process of this program.
+
+    It is sent after `seconds` of processor time, so as not to depend on the machine.
+    """
     before = program.pid
 
     def send() -> None:
         end = time.monotonic() + START_SECONDS
         while program.pid == before and time.monotonic() < end:
             time.sleep(POLL_SECONDS)
-        time.sleep(seconds)
+        with suppress(OSError, IndexError):
+            while program.cpu_seconds() < seconds and time.monotonic() < end:
+                time.sleep(POLL_SECONDS)
         program.send_signal(signal.SIGHUP)
 
     threading.Thread(target=send, daemon=True).start()
