An agent that is told to stop first reports that its worker has left

What callers saw: a job whose only task ran at a VM that is taken away by plan (its worker leaves, and its agent is told to stop at once) stood still for 5.8 to 6.1 s beside a free worker (rule LOST allows 3 s, planned work included).

Cause: the agent ended within 2 ms of SIGTERM, before the worker's port had refused three connections, so nobody told the leader that the worker had ended; its leases had to lapse.

Change: a stop waits until the leader has been told of the end, within the grace period less its margin; the agent goes on serving its worker meanwhile.

--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -51,6 +51,13 @@
     When a task of 20 s runs, and its worker sends a heartbeat after its leave
     Then the task runs on another worker within 3 s of that end
 
+  Scenario: A worker leaves, and its agent is told to stop
+    # Guards against work that waits for leases to lapse when a whole VM is taken away by plan.
+    Given a deployment of 1 entry and 2 agents
+    When a task of 20 s runs, and its worker leaves and ends, and its agent is told to stop
+    Then the task runs on another worker within 3 s of that end
+    And that agent ends by itself within its grace period
+
   Scenario: Random histories of workers that leave
     # Guards against the same beside late calls, freezes and changes of leader and agent.
     When the random histories 1 to 20 with departures are played
--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -7,6 +7,7 @@
 from standins.processes import wait_for
 
 TIMEOUT_SECONDS = 20.0
+GRACE_SECONDS = 4.0
 
 SHOWN = ("hosting: ", "leader: ")
 """Parts whose log lines tell what a task waited for."""
@@ -22,6 +23,23 @@
     _let_worker_leave(context, seconds, leave=True, heartbeat_after_leave=True)
 
 
+@when(
+    "a task of {seconds:d} s runs, and its worker leaves and ends, and its agent is"
+    " told to stop"
+)
+def step_vm_leaves(context, seconds):
+    _let_worker_leave(context, seconds, leave=True)
+    left = next(w for w in context.cluster.workers if w not in context.others)
+    context.agent = context.cluster.agents[context.cluster.workers.index(left)]
+    context.agent.signal_to_stop()
+
+
+@then("that agent ends by itself within its grace period")
+def step_agent_ends(context):
+    context.agent.wait_for_end(GRACE_SECONDS)
+    assert context.agent.exit_code == 0, context.agent.exit_code
+
+
 def _let_worker_leave(context, seconds, **how):
     cluster = context.cluster
     steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estMs": seconds * 1000}]
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -1,5 +1,7 @@
 """`wagtailcleat-agent` on the platform: one runs on the VM of each worker."""
 
+import asyncio
+import contextlib
 import itertools
 import sys
 
@@ -12,7 +14,11 @@
 from wagtailcleat.cluster.program import CommonParts, make_common_parts, serve_metrics
 from wagtailcleat.cluster.program import main as run
 from wagtailcleat.cluster.settings import AgentSettings, split_address
-from wagtailcleat.cluster.timing import CLOCK_DRIFT_FACTOR, ZONES_WATCH_SECONDS
+from wagtailcleat.cluster.timing import (
+    CLOCK_DRIFT_FACTOR,
+    STOP_MARGIN_SECONDS,
+    ZONES_WATCH_SECONDS,
+)
 from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
 from wagtailcleat.platform.heartbeats import Rejections, heartbeat_application
@@ -58,6 +64,8 @@
             on_change=self.following.report_soon,
         )
         self.rejections = Rejections(clock=boot_time)
+        self._leave_reported = asyncio.Event()
+        """Set while the leader knows that the worker has left."""
         common.dispatch.add_plain({Leads: self.following.leader_announced})
         common.dispatch.add({Orders: self.following.orders})
         self._add_metrics()
@@ -86,10 +94,15 @@
         return {"runs": len(self.hosting.running)}
 
     async def stop(self) -> None:
-        """End without stopping the runs.
+        """Report the end of a worker that leaves, then end without stopping its runs.
 
-        They continue until their leases expire; the next incarnation adopts them.
+        Runs continue until their leases expire; the next incarnation adopts them. After
+        a leave there may be none, and the leader would wait for the leases.
         """
+        if self.hosting.is_leaving or self.hosting.left:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.settings.grace - STOP_MARGIN_SECONDS):
+                    await self._leave_reported.wait()
         await self.common.supervisor.stop()
         self.common.close()
 
@@ -120,6 +133,10 @@
         )
 
     def _answered(self, report: Report) -> None:
+        if report.left:
+            self._leave_reported.set()
+        else:
+            self._leave_reported.clear()
         for key, _ in report.refused:
             self.hosting.orders.refusal_by_run.pop(key, None)
 
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -19,6 +19,7 @@
 from wagtailcleat.cluster.timing import (
     CANCEL_ANSWER_SECONDS,
     CONFIGURATION_WATCH_SECONDS,
+    STOP_MARGIN_SECONDS,
 )
 from wagtailcleat.errors import Code
 from wagtailcleat.introspection import Kind
@@ -53,8 +54,6 @@
 
 It asks once a second, and sends no new connections after two failures.
 """
-STOP_MARGIN_SECONDS = 1.0
-"""How long before the end of the grace period this process ends by itself."""
 MIN_CLOSE_SECONDS = 0.1
 """Shortest time for which a stop waits for requests in progress, and for the end of
 connections whose request it has given up."""
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -145,6 +145,11 @@
         """Whether the worker has left, nothing of it runs, and no other has begun."""
         return self._succession.left
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the worker has said that it leaves, and has not ended yet."""
+        return self._incarnation is not None and self._incarnation.is_leaving
+
     @property
     def listed(self) -> bool:
         """Whether it is known what this incarnation of the worker runs."""
@@ -199,10 +204,8 @@
     async def leave(self, instance: str, born: int) -> None:
         """Handle the message that a worker leaves for good.
 
-        It ends once the message is acknowledged, or some seconds later. Until its end
-        is known its runs count as in progress; they are ordered to stop.
-
-        Parameters: `born` is its birth time; 0 if that is not known.
+        It ends once that is acknowledged, or some seconds later. Until its end is known
+        its runs count as in progress; they are ordered to stop. `born` is 0 if unknown.
         """
         self._succession.leave(instance, born)
 
@@ -375,10 +378,7 @@
         self._on_change()
 
     def acknowledge(self, born: int, number: int) -> None:
-        """Let the worker delete its ends up to `number`.
-
-        Parameters: `born` is the incarnation of the worker that the ends belong to.
-        """
+        """Let the worker of birth time `born` delete its ends up to `number`."""
         incarnation = self._incarnation
         if incarnation is not None and incarnation.born == born:
             incarnation.acknowledged = max(incarnation.acknowledged, number)
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -90,3 +90,5 @@
 """How long the leader's watch on jobs waits for a change."""
 CANCEL_ANSWER_SECONDS = 1.0
 """Time limit for the leader to store a cancellation before it answers the entry."""
+STOP_MARGIN_SECONDS = 1.0
+"""How long before the end of the grace period a process that is told to stop ends."""
