Only a connection that the kernel refuses counts as refused

What callers would see: two runs of a task, where an agent has no free file descriptor: its calls to a worker that listens were reported as refused, three of these count as the end of the worker's process, and its tasks start elsewhere.

Cause: libcurl's E_COULDNT_CONNECT covers every connection that can't be made. tornado hands on no errno of the system. Change: the client connects once more, and reports a refusal only if that is refused; anything else is 'lost'. Evidence: the new scenario failed before ('NoAnswer.REFUSED').

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -44,3 +44,7 @@
     And a call whose connection breaks before the answer is reported as broken
     And a call whose kept connection breaks before the answer is reported as broken
     And a call that is not answered in time is reported as lost
+
+  Scenario: A process without a free file descriptor calls a port that listens
+    # Guards against a living worker that is taken for one whose process has ended.
+    Then a call without a free file descriptor is reported as lost
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -6,6 +6,7 @@
 import os
 import random
 import re
+import resource
 import secrets
 import time
 
@@ -198,6 +199,25 @@
     assert asyncio.run(_call_server(keep_silent)) is NoAnswer.LOST
 
 
+@then("a call without a free file descriptor is reported as lost")
+def step_no_descriptor(context):
+    async def run():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        client = HttpClient(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        # Open descriptors stay open; no further one fits below the limit.
+        resource.setrlimit(resource.RLIMIT_NOFILE, (0, hard))
+        try:
+            return await client.call("POST", "/hold", {}, timeout=CALL_SECONDS)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            client.close()
+            server.close()
+
+    outcome = asyncio.run(run())
+    assert outcome is NoAnswer.LOST, outcome
+
+
 @when("{count:d} fuzzed bodies are sent to the port of callers")
 def step_fuzz_callers(context, count):
     cluster = context.cluster
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -70,6 +70,7 @@
         self.calls = 0
         self.last_error = ""
         """Error text of the last call that got no answer."""
+        self._address = address
         self._base = f"http://{address}"
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
 
@@ -157,11 +158,31 @@
             # Raised only if no answer came: an answer with an error code is a Reply.
             self.last_error = str(error)
             errno = getattr(error, "errno", None)
-            return NO_ANSWER_BY_ERRNO.get(errno, NoAnswer.LOST)
+            outcome = NO_ANSWER_BY_ERRNO.get(errno, NoAnswer.LOST)
+            if outcome is NoAnswer.REFUSED and not await self._is_refused():
+                return NoAnswer.LOST
+            return outcome
         except (TimeoutError, OSError) as error:
             self.last_error = str(error)
             return NoAnswer.LOST
 
+    async def _is_refused(self) -> bool:
+        """Connect once more, and return whether the connection is refused.
+
+        libcurl also reports a missing route, or a process without a free file
+        descriptor, as a connection that can't be made.
+        """
+        host, _, port = self._address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
 
 def _abort_unless(is_wanted: Callable[[], bool]) -> Callable[[pycurl.Curl], None]:
     """Return a callback that makes libcurl abort a transfer nobody waits for."""
