Signals are blocked while the end of a stop replaces their handlers

What was seen: an entry that had finished its stop ended with -1 instead of 0, once in four runs of features/platform/stopping ('further signals', load 15 to 20). Cause: the removal of a handler from the event loop restores the default action, which ends the process, until it is set to be ignored; SIGHUP came in between. Change: the signals are blocked for that time; those that wait are then ignored. No caller loses a request by it.

--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -244,11 +244,22 @@
     log.info("Stops", extra=program.stop_fields())
     await program.stop()
     log.info("Stopped", extra=program.stop_fields())
-    for number in (*STOP_SIGNALS, signal.SIGHUP):
-        # The end of the loop would restore what they do by default: end the process.
+    _ignore_signals(loop)
+    return EXIT_OK
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore the signals that the loop handles, for what is left of the process.
+
+    The end of the loop would restore what they do by default: end the process. They
+    are blocked meanwhile, for so does the removal of a handler.
+    """
+    numbers = (*STOP_SIGNALS, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    for number in numbers:
         loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
-    return EXIT_OK
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
 
 
 def _read(path: Path) -> bytes:
