An entry of the older programs answers what has reached its ports before it closes them

What callers saw: a call to an entry that was told to stop ended with ConnectionResetError.

Cause: from the stop on each answer says `Connection: close`, so callers connect anew for each call until the port closes. `HTTPServer.stop` closes the listening sockets, and the kernel resets the connections that wait to be accepted there. By the same class: a request that arrives after connections were found idle is reset with them, and operators' requests in progress are cut by `close_all_connections`.

Evidence: features/requests/closing_port, all three scenarios failed on: four of four waiting connections reset; requests at the close reset; an operator's request cut. Ruled out: callers that were idle for over a second (none is, they pause 5 ms).

Change: `DrainingServer` leaves the platform's folder, which it does not speak to, and accepts what waits in `stop` itself; the callers' server builds on it and closes only connections on which nothing has arrived; the operators' port is drained beside the callers'.

Why it works: nothing can wait at the port once it is closed, and a connection is closed only after the kernel has shown that it is empty.

--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -18,7 +18,7 @@
     settle,
 )
 from standins.cluster import Cluster, ServiceOptions, VmOptions
-from standins.processes import HttpError, Stream, http, wait_for
+from standins.processes import HttpError, Stream, http, refuses, wait_for
 from wagtailcleat.clock import boot_time
 from wagtailcleat.wire.dumps import Dump, DumpState
 from wagtailcleat.wire.parts import Lost
@@ -467,15 +467,6 @@
     return upload
 
 
-def refuses(port):
-    """Return whether connections to a port of this machine are refused."""
-    try:
-        socket.create_connection(("127.0.0.1", port)).close()
-    except ConnectionRefusedError:
-        return True
-    return False
-
-
 @when(
     "callers post continuously, a watcher reads events and the first entry is stopped"
 )
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -28,6 +28,15 @@
 PORT_RETRY_SECONDS = 0.1
 
 
+def refuses(port: int) -> bool:
+    """Return whether connections to a port of this machine are refused."""
+    try:
+        socket.create_connection(("127.0.0.1", port)).close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
 def wait_for(condition: Callable[[], T | None], timeout: float, what: str) -> T:
     """Poll `condition` until its value is true, and return that value.
 
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -21,12 +21,12 @@
     CONFIGURATION_WATCH_SECONDS,
     STOP_MARGIN_SECONDS,
 )
+from wagtailcleat.draining_server import DrainingServer
 from wagtailcleat.errors import Code
 from wagtailcleat.introspection import Kind
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.advice import AdviceService
 from wagtailcleat.platform.calls import CallsInProgress
-from wagtailcleat.platform.draining_server import DrainingServer
 from wagtailcleat.platform.submissions import caller_server, ready_server
 from wagtailcleat.wire.answer_writer import AnswerWriter
 from wagtailcleat.wire.handshake import Role
--- a/wagtailcleat/platform/draining_server.py
+++ b/wagtailcleat/draining_server.py
@@ -49,7 +49,6 @@
 
         Return after `seconds` if some connections are still open then.
         """
-        self._accept_all()
         self.stop()
         deadline = boot_time() + seconds
         while self._connection_by_stream and boot_time() < deadline:
@@ -58,8 +57,13 @@
                     stream.close()
             await asyncio.sleep(POLL_SECONDS)
 
+    def stop(self) -> None:
+        """Close the ports, after accepting the connections that wait at them."""
+        self._accept_all()
+        super().stop()
+
     def _accept_all(self) -> None:
-        """Accept the connections that the kernel holds; it resets them at the close."""
+        # The kernel resets the connections that wait at a port when it is closed.
         while self._listeners:
             listener = self._listeners.pop()
             while True:
--- a/wagtailcleat/entry/app.py
+++ b/wagtailcleat/entry/app.py
@@ -5,13 +5,13 @@
 from typing import Annotated, TypeVar
 
 import cyclopts
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from wagtailcleat.clock import Clock, boot_time, wall_time
 from wagtailcleat.command_line import run_program
 from wagtailcleat.configuration.follow import Follower
 from wagtailcleat.daemon import run_daemon
+from wagtailcleat.draining_server import DrainingServer
 from wagtailcleat.entry.admin import admin_application
 from wagtailcleat.entry.admin_base import AdminContext
 from wagtailcleat.entry.callers import callers_application
@@ -40,7 +40,7 @@
 MAX_ADMIN_BODY_BYTES = 1_000_000
 ENDPOINT_CLEANUP_INTERVAL_SECONDS = 10.0
 
-S = TypeVar("S", bound=HTTPServer)
+S = TypeVar("S", bound=DrainingServer)
 
 app = cyclopts.App(name="wagtailcleat-entry", help=__doc__)
 
@@ -108,7 +108,7 @@
         )
         self.callers_server.set_limits(self.state, settings.max_connections)
         self.admin_server = _make_server(
-            HTTPServer, admin_application(admin), MAX_ADMIN_BODY_BYTES, settings
+            DrainingServer, admin_application(admin), MAX_ADMIN_BODY_BYTES, settings
         )
         self._settings = settings
         self._add_dump_sections()
@@ -145,8 +145,10 @@
         # The load balancer sends new requests until it has seen the health check fail.
         await asyncio.sleep(timing.balancer_notice)
         self.state.stop_watchers.set()
-        await self.callers_server.drain(timing.drain)
-        self.admin_server.stop()
+        await asyncio.gather(
+            self.callers_server.drain(timing.drain),
+            self.admin_server.drain(timing.drain),
+        )
         await self.admin_server.close_all_connections()
         await self.node.leave()
 
--- a/wagtailcleat/entry/serving.py
+++ b/wagtailcleat/entry/serving.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -13,6 +12,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from wagtailcleat.draining_server import DrainingServer
 from wagtailcleat.entry.context import CallersState
 from wagtailcleat.logs import part_logger
 
@@ -29,8 +29,8 @@
 )
 
 
-class CallersServer(HTTPServer):
-    """An HTTP server that limits its connections and counts requests in flight.
+class CallersServer(DrainingServer):
+    """A draining server that limits its connections and counts requests in flight.
 
     A request is in flight from its headers until its answer has been sent.
     """
@@ -79,6 +79,7 @@
             log.warning("The drain timed out with requests still in flight")
         else:
             await self._wait_until_idle(give_up_at)
+            await super().drain(give_up_at - asyncio.get_running_loop().time())
         await self.close_all_connections()
 
     async def _wait_until_idle(self, give_up_at: float) -> None:
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -14,10 +14,10 @@
 
 from wagtailcleat.cluster.job_states import NoSuchJob, NotAnswered
 from wagtailcleat.cluster.submissions import Acceptance
+from wagtailcleat.draining_server import DrainingServer
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.calls import CallsInProgress
-from wagtailcleat.platform.draining_server import DrainingServer
 from wagtailcleat.platform.fields import (
     BodyError,
     get_boolean,
