SIGHUP no longer ends the older programs

What operators saw: a SIGHUP, which tells the platform's programs to read their settings again, ended `wagtailcleat-entry` and `wagtailcleat-agent` at once, with the requests, watchers and tasks that they held.

Cause: no handler; the signal's default is to end the process.

Evidence: the new scenario of features/requests/leaving failed before ("entry-1 logs the signal: not within 15 s"), and the request after it.

Change: SIGHUP logs that settings are read only at a start, from the moment the settings have been read. Not covered: a signal during the imports before that.

--- a/features/requests/leaving.feature
+++ b/features/requests/leaving.feature
@@ -30,6 +30,12 @@
     And every post was answered 200
     And the watcher resumes at the other entry and receives every event once, in order
 
+  Scenario: An entry and an agent are told to reload their settings
+    # Guards against programs that SIGHUP ends with all that they hold.
+    When the first entry and the first agent get SIGHUP
+    Then both log that they read their settings only as they start
+    And a request is answered 200
+
   Scenario: The VM that serves a watcher fails
     # Guards against events that a watcher misses when the VM that serves it fails.
     When a watcher reads events and the VM that serves it is killed
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -530,6 +532,29 @@
     assert seen == list(range(1, len(seen) + 1)), seen
 
 
+@when("the first entry and the first agent get SIGHUP")
+def step_hang_up(context):
+    context.signalled = [context.cluster.entry, context.cluster.agent_by_vm["vm-1"]]
+    for process in context.signalled:
+        os.kill(process.pid, signal.SIGHUP)
+
+
+@then("both log that they read their settings only as they start")
+def step_no_reload(context):
+    for process in context.signalled:
+        wait_for(
+            lambda p=process: "settings only as it starts" in p.stderr.read_text(),
+            WAIT_TIMEOUT_SECONDS,
+            f"{process.name} logs the signal",
+        )
+
+
+@then("a request is answered 200")
+def step_still_served(context):
+    result = Caller(context.cluster.entry).call("POST", f"{SERVICE}/once", b"hold")
+    assert result.status == 200, result
+
+
 @when("a watcher reads events and the VM that serves it is killed")
 def step_kill_under_watcher(context):
     context.watchers = [open_watcher(context, e) for e in entries(context) * 2]
--- a/wagtailcleat/daemon.py
+++ b/wagtailcleat/daemon.py
@@ -11,6 +11,7 @@
 from wagtailcleat.process import (
     EXIT_OK,
     dump_on_signal,
+    ignore_reload,
     print_ready,
     report_problems,
     run_to_end,
@@ -50,6 +51,7 @@
 
 
 async def _serve(settings: S, make_daemon: Callable[[S], Daemon]) -> int:
+    ignore_reload()
     daemon = make_daemon(settings)
     await daemon.node.refuse_taken_name()
     ports = daemon.start()
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -142,6 +142,17 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, write)
 
 
+def ignore_reload() -> None:
+    """On SIGHUP log that the settings are not read again; it would end the process."""
+
+    def note() -> None:
+        log.warning(
+            "SIGHUP has no effect: this program reads settings only as it starts"
+        )
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, note)
+
+
 def run_to_end(serving: Coroutine[Any, Any, int]) -> int:
     """Run a program to its end; return its exit code, or print why it can't start."""
     try:
