A task that succeeded by a run given up earlier accounts for no later step

A leader gives up run 1 of a task, whose agent is out of touch, and starts run 2; the agent comes back and lists run 1 as succeeded, the leader starts the next step and ends before that is stored. The next leader hears run 2, which accounts for the next step, then run 1's end, and starts the next step beside the one at a silent agent.

Cause: account_for concluded from one run that goes on that no earlier leader had ended the task; another run may have.

Change: the success of a run earlier than the one that accounts takes the account of the later steps back; a task that has succeeded accounts for none. Both only make more tasks wait.

--- a/features/scheduling/heard_runs.feature
+++ b/features/scheduling/heard_runs.feature
@@ -72,3 +72,14 @@
       | up  | starts       |
       | 4.5 | starts not   |
       | 5.2 | starts again |
+
+  Scenario: An earlier leader ended a task by a run that it had given up
+    # Guards against duplicate runs of the next step: the end of an earlier run was not
+    # stored, so a later run of the task that goes on accounts for the next step.
+    Given 4 VMs of 32 cores
+    And job "a" of 1 task, and then of 1 task, of which the first runs
+    And its agent is out of touch, its run succeeds, and a later run is started
+    And the leader hears of the success, starts the next step, and ends
+    When a new leader hears of the later run, but not of the next step
+    And the new leader hears of the success again
+    Then no task of job "a" has two runs
--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 
-from features.steps.scheduling_steps import restored
-from features.steps.scheduling_world import make_job, plain
+from features.steps.scheduling_steps import record_of, restored
+from features.steps.scheduling_world import HORIZON, make_job, plain
 from wagtailcleat.scheduling.models import RunEnd
 
 END_BY_WORD = {
@@ -138,3 +138,73 @@
 def step_starts(context, name, word):
     started = context.world.starts[context.starts_before :]
     assert [key.task.job for _, key in started] == [name] * (word == "again"), started
+
+
+@given("its agent is out of touch, its run succeeds, and a later run is started")
+def step_given_up(context):
+    world = context.world
+    world.now += HORIZON + 0.1
+    others = [w for w in world.worker_by_node.values() if w is not context.host]
+    for worker in others:
+        world.report(worker)
+    _decide(context)
+    # The run ended before its lease lapsed.
+    for key in list(context.host.running):
+        context.host.end(key, RunEnd.SUCCEEDED)
+    (context.later,) = [worker for worker in others if worker.running]
+
+
+@given("the leader hears of the success, starts the next step, and ends")
+def step_next_started(context):
+    world = context.world
+    # Its record was stored with the start of the later run, and not since.
+    context.stored = [
+        (entry.job, record_of(entry))
+        for entry in world.scheduler.job_table.entry_by_id.values()
+    ]
+    world.report(context.host)
+    for node, orders in world.decide():
+        if node != context.later.node:  # The stop gets lost.
+            world.worker_by_node[node].take(orders)
+    (context.silent,) = [
+        worker
+        for worker in world.worker_by_node.values()
+        if any(key.task.step == 1 for key in worker.running)
+    ]
+    assert context.silent not in (context.host, context.later)
+
+
+@when("a new leader hears of the later run, but not of the next step")
+def step_later_heard(context):
+    world = context.world
+    world.lead(2)
+    world.scheduler.unreported_agents = set(world.worker_by_node)
+    for job, record in context.stored:
+        world.scheduler.job_table.add(
+            job, now=world.now, wall_now=world.wall_now, record=record
+        ).may_start_tasks = False
+    context.heard = [
+        worker
+        for worker in world.worker_by_node.values()
+        if worker not in (context.silent, context.host)
+    ]
+    _hear(context)
+
+
+@when("the new leader hears of the success again")
+def step_success_again(context):
+    context.heard = [context.host]
+    _hear(context)
+    _decide(context)
+
+
+@then('no task of job "{name}" has two runs')
+def step_no_two_runs(context, name):
+    running = [
+        (worker.node, key)
+        for worker in context.world.worker_by_node.values()
+        for key in worker.running
+        if key.task.job == name
+    ]
+    tasks = [key.task for _, key in running]
+    assert len(set(tasks)) == len(tasks), running
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -67,6 +67,8 @@
     """Before this time it does not start again, in seconds on the leader's clock."""
     is_accounted_for: bool = False
     """Whether no agent that has not reported to this leader can run it."""
+    accounting_run: int = 0
+    """The run by which it and the later steps are accounted for, if any."""
     failed_on: set[NodeId] = field(default_factory=set)
     """Nodes on which runs of the task failed, as far as this leader knows."""
 
