A stop does not cut a request that has been read and is not handled yet

Cause: a turn of the loop that was late finds the request and the moment of the next look at idle connections together. The stream has taken the head out of its buffer then, and its handler runs one turn later: the buffer and the kernel are empty, and the connection counted as idle. The pause after which a cut counts is 0.2 s, so it takes a processor that is away for that long, or a busy loop.

Change: a connection is idle only while a read of its next head is waiting. A POST was not concerned, for its body stayed in the buffer.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -66,6 +66,18 @@
     When 20 callers send a request, and the next one 0.03 s before its answer
     Then all 40 requests were answered
 
+  Scenario Outline: Requests arrive while the loop is busy, just before connections close
+    # Guards against a request that is cut between its reading and its handling.
+    Given a server for callers that has been told to stop
+    And 4 connections that have had an answer
+    When all send a <method>, and the loop is busy until the server drains
+    Then these 4 requests were answered
+
+    Examples:
+      | method |
+      | GET    |
+      | DELETE |
+
   Scenario: The last byte of a request arrives as a stop gives up what is in progress
     # Guards against a request that is carried out, and cut, in the last moment of a stop.
     Given a server for callers that has been told to stop
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -13,6 +13,8 @@
 REQUEST = b"GET /q/0123456789abcdef HTTP/1.1\r\nHost: a.example\r\n\r\n"
 ANSWER_SECONDS = 0.1
 READ_SECONDS = 5.0
+BUSY_SECONDS = 0.3
+"""Longer than the time for which a cut request does not count as lost."""
 
 
 class _Queues:
@@ -31,6 +33,8 @@
         await asyncio.sleep(ANSWER_SECONDS)
         return JobState.QUEUED
 
+    cancel = state
+
 
 @given("a server for callers that has been told to stop")
 def step_server(context):
@@ -124,3 +128,45 @@
 @then("that request is answered 503")
 def step_refused_at_once(context):
     assert b" 503 " in context.first_line, context.first_line
+
+
+@given("{count:d} connections that have had an answer")
+def step_used(context, count):
+    async def connect():
+        reader, writer = await asyncio.open_connection(*context.address)
+        writer.write(REQUEST)
+        assert await _is_answered(reader)
+        return reader, writer
+
+    async def connect_all():
+        context.connections = [await connect() for _ in range(count)]
+
+    context.runner_loop.run(connect_all())
+
+
+@when("all send a {method}, and the loop is busy until the server drains")
+def step_busy(context, method):
+    async def stop():
+        await asyncio.sleep(BUSY_SECONDS / 2)
+        await context.server.drain(READ_SECONDS)
+
+    def send_and_be_busy():
+        for _, writer in context.connections:
+            writer.write(REQUEST.replace(b"GET", method.encode()))
+        time.sleep(BUSY_SECONDS)
+
+    async def send_all():
+        stopping = asyncio.create_task(stop())
+        asyncio.get_running_loop().call_soon(send_and_be_busy)
+        readers = [reader for reader, _ in context.connections]
+        context.answered = sum([await _is_answered(reader) for reader in readers])
+        for _, writer in context.connections:
+            writer.close()
+        await stopping
+
+    context.runner_loop.run(send_all())
+
+
+@then("these {count:d} requests were answered")
+def step_these_answered(context, count):
+    assert context.answered == count, context.answered
--- a/wagtailcleat/draining_server.py
+++ b/wagtailcleat/draining_server.py
@@ -133,8 +133,9 @@
         age = boot_time() - connection.accepted_at
         if age < FIRST_REQUEST_SECONDS:
             return False
-    # Part of a head: tornado offers no other way to see it.
-    if stream._read_buffer_size:
+    # Part of a head, or a whole one that has been read and is not handled yet: tornado
+    # offers no other way to see it.
+    if stream._read_buffer_size or stream._read_future is None:
         return False
     try:
         return not stream.socket.recv(1, socket.MSG_PEEK)
