An agent that is told to stop stays while its worker drains

What callers would see: a task of a worker that drains, and leaves 0.8 s after its agent was told to stop, starts elsewhere 4.3 and 4.6 s after the worker's end (2 of 2), with room there (LOST allows 3 s); the worker's leave gets no answer.

Cause: the agent waited for the end of a worker only if the leave had come before the signal.

Change: it waits, within its grace period as before, if the worker drains.

--- a/features/platform/departures.feature
+++ b/features/platform/departures.feature
@@ -58,6 +58,13 @@
     Then the task runs on another worker within 3 s of that end
     And that agent ends by itself within its grace period
 
+  Scenario: An agent is told to stop while its worker drains, and the worker leaves then
+    # Guards against the same where the agent gets its signal before the worker's message.
+    Given a deployment of 1 entry and 2 agents
+    When a task of 20 s runs, its worker drains, its agent is told to stop, and the worker leaves
+    Then the task runs on another worker within 3 s of that end
+    And that agent ends by itself within its grace period
+
   Scenario: Random histories of workers that leave
     # Guards against the same beside late calls, freezes and changes of leader and agent.
     When the random histories 1 to 20 with departures are played
--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -8,6 +8,9 @@
 
 TIMEOUT_SECONDS = 20.0
 GRACE_SECONDS = 4.0
+HEARD_SECONDS = 1.5
+"""A worker has told its agent in that time that it drains."""
+LEAVE_AFTER_SECONDS = 0.3
 
 SHOWN = ("hosting: ", "leader: ")
 """Parts whose log lines tell what a task waited for."""
@@ -29,6 +32,23 @@
 )
 def step_vm_leaves(context, seconds):
     _let_worker_leave(context, seconds, leave=True)
+    _stop_agent(context)
+
+
+@when(
+    "a task of {seconds:d} s runs, its worker drains, its agent is told to stop, and"
+    " the worker leaves"
+)
+def step_vm_drains(context, seconds):
+    leaving = _run_task(context, seconds)
+    leaving.faults(draining=True)
+    time.sleep(HEARD_SECONDS)
+    _stop_agent(context)
+    time.sleep(LEAVE_AFTER_SECONDS)
+    _wait_for_departure(context, leaving, leave=True)
+
+
+def _stop_agent(context):
     left = next(w for w in context.cluster.workers if w not in context.others)
     context.agent = context.cluster.agents[context.cluster.workers.index(left)]
     context.agent.signal_to_stop()
@@ -41,12 +61,20 @@
 
 
 def _let_worker_leave(context, seconds, **how):
+    _wait_for_departure(context, _run_task(context, seconds), **how)
+
+
+def _run_task(context, seconds):
     cluster = context.cluster
     steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estMs": seconds * 1000}]
     job = context.job = cluster.submit(steps, seconds=seconds)
     wait_for(lambda: cluster.starts(job), TIMEOUT_SECONDS, "the task runs")
     leaving = next(worker for worker in cluster.workers if _starts(worker, job))
     context.others = [worker for worker in cluster.workers if worker is not leaving]
+    return leaving
+
+
+def _wait_for_departure(context, leaving, **how):
     leaving.faults(**how)
     leaving.wait_for_end(TIMEOUT_SECONDS)
     context.ended_at = time.time()
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -22,6 +22,7 @@
 from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
 from wagtailcleat.platform.heartbeats import Rejections, heartbeat_application
+from wagtailcleat.scheduling.models import WorkerState
 from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.scheduling import Leads, Orders, Report
 
@@ -97,9 +98,12 @@
         """Report the end of a worker that leaves, then end without stopping its runs.
 
         Runs continue until their leases expire; the next incarnation adopts them. After
-        a leave there may be none, and the leader would wait for the leases.
+        a leave there may be none, and the leader would wait for the leases. A worker
+        that drains will leave soon.
         """
-        if self.hosting.is_leaving or self.hosting.left:
+        info = self.hosting.info
+        is_draining = info is not None and info.state is WorkerState.DRAINING
+        if is_draining or self.hosting.left:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self.settings.grace - STOP_MARGIN_SECONDS):
                     await self._leave_reported.wait()
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -145,11 +145,6 @@
         """Whether the worker has left, nothing of it runs, and no other has begun."""
         return self._succession.left
 
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the worker has said that it leaves, and has not ended yet."""
-        return self._incarnation is not None and self._incarnation.is_leaving
-
     @property
     def listed(self) -> bool:
         """Whether it is known what this incarnation of the worker runs."""
