A process that has stopped ends without freeing its memory first

What callers and operators saw: an entry that was told to stop ended after its grace period, by SIGKILL on the platform.

Cause: the interpreter's own shutdown after sys.exit in wagtailcleat_start. It frees every object; no time limit applies to it.

Ruled out by the same stamps: step_down (0.30 s, beside the wait for the balancer), the last drain (0.02 to 0.10 s), close_all_connections, common.close, the cancellation of tasks (8 or 9, 1 ms) and executors (none is used). Logging has no thread. A signal that the loop picks up late delays the whole stop; that took up to 0.17 s.

Why it works: after main nothing is left to be done; the kernel closes the connections as before and frees the memory at once.

Left open: wagtailcleat-entry and wagtailcleat-agent end by sys.exit.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -28,6 +28,16 @@
     Then it ends by itself within its grace period
     And each of these requests was answered 503 or 504
 
+  Scenario: An entry that knows many tasks is told to stop
+    # Guards against a process that still frees its memory when its grace period is over.
+    Given a deployment of 1 entry and 1 agent
+    And 600 jobs of 1000 tasks wait
+    And the store takes 30 s to answer
+    When the entry is told to stop
+    And callers send a POST, a GET and a DELETE that have 60 s, 2 s later
+    Then it ends by itself within its grace period
+    And each of these requests was answered 503 or 504
+
   Scenario: No other entry answers as the leader is told to stop
     # Guards against a stop that asks one entry after the other beyond its grace period.
     Given a deployment of 1 entry and 1 agent
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -15,10 +15,13 @@
 from features.steps.odd_process_steps import put_value
 from standins.persistent_callers import Call, PersistentCaller, make_request
 from standins.persistent_callers import receive_answer as receive
-from standins.platform_cluster import host_of
+from standins.platform_cluster import PREFIX, host_of
 from standins.processes import http, wait_for
-from wagtailcleat.cluster.keys import ProcessInfo, encode, entry_key
-from wagtailcleat.ids import NodeId
+from standins.stored_jobs import put
+from wagtailcleat.cluster.keys import ProcessInfo, encode, entry_key, job_key
+from wagtailcleat.ids import JobId, NodeId, ServiceName
+from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling.models import Job, Step
 
 GRACE_SECONDS = 4.0
 CUT_SECONDS = 0.2
@@ -29,6 +32,7 @@
 SIGNAL_INTERVAL_SECONDS = 0.01
 STOP_PARTS = ("process: ", "entry: ", "leadership: ", "store: ")
 """Parts whose log lines tell how far a stop has got."""
+TASKS_SECONDS = 60.0
 FIRST_LIBRARY = "msgspec"
 
 
@@ -71,6 +75,22 @@
     return call
 
 
+@given("{count:d} jobs of {tasks:d} tasks wait")
+def step_waiting_jobs(context, count, tasks):
+    step = Step(tasks, Resources(1.0, 100, 0), required_label="of no worker")
+    now = time.time()
+    jobs = [
+        Job(JobId(f"{number:016x}"), "holds", ServiceName("s"), "", (step,), now)
+        for number in range(count)
+    ]
+    put(context.cluster.store, {job_key(job.id): encode(job) for job in jobs})
+    wait_for(
+        lambda: context.cluster.call("GET", PREFIX) == (200, {"pending": count}),
+        TASKS_SECONDS,
+        "the leader knows all jobs",
+    )
+
+
 @given("the store takes {seconds:g} s to answer")
 def step_slow_store(context, seconds):
     context.cluster.store.faults(slow_seconds=seconds)
--- a/wagtailcleat/process.py
+++ b/wagtailcleat/process.py
@@ -1,12 +1,14 @@
 """Functions that all daemons share: incarnation, dispatch, ports, start and stop."""
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 from tornado.netutil import bind_sockets
 
@@ -165,6 +167,17 @@
         return EXIT_IDENTITY
 
 
+def end_process(code: int) -> NoReturn:
+    """End the process at once, without freeing its objects one by one.
+
+    A leader of many tasks needs seconds for that, and a stop has a time limit.
+    """
+    for output in filter(None, (sys.stdout, sys.stderr)):
+        with contextlib.suppress(OSError):
+            output.flush()
+    os._exit(code)
+
+
 def report_problems(path: Path, error: SettingsError) -> int:
     """Print every problem of a settings file; return the exit code."""
     for problem in error.problems:
