--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
 from pathlib import Path
 
 from behave import given, then, when
@@ -14,10 +15,13 @@
 from features.steps.odd_process_steps import put_value
 from standins.persistent_callers import Call, PersistentCaller, make_request
 from standins.persistent_callers import receive_answer as receive
-from standins.platform_cluster import host_of
+from standins.platform_cluster import PREFIX, host_of
 from standins.processes import http, wait_for
-from wagtailcleat.cluster.keys import ProcessInfo, encode, entry_key
-from wagtailcleat.ids import NodeId
+from standins.stored_jobs import put
+from wagtailcleat.cluster.keys import ProcessInfo, encode, entry_key, job_key
+from wagtailcleat.ids import JobId, NodeId, ServiceName
+from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling.models import Job, Step
 
 GRACE_SECONDS = 4.0
 CUT_SECONDS = 0.2
@@ -26,7 +30,9 @@
 USED_CALLS = 3
 CALLS_SECONDS = 10.0
 SIGNAL_INTERVAL_SECONDS = 0.01
-LINES_SHOWN = 12
+STOP_PARTS = ("process: ", "entry: ", "leadership: ", "store: ")
+"""Parts whose log lines tell how far a stop has got."""
+TASKS_SECONDS = 60.0
 FIRST_LIBRARY = "msgspec"
 
 
@@ -69,6 +75,22 @@
     return call
 
 
+@given("{count:d} jobs of {tasks:d} tasks wait")
+def step_waiting_jobs(context, count, tasks):
+    step = Step(tasks, Resources(1.0, 100, 0), required_label="of no worker")
+    now = time.time()
+    jobs = [
+        Job(JobId(f"{number:016x}"), "holds", ServiceName("s"), "", (step,), now)
+        for number in range(count)
+    ]
+    put(context.cluster.store, {job_key(job.id): encode(job) for job in jobs})
+    wait_for(
+        lambda: context.cluster.call("GET", PREFIX) == (200, {"pending": count}),
+        TASKS_SECONDS,
+        "the leader knows all jobs",
+    )
+
+
 @given("the store takes {seconds:g} s to answer")
 def step_slow_store(context, seconds):
     context.cluster.store.faults(slow_seconds=seconds)
@@ -178,9 +200,15 @@
     entry = context.cluster.entries[0]
     entry.wait_for_end(GRACE_SECONDS + 1.0)
     seconds = time.monotonic() - context.stopped_at
-    lines = [f"{line['time']} {line['message']}" for line in entry.log_lines()]
-    assert seconds <= GRACE_SECONDS, f"{seconds} s: {lines[-LINES_SHOWN:]}"
-    assert entry.exit_code == 0, entry.exit_code
+    ended_at = datetime.now().isoformat(" ")
+    lines = [
+        f"{line['time']} {line['message']}"
+        for line in entry.log_lines()
+        if line["message"].startswith(STOP_PARTS)
+    ]
+    shown = f"{seconds} s, ended at {ended_at}, code {entry.exit_code}: {lines}"
+    assert seconds <= GRACE_SECONDS, f"{shown}\n{entry.stderr.read_text()}"
+    assert entry.exit_code == 0, shown
 
 
 @then("no caller waited for an answer that did not come")
