--- a/soak/run.py
+++ b/soak/run.py
@@ -17,8 +17,9 @@
 from soak.emphasis import Emphasis
 from soak.faults import Faults
 from soak.lost import FinalAnswer, find_cut_answers, find_idle, find_unanswered
-from soak.shutdowns import GRACE_SECONDS, let_children_receive_signals
+from soak.shutdowns import GRACE_SECONDS
 from standins.platform_cluster import PREFIX
+from standins.processes import let_children_receive_signals
 from standins.stored_jobs import store_ended_jobs
 
 ENTRIES = 2
--- a/soak/shutdowns.py
+++ b/soak/shutdowns.py
@@ -203,17 +203,6 @@
         self._faults.end_all()
 
 
-def let_children_receive_signals() -> None:
-    """Let processes started from now on not inherit that a signal is ignored.
-
-    A shell starts commands in the background so. A signal with a handler has its
-    default effect in a new process.
-    """
-    for number in (signal.SIGHUP, signal.SIGINT):
-        if signal.getsignal(number) is signal.SIG_IGN:
-            signal.signal(number, lambda number, frame: None)
-
-
 def _signal_later(
     program: Process, signals: list[signal.Signals], seconds: float
 ) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -37,6 +37,17 @@
     return False
 
 
+def let_children_receive_signals() -> None:
+    """Let processes started from now on not inherit that a signal is ignored.
+
+    A shell starts commands in the background so. A signal with a handler has its
+    default effect in a new process.
+    """
+    for number in (signal.SIGHUP, signal.SIGINT):
+        if signal.getsignal(number) is signal.SIG_IGN:
+            signal.signal(number, lambda number, frame: None)
+
+
 def wait_for(condition: Callable[[], T | None], timeout: float, what: str) -> T:
     """Poll `condition` until its value is true, and return that value.
 
