Tests of odd values before the start, rewritten, in an outage, and of peers' odd messages

The first three scenarios run on real processes, the fourth on virtual time. All pass without a change of the programs.

--- a/features/steps/odd_process_keys_steps.py
+++ b/features/steps/odd_process_keys_steps.py
@@ -111,3 +111,39 @@
 def step_one_leads(context):
     both = [row for row in context.acting if row[1] and row[2] > 1]
     assert not both, both[:3]
+
+
+@when("another writer has stored odd values under {what}")
+def step_stored_odd(context, what):
+    _note_epoch(context)
+    context.rewrites = "again" in what
+    if "task's agent" in what:
+        _put(context, agent_key(context.agent.node), UNDECODABLE)
+        return
+    odd = addressed_values(FIELDS, host=0, port=1).values()
+    for prefix in (ENTRY_PREFIX, AGENT_PREFIX):
+        if prefix == ENTRY_PREFIX or "agents" in what:
+            for number, value in enumerate(odd):
+                _put(context, f"{prefix}0-odd-{number}", value)
+            _put(context, prefix + "a/b", packed(FIELDS))
+
+
+@when("no entry reaches the store for {seconds:g} s")
+def step_no_store(context, seconds):
+    world = context.world
+    for entry in world.entries:
+        entry.store.reachable = False
+    world.wait(seconds / 2)
+    if context.rewrites:
+        # Then they are no longer as they were created.
+        for number in range(3):
+            _put(context, f"{ENTRY_PREFIX}0-odd-{number}", UNDECODABLE)
+    world.wait(seconds / 2)
+    for entry in world.entries:
+        entry.store.reachable = True
+
+
+@then("the epoch is the same")
+def step_epoch_same(context):
+    found = context.world.keyspace.found_by_key[LEADER_KEY]
+    assert decode(found.value, Leads).epoch == context.epoch, found
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -9,8 +9,10 @@
 import secrets
 import socket
 from base64 import b64decode, b64encode
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 from standins.processes import HttpError, Process, http, wait_for
@@ -22,6 +24,8 @@
 METRICS_TIMEOUT_SECONDS = 1.0
 """A process that is paused does not answer."""
 READY_SECONDS = 15.0
+MAX_PUTS = 24
+"""Keys that are written in one transaction; the store takes 32 entries."""
 NETWORK = f"127.{16 + os.getpid() % 224}"
 """The loopback network of this test run. A concurrent run uses another one, so it can't
 take ports that this run has found free but not bound yet, or released for a restart."""
@@ -58,10 +62,12 @@
         agents: int = 2,
         cores: float = 8.0,
         speeds: tuple[float, ...] = (),
+        stored: Mapping[str, bytes] = MappingProxyType({}),
     ) -> None:
         """Start all processes, with the queue `holds` configured.
 
-        Parameters: `cores` of each worker; `speeds`, the `cpu_speed` of each entry.
+        Parameters: `cores` of each worker; `speeds`, the `cpu_speed` of each entry;
+        `stored`, values by key that are in the store before the programs start.
         """
         self.folder = folder
         self.speeds = speeds
@@ -71,6 +77,8 @@
         self.entries: list[Program] = []
         self.agents: list[Program] = []
         self.workers: list[Process] = []
+        if stored:
+            self.put(stored)
         self.configure(version=1)
         hosts = [host_of(number) for number in range(1, entries + agents + 1)]
         self.seeds = [f"{host}:1" for host in hosts[:entries]]
@@ -171,14 +179,25 @@
         self, value_by_key: dict[str, Any], remove: tuple[str, ...] = ()
     ) -> None:
         """Write and remove keys with the rights of an operator."""
-        puts = [
-            {"key": key, "value": b64encode(json.dumps(value).encode()).decode()}
-            for key, value in value_by_key.items()
-        ]
-        body = {"expectRev": [], "setKeys": puts, "remove": list(remove)}
-        url = f"{self.store.url}/kv-txn"
-        answer = http("POST", url, body, headers={"Operator": "yes"})
-        assert answer.status == 200, answer
+        encoded = {
+            key: json.dumps(value).encode() for key, value in value_by_key.items()
+        }
+        self.put(encoded, remove)
+
+    def put(
+        self, value_by_key: Mapping[str, bytes], remove: tuple[str, ...] = ()
+    ) -> None:
+        """Write and remove keys as another program with all rights would."""
+        items = list(value_by_key.items())
+        for first in range(0, max(1, len(items)), MAX_PUTS):
+            puts = [
+                {"key": key, "value": b64encode(value).decode()}
+                for key, value in items[first : first + MAX_PUTS]
+            ]
+            body = {"expectRev": [], "setKeys": puts, "remove": list(remove)}
+            url = f"{self.store.url}/kv-txn"
+            answer = http("POST", url, body, headers={"Operator": "yes"})
+            assert answer.status == 200, answer
 
     def stored(self, prefix: str) -> dict[str, bytes]:
         """Return the stored values under a prefix, by key."""
