A job with an interval near zero no longer keeps every entry from leading

On real processes the next job was not done in 14 s; with the job stored before the start none of 6 jobs was done in 20 s, "Leading failed" was logged 41 times, and no entry led.

Cause: `overdue_occurrences` divides the time since the first occurrence by the interval; the quotient is infinite, and its conversion to an integer raises OverflowError. Each leader reads the job as it restores, and ends. Any caller can send such a number: JSON holds it, and it lies between 0 and 2^53.

Change: the quotient is limited to the number of occurrences, and to 0, before it becomes an integer.

Why it works: both limits are finite, and an infinite quotient compares with them as any other; a finite one gives the number that it gave before.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -69,3 +69,15 @@
   Scenario: What was learnt has numbers that are not finite
     # Guards against weights that make all comparisons of a scheduler false.
     Then learnt interference with such numbers is passed over
+
+  Scenario Outline: A job is due <times> times at an interval of <interval> s
+    # Guards against leaders that end one after the other because of one accepted job.
+    Given a store with 3 jobs, and a job due <times> times each <interval> s from <first>
+    When a leader begins, and its agents report
+    Then the tasks of the 3 jobs run, and <due> times those of the other
+
+    Examples:
+      | times | interval | first         | due |
+      | 2     | 1e-310   | 0             | 2   |
+      | 2     | 1e-310   | 1800000001    | 0   |
+      | 2     | 1        | 1800000000    | 1   |
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -223,3 +223,25 @@
     exported = model.export()
     numbers = [n for row in [*exported.added, *exported.images] for n in row[-2:]]
     assert all(math.isfinite(number) for number in numbers), exported
+
+
+@given(
+    "a store with {count:d} jobs, and a job due {times:d} times each {interval:g} s"
+    " from {first:g}"
+)
+def step_interval(context, count, times, interval, first):
+    world = context.leader_world = LeaderWorld()
+    context.add_cleanup(world.close)
+    times_of_job = {"occurrences": times, "interval": interval, "first_at": first}
+    # It is listed before the others.
+    world.store_job(make_job(OTHER, plain(1, cores=0.5), **times_of_job))
+    for number in range(count):
+        world.store_job(make_job(f"job-{number}", plain(1)))
+
+
+@then("the tasks of the {count:d} jobs run, and {due:d} times those of the other")
+def step_run_times(context, count, due):
+    world = context.leader_world
+    jobs = [key.task.job for worker in world.workers for key in worker.running]
+    assert jobs.count(OTHER) == due, jobs
+    assert len(set(jobs) - {OTHER}) == count, jobs
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -204,7 +204,9 @@
     job = entry.job
     due = job.occurrences
     if job.interval > 0:
-        due = min(due, int((wall_now - job.first_at) // job.interval) + 1)
+        # The quotient by a tiny interval is infinite.
+        passed = (wall_now - job.first_at) // job.interval
+        due = int(max(0.0, min(due, passed + 1)))
     elif job.first_at > wall_now:
         due = 0
     return max(0, due - entry.occurrences_begun)
