Another writer's values are not taken for renewals of the leader

What operators saw: while another writer rewrote both of the leader's keys each second, no entry led: 0 of 22 jobs were done in 26 s, although all had been accepted.

Cause: a leader that finds both keys overwritten gives up, since it can't know whether another entry has claimed. The others claim in place of a leader that they can't read once its heartbeat is 1.2 s old, and each change of the heartbeat's key counted as a renewal, whoever had written it.

Change: how old the last renewal probably is counts from the last heartbeat that could be read.

Why it works: that age decides when an entry claims, which is safe at any time: the claim is conditional on the revisions of both keys, and the new leader waits for earlier leases as before. When a leader has certainly stopped still counts from any change of the key.

--- a/features/platform/odd_values.feature
+++ b/features/platform/odd_values.feature
@@ -59,6 +59,14 @@
     Then each of these jobs started within 2 s
     And no claim was made
 
+  Scenario: Both keys of the leader are overwritten each second, and it is killed
+    # Guards against entries that take another writer's values for renewals of the leader.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When the leader is killed, and both of its keys are overwritten each 1 s for 20 s
+    Then each of the jobs stored meanwhile started within 5 s
+    And the epoch has risen
+    And no task ran in two places
+
   Scenario: Both keys of the leader hold bytes that can't be decoded as it ends
     # Guards against an epoch that goes back, which agents refuse to follow.
     Given 3 entries and 4 agents on virtual time, one of which leads
--- a/features/steps/odd_leader_steps.py
+++ b/features/steps/odd_leader_steps.py
@@ -103,14 +103,29 @@
     " {seconds:g} s, and a job is stored each 2 s"
 )
 def step_repeatedly(context, key, interval, seconds):
+    key = HEARTBEAT_KEY if "heartbeat" in key else LEADER_KEY
+    _rewrite(context, [key], interval, seconds)
+
+
+@when(
+    "the leader is killed, and both of its keys are overwritten each {interval:g} s"
+    " for {seconds:g} s"
+)
+def step_both_repeatedly(context, interval, seconds):
+    context.old_leader.kill()
+    _rewrite(context, [HEARTBEAT_KEY, LEADER_KEY], interval, seconds)
+
+
+def _rewrite(context, keys, interval, seconds):
+    """Overwrite keys at an interval, and store a job each 2 s meanwhile."""
     _note(context)
     world = context.world
-    key = HEARTBEAT_KEY if "heartbeat" in key else LEADER_KEY
     context.stored_at_by_job = {}
     ends_at = world.clock() + seconds
     next_job = world.clock()
     while world.clock() < ends_at:
-        _put(world, key, UNDECODABLE)
+        for key in keys:
+            _put(world, key, UNDECODABLE)
         if world.clock() >= next_job:
             job = world.submit(cores=0.1)
             context.stored_at_by_job[job] = world.clock()
@@ -120,6 +135,7 @@
 
 
 @then("each of these jobs started within {seconds:g} s")
+@then("each of the jobs stored meanwhile started within {seconds:g} s")
 def step_each_started(context, seconds):
     started_at = {key.task.job: at for at, _, key in reversed(context.world.starts)}
     late = {
--- a/wagtailcleat/cluster/claims.py
+++ b/wagtailcleat/cluster/claims.py
@@ -87,6 +87,8 @@
     heartbeat: LeaderHeartbeat = LeaderHeartbeat()
     heartbeat_seen_at: float = 0.0
     """When the heartbeat was first seen at this revision; 0 before the first read."""
+    renewal_seen_at: float = 0.0
+    """The same of the last heartbeat that could be read, thus a leader's."""
     age_when_seen: float = 0.0
     """How old the first heartbeat that was read probably was, by both wall clocks."""
 
@@ -108,7 +110,7 @@
         Wall clocks may be wrong. So it may decide when to claim, which is safe at any
         time, but never whether the leader has stopped.
         """
-        return self.unchanged_seconds(now) + self.age_when_seen
+        return now - self.renewal_seen_at + self.age_when_seen
 
 
 class Claims:
@@ -185,10 +187,13 @@
         heartbeat_revision = heartbeat.mod_revision if heartbeat else 0
         heartbeat_changed = heartbeat_revision != last_read.heartbeat_revision
         last_read.heartbeat_revision = heartbeat_revision
-        last_read.heartbeat = self._decode_heartbeat(heartbeat)
+        read_heartbeat = self._read_heartbeat(heartbeat)
+        last_read.heartbeat = read_heartbeat or LeaderHeartbeat()
         is_first_read = not last_read.heartbeat_seen_at
         if heartbeat_changed or is_first_read:
             last_read.heartbeat_seen_at = self._clock()
+        if is_first_read or (heartbeat_changed and read_heartbeat is not None):
+            last_read.renewal_seen_at = self._clock()
             # Later, an old heartbeat may only mean that the store was away.
             last_read.age_when_seen = (
                 self._probable_age(last_read.heartbeat) if is_first_read else 0.0
@@ -203,11 +208,11 @@
             self.sent_at = None
         return True
 
-    def _decode_heartbeat(self, found: Found | None) -> LeaderHeartbeat:
+    def _read_heartbeat(self, found: Found | None) -> LeaderHeartbeat | None:
         if found is None:
-            return LeaderHeartbeat()
+            return None
         heartbeat = self._values.read(found, LeaderHeartbeat)
-        return LeaderHeartbeat() if isinstance(heartbeat, Unreadable) else heartbeat
+        return None if isinstance(heartbeat, Unreadable) else heartbeat
 
     def _decode_leader(self, found: Found | None, heartbeat: LeaderHeartbeat) -> Leads:
         if found is None:
