A restarted worker no longer waits for another writer's rising birth times

Cause: among the workers that wait for the present one's end the one born last begins, also if the present one is at the same address and has never answered.

Change: the address of a present worker that has never answered ranks below all others.

Why it works: a worker of this VM answers within a moment, so it is never the one that ranks below; which worker begins next has no bearing on when it may begin, the end of all that the present one was told to start.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -161,6 +161,13 @@
     Then "i-1" is the worker of this VM
     And the runs of that worker are known
 
+  Scenario: A worker of another VM is heard with ever later birth times
+    # Guards against a VM whose own worker waits for as long as such heartbeats go on.
+    Given an agent that has heard a worker, born later, whose address refuses connections
+    When its own worker and that one are heard for 14 s, the latter born later each second
+    Then "i-1" is the worker of this VM
+    And the runs of that worker are known
+
   Scenario Outline: The address <address> <what>
     # Guards against a refusal by another VM that is taken for one of the agent's own VM.
     Then the address "<address>" <what>
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -35,6 +35,8 @@
 TASK = "00ff00ff00ff00ff.0.0.0"
 TIMEOUT_SECONDS = 10.0
 POLL_SECONDS = 0.01
+HEARD_SECONDS = 0.15
+"""Longer than the agent's pause after a list that was refused."""
 LATER_LISTS = 4
 """Lists after which an event has had its effect on later ones."""
 
@@ -213,6 +215,20 @@
     context.hosting_world.begin_incarnation(BORN)
 
 
+@when(
+    "its own worker and that one are heard for {seconds:d} s, the latter born later"
+    " each second"
+)
+def step_both_heard(context, seconds):
+    world = context.hosting_world
+    for second in range(seconds):
+        born = BORN + 6000 + second * 1000
+        world.loop.run_until_complete(world.hear_stranger(born))
+        world.begin_incarnation(BORN, sequence=second + 1)
+        world.now += 1.0
+        world.loop.run_until_complete(asyncio.sleep(HEARD_SECONDS))
+
+
 @then("the runs of that worker are known")
 def step_runs_listed(context):
     world = context.hosting_world
@@ -237,7 +253,11 @@
     stranger_host = OTHER_HOST
 
     async def _hear_first(self):
-        stranger = self._heartbeat(BORN + 5000, instance="i-9")
+        await self.hear_stranger(BORN + 5000)
+
+    async def hear_stranger(self, born):
+        """Deliver the first heartbeat of the other VM's worker born then."""
+        stranger = self._heartbeat(born, instance="i-9")
         address = f"{self.stranger_host}:1"
         await self.hosting.take_heartbeat(replace(stranger, address=address))
 
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -176,12 +176,12 @@
     ) -> None:
         worker = heartbeat.worker
         is_valid = self._next is not None and now <= self._next_until
-        known = self._next.worker if is_valid and self._next is not None else None
-        if known is not None and worker.born < known.born:
+        known = self._next if is_valid else None
+        if known and _precedence(heartbeat, present) < _precedence(known, present):
             return
         self._next = heartbeat
         self._next_until = now + NEXT_VALID_SECONDS
-        if known is not None and (known.born, known.id) == (worker.born, worker.id):
+        if known and (known.worker.born, known.worker.id) == (worker.born, worker.id):
             return
         log.info(
             "Worker waits for the end of the one before",
@@ -204,3 +204,13 @@
         if ended is not None:
             ended.close_later()
             self._on_end(ended)
+
+
+def _precedence(heartbeat: Heartbeat, present: WorkerIncarnation) -> tuple[bool, int]:
+    """Return the rank of a worker among those that wait for the present one's end.
+
+    Another writer may send heartbeats with ever later birth times, so the address of a
+    worker that has never answered ranks below all others.
+    """
+    is_silent = not present.lists_answered and heartbeat.address == present.address
+    return not is_silent, heartbeat.worker.born
