What was learnt is taken over within the bounds of what can be learnt

What operators saw: with `learn_run_times`, a finite but huge number under the key of learnt run times ended the rounds of each new leader and the handler of each report with the end of a run: on real processes, once and five times in 5 s after a leader was killed; 6 jobs were done in 2.4 s.

Cause: learnt numbers were taken over if they were finite. The exponential of a mean of 1e4, and the square of an error of 1e300, raise OverflowError; variances of 1e300 make the precision 0, by which is divided.

Ruled out: bytes, nesting and other types under both keys (rewritten each second beside a killed leader: all jobs done), and any number without `learn_run_times` for run times.

Change: figures count only if run times, or loads, within their own bounds may have given them.

Why it works: all that a leader exports lies within these bounds, since what it learns is limited to them as it is learnt.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -70,6 +70,11 @@
     # Guards against weights that make all comparisons of a scheduler false.
     Then learnt interference with such numbers is passed over
 
+  Scenario: What was learnt has numbers at the ends of their ranges
+    # Guards against leaders whose rounds end again and again because of one stored value.
+    Then a leader that takes over any such run times predicts finite ones
+    And one that takes over any such interference learns from reports
+
   Scenario Outline: A job is due <times> times at an interval of <interval> s
     # Guards against leaders that end one after the other because of one accepted job.
     Given a store with 3 jobs, and a job due <times> times each <interval> s from <first>
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -1,6 +1,7 @@
 """Steps on stored values that can't be decoded."""
 
 import asyncio
+import itertools
 import logging
 import math
 from types import SimpleNamespace
@@ -15,7 +16,12 @@
 from wagtailcleat.cluster.leadership import NO_LEADER
 from wagtailcleat.cluster.submissions import Submissions
 from wagtailcleat.resources import Resources
-from wagtailcleat.scheduling.interference import Interference, StoredEstimates
+from wagtailcleat.scheduling.interference import (
+    Interference,
+    Reading,
+    StoredEstimates,
+)
+from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import (
     JobRecord,
     JobState,
@@ -24,11 +30,13 @@
     TaskKey,
     TaskRecord,
 )
+from wagtailcleat.scheduling.run_times import RunTimes, StoredQueue, StoredRunTimes
 
 UNREADABLE = b"\xc1 of another version"
 OTHER = "bad-1"
 ASKED_AT = 100.0
 WAIT_SECONDS = 3.0
+ENDS = [-1.7e308, -1e300, -1.0, 0.0, 5e-324, 1.0, 1e3, 1e154, 1e300, 1.7e308]
 KEY_BY_NAME = {
     "a job": JOB_PREFIX + OTHER,
     "the record of another job": record_key(OTHER),
@@ -245,3 +253,28 @@
     jobs = [key.task.job for worker in world.workers for key in worker.running]
     assert jobs.count(OTHER) == due, jobs
     assert len(set(jobs) - {OTHER}) == count, jobs
+
+
+@then("a leader that takes over any such run times predicts finite ones")
+def step_run_times_learnt(context):
+    for figures in itertools.product(ENDS, repeat=5):
+        run_times = RunTimes()
+        job = make_job("job-1", plain(1))
+        stored = StoredRunTimes([StoredQueue(job.queue, *figures)])
+        run_times.restore(stored)
+        entry = JobEntry(job, ASKED_AT)
+        run_times.predict(entry)
+        assert math.isfinite(entry.expected_seconds[0]), figures
+
+
+@then("one that takes over any such interference learns from reports")
+def step_interference_learnt(context):
+    for mean, variance, idle, base in itertools.product(ENDS, repeat=4):
+        interference = Interference()
+        stored = StoredEstimates([("s", "f", mean, variance)], [("s", idle, base)])
+        interference.restore(stored)
+        for second in range(3):
+            reading = Reading("job-1", "s", 0.5, {"f": 0.5}, ASKED_AT + second)
+            error = interference.learn(reading)
+            assert math.isfinite(error), stored
+        assert 0 <= interference.utilization("s", 0.5) <= 1, stored
--- a/wagtailcleat/scheduling/interference.py
+++ b/wagtailcleat/scheduling/interference.py
@@ -287,14 +287,15 @@
     def restore(self, stored: StoredEstimates) -> None:
         """Adopt an earlier leader's estimates where they are more certain."""
         for serving, filling, mean, variance in stored.added:
-            if not (math.isfinite(mean) and math.isfinite(variance)):
+            if not (0 <= mean <= MAX_ADDED and 0 <= variance < math.inf):
                 continue
             variance = max(variance, MIN_RESTORED_VARIANCE)
             known = self.added_by_pair.get((serving, filling), UNKNOWN)
             if variance < known.variance:
                 self.added_by_pair[serving, filling] = Estimate(mean, variance)
+        least, most = IDLE_LOAD_BOUNDS
         for image, idle, base in stored.images:
-            if not (math.isfinite(idle) and math.isfinite(base)):
+            if not (least <= idle <= most and 0 <= base <= MAX_BASE_UTILIZATION):
                 continue
             self.idle_by_image[image] = min(self.idle(image), idle)
             self.base_by_image.setdefault(image, base)
--- a/wagtailcleat/scheduling/run_times.py
+++ b/wagtailcleat/scheduling/run_times.py
@@ -290,5 +290,14 @@
 
 
 def _is_sound(figures: tuple[float, ...]) -> bool:
-    steps, _, spread, _, error = figures
-    return all(map(math.isfinite, figures)) and min(steps, spread, error) >= 0
+    """Return whether run times within their bounds may have given these figures."""
+    steps, mean, spread, bias, error = figures
+    least, most = math.log(MIN_SECONDS), math.log(MAX_SECONDS)
+    largest_error = most - least
+    return (
+        0 <= steps < math.inf
+        and least <= mean <= most
+        and abs(bias) <= largest_error
+        and 0 <= spread <= largest_error**2
+        and 0 <= error <= (2 * largest_error) ** 2
+    )
