A lasting task that has failed for more than an hour no longer fails its agent's reports

After 1028 short runs in a row, a good hour, 2.0**1024 raises OverflowError in the handler of the report that lists the end, and each repetition of that report raises it again.

Ruled out: the other powers of the scheduler and of the leader (the time limit of questions for advice stops doubling at its longest).

Change: the doublings are limited, rather than the pause.

Why it works: three doublings of 0.5 s give the same longest pause of 4 s.

Measured: features/scheduling/restarts, 4 of 4 scenarios. On processes: not run, it takes more than an hour.

--- a/features/scheduling/restarts.feature
+++ b/features/scheduling/restarts.feature
@@ -16,6 +16,15 @@
     Then it was started at most 24 times
     And no pause between two starts was longer than 6 s
 
+  Scenario: A task has failed at once for more than an hour
+    # Guards against a pause whose length can't be calculated any more.
+    Given 4 VMs of 32 cores
+    And job "w" of 1 serving task runs
+    And its last 1100 runs have failed at once
+    When its runs fail at once for 30 s
+    Then it was started at most 10 times
+    And no pause between two starts was longer than 6 s
+
   Scenario: A task runs well after it has failed often
     # Guards against pauses that stay long after the fault is over.
     Given 4 VMs of 32 cores
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -1,6 +1,6 @@
 """Steps on lasting tasks whose runs end soon, again and again."""
 
-from behave import then, when
+from behave import given, then, when
 
 from features.steps.scheduling_world import REPORT_SECONDS
 from wagtailcleat.scheduling.job_records import record_of
@@ -27,6 +27,12 @@
     return times
 
 
+@given("its last {count:d} runs have failed at once")
+def step_failed(context, count):
+    entry = context.world.scheduler.job_table.entry_by_id[JOB]
+    entry.tasks_by_step[0, 0][0].short_runs = count
+
+
 @when("its worker fails each run, and the next leader knows of none of them")
 def step_next_leader(context):
     world = context.world
--- a/wagtailcleat/scheduling/restart_backoff.py
+++ b/wagtailcleat/scheduling/restart_backoff.py
@@ -15,8 +15,8 @@
 The VM may have been at fault; the task then starts on others.
 """
 FIRST_PAUSE_SECONDS = 0.5
-MAX_PAUSE_SECONDS = 4.0
-"""Longest pause; the platform wants a lasting task to run again within seconds."""
+MAX_DOUBLINGS = 3
+"""Doublings of the pause; the platform wants a task to run again within seconds."""
 
 
 def record_run(task: Task, how: RunEnd, seconds: float, now: float) -> None:
@@ -30,7 +30,6 @@
         task.short_runs = 0
         return
     task.short_runs += 1
-    doublings = task.short_runs - IMMEDIATE_RESTARTS - 1
+    doublings = min(MAX_DOUBLINGS, task.short_runs - IMMEDIATE_RESTARTS - 1)
     if doublings >= 0:
-        pause = min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2.0**doublings)
-        task.not_before = now + pause
+        task.not_before = now + FIRST_PAUSE_SECONDS * 2.0**doublings
