A worker's measurement counts only within its bounds

The leader squares the share of the VM, which raises OverflowError for 1e300.

Cause: a measurement was read if it was finite.

On processes: not run.

Change: a measurement below 0 or above a million seconds or cores counts as none, as one that is not finite does.

Why it works: the square of a million by the smallest share stays finite.

--- a/features/platform/odd_answers.feature
+++ b/features/platform/odd_answers.feature
@@ -35,6 +35,18 @@
       | {"granted": [["a", "\ud800"]]}                                   |
       | {"granted": [["a", "b"]], "validMs": Infinity}                   |
 
-  Scenario: A worker lists an odd measurement
+  Scenario Outline: A worker lists an odd measurement of <value>
     # Guards against runs that count as lost because of a figure that is only a hint.
-    Then a list with a measurement of NaN is read, with 0 in its place
+    Then a list with a measurement of <value> is read, with <measurement> in its place
+
+    Examples:
+      | value    | measurement |
+      | NaN      | 0           |
+      | Infinity | 0           |
+      | 1e300    | 0           |
+      | -1       | 0           |
+      | 1500     | 1.5         |
+
+  Scenario: A worker measures any use of its cores
+    # Guards against rounds that end again and again because of one such figure.
+    Then a leader learns interference from any measurement that is read
--- a/features/steps/odd_answers_steps.py
+++ b/features/steps/odd_answers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 from behave import then
 
@@ -11,6 +12,7 @@
 from wagtailcleat.platform.keyvalue import KeyValueStore
 from wagtailcleat.platform.runs import RunList, RunWorker
 from wagtailcleat.scheduling.advice import Question
+from wagtailcleat.scheduling.interference import Interference, Reading
 from wagtailcleat.storage import Txn, Unavailable, Unknown
 
 CALL_SECONDS = 1.0
@@ -72,9 +74,23 @@
         assert outcomes["advice"] is None, outcomes
 
 
-@then("a list with a measurement of NaN is read, with 0 in its place")
-def step_measurement(context):
-    body = '{"clockMs": 1, "running": [["a.0.0.0", 1, "", 41, NaN]]}'
+def _measured(value):
+    body = f'{{"clockMs": 1, "running": [["a.0.0.0", 1, "", 41, {value}]]}}'
     listed = asyncio.run(_outcomes(body))["runs"]
     assert isinstance(listed, RunList), listed
-    assert listed.running[0].measurement == 0.0, listed
+    return listed.running[0].measurement
+
+
+@then("a list with a measurement of {value} is read, with {measurement:g} in its place")
+def step_measurement(context, value, measurement):
+    assert _measured(value) == measurement, value
+
+
+@then("a leader learns interference from any measurement that is read")
+def step_learns(context):
+    for value in ("-1e300", "5e-324", "1e-310", "1e9", "1e154", "1e300", "1e308"):
+        share = _measured(value)
+        interference = Interference()
+        for second in range(3):
+            reading = Reading("job-1", "s", 0.5, {"f": share}, 1.0 + second)
+            assert math.isfinite(interference.learn(reading)), value
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -6,7 +6,6 @@
 later.
 """
 
-import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -50,6 +49,8 @@
 MAX_LISTED_ENDS = 500
 """Maximum of ended runs in one list; the worker lists further ones after earlier ones
 are acknowledged."""
+MAX_MEASUREMENT = 1e6
+"""Largest measurement, in seconds or cores; the scheduler squares some."""
 ROW_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
 """What access to a row raises that is too short, or of other types."""
 EXPECT_INSTANCE_HEADER = "Wagtailcleat-Expect-Instance"
@@ -242,7 +243,7 @@
     # A serving run reports milliseconds, any other run thousandths of a core. The same
     # factor converts both, to seconds and to cores.
     measurement = float(row[4]) / MILLISECONDS if len(row) > 4 else 0.0
-    if not math.isfinite(measurement):
+    if not 0 <= measurement <= MAX_MEASUREMENT:
         measurement = 0.0
     return Running(key, text(row[2], "saved"), whole(row[3], "percent"), measurement)
 
