An epoch that no entry can have led is not learnt from a peer

Cause: epochs in the store are bounded, those in messages were not.

Ruled out: 376 messages to each entry and 483 to each agent with another field at the ends of its range, except for the number of `Orders` of the epoch that an agent follows, which makes it refuse that leader's later ones.

Change: an entry learns of an epoch only if a later one can be claimed.

Why it works: the bound is that of the epochs which are read in the store, so no claim exceeds it.

What remains: an epoch of 2^31 is learnt, and the claim after it is read as unreadable by others.

--- a/features/platform/odd_writers.feature
+++ b/features/platform/odd_writers.feature
@@ -44,3 +44,17 @@
       | keys of entries and agents            |
       | the key of the task's agent           |
       | keys of entries, again in the outage  |
+
+  Scenario Outline: A peer announces a leader of epoch <epoch>
+    # Guards against entries none of which can claim an epoch after one that nobody led.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When a peer announces a leader of epoch <epoch> to all entries
+    And the leader is killed, and a job is stored
+    Then the job starts within 9 s
+    And no task ran in two places
+
+    Examples:
+      | epoch                |
+      | 18446744073709551615 |
+      | 8589934592           |
+      | 2147483648           |
--- a/features/steps/odd_process_keys_steps.py
+++ b/features/steps/odd_process_keys_steps.py
@@ -147,3 +147,18 @@
 def step_epoch_same(context):
     found = context.world.keyspace.found_by_key[LEADER_KEY]
     assert decode(found.value, Leads).epoch == context.epoch, found
+
+
+@when("a peer announces a leader of epoch {epoch:d} to all entries")
+def step_announced(context, epoch):
+    world = context.world
+    for entry in world.entries:
+        leads = Leads(epoch, "entry-9", 1, "10.0.0.99", PORT)
+        world.loop.create_task(entry.leadership.leader_announced(leads))
+    world.wait(1.0)
+
+
+@when("the leader is killed, and a job is stored")
+def step_killed(context):
+    context.old_leader.kill()
+    context.job = context.world.submit(cores=1.0)
--- a/wagtailcleat/cluster/leadership.py
+++ b/wagtailcleat/cluster/leadership.py
@@ -21,7 +21,7 @@
 
 from wagtailcleat.clock import Clock, wall_time
 from wagtailcleat.cluster.claims import NO_LEADER, ClaimReason, Claims
-from wagtailcleat.cluster.keys import ProcessInfo
+from wagtailcleat.cluster.keys import MAX_EPOCH, ProcessInfo
 from wagtailcleat.cluster.leader_lease import LeadCallback, LeaderLease
 from wagtailcleat.cluster.leader_probe import ProbeResult, probe_leader
 from wagtailcleat.cluster.leader_refusals import LeaderRefusals
@@ -256,7 +256,7 @@
         await self._lease_renewer.step_down(lease)
 
     async def _learn(self, leader: Leads) -> None:
-        if leader.epoch > self.leader.epoch:
+        if self.leader.epoch < leader.epoch < MAX_EPOCH:
             self.leader = leader
             self._learned_at = self._clock()
             async with self._leader_changed:
