Ends of runs of an ended job no longer stop all its tasks again

What callers saw: nothing yet; found by a test. While a wide job that was cancelled, or has failed, comes to its ends, the leader's event loop stands still: no reports, cancellations or checks are answered.

Cause: each end of a run of a job that has ended ordered the stop of all its tasks once more, a look at each task and each run of all VMs. With n runs of one job that is the square of n.

Change: the stops are ordered by the end that ends the job. Runs that are listed later are stopped as they are adopted, and unanswered stops are repeated as before.

--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -100,6 +100,8 @@
                 )
             else:
                 self._count_outcome(vm, ended, now)
+            known = self._job_table.entry_by_id.get(ended.key.task.job)
+            was_open = known is not None and known.open
             entry = self._job_table.record_end(
                 ended.key,
                 ended.how,
@@ -110,7 +112,7 @@
             )
             if task is not None and is_other_run and task.state is TaskState.SUCCEEDED:
                 self._runs.stop_tasks([task], now)
-            if entry is not None and entry.state.final:
+            if was_open and entry is not None and entry.state.final:
                 self._runs.stop_tasks(entry.tasks(), now)
             version = entry.version if entry else 0
             tracker.unsettled.append(
