The ends of a gang are acknowledged without a look at all members for each

What callers saw: nothing yet; found by a test. As a wide gang succeeds, the leader's event loop stands still.

Cause: an end is acknowledged once no other run of its task may go on, for a gang of any member; that looked at all members for each end, again in each round.

Change: hosted runs are counted by number for each occurrence's step.

--- a/features/scheduling/bounded_work.feature
+++ b/features/scheduling/bounded_work.feature
@@ -10,6 +10,7 @@
       | succeeds                                |
       | is cancelled while all its tasks run    |
       | fails while all its tasks run           |
+      | is a gang that succeeds                 |
       | is a gang that ends as one member fails |
       | is a gang without room                  |
       | serves                                  |
--- a/wagtailcleat/scheduling/hosted_runs.py
+++ b/wagtailcleat/scheduling/hosted_runs.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
-from wagtailcleat.ids import NodeId
+from wagtailcleat.ids import JobId, NodeId
 from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.events import Event, LoggedEvent
 from wagtailcleat.scheduling.job_entry import Task, TaskState
@@ -33,6 +33,10 @@
         self._dispatch = dispatch
         self._runs_by_task: defaultdict[TaskKey, list[RunKey]] = defaultdict(list)
         """The hosted runs of each task that has any."""
+        self._count_by_run_by_step: defaultdict[
+            tuple[JobId, int, int], Counter[int]
+        ] = defaultdict(Counter)
+        """Hosted runs by number, of each occurrence's step that has any."""
         self._logged_events: list[LoggedEvent] = []
         """Events since the last call of `take_logged_events`."""
 
@@ -45,6 +49,7 @@
         if hosted.key not in vm.hosted_by_run:
             vm.host_run(hosted)
             self._runs_by_task[hosted.key.task].append(hosted.key)
+            self._count_by_run_by_step[hosted.key.task[:3]][hosted.key.run] += 1
 
     def drop(self, vm: Vm, key: RunKey) -> HostedRun | None:
         """Remove a run from a VM, free its resources and return it, or return None."""
@@ -54,6 +59,13 @@
             runs.remove(key)
             if not runs:
                 del self._runs_by_task[key.task]
+            step = key.task[:3]
+            count_by_run = self._count_by_run_by_step[step]
+            count_by_run[key.run] -= 1
+            if not count_by_run[key.run]:
+                del count_by_run[key.run]
+            if not count_by_run:
+                del self._count_by_run_by_step[step]
         return hosted
 
     def has_other_run(self, run: RunKey) -> bool:
@@ -61,11 +73,11 @@
 
         The members of a gang end together, so runs of all its members count.
         """
-        return any(
-            hosted.run != run.run
-            for task in self._job_table.tasks_ending_with(run.task)
-            for hosted in self._runs_by_task.get(task, ())
-        )
+        if self._job_table.is_gang(run.task):
+            numbers = self._count_by_run_by_step.get(run.task[:3], ())
+            return any(number != run.run for number in numbers)
+        hosted = self._runs_by_task.get(run.task, ())
+        return any(other.run != run.run for other in hosted)
 
     def adopt(self, vm: Vm, key: RunKey, now: float) -> HostedRun | None:
         """Return a run that an agent has reported, and add it if it is not known.
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -119,14 +119,18 @@
 
     def tasks_ending_with(self, key: TaskKey) -> list[TaskKey]:
         """Return the tasks that an end of a task counts for: itself, or its gang."""
-        entry = self.entry_by_id.get(key.job)
-        if entry is None or key.step >= len(entry.job.steps):
-            return [key]
-        step = entry.job.steps[key.step]
-        if not step.gang:
+        if not self.is_gang(key):
             return [key]
+        step = self.entry_by_id[key.job].job.steps[key.step]
         return [key._replace(position=position) for position in range(step.count)]
 
+    def is_gang(self, key: TaskKey) -> bool:
+        """Return whether a task is a member of a gang."""
+        entry = self.entry_by_id.get(key.job)
+        if entry is None or key.step >= len(entry.job.steps):
+            return False
+        return entry.job.steps[key.step].gang
+
     def is_finished(self, run: RunKey) -> bool:
         """Return whether the task of a run will not start again."""
         entry = self.entry_by_id.get(run.task.job)
