Filling runs of a VM without serving ones are not added up for each start

Cause: each start of a filling task added up all filling runs of its VM, to learn what they add to serving ones, also where nothing serves.

Change: nothing is added up where nothing serves.

--- a/features/scheduling/bounded_work.feature
+++ b/features/scheduling/bounded_work.feature
@@ -13,6 +13,7 @@
       | is a gang that succeeds                 |
       | is a gang that ends as one member fails |
       | is a gang without room                  |
+      | fills idle cores                        |
       | serves                                  |
       | has a limit for each VM                 |
       | has a step of 10 edges for each task    |
--- a/wagtailcleat/scheduling/sharing.py
+++ b/wagtailcleat/scheduling/sharing.py
@@ -237,6 +237,10 @@
         state = self.state(vm)
         if state.version == vm.version:
             return state
+        state.version = vm.version
+        if not vm.serving_runs:
+            state.serving_jobs, state.added_by_image = set(), {}
+            return state
         share_by_image: dict[str, float] = {}
         for run in filling_runs(vm):
             image = run.step.image
@@ -251,7 +255,6 @@
             )
             for serving in {job.image for job in state.serving_jobs}
         }
-        state.version = vm.version
         return state
 
 
