VMs are scored once for a gang, not for each member

What callers saw: nothing yet; found by a test. While a wide gang looks for room, the leader's event loop stands still, again after each report if there is none.

Cause: each member looked at all VMs.

Change: gangs use the same heap of scores, which gives the same choices.

--- a/features/scheduling/bounded_work.feature
+++ b/features/scheduling/bounded_work.feature
@@ -27,6 +27,8 @@
     Examples:
       | what                |
       | a job               |
+      | a gang              |
+      | a gang without room |
 
   Scenario Outline: A schedule with <count> overdue occurrences costs as much as one with 1000
     # Guards against a leader that stands still, or runs out of memory, because of one schedule far overdue.
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -374,20 +374,26 @@
         pool = self._pool_by_service.get(tasks[0].entry.job.service, [])
         racks: Counter[str] = Counter()
         chosen: list[tuple[Vm, RunKey]] = []
+        candidates_by_key: dict[ScoringKey, Candidates] = {}
         for task in tasks:
-            vm = choose(
-                pool,
-                task,
-                now=now,
-                racks=racks,
-                is_allowed=lambda vm: self._may_start(vm, tasks[0], now),
-            )
+            alike = scoring_key(task, racks)
+            if alike not in candidates_by_key:
+                candidates_by_key[alike] = Candidates(
+                    pool,
+                    task,
+                    now=now,
+                    racks=racks,
+                    is_allowed=lambda vm: self._may_start(vm, tasks[0], now),
+                )
+            vm = candidates_by_key[alike].best()
             if vm is None:
                 break
             key = RunKey(task.key, run)
             vm.host_run(HostedRun(key, task.step, now))
             chosen.append((vm, key))
             racks[vm.rack] += 1
+            for candidates in candidates_by_key.values():
+                candidates.rescore(vm)
         for vm, key in chosen:
             vm.drop_run(key)
         return [vm for vm, _ in chosen]
