Tests: late submissions cancelled at any entry, over a change of leader

Cause: the scenarios had two entries without a leader, and no change of leader between the 410 and the late write.

Change: a submission to the leader's entry, to a follower (whose relayed write is late as well) or to an entry that knows no leader is cancelled at another of these, and stored after the next leader has led for up to 50 s.

--- a/features/platform/late_writes.feature
+++ b/features/platform/late_writes.feature
@@ -29,6 +29,23 @@
     Then the cancellation is answered with "cancelled"
     And no leader starts it
 
+  Scenario Outline: A submission to <first> is cancelled at <second>, stored late, and the leader changes
+    # Guards against a job that runs because an entry, or the next leader, knows nothing of its cancellation.
+    Given a leader, other entries, and a store that carries the writes of a submission out late
+    When a submission to <first> gets no answer, and is cancelled at <second>
+    Then the cancellation is answered with "no such job"
+    When the next leader has led for <seconds> s, and the writes of the submission are carried out
+    Then the job is not in the store
+    And neither this leader nor the next one starts it
+
+    Examples:
+      | first                         | second                        | seconds |
+      | the leader's entry            | an entry that follows it      | 0       |
+      | an entry that follows it      | the leader's entry            | 50      |
+      | an entry that follows it      | another entry that follows it | 0       |
+      | an entry that knows no leader | the leader's entry            | 0       |
+      | an entry that follows it      | an entry that knows no leader | 50      |
+
   Scenario: Old tombstones are removed
     # Guards against a store that fills with cancellations of jobs that never came.
     Given a store that carries the write of a submission out late, and two entries
--- a/features/steps/late_writes_steps.py
+++ b/features/steps/late_writes_steps.py
@@ -14,6 +14,13 @@
 from wagtailcleat.ids import JobId
 from wagtailcleat.scheduling.models import JobState
 from wagtailcleat.storage import Conflict
+from wagtailcleat.wire.scheduling import (
+    CancelSteps,
+    JobStored,
+    Leads,
+    StoreJob,
+    Submitted,
+)
 
 JOB = JobId("ab" * 8)
 DEADLINE_SECONDS = 0.4
@@ -37,6 +44,96 @@
     context.entries = [_entry(world), _entry(world)]
 
 
+class _LeaderPeers:
+    """Calls to the leader's entry, which carries them out."""
+
+    def __init__(self, context):
+        self._context = context
+
+    async def call(self, host, port, message, *, timeout):
+        """Return the answer of the leader's entry."""
+        leader = self._context.leader_world.leader
+        if isinstance(message, CancelSteps):
+            return await leader.cancel(message, timeout)
+        if isinstance(message, StoreJob):
+            own = self._context.entry_by_name["the leader's entry"]
+            outcome = await own.store(message.id, message.job)
+            return JobStored(outcome.value)
+        assert isinstance(message, Submitted), message
+        return await leader.submitted(message)
+
+
+def _entry_beside(context, *, leads=False, knows_leader=True):
+    world = context.leader_world
+    leader = Leads(2, "entry-1", 1, "127.0.0.1", 1) if knows_leader else NO_LEADER
+    return Submissions(
+        store=world.store,
+        peers=_LeaderPeers(context),
+        leadership=SimpleNamespace(leader=leader, leads=leads),
+        leader=lambda: world.leader if leads else None,
+        clock=world.loop.time,
+    )
+
+
+@given(
+    "a leader, other entries, and a store that carries the writes of a submission out"
+    " late"
+)
+def step_leader_store(context):
+    world = context.leader_world = LeaderWorld()
+    context.add_cleanup(world.close)
+    world.lead()
+    world.until(lambda: world.leader.ready)
+    world.rounds(1)
+    context.entry_by_name = {
+        "the leader's entry": _entry_beside(context, leads=True),
+        "an entry that follows it": _entry_beside(context),
+        "another entry that follows it": _entry_beside(context),
+        "an entry that knows no leader": _entry_beside(context, knows_leader=False),
+    }
+
+
+@when(
+    "a submission to {first} gets no answer, and is cancelled at {second}",
+)
+def step_cancelled_at(context, first, second):
+    by_name = context.entry_by_name
+    context.entries = [by_name[first], by_name[second]]
+    _submit_in_doubt(context)
+    _cancel(context)
+
+
+@when(
+    "the next leader has led for {seconds:d} s, and the writes of the submission are"
+    " carried out"
+)
+def step_next_leader(context, seconds):
+    world = context.leader_world
+    _next_leader(world)
+    check, tombstones.CHECK_SECONDS = tombstones.CHECK_SECONDS, 0.01
+    context.add_cleanup(setattr, tombstones, "CHECK_SECONDS", check)
+    world.now += seconds
+    for _ in range(20):
+        world.pause()
+    assert world.store.apply_delayed()
+
+
+def _next_leader(world):
+    world.work.cancel()
+    world.until(world.work.done)
+    world.lead(world.leader.lease.epoch + 1)
+    world.until(lambda: world.leader.ready)
+
+
+@then("neither this leader nor the next one starts it")
+def step_neither_starts(context):
+    world = context.leader_world
+    for _ in range(2):
+        world.rounds(2)
+        assert not world.runs(JOB)
+        _next_leader(world)
+
+
 def _run(context, work):
     return context.leader_world.loop.run_until_complete(work)
 
