Tests: a leader starts an advised step although calls take long, in turn

Cause: the scenarios asked a stand-in that forgets calls which were given up. The service handles one call at a time, so such calls delay the next one; and no scenario had a leader and agents.

Change: scenarios on virtual time with calls of 3, 6 and 10 s: the step starts with tickets, and a job of another queue does not wait for it.

--- a/features/scheduling/advice.feature
+++ b/features/scheduling/advice.feature
@@ -20,3 +20,16 @@
     When the leader asks about 30 workers
     And the service takes 0.1 s again
     Then questions name 30 workers again after 20 more
+
+  Scenario Outline: The service takes <decide> s for each call, and handles one after the other
+    # Guards against a step that never starts because calls that were given up still take their turn at the service.
+    Given 2 entries and 4 agents on virtual time, and an advice service that takes <decide> s for each call in turn
+    When a job of 4 tasks of an advised queue is stored, and one of another queue
+    Then the other job runs within 1 s
+    And the advised job runs within <limit> s, each task with a ticket
+
+    Examples:
+      | decide | limit |
+      | 3.0    | 6     |
+      | 6.0    | 36    |
+      | 10.0   | 60    |
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -4,12 +4,20 @@
 
 from behave import given, then, when
 
+from features.steps.scheduling_world import make_job, plain
+from features.steps.takeover_world import TakeoverWorld
 from wagtailcleat.cluster import advice_questions
+from wagtailcleat.cluster.keys import encode, job_key
 from wagtailcleat.platform.advice import Granted
 from wagtailcleat.scheduling.advice import Question, WorkerIncarnation
+from wagtailcleat.storage import Txn
 
 ALL = 30
 MANY_QUESTIONS = 60
+ADVISED = "ab" * 8
+OTHER = "cd" * 8
+TICKET = "t"
+TICKET_SECONDS = 10.0
 
 
 class _Service:
@@ -122,3 +130,74 @@
 
     asyncio.run(_ask_until(context, names_all))
     assert service.asked[-1][0] == count, service.asked
+
+
+class _ServiceInTurn:
+    """Handles one call at a time; a caller that gives up does not end its call."""
+
+    def __init__(self, loop, decide):
+        self._loop, self._decide = loop, decide
+        self._free_at = 0.0
+
+    async def ask(self, question, *, timeout):
+        now = self._loop.time()
+        self._free_at = max(now, self._free_at) + self._decide
+        if self._free_at > now + timeout:
+            await asyncio.sleep(timeout)
+            return None
+        await asyncio.sleep(self._free_at - now)
+        granted = {worker.id: TICKET for worker in question.workers}
+        return Granted(granted, TICKET_SECONDS)
+
+
+@given(
+    "{entries:d} entries and {agents:d} agents on virtual time, and an advice service"
+    " that takes {decide:g} s for each call in turn"
+)
+def step_in_turn(context, entries, agents, decide):
+    world = context.world = TakeoverWorld(entries=entries, agents=agents)
+    context.add_cleanup(world.close)
+    world.advice = _ServiceInTurn(world.loop, decide)
+    world.until_led()
+    # Until every agent is registered.
+    world.wait(2.0)
+
+
+@when(
+    "a job of {count:d} tasks of an advised queue is stored, and one of another queue"
+)
+def step_stored(context, count):
+    jobs = [
+        make_job(ADVISED, plain(count, cores=1.0), advised=True),
+        make_job(OTHER, plain(1)),
+    ]
+    context.count_by_job = {ADVISED: count, OTHER: 1}
+    for job in jobs:
+        context.world.keyspace.commit(Txn([], {job_key(job.id): encode(job)}))
+
+
+def _starts(context, job):
+    return [
+        start
+        for agent in context.world.agents
+        for key, start in agent.worker.running.items()
+        if key.task.job == job
+    ]
+
+
+def _wait_for_starts(context, job, seconds):
+    count = context.count_by_job[job]
+    context.world.until(
+        lambda: len(_starts(context, job)) == count, seconds, f"{job} runs"
+    )
+
+
+@then("the other job runs within {seconds:d} s")
+def step_other_runs(context, seconds):
+    _wait_for_starts(context, OTHER, seconds)
+
+
+@then("the advised job runs within {seconds:d} s, each task with a ticket")
+def step_advised_runs(context, seconds):
+    _wait_for_starts(context, ADVISED, seconds)
+    assert all(start.ticket == TICKET for start in _starts(context, ADVISED))
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -420,6 +420,7 @@
             status_kept=60.0,
             zones_out=frozenset,
             link_bytes_per_second=self.world.link_bytes_per_second,
+            advice=self.world.advice,
         )
         try:
             await self.leader.run()
@@ -527,6 +528,8 @@
         self.network = Network(self.loop)
         self.link_bytes_per_second = math.inf
         """The rate of each leader's link."""
+        self.advice = None
+        """The advice service that each leader asks, if there is one."""
         self.incarnations = iter(range(1, 1000))
         self.starts: list[tuple[float, str, object]] = []
         self.overlaps: list[str] = []
