A submission that is larger than the store's values is refused at once

What callers saw: nothing yet; found by a test. Such a submission gets 504 (or 503) after the caller's whole deadline, so it is sent again, for good.

Cause: `valueBytes` was known to the leader's records only.

Change: the encoded job is compared with the limit before it is sent; 413, with a log line.

--- a/features/platform/refusals.feature
+++ b/features/platform/refusals.feature
@@ -16,3 +16,9 @@
     Given an entry whose first write gets no answer and is carried out after 5 s
     When a submission with 3 s to its deadline comes, and the store answers nothing more
     Then its outcome is unknown, and it is stored in the end
+
+  Scenario: A submission is larger than the values that the store takes
+    # Guards against callers that hand a submission in again and again which is never stored.
+    Given an entry whose store takes values of 1000 bytes at most
+    When a submission with a spec of 1001 bytes comes
+    Then it is refused within 0.1 s as too large, with status 413
--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -1,18 +1,24 @@
 """Steps on the verdict on a submission while the store and the leader fail."""
 
 import asyncio
+import json
 from dataclasses import dataclass, field
 
 from behave import given, then, when
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
+from tornado.httpclient import AsyncHTTPClient
+from tornado.testing import bind_unused_port
 
 from bench.virtual_time import run_virtual
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.cluster.submissions import Acceptance, Submissions
-from wagtailcleat.ids import Epoch, NodeId
+from wagtailcleat.ids import Epoch, NodeId, ServiceName
 from wagtailcleat.platform.keyvalue import OUTAGE_AFTER_SECONDS
+from wagtailcleat.platform.submissions import caller_server
+from wagtailcleat.scheduling.queues import Queue, queue_table
 from wagtailcleat.storage import Conflict, Unavailable, Unknown, Written
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.scheduling import JobStored, Leads, StoreJob
@@ -109,7 +115,7 @@
     leader = Leads(Epoch(1), NodeId("leader"), 1, "h", 1)
 
 
-def _submit(world, *, after=0.0, seconds=3.0):
+def _submit(world, *, after=0.0, seconds=3.0, spec_bytes=1, max_value_bytes=100_000):
     """Return the verdict on a submission, the seconds it took, and the truth."""
 
     async def main(clock):
@@ -120,9 +126,10 @@
             leadership=_Leadership(),
             leader=lambda: None,
             clock=clock,
+            max_value_bytes=max_value_bytes,
         )
         began = clock()
-        job = make_job(JOB, plain(1))
+        job = replace(make_job(JOB, plain(1)), spec="x" * spec_bytes)
         verdict = await submissions.submit(job, deadline=began + seconds)
         taken = clock() - began
         await asyncio.sleep(SETTLED_SECONDS)
@@ -186,3 +193,55 @@
 def step_unknown(context):
     assert context.verdict is Acceptance.UNKNOWN, context.verdict
     assert context.submission_world.stored
+
+
+@given("an entry whose store takes values of {size:d} bytes at most")
+def step_small_values(context, size):
+    # The store answers no larger write, so it is not known whether it was stored.
+    context.submission_world = _World(["lost"] * 99, [])
+    context.max_value_bytes = size
+
+
+@when("a submission with a spec of {size:d} bytes comes")
+def step_large(context, size):
+    context.verdict, context.seconds = _submit(
+        context.submission_world,
+        spec_bytes=size,
+        max_value_bytes=context.max_value_bytes,
+    )
+
+
+@then("it is refused within {seconds:g} s as too large, with status {status:d}")
+def step_too_large(context, seconds, status):
+    assert context.verdict is Acceptance.TOO_LARGE, context.verdict
+    assert context.seconds <= seconds, context.seconds
+    assert _status_of(Acceptance.TOO_LARGE) == status
+
+
+def _status_of(verdict):
+    """Return the status of a callers' server whose entry returns a verdict."""
+    queue = Queue("q", "127.0.0.1", "/q/", ServiceName("s"), 0, 4, 1.5, 1)
+
+    class Service:
+        async def submit(self, job, *, deadline):
+            return verdict
+
+    async def fetch():
+        server = caller_server(
+            Service(),
+            queues=lambda: queue_table(1, [queue]),
+            clock=lambda: 0.0,
+            wall_clock=lambda: 0.0,
+        )
+        socket, port = bind_unused_port()
+        server.add_socket(socket)
+        url = f"http://127.0.0.1:{port}/q/{JOB}"
+        body = json.dumps({"spec": "x", "steps": [{"count": 1}]})
+        try:
+            client = AsyncHTTPClient()
+            return await client.fetch(url, method="POST", body=body, raise_error=False)
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+    return asyncio.run(fetch()).code
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -95,6 +95,7 @@
             leadership=self.leadership,
             leader=lambda: self.leader,
             clock=boot_time,
+            max_value_bytes=settings.value_bytes,
         )
         common.dispatch.add_plain(
             {
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -19,6 +19,7 @@
 )
 from wagtailcleat.cluster.leader import Leader
 from wagtailcleat.cluster.leadership import Leadership
+from wagtailcleat.cluster.records import DEFAULT_MAX_VALUE_BYTES
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
@@ -70,6 +71,8 @@
     """In doubt: the job may be stored already, or may be stored later."""
     CANCELLED = "cancelled"
     """The job was cancelled before it was stored, and is not stored any more."""
+    TOO_LARGE = "too_large"
+    """The store takes no value of this size, so the job is never stored."""
 
 
 class Submissions:
@@ -83,8 +86,14 @@
         leadership: Leadership,
         leader: Callable[[], Leader | None],
         clock: Clock,
+        max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES,
     ) -> None:
-        """Create it; `leader` returns this entry's own `Leader` while it leads."""
+        """Create it; `leader` returns this entry's own `Leader` while it leads.
+
+        Parameters: `max_value_bytes` is the size of the largest value that the store
+        takes.
+        """
+        self._max_value_bytes = max_value_bytes
         self._store = store
         self._peers = peers
         self._leadership = leadership
@@ -110,6 +119,9 @@
         Parameters: `deadline` in seconds on this process's clock.
         """
         value = encode(job)
+        if len(value) > self._max_value_bytes:
+            log.warning("Too large", extra={"job": job.id, "bytes": len(value)})
+            return Acceptance.TOO_LARGE
         unknown = False
         while True:
             outcome = await self._store_or_relay(job.id, value)
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -291,6 +291,8 @@
             self.finish({})
         elif outcome is Acceptance.NOT_STORED:
             self._refuse(503, "the store takes nothing at present")
+        elif outcome is Acceptance.TOO_LARGE:
+            self._refuse(413, "the submission is too large to be stored")
         else:
             self._refuse(504, "it is not known whether the submission was stored")
 
