The state dump of the leader names jobs that can't be decoded

What operators saw: the metric counts such jobs; which ones and why stood in the log of the leader that read them only.

Change: section `unreadable_jobs` of an entry's `/state`, reason by id; the command line shows the log line with `explain JOB`, as before.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -14,6 +14,13 @@
       | the record of another job | 1     |
       | an agent                  | 1     |
 
+  Scenario: Operators look for a job that can't be decoded
+    # Guards against a job that is held back and can't be found, or found without the reason.
+    Given a deployment of 1 entry and 1 agent
+    When a job that can't be decoded is written into the store
+    Then the leader's metrics count 1 unreadable job
+    And the state dump of the leader, and the timeline of the job, tell why it can't be decoded
+
   Scenario: A later version reads a job that one could not decode
     # Guards against a job that is lost because one version could not read it.
     Given a store with 3 jobs, and a job that can't be decoded
--- a/features/steps/odd_process_steps.py
+++ b/features/steps/odd_process_steps.py
@@ -1,13 +1,22 @@
 """Steps on odd values in the store of a deployment of real processes."""
 
+import json
+import secrets
 from base64 import b64encode
 
 import msgspec
 from behave import then, when
 
 from features.steps.odd_values import UNDECODABLE, addressed_values, packed
+from standins.platform_cluster import host_of
 from standins.processes import http, wait_for
-from wagtailcleat.cluster.keys import AGENT_PREFIX, ENTRY_PREFIX, LEADER_KEY
+from wagtailcleat.cluster.keys import (
+    AGENT_PREFIX,
+    ENTRY_PREFIX,
+    JOB_PREFIX,
+    LEADER_KEY,
+)
+from wagtailcleat.operator.explain import read_timeline, timeline_lines
 
 SMALL_STEP = [{"count": 1, "cpu": 500, "memMb": 50, "estMs": 300}]
 
@@ -78,3 +87,36 @@
             line for line in process.log_lines() if line["message"].endswith("crashed")
         ]
         assert not lines, f"{process.name}: {lines[:3]}"
+
+
+@when("a job that can't be decoded is written into the store")
+def step_unreadable_job(context):
+    context.job = secrets.token_hex(8)
+    put_value(context.cluster, f"{JOB_PREFIX}{context.job}", UNDECODABLE)
+
+
+def _operators_page(context, name):
+    """Return a page of the first entry's port for operators."""
+    port = context.cluster.ports[1]
+    return http("GET", f"http://{host_of(1)}:{port}/{name}").body.decode()
+
+
+@then("the leader's metrics count {count:d} unreadable job")
+def step_unreadable_metric(context, count):
+    line = f"wagtailcleat_unreadable_jobs {float(count)}"
+    wait_for(
+        lambda: line in _operators_page(context, "metrics").splitlines(), 5.0, line
+    )
+
+
+@then(
+    "the state dump of the leader, and the timeline of the job, tell why it can't be"
+    " decoded"
+)
+def step_unreadable_told(context):
+    held_back = json.loads(_operators_page(context, "state"))["unreadable_jobs"]
+    assert list(held_back) == [context.job], held_back
+    why = held_back[context.job]
+    lines = [json.dumps(line) for line in context.cluster.entries[0].log_lines()]
+    timeline = list(timeline_lines(read_timeline(context.job, lines)))
+    assert why and any(why in line for line in timeline), (why, timeline)
--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -268,6 +268,10 @@
             "1 while this entry leads and does not know yet what is stored.",
             lambda: self.leader is not None and not self.leader.ready,
         )
+        self.common.introspection.add(
+            "unreadable_jobs",
+            lambda: self.leader.jobs.why_by_unreadable if self.leader else {},
+        )
         metric(
             Kind.GAUGE,
             "unreadable_jobs",
