A leave that can't be read is answered 400 and takes no worker out

What callers saw: nothing yet; found by a test. After one such message with the id of an agent's worker nothing starts on that VM any more, and what runs there is ordered to stop, although the worker goes on.

Cause: a body that can't be read counted as a leave without a birth time.

Evidence: the scenario failed before (eight leaves answered 200); a trial without the look at the answers: a job is not done within 6 s.

Change: 400, counted with the heartbeats that are invalid. An empty body and one without `born` are taken as before.

Measured: the scenario passes on real processes.

--- a/features/platform/odd_heartbeats.feature
+++ b/features/platform/odd_heartbeats.feature
@@ -69,3 +69,11 @@
     Given a leader with a worker of an unknown service, and another worker
     When 4 jobs are stored, and the agents report
     Then all of them run at the other worker
+
+  Scenario: Another writer sends leaves of the agent's worker that can't be read
+    # Guards against a worker that gets no work any more because somebody has sent its id.
+    Given a deployment of 1 entry and 1 agent
+    When 8 odd leaves of its worker are sent to the agent
+    Then each of them is answered 400
+    And the agent has counted all of them, and logged at most 5
+    And a job submitted afterwards is done within 6 s
--- a/features/steps/odd_heartbeats_steps.py
+++ b/features/steps/odd_heartbeats_steps.py
@@ -88,6 +88,18 @@
     check()
 
 
+ODD_LEAVES = [
+    {"born": True},
+    {"born": "1"},
+    {"born": -1},
+    {"born": 1.5},
+    {"born": None},
+    {"born": 2**60},
+    [],
+    "leave",
+]
+
+
 def _control(cluster):
     host = host_of(len(cluster.entries) + 1)
     return f"http://{host}:{cluster.ports[4]}"
@@ -121,6 +133,19 @@
     _send_odd(context, count)
 
 
+@when("{count:d} odd leaves of its worker are sent to the agent")
+def step_odd_leaves(context, count):
+    cluster = context.cluster
+    known = (
+        line["worker"]
+        for line in cluster.agents[0].log_lines()
+        if line["message"].endswith("Worker began")
+    )
+    url = f"{_control(cluster)}/instances/{next(known)}/leave"
+    bodies = [ODD_LEAVES[number % len(ODD_LEAVES)] for number in range(count)]
+    context.statuses = [http("POST", url, body).status for body in bodies]
+
+
 @then("each of them is answered {status:d}")
 def step_answered(context, status):
     assert set(context.statuses) == {status}, context.statuses
--- a/wagtailcleat/platform/heartbeats.py
+++ b/wagtailcleat/platform/heartbeats.py
@@ -116,11 +116,15 @@
 
 
 def decode_leave(body: bytes) -> int:
-    """Return the birth time of the leaving worker's incarnation; 0 if it is unknown."""
-    try:
-        return get_integer(parse_object(body), "born", default=0)
-    except BodyError:
+    """Return the birth time of the leaving worker's incarnation; 0 if it is unknown.
+
+    Raises:
+        BodyError: `body` is neither empty nor valid.
+
+    """
+    if not body:
         return 0
+    return get_integer(parse_object(body), "born", default=0)
 
 
 def _capacity(raw: dict[str, Any]) -> Resources:
@@ -175,11 +179,19 @@
 
 
 class _LeaveHandler(RequestHandler):
-    def initialize(self, leave: LeaveCallback) -> None:
+    def initialize(self, leave: LeaveCallback, rejections: Rejections) -> None:
         self._on_leave = leave
+        self._rejections = rejections
 
     async def post(self, instance: str) -> None:
-        await self._on_leave(instance, decode_leave(self.request.body))
+        try:
+            born = decode_leave(self.request.body)
+        except BodyError as error:
+            self._rejections.add(instance, error.message)
+            self.set_status(400)
+            self.finish({"error": error.message})
+            return
+        await self._on_leave(instance, born)
         self.finish({})
 
 
@@ -189,7 +201,7 @@
     """Return the HTTP application that the worker calls.
 
     Parameters: `on_heartbeat` and `on_leave` finish before the worker gets its answer;
-    `rejections` counts heartbeats that are invalid.
+    `rejections` counts heartbeats and leaves that are invalid.
     """
     return Application(
         [
@@ -198,7 +210,11 @@
                 _HeartbeatHandler,
                 {"beat": on_heartbeat, "rejections": rejections},
             ),
-            (r"/instances/([^/]+)/leave", _LeaveHandler, {"leave": on_leave}),
+            (
+                r"/instances/([^/]+)/leave",
+                _LeaveHandler,
+                {"leave": on_leave, "rejections": rejections},
+            ),
         ],
         log_function=lambda handler: None,
     )
