Ports whose requests need no body, or a small one, refuse large ones unread

What callers saw: nothing yet; found by a test. The readiness check, the operators' port and the heartbeat port buffered bodies of up to 100 MB each; an entry may use 300 MB.

Cause: the HTTP servers were made without a limit, only the callers' port had one.

Change: 64 KiB, and 1 MiB for heartbeats. The server answers 400 and closes the connection; that is not counted.

--- a/features/platform/odd_heartbeats.feature
+++ b/features/platform/odd_heartbeats.feature
@@ -77,3 +77,10 @@
     Then each of them is answered 400
     And the agent has counted all of them, and logged at most 5
     And a job submitted afterwards is done within 6 s
+
+  Scenario: Bodies of any size are announced at each port
+    # Guards against a process that buffers bodies until its memory is used up.
+    Given a deployment of 1 entry and 1 agent
+    When a body of 90000000 bytes is announced at each port for HTTP
+    Then each of these ports refuses it within 2 s, without having read it
+    And a job submitted afterwards is done within 6 s
--- a/features/steps/odd_heartbeats_steps.py
+++ b/features/steps/odd_heartbeats_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import socket
 
 from behave import given, then, when
 from hypothesis import given as draw
@@ -146,6 +147,33 @@
     context.statuses = [http("POST", url, body).status for body in bodies]
 
 
+@when("a body of {size:d} bytes is announced at each port for HTTP")
+def step_announce(context, size):
+    cluster = context.cluster
+    _, metrics, front, ready, control = cluster.ports
+    entry, agent = host_of(1), host_of(len(cluster.entries) + 1)
+    addresses = [(entry, port) for port in (metrics, front, ready)]
+    addresses += [(agent, port) for port in (metrics, control)]
+    head = f"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n{{"
+    context.connections = []
+    for address in addresses:
+        connection = socket.create_connection(address, timeout=2.0)
+        context.add_cleanup(connection.close)
+        connection.sendall(head.encode())
+        context.connections.append(connection)
+
+
+@then("each of these ports refuses it within {seconds:g} s, without having read it")
+def step_refused(context, seconds):
+    for connection in context.connections:
+        connection.settimeout(seconds)
+        try:
+            answer = connection.recv(100)
+        except TimeoutError:
+            answer = b"nothing"
+        assert answer.startswith(b"HTTP/1.1 4"), (connection.getpeername(), answer)
+
+
 @then("each of them is answered {status:d}")
 def step_answered(context, status):
     assert set(context.statuses) == {status}, context.statuses
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -21,7 +21,11 @@
 )
 from wagtailcleat.ids import Epoch, NodeId, ZoneName
 from wagtailcleat.introspection import Kind
-from wagtailcleat.platform.heartbeats import Rejections, heartbeat_application
+from wagtailcleat.platform.heartbeats import (
+    MAX_HEARTBEAT_BYTES,
+    Rejections,
+    heartbeat_application,
+)
 from wagtailcleat.wire.handshake import Role
 from wagtailcleat.wire.scheduling import Leads, Orders, Report
 
@@ -84,7 +88,8 @@
         server = HTTPServer(
             heartbeat_application(
                 self.hosting.take_heartbeat, self.hosting.leave, self.rejections
-            )
+            ),
+            max_body_size=MAX_HEARTBEAT_BYTES,
         )
         server.listen(port, host)
         serve_metrics(self.common, self.settings)
--- a/wagtailcleat/cluster/program.py
+++ b/wagtailcleat/cluster/program.py
@@ -19,6 +19,7 @@
 from wagtailcleat.cluster.settings import CommonSettings, load
 from wagtailcleat.cluster.stored_values import StoredValues, unreadable_counts
 from wagtailcleat.cluster.timing import STORE_CALL_SECONDS
+from wagtailcleat.draining_server import MAX_UNUSED_BODY_BYTES
 from wagtailcleat.errors import SettingsError
 from wagtailcleat.ids import NodeId
 from wagtailcleat.introspection import Introspection, Kind
@@ -192,7 +193,7 @@
         ],
         log_function=lambda handler: None,
     )
-    server = HTTPServer(application)
+    server = HTTPServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
     server.listen(settings.metrics_port, settings.host)
     return server
 
--- a/wagtailcleat/draining_server.py
+++ b/wagtailcleat/draining_server.py
@@ -26,6 +26,9 @@
 FIRST_REQUEST_SECONDS = 0.3
 """How long the first request of a new connection may take to arrive."""
 
+MAX_UNUSED_BODY_BYTES = 64 * 1024
+"""Limit of bodies at ports whose requests need none; a server buffers them."""
+
 
 @dataclass
 class _Connection:
--- a/wagtailcleat/platform/heartbeats.py
+++ b/wagtailcleat/platform/heartbeats.py
@@ -38,6 +38,7 @@
 """Latest birth time in milliseconds, centuries ahead; fencing tokens begin with it."""
 MAX_CAPACITY = 2**31
 MAX_NAME = 200
+MAX_HEARTBEAT_BYTES = 1024 * 1024
 MAX_SHOWN = 50
 INSTANCE_PATTERN = r"[!-~]{1,200}"
 """Ids of workers; they are sent in a header."""
--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -14,7 +14,7 @@
 
 from wagtailcleat.cluster.job_states import NoSuchJob, NotAnswered
 from wagtailcleat.cluster.submissions import Acceptance
-from wagtailcleat.draining_server import DrainingServer
+from wagtailcleat.draining_server import MAX_UNUSED_BODY_BYTES, DrainingServer
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.calls import CallsInProgress
@@ -381,4 +381,4 @@
         [(r"/ready", _ReadyHandler, {"ready": ready})],
         log_function=lambda handler: None,
     )
-    return HTTPServer(application)
+    return HTTPServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
