--- a/wagtailcleat/platform/submissions.py
+++ b/wagtailcleat/platform/submissions.py
@@ -14,7 +14,7 @@
 
 from wagtailcleat.cluster.job_states import NoSuchJob, NotAnswered
 from wagtailcleat.cluster.submissions import Acceptance
-from wagtailcleat.draining_server import DrainingServer
+from wagtailcleat.draining_server import MAX_UNUSED_BODY_BYTES, DrainingServer
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.calls import CallsInProgress
@@ -291,6 +291,8 @@
             self.finish({})
         elif outcome is Acceptance.NOT_STORED:
             self._refuse(503, "the store takes nothing at present")
+        elif outcome is Acceptance.TOO_LARGE:
+            self._refuse(413, "the submission is too large to be stored")
         else:
             self._refuse(504, "it is not known whether the submission was stored")
 
@@ -379,4 +381,4 @@
         [(r"/ready", _ReadyHandler, {"ready": ready})],
         log_function=lambda handler: None,
     )
-    return HTTPServer(application)
+    return HTTPServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
