A cancellation is tried again until shortly before its caller's deadline

What callers saw: 504 to a DELETE 1.0 s after it was sent, although they waited for 3 s and the store answered again.

Cause: Submissions.cancel made one attempt. POST (Submissions.submit) and GET (JobStates.find) are repeated until shortly before the deadline unless the store is known to be away.

Ruled out: a cancellation that takes effect twice. Each write asks that its key is absent; a repeated one finds the key and answers the same.

The first attempt is carried out as before.

--- a/features/steps/states_steps.py
+++ b/features/steps/states_steps.py
@@ -7,10 +7,17 @@
 
 from standins.virtual_time import VirtualLoop
 from wagtailcleat.cluster.job_states import NoSuchJob, NotAnswered
-from wagtailcleat.cluster.keys import job_key
+from wagtailcleat.cluster.keys import cancel_key, job_key
 from wagtailcleat.cluster.submissions import Submissions
 from wagtailcleat.scheduling.models import JobState
-from wagtailcleat.storage import Absent, Found, Unavailable
+from wagtailcleat.storage import (
+    Absent,
+    Conflict,
+    Found,
+    Unavailable,
+    Unknown,
+    Written,
+)
 from wagtailcleat.wire.parts import Lost
 from wagtailcleat.wire.scheduling import Leads, StateShown
 
@@ -39,7 +46,8 @@
     def __init__(self, seconds, lost, *, has_job, is_away=False):
         self.seconds = seconds
         self.lost = lost
-        self.has_job = has_job
+        self.lost_writes = 0
+        self.keys = {job_key(JOB)} if has_job else set()
         self.is_away = is_away
 
     def is_unavailable(self, now):
@@ -53,8 +61,21 @@
             await asyncio.sleep(LOST_SECONDS)
             return Unavailable("lost")
         await asyncio.sleep(self.seconds)
-        has_key = self.has_job and key == job_key(JOB)
-        return Found(key, b"", 7) if has_key else Absent(9)
+        return Found(key, b"", 7) if key in self.keys else Absent(9)
+
+    async def write(self, txn):
+        """Carry out a write of keys that must be absent; its answer may be lost."""
+        present = [c.key for c in txn.compares if c.key in self.keys]
+        if not present:
+            self.keys |= set(txn.puts)
+        if self.lost_writes or self.is_away:
+            self.lost_writes -= 1
+            await asyncio.sleep(LOST_SECONDS)
+            return Unknown("lost")
+        await asyncio.sleep(self.seconds)
+        if present:
+            return Conflict(tuple(Found(key, b"", 7) for key in present))
+        return Written(10)
 
 
 @given("an entry whose leader gives no answer within {seconds:g} s")
@@ -79,8 +100,24 @@
     context.read_store = _Store(0.01, 0, has_job=True, is_away=True)
 
 
+@given("it loses the answers to {count:d} writes")
+def step_lost_writes(context, count):
+    context.read_store.lost_writes = count
+
+
 @when("a caller asks for the state and waits for {seconds:g} s")
 def step_asks(context, seconds):
+    _ask(context, seconds, Submissions.state)
+
+
+@when("a caller cancels the job and waits for {seconds:g} s")
+def step_cancels(context, seconds):
+    _ask(context, seconds, Submissions.cancel)
+    if context.answer is JobState.CANCELLED or isinstance(context.answer, NoSuchJob):
+        assert cancel_key(JOB) in context.read_store.keys
+
+
+def _ask(context, seconds, question):
     loop = VirtualLoop()
     context.add_cleanup(loop.end)
     submissions = Submissions(
@@ -92,11 +129,16 @@
     )
     started_at = loop.time()
     context.answer = loop.run_until_complete(
-        submissions.state(JOB, deadline=started_at + seconds)
+        question(submissions, JOB, deadline=started_at + seconds)
     )
     context.answer_seconds = loop.time() - started_at
 
 
+@then('it is told "no such job" within {limit:g} s')
+def step_told_none(context, limit):
+    step_no_such_job(context, limit)
+
+
 @then('it is told "{state}" within {limit:g} s')
 def step_told(context, state, limit):
     assert context.answer is JobState(state), (context.answer, context.answer_seconds)
--- a/wagtailcleat/cluster/submissions.py
+++ b/wagtailcleat/cluster/submissions.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
 
 from wagtailcleat.clock import Clock
@@ -234,14 +235,28 @@
     ) -> JobState | NoSuchJob | NotAnswered:
         """Cancel a job and return its state, which is final.
 
+        A call that fails is repeated until shortly before the deadline, unless the
+        store is known to be away.
+
         Parameters: `deadline` in seconds on this process's clock.
         """
+        answer_by = deadline - ANSWER_MARGIN_SECONDS
+        found = await self._cancel_once(job, answer_by)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, answer_by - self._clock())):
+                while isinstance(found, NotAnswered):
+                    if self._store.is_unavailable(self._clock()):
+                        break
+                    await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                    found = await self._cancel_once(job, answer_by)
+        return found
+
+    async def _cancel_once(
+        self, job: JobId, answer_by: float
+    ) -> JobState | NoSuchJob | NotAnswered:
         own_leader = self._leader()
         remaining = max(
-            MIN_WAIT_SECONDS,
-            min(
-                CANCEL_TIMEOUT_SECONDS, deadline - self._clock() - ANSWER_MARGIN_SECONDS
-            ),
+            MIN_WAIT_SECONDS, min(CANCEL_TIMEOUT_SECONDS, answer_by - self._clock())
         )
         if own_leader is not None and own_leader.ready:
             answer: AnyMessage | Lost = await own_leader.cancel(
