A worker at its agent's VM goes before a stranger that names a later birth

While another writer sends heartbeats, each born later than the one before, a VM whose worker has restarted under another id gets no work.

Cause: of the workers that wait for the end of the present one, the one with the latest birth begins. The stranger never answers; when its leases count as lapsed, the next of its heartbeats begins.

Change: a heartbeat that names an address of this VM goes before any other; also where the present worker has ended as the heartbeat arrives. Not covered: workers that are not at an address of their agent's VM.

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -161,6 +161,13 @@
     Then "i-1" is the worker of this VM
     And the runs of that worker are known
 
+  Scenario: Heartbeats of a worker of another VM name a later birth each time
+    # Guards against a VM whose next worker never begins because a stranger's heartbeat always seems to be the later one.
+    Given an agent whose worker listens at its VM's address
+    When its process ends, and such heartbeats arrive beside those of the next worker for 12 s
+    Then "i-2" is the worker of this VM
+    And the runs of that worker are known
+
   Scenario Outline: The address <address> <what>
     # Guards against a refusal by another VM that is taken for one of the agent's own VM.
     Then the address "<address>" <what>
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -53,7 +53,8 @@
             return
         rows = [[task, 1, "", 10, 0] for task in self.world.listed_tasks]
         ends = self.world.ends
-        body = {"clockMs": 1000, "running": rows, "finished": ends, "born": BORN}
+        body = {"clockMs": 1000, "running": rows, "finished": ends}
+        body["born"] = self.world.listed_born
         self.finish(json.dumps(body))
 
 
@@ -78,6 +79,8 @@
         self.worker_host = worker_host
         self.listed_tasks = [TASK]
         self.ends = []
+        self.listed_born = BORN
+        """Birth time that its lists name."""
         self.lists = []
         """Bodies of the lists that the worker was asked for."""
         self.stops = []
@@ -105,11 +108,15 @@
             [("/hold", _ListHandler, arguments), ("/run-stop", _StopHandler, arguments)]
         )
 
-    async def _begin(self):
+    async def listen(self):
+        """Open the worker's port."""
         sockets = bind_sockets(0, self.worker_host)
         self.address = f"{self.worker_host}:{sockets[0].getsockname()[1]}"
         self.server = HTTPServer(self.make_application())
         self.server.add_sockets(sockets)
+
+    async def _begin(self):
+        await self.listen()
         self.work = asyncio.create_task(self.hosting.run())
         await self._hear_first()
 
@@ -376,6 +383,29 @@
     context.hosting_world.begin_incarnation(BORN + 1, instance="i-2")
 
 
+@when(
+    "its process ends, and such heartbeats arrive beside those of the next worker for"
+    " {seconds:d} s"
+)
+def step_strangers(context, seconds):
+    world = context.hosting_world
+    world.end_process()
+    world.until(lambda: world.hosting.refusals)
+    world.listed_born = BORN + 1
+    world.loop.run_until_complete(world.listen())
+    for number in range(2 * seconds):
+        world.now += 0.5
+        stranger = world._heartbeat(BORN + 5000 + number, instance="i-9")
+        stranger = replace(stranger, address=f"{OTHER_HOST}:1")
+        world.loop.run_until_complete(world.hosting.take_heartbeat(stranger))
+        world.begin_incarnation(BORN + 1, instance="i-2", sequence=number)
+        world.loop.run_until_complete(asyncio.sleep(POLL_SECONDS))
+        if world.hosting.info.id == "i-2":
+            # Otherwise its leases lapse: calls take real time, and 0.5 s have passed.
+            known = len(world.lists)
+            world.until(lambda known=known: len(world.lists) > known + 1)
+
+
 @when("{seconds:d} s pass without another heartbeat")
 def step_time_passes(context, seconds):
     context.hosting_world.now += seconds
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -92,10 +92,9 @@
         Parameters: `own_host` is the address of this VM; `lease_limit` is the longest
         lease that the platform grants, in seconds; `may_start` returns whether the
         leader's orders may be carried out now; `leader_contact_at` returns when the
-        leader was last reached; `is_zone_out` returns whether operators have taken a
-        zone out; `on_change` is called when there is something to report;
-        `make_worker` creates the client of a worker; `is_local_address` returns whether
-        an address is certainly of this VM.
+        leader was last reached; `is_zone_out`, whether operators have taken a zone out;
+        `is_local_address`, whether an address is certainly of this VM; `make_worker`, a
+        client of a worker; `on_change` is called when there is something to report.
         """
         self._clock = clock
         self._wall_clock = wall_clock
@@ -117,6 +116,7 @@
             on_doubt=self._list_at_once,
             on_end=lambda _: self.orders.cancel(),
             on_change=on_change,
+            is_local_address=is_local_address,
         )
         self.orders = RunOrders(
             clock=clock,
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from wagtailcleat.cluster.settings import split_address
 from wagtailcleat.cluster.worker_events import log_worker
 from wagtailcleat.cluster.worker_incarnation import WorkerIncarnation, has_ended
 from wagtailcleat.logs import part_logger
@@ -49,6 +50,7 @@
         on_doubt: Callable[[], None],
         on_end: Callable[[WorkerIncarnation], None],
         on_change: Callable[[], None],
+        is_local_address: Callable[[str], bool],
     ) -> None:
         """Start without a worker.
 
@@ -56,8 +58,10 @@
         called when the present worker announces that it leaves; `on_doubt` when another
         one sends a heartbeat, so that the end of the present one is to be looked for;
         `on_end` when it is succeeded or has left; `on_change` when there is something
-        to report.
+        to report; `is_local_address` returns whether an address is certainly of this
+        VM.
         """
+        self._is_local_address = is_local_address
         self.present: WorkerIncarnation | None = None
         self.info: WorkerInfo | None = None
         self.left = False
@@ -88,12 +92,14 @@
                 "Late heartbeat of an earlier worker ignored",
                 extra={"worker": heartbeat.worker.id},
             )
-        elif present is None or (sender is Sender.NEXT and has_ended(present)):
+        elif present is None:
             self._begin(heartbeat)
         elif sender is Sender.PRESENT:
             self._update(present, heartbeat)
         else:
             self._wait_for_end(present, heartbeat, now)
+            if has_ended(present) and self._next is not None:
+                self._begin(self._next)
 
     def leave(self, instance: str, born: int) -> None:
         """Handle the message that a worker leaves; see `Hosting.leave`."""
@@ -175,13 +181,15 @@
         self, present: WorkerIncarnation, heartbeat: Heartbeat, now: float
     ) -> None:
         worker = heartbeat.worker
-        is_valid = self._next is not None and now <= self._next_until
-        known = self._next.worker if is_valid and self._next is not None else None
-        if known is not None and worker.born < known.born:
+        known = self._next if now <= self._next_until else None
+        if known is not None and self._precedence(heartbeat) < self._precedence(known):
             return
         self._next = heartbeat
         self._next_until = now + NEXT_VALID_SECONDS
-        if known is not None and (known.born, known.id) == (worker.born, worker.id):
+        if known is not None and (known.worker.born, known.worker.id) == (
+            worker.born,
+            worker.id,
+        ):
             return
         log.info(
             "Worker waits for the end of the one before",
@@ -190,6 +198,11 @@
         present.is_doubtful = True
         self._on_doubt()
 
+    def _precedence(self, heartbeat: Heartbeat) -> tuple[bool, int]:
+        # A worker of another VM may name any birth time.
+        host, _ = split_address(heartbeat.address)
+        return self._is_local_address(host), heartbeat.worker.born
+
     def _begin(self, heartbeat: Heartbeat) -> None:
         self._end()
         self.left = False
