A new leader waits for no agent whose key no process has ever written

The store's history tells the two apart: if it shows each value of the key since its creation, and none is readable, no leader has registered this agent, so none has started anything there. Whatever the history doesn't show in full (discarded, no answer, the creation missing) is waited for as before. The look is one call, made only if there is such a key, before the new leader is ready: later, an agent of that name could have reported and been given tasks.

Tests: four values written three times each, failing before (0 of 4 jobs start within 2 s); an agent's key whose history is discarded is still waited for (fails if the key's creation need not be shown). The simulated store keeps its history, as the real one does, and its watches show deletions.

--- a/features/platform/odd_values.feature
+++ b/features/platform/odd_values.feature
@@ -136,6 +136,20 @@
       | a host name |
       | an empty host |
 
+  Scenario Outline: An agent's key that no leader has written is written again with <value>
+    # Guards against work that waits for an agent that does not exist, as its key has changed.
+    Given 3 entries and 4 agents on virtual time, one of which leads
+    When another writer writes an agent's key 3 times with <value>, and the leader is killed
+    And a job is stored
+    Then the job starts within 2 s
+
+    Examples:
+      | value |
+      | bytes that can't be decoded |
+      | nothing |
+      | text |
+      | port 0 |
+
   Scenario Outline: The key of an agent is <key>
     # Guards against work that waits for an agent that no process can be named after.
     Given 3 entries and 4 agents on virtual time, one of which leads
@@ -159,6 +173,17 @@
     Then no task runs in two places in 15 s
     And the epoch has risen by 1
 
+  Scenario: The key of an agent that runs a task is overwritten twice, and the store discards its history
+    # Guards against duplicate runs: what is left of the history doesn't show the agent's own value.
+    Given 3 entries and 2 agents on virtual time, one of which leads
+    And a task runs
+    When the key of the task's agent is overwritten with bytes that can't be decoded
+    And the store discards its history
+    And the key of the task's agent is overwritten with bytes that can't be decoded
+    And the leader is killed, and the task's agent is cut off from everything else
+    Then no task runs in two places in 15 s
+    And the epoch has risen by 1
+
   Scenario Outline: An entry's key holds <value>
     # Guards against entries that can't claim, or that are not told of, behind one value.
     Given 3 entries and 4 agents on virtual time, one of which leads
--- a/features/steps/odd_process_keys_steps.py
+++ b/features/steps/odd_process_keys_steps.py
@@ -36,6 +36,17 @@
     context.old_leader.kill()
 
 
+@when(
+    "another writer writes an agent's key {times:d} times with {name}, and the leader"
+    " is killed"
+)
+def step_odd_value_again(context, times, name):
+    value = addressed_values(FIELDS, host=0, port=1)[name]
+    for _ in range(times):
+        _put(context, AGENT_PREFIX + "0-odd", value)
+    context.old_leader.kill()
+
+
 @when(
     'another writer stores a valid value under the agent\'s key "{name}", and the'
     " leader is killed"
@@ -55,6 +66,11 @@
     _put(context, agent_key(context.agent.node), UNDECODABLE)
 
 
+@when("the store discards its history")
+def step_discard_history(context):
+    context.world.keyspace.history.clear()
+
+
 @when("the leader is killed, and the task's agent is cut off from everything else")
 def step_agent_cut(context):
     context.old_leader.kill()
--- a/features/steps/takeover_world.py
+++ b/features/steps/takeover_world.py
@@ -82,6 +82,7 @@
 
     revision: int = 0
     found_by_key: dict[str, Found] = field(default_factory=dict)
+    history: list[Event] = field(default_factory=list)
     written: asyncio.Event = field(default_factory=asyncio.Event)
 
     def with_prefix(self, prefix: str) -> list[Found]:
@@ -107,8 +108,10 @@
             old = self.found_by_key.get(key)
             created = old.create_revision if old else self.revision
             self.found_by_key[key] = Found(key, value, self.revision, created)
+            self.history.append(Event(key, value, self.revision))
         for key in txn.deletes:
-            self.found_by_key.pop(key, None)
+            if self.found_by_key.pop(key, None):
+                self.history.append(Event(key, None, self.revision))
         return Written(self.revision)
 
 
@@ -182,13 +185,15 @@
                 while not self._changed_since(prefix, revision):
                     self.keyspace.written.clear()
                     await self.keyspace.written.wait()
-        new = self._changed_since(prefix, revision)
-        events = [Event(f.key, f.value, f.mod_revision) for f in new]
+        events = self._changed_since(prefix, revision)
         return Changes(events, self.keyspace.revision)
 
-    def _changed_since(self, prefix: str, revision: int) -> Sequence[Found]:
-        found = self.keyspace.with_prefix(prefix)
-        return [key for key in found if key.mod_revision > revision]
+    def _changed_since(self, prefix: str, revision: int) -> Sequence[Event]:
+        return [
+            event
+            for event in self.keyspace.history
+            if event.key.startswith(prefix) and event.mod_revision > revision
+        ]
 
 
 class FakeStream:
--- a/wagtailcleat/cluster/registrations.py
+++ b/wagtailcleat/cluster/registrations.py
@@ -5,10 +5,14 @@
 from dataclasses import dataclass
 
 from wagtailcleat.cluster.keys import ProcessInfo
-from wagtailcleat.cluster.stored_values import StoredValues, Unreadable
+from wagtailcleat.cluster.stored_values import StoredValues, Unreadable, decode_stored
 from wagtailcleat.configuration.models import NAME_PATTERN
 from wagtailcleat.ids import NodeId
-from wagtailcleat.storage import Found
+from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.storage import Changes, Event, Found
+
+HISTORY_SECONDS = 0.1
+"""How long the store waits for events; those asked for have happened."""
 
 
 @dataclass(frozen=True)
@@ -17,6 +21,8 @@
 
     node: NodeId
     key: str
+    created: int
+    """Revision at which the key was created."""
     revision: int
     process: ProcessInfo | None
     """None if another program has overwritten the value."""
@@ -44,6 +50,46 @@
         else:
             info = None
         registrations.append(
-            Registration(NodeId(name), found.key, found.mod_revision, info)
+            Registration(
+                NodeId(name), found.key, found.create_revision, found.mod_revision, info
+            )
         )
     return registrations
+
+
+async def leave_out_odd_keys(
+    store: KeyValueStore, registrations: list[Registration], prefix: str
+) -> list[Registration]:
+    """Leave out keys to which no process has ever written, by the store's history.
+
+    A key whose history is not known in full stays.
+    """
+    overwritten = [each for each in registrations if each.process is None]
+    if not overwritten:
+        return registrations
+    first = min(each.created for each in overwritten)
+    changes = await store.changes(prefix, first - 1, wait_seconds=HISTORY_SECONDS)
+    if not isinstance(changes, Changes):
+        return registrations
+    return [
+        each
+        for each in registrations
+        if each.process is not None or not _is_odd(each, changes.events)
+    ]
+
+
+def _is_odd(registration: Registration, events: list[Event]) -> bool:
+    """Return whether each value of a key, from its creation on, is unreadable."""
+    created, revision = registration.created, registration.revision
+    values = [
+        Found(event.key, event.value, event.mod_revision, created)
+        for event in events
+        if event.key == registration.key
+        and event.value is not None
+        and created <= event.mod_revision <= revision
+    ]
+    if not {created, revision} <= {found.mod_revision for found in values}:
+        return False
+    return all(
+        isinstance(decode_stored(found, ProcessInfo), Unreadable) for found in values
+    )
