The choice of a gang's VMs stands beside the choice of one VM

The search for a gang's VMs needs nothing of a round but the pool and what is allowed, so it moves to `placement` unchanged. Behaviour as before: scheduling/bounded_work (19), runs (16) and bursts (10) pass.

--- a/wagtailcleat/scheduling/placement.py
+++ b/wagtailcleat/scheduling/placement.py
@@ -14,8 +14,8 @@
 
 from wagtailcleat.ids import NodeId
 from wagtailcleat.scheduling.job_entry import Task
-from wagtailcleat.scheduling.models import Step
-from wagtailcleat.scheduling.vms import Vm, committed_resources
+from wagtailcleat.scheduling.models import RunKey, Step
+from wagtailcleat.scheduling.vms import HostedRun, Vm, committed_resources
 
 MIN_SPARE_SHARE = 0.9
 """Share of a filling task's cores that must be idle for the task to start.
@@ -196,3 +196,39 @@
             score = _score(vm, self._task, self._now, self._racks, self._interference)
             position = self._position_by_node[vm.node]
             heapq.heappush(self._heap, (score, position, vm.version, vm))
+
+
+def choose_gang_vms(
+    pool: list[Vm],
+    tasks: list[Task],
+    *,
+    run: int,
+    now: float,
+    is_allowed: Callable[[Vm], bool],
+) -> list[Vm]:
+    """Return a VM for each member of a gang, or fewer VMs if there is too little room.
+
+    Each member is added to its VM while VMs for the next ones are searched, and is
+    removed again at the end.
+    """
+    racks: Counter[str] = Counter()
+    chosen: list[tuple[Vm, RunKey]] = []
+    candidates_by_key: dict[ScoringKey, Candidates] = {}
+    for task in tasks:
+        alike = scoring_key(task, racks)
+        if alike not in candidates_by_key:
+            candidates_by_key[alike] = Candidates(
+                pool, task, now=now, racks=racks, is_allowed=is_allowed
+            )
+        vm = candidates_by_key[alike].best()
+        if vm is None:
+            break
+        key = RunKey(task.key, run)
+        vm.host_run(HostedRun(key, task.step, now))
+        chosen.append((vm, key))
+        racks[vm.rack] += 1
+        for candidates in candidates_by_key.values():
+            candidates.rescore(vm)
+    for vm, key in chosen:
+        vm.drop_run(key)
+    return [vm for vm, _ in chosen]
--- a/wagtailcleat/scheduling/placement_rounds.py
+++ b/wagtailcleat/scheduling/placement_rounds.py
@@ -14,17 +14,17 @@
 from wagtailcleat.scheduling.delay_scheduling import DelayScheduling
 from wagtailcleat.scheduling.job_entry import JobEntry, StepKey, Task, TaskState
 from wagtailcleat.scheduling.job_table import JobTable
-from wagtailcleat.scheduling.models import RunKey
 from wagtailcleat.scheduling.placement import (
     Candidates,
     ScoringKey,
     choose,
+    choose_gang_vms,
     scoring_key,
 )
 from wagtailcleat.scheduling.pool_shares import PoolShares
 from wagtailcleat.scheduling.ranking import lateness, rank, slack_seconds
 from wagtailcleat.scheduling.sharing import STARVED_ADDED, Sharing
-from wagtailcleat.scheduling.vms import HostedRun, Vm
+from wagtailcleat.scheduling.vms import Vm
 
 RUNS_PER_EPOCH = 2**20
 """Run numbers reserved for each leader.
@@ -357,7 +357,13 @@
             return 0
         run = max(self._next_run(task) for task in tasks)
         checkpoint = max((task.checkpoint for task in tasks), default="")
-        chosen = self._choose_gang_vms(tasks, run, now)
+        chosen = choose_gang_vms(
+            self._pool_by_service.get(tasks[0].entry.job.service, []),
+            tasks,
+            run=run,
+            now=now,
+            is_allowed=lambda vm: self._may_start(vm, tasks[0], now),
+        )
         if len(chosen) < len(tasks):
             return 0
         for task, vm in zip(tasks, chosen, strict=True):
@@ -365,39 +371,6 @@
             self._start(vm, task, run, now)
         return len(tasks)
 
-    def _choose_gang_vms(self, tasks: list[Task], run: int, now: float) -> list[Vm]:
-        """Return a VM for each member, or fewer VMs if there is too little room.
-
-        Each member is added to its VM while VMs for the next ones are searched, and is
-        removed again at the end.
-        """
-        pool = self._pool_by_service.get(tasks[0].entry.job.service, [])
-        racks: Counter[str] = Counter()
-        chosen: list[tuple[Vm, RunKey]] = []
-        candidates_by_key: dict[ScoringKey, Candidates] = {}
-        for task in tasks:
-            alike = scoring_key(task, racks)
-            if alike not in candidates_by_key:
-                candidates_by_key[alike] = Candidates(
-                    pool,
-                    task,
-                    now=now,
-                    racks=racks,
-                    is_allowed=lambda vm: self._may_start(vm, tasks[0], now),
-                )
-            vm = candidates_by_key[alike].best()
-            if vm is None:
-                break
-            key = RunKey(task.key, run)
-            vm.host_run(HostedRun(key, task.step, now))
-            chosen.append((vm, key))
-            racks[vm.rack] += 1
-            for candidates in candidates_by_key.values():
-                candidates.rescore(vm)
-        for vm, key in chosen:
-            vm.drop_run(key)
-        return [vm for vm, _ in chosen]
-
     def _count_racks(self, tasks: list[Task]) -> Counter[str]:
         """Return the number of running tasks of one step by rack."""
         racks: Counter[str] = Counter()
