One function reads the registered agents

Cause: each caller of `leave_out_odd_keys` had to read the registrations first and name the prefix twice.

--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -18,7 +18,7 @@
 from wagtailcleat.cluster.leadership import Leadership
 from wagtailcleat.cluster.learnt_store import learnt_parts, persist_learnt
 from wagtailcleat.cluster.records import DEFAULT_MAX_VALUE_BYTES, Records
-from wagtailcleat.cluster.registrations import leave_out_odd_keys, read_registrations
+from wagtailcleat.cluster.registrations import read_agents
 from wagtailcleat.cluster.report_order import ReportOrder
 from wagtailcleat.cluster.stored_values import StoredValues
 from wagtailcleat.cluster.timing import AGENT_EXPIRY_SECONDS, STOP_REPEAT_SECONDS
@@ -192,8 +192,7 @@
         started_at = self._now
         log.info("Restoring the jobs", extra={"epoch": self.lease.epoch})
         listing = await list_until_answered(self._store, AGENT_PREFIX, self._clock)
-        registered = read_registrations(self._values, listing.found, AGENT_PREFIX)
-        agents = await leave_out_odd_keys(self._store, registered, AGENT_PREFIX)
+        agents = await read_agents(self._store, self._values, listing.found)
         for agent in agents:
             self._records.restore_agent(agent.node, agent.revision)
             self.scheduler.unreported_agents.add(agent.node)
--- a/wagtailcleat/cluster/registrations.py
+++ b/wagtailcleat/cluster/registrations.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from wagtailcleat.cluster.keys import ProcessInfo
+from wagtailcleat.cluster.keys import AGENT_PREFIX, ProcessInfo
 from wagtailcleat.cluster.stored_values import StoredValues, Unreadable, decode_stored
 from wagtailcleat.configuration.models import NAME_PATTERN
 from wagtailcleat.ids import NodeId
@@ -57,18 +57,20 @@
     return registrations
 
 
-async def leave_out_odd_keys(
-    store: KeyValueStore, registrations: list[Registration], prefix: str
+async def read_agents(
+    store: KeyValueStore, values: StoredValues, found: Sequence[Found]
 ) -> list[Registration]:
-    """Leave out keys to which no process has ever written, by the store's history.
+    """Return the registered agents, given the keys of agents.
 
-    A key whose history is not known in full stays.
+    A key to which no process has ever written, by the store's history, is left out; one
+    whose history is not known in full stays.
     """
+    registrations = read_registrations(values, found, AGENT_PREFIX)
     overwritten = [each for each in registrations if each.process is None]
     if not overwritten:
         return registrations
     first = min(each.created for each in overwritten)
-    changes = await store.changes(prefix, first - 1, wait_seconds=HISTORY_SECONDS)
+    changes = await store.changes(AGENT_PREFIX, first - 1, wait_seconds=HISTORY_SECONDS)
     if not isinstance(changes, Changes):
         return registrations
     return [
