An answer that has arrived no longer counts as lost

Cause: the time limit was left to libcurl, which compares a transfer with its limit before it reads from the socket. A process that wakes after the limit throws away an answer that lies in the kernel's buffer.

Ruled out: a limit of asyncio around tornado's fetch, which ends the wait but not the transfer, so that connections to silent servers stay occupied.

Change: CurlClient enforces request_timeout with a timer of the event loop. A loop runs its timers after the sockets that were ready at the same look; the timer passes once more through the loop, as the process may have stood still between the look and the timer. A transfer that is ended so is removed from libcurl, which closes its connection. All five users of curl use this client.

The feature arrived_answers fails in three of its six scenarios without the change (NoAnswer.LOST, Unavailable and EndpointFailed, "Operation timed out after 599 milliseconds") and passes with it; the other three hold that a silent server's calls and connections end at the limit, before and after.

--- /dev/null
+++ b/features/platform/arrived_answers.feature
@@ -0,0 +1,24 @@
+Feature: Answers that arrive while a process stands still
+
+  Scenario Outline: An answer arrives while the process stands still beyond the time limit
+    # Guards against a 503 or 504 to a caller whose call has been answered in time.
+    When <call> is answered while its process stands still until after the time limit
+    Then that call returns the answer
+
+    Examples:
+      | call                     |
+      | a call of a worker       |
+      | a call of the store      |
+      | a request to an endpoint |
+
+  Scenario Outline: A server stays silent
+    # Guards against calls, and their connections, that are held beyond the time limit.
+    When <call> is made of a silent server with a time limit of 0.3 s
+    Then that call has no answer after 0.3 s to 1.3 s
+    And its connection has ended by then
+
+    Examples:
+      | call                     |
+      | a call of a worker       |
+      | a call of the store      |
+      | a request to an endpoint |
--- a/wagtailcleat/agent/endpoint.py
+++ b/wagtailcleat/agent/endpoint.py
@@ -9,14 +9,14 @@
 from urllib.parse import urlsplit
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import StreamClosedError
 from tornado.netutil import BlockingResolver
 from tornado.tcpclient import TCPClient
 
-from wagtailcleat.curl import never_repeat
+from wagtailcleat.curl import CurlClient, never_repeat
 from wagtailcleat.headers import REQUEST_ID, forwarded
 from wagtailcleat.wire.requests import Header, ServiceRequest
 
@@ -74,7 +74,7 @@
         """Call the endpoint at `url` over at most `connections` connections at once."""
         self._url = url.rstrip("/")
         self._max_answer_bytes = max_answer_bytes
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=connections, max_body_size=UNLIMITED_BYTES
         )
 
--- a/wagtailcleat/operator/client.py
+++ b/wagtailcleat/operator/client.py
@@ -11,11 +11,11 @@
 from typing import Any
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
 from wagtailcleat.clock import Clock, boot_time
-from wagtailcleat.curl import never_repeat
+from wagtailcleat.curl import CurlClient, never_repeat
 from wagtailcleat.errors import Code
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -63,7 +63,7 @@
         self._urls = urls
         self._token = token
         self._clock = clock
-        self._client = CurlAsyncHTTPClient(force_instance=True)
+        self._client = CurlClient(force_instance=True)
 
     def close(self) -> None:
         """Close all connections."""
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -11,11 +11,10 @@
 from typing import Any
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
-from wagtailcleat.curl import forbid_repetition
+from wagtailcleat.curl import CurlClient, forbid_repetition
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Longer than any round trip in the deployments, shorter than any interval at which
@@ -72,7 +71,7 @@
         """Error text of the last call that got no answer."""
         self._address = address
         self._base = f"http://{address}"
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
+        self._client = CurlClient(force_instance=True, max_clients=max_clients)
 
     def __repr__(self) -> str:
         """Return a text with the address."""
--- a/wagtailcleat/platform/store.py
+++ b/wagtailcleat/platform/store.py
@@ -14,11 +14,10 @@
 from typing import Any
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wagtailcleat.clock import Clock
-from wagtailcleat.curl import never_repeat
+from wagtailcleat.curl import CurlClient, never_repeat
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.circuit import CircuitBreaker, TokenBucket
 from wagtailcleat.storage import (
@@ -82,7 +81,7 @@
         self._urls = urls
         self._clock = clock
         self._call_seconds = call_seconds
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._client = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
         self._reads = TokenBucket(reads_per_second, reads_per_second)
         self._writes = TokenBucket(writes_per_second, writes_per_second)
         self._renewals = TokenBucket(RENEWALS_PER_SECOND, RENEWALS_PER_SECOND)
@@ -196,7 +195,7 @@
             "start_revision": str(start_revision),
         }
         await asyncio.sleep(self._reads.reserve(self._clock()))
-        client = CurlAsyncHTTPClient(force_instance=True, max_clients=1)
+        client = CurlClient(force_instance=True, max_clients=1)
         self.calls += 1
         try:
             await client.fetch(
--- a/wagtailcleat/platform/worker.py
+++ b/wagtailcleat/platform/worker.py
@@ -13,10 +13,9 @@
 from urllib.parse import quote
 
 import msgspec
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
-from wagtailcleat.curl import forbid_repetition
+from wagtailcleat.curl import CurlClient, forbid_repetition
 from wagtailcleat.ids import AttemptId
 from wagtailcleat.resources import Resources
 
@@ -88,7 +87,7 @@
     def __init__(self, url: str) -> None:
         """Create a client of the worker at `url`."""
         self._url = url
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=32)
+        self._client = CurlClient(force_instance=True, max_clients=32)
 
     def close(self) -> None:
         """Close the client's connections."""
