A peer's answer that has arrived no longer counts as lost

What callers saw: 504, or a job said to be in doubt, when an entry or agent stood still beyond the limit of a call to a peer that had answered in time.

Cause: the same as that of curl's calls, elsewhere. asyncio.timeout cancels the waiting task in the turn of the loop in which the socket is read; the reader of the stream and the caller come one and two turns later.

Ruled out: the keepalive of the stream, which already counts a pause of its own process as no silence of the peer.

Change: OutboundCalls.call uses time_limit, which lets the loop turn three more times before the limit takes effect.

The scenario "An answer of a peer arrives while the process stands still" fails without the change (Lost, "no answer in time") and passes with it; "A peer stays silent" holds the limit itself, before and after.

--- a/features/platform/arrived_answers.feature
+++ b/features/platform/arrived_answers.feature
@@ -11,6 +11,16 @@
       | a call of the store      |
       | a request to an endpoint |
 
+  Scenario: An answer of a peer arrives while the process stands still
+    # Guards against answers of the leader or an agent that count as lost, and their calls as unknown.
+    When a peer answers a call while the calling process stands still beyond its time limit
+    Then the peer's answer is returned
+
+  Scenario: A peer stays silent
+    # Guards against calls that wait for a peer beyond their time limit.
+    When a peer leaves a call with a time limit of 0.3 s unanswered
+    Then that call is lost after 0.3 s to 1.3 s
+
   Scenario Outline: A server stays silent
     # Guards against calls, and their connections, that are held beyond the time limit.
     When <call> is made of a silent server with a time limit of 0.3 s
--- a/wagtailcleat/wire/outbound.py
+++ b/wagtailcleat/wire/outbound.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from wagtailcleat.time_limits import time_limit
 from wagtailcleat.wire.frames import Frame, FrameKind
 from wagtailcleat.wire.limits import MAX_CALLS_PER_STREAM
 from wagtailcleat.wire.messages import AnyMessage
@@ -46,7 +47,7 @@
         call_id, future = self._open(answer_parts)
         reply: AnyMessage | Lost = Lost(True, "no answer in time")
         try:
-            async with asyncio.timeout(timeout):
+            async with time_limit(timeout):
                 await self._send(call_id, message)
                 reply = await future
                 if parts is None:
