The next step also waits if a silent agent may hold another run of its task

What callers would see: a task of the next step runs twice (TWICE). Found by review; by the scheduler's test, not on processes.

Cause: holds the next step back until a success is stored if the leader knows another run of the task. A new leader knows none of an agent that has not reported. A task with a run given up before and a later one at that agent succeeds by the first; the next step starts, accounted for by another task of its step; that leader ends too. The next leader hears of the later run alone, which accounts for the next step a second time.

Ruled out: a task that this leader had listed (no earlier run of it was given up), and all agents heard (then the other run is hosted).

Change: a success of a task that is not accounted for, heard while an agent has not reported, must be stored before a task of the job starts.

Why it works: then the next leader reads that success, and a run of a task that has succeeded accounts for nothing. Cost: a write of the store, for such a job only, within the seconds after a change of leader.

--- a/features/scheduling/heard_runs.feature
+++ b/features/scheduling/heard_runs.feature
@@ -89,6 +89,16 @@
       | the new leader hears of the success again |
       | the later run succeeds                    |
 
+  Scenario: An earlier leader ended a task while the agent of its later run was silent
+    # Guards against duplicate runs of the next step: that leader did not know the later run.
+    Given 5 VMs of 32 cores
+    And job "a" of 2 tasks, and then of 1 task, of which the first run
+    And one agent is out of touch, its run succeeds, and a later run is started
+    When a new leader hears of the success and of the other task, which succeeds, but not of the later run
+    And a third leader hears of the later run, but not of the next step
+    And the later run succeeds
+    Then no task of job "a" has two runs
+
   Scenario: A task ends by a run that was given up while a later one goes on
     # Guards against next steps that wait for longer than until the success is stored.
     Given 4 VMs of 32 cores
--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -225,3 +225,71 @@
     ]
     tasks = [key.task for _, key in running]
     assert len(set(tasks)) == len(tasks), running
+
+
+@given('job "{name}" of 2 tasks, and then of 1 task, of which the first run')
+def step_two_then_one(context, name):
+    _run(context, make_job(name, plain(2, cores=20), plain(1, after=(0,))))
+    assert len(set(context.world.running_nodes(name))) == 2
+
+
+@given("one agent is out of touch, its run succeeds, and a later run is started")
+def step_one_given_up(context):
+    world = context.world
+    workers = world.worker_by_node.values()
+    world.now += HORIZON + 0.1
+    others = [worker for worker in workers if worker is not context.host]
+    context.other = next(worker for worker in others if worker.running)
+    for worker in others:
+        world.report(worker)
+    _decide(context)
+    for key in list(context.host.running):
+        context.host.end(key, RunEnd.SUCCEEDED)
+    context.later = next(w for w in others if w.running and w is not context.other)
+    context.stored = _stored(context)
+
+
+def _stored(context):
+    return [
+        (entry.job, record_of(entry))
+        for entry in context.world.scheduler.job_table.entry_by_id.values()
+    ]
+
+
+def _lead(context, epoch):
+    """Let a new leader restore what was stored before the success."""
+    world = context.world
+    world.lead(epoch)
+    world.scheduler.unreported_agents = set(world.worker_by_node)
+    for worker in world.worker_by_node.values():
+        worker.orders_taken = 0
+    for job, record in context.stored:
+        world.scheduler.job_table.add(
+            job, now=world.now, wall_now=world.wall_now, record=record
+        ).may_start_tasks = False
+
+
+@when(
+    "a new leader hears of the success and of the other task, which succeeds, but not"
+    " of the later run"
+)
+def step_success_without_later(context):
+    _lead(context, 2)
+    workers = context.world.worker_by_node.values()
+    context.heard = [worker for worker in workers if worker is not context.later]
+    _hear(context)
+    for key in list(context.other.running):
+        context.other.end(key, RunEnd.SUCCEEDED)
+    _hear(context)
+
+
+@when("a third leader hears of the later run, but not of the next step")
+def step_third_leader(context):
+    _lead(context, 3)
+    workers = context.world.worker_by_node.values()
+    context.silent = next(
+        (w for w in workers if any(key.task.step == 1 for key in w.running)),
+        next(w for w in workers if not w.running and not w.ended),
+    )
+    context.heard = [worker for worker in workers if worker is not context.silent]
+    _hear(context)
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -250,6 +250,9 @@
                 continue
             entry.set_task_state(member, TaskState.SUCCEEDED)
         entry.mark_changed()
+        if not entry.may_start_tasks and not task.is_accounted_for:
+            # An agent that has not reported may hold a later run.
+            entry.held_version = entry.version
         if not entry.unfinished_by_step[step]:
             self._mark_ready(entry, task.key.occurrence, now)
         if self._all_succeeded(entry):
