The next worker begins also if the wall clock has gone back before it

What callers would see: a VM gets no work any more, until its agent or worker is started again with a later birth time; work that needs that VM stands still. Found by review.

Cause: a heartbeat whose birth time is before that of the present worker counts as a late one of an earlier worker, for as long as the present one is known, also after that has certainly ended. A worker that begins after its VM's clock was set back has such a birth time.

Evidence: both examples of the new scenario fail without the change, with another id and with the same: 'i-1' born later is still the worker after five heartbeats of the next one, which listens. Ruled out by a scenario that passes with and without: a late heartbeat while the present worker runs changes nothing.

Change: after the present worker's end, any other may begin.

Why it works: which worker begins has no bearing on when it may begin, the end of all that the present one was told to start. If it was a late heartbeat after all, its sender refuses or another one answers, and the next one begins (third scenario).

--- a/features/platform/hosting.feature
+++ b/features/platform/hosting.feature
@@ -141,6 +141,35 @@
     And another worker answers at its address
     Then "i-2" is the worker of this VM
 
+  Scenario Outline: The wall clock is set back before the next worker begins, which has <whose> id
+    # Guards against a VM without a worker, for its next one always seems to be an earlier one.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and its process ends
+    And the next worker "<id>" begins there, born earlier by its clock
+    Then the worker born then is the worker of this VM
+    And the runs of that worker are known
+
+    Examples:
+      | whose     | id  |
+      | another   | i-2 |
+      | the same  | i-1 |
+
+  Scenario: A late heartbeat of an earlier worker arrives between the present one and the next
+    # Guards against a VM that waits for leases of a worker that ended before.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and its process ends
+    And a heartbeat of an earlier worker arrives
+    And a next worker "i-2" begins there, born later
+    Then "i-2" is the worker of this VM
+    And the runs of that worker are known
+
+  Scenario: A late heartbeat of an earlier worker arrives
+    # Guards against a worker that is doubted, or replaced, because of such a heartbeat.
+    Given an agent whose worker listens at its VM's address
+    When the worker runs a task and a heartbeat of an earlier worker arrives
+    Then "i-1" is still the worker of this VM
+    And the task still counts as running
+
   Scenario: A worker of another VM was heard long ago
     # Guards against a VM that waits for a stranger's worker once its own has ended.
     Given an agent whose worker listens at its VM's address
--- a/features/steps/hosting_steps.py
+++ b/features/steps/hosting_steps.py
@@ -37,6 +37,8 @@
 POLL_SECONDS = 0.01
 HEARD_SECONDS = 0.15
 """Longer than the agent's pause after a list that was refused."""
+HEARTBEATS = 5
+"""More than it takes a worker to begin."""
 LATER_LISTS = 4
 """Lists after which an event has had its effect on later ones."""
 
@@ -426,6 +428,50 @@
             world.until(lambda known=known: len(world.lists) > known + 1)
 
 
+@when("the worker runs a task and its process ends")
+def step_runs_and_ends(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    world.end_process()
+    world.until(lambda: not world.hosting.running)
+
+
+@when('the next worker "{instance}" begins there, born earlier by its clock')
+def step_earlier_by_clock(context, instance):
+    _begin_next(context.hosting_world, BORN - 5000, instance)
+
+
+@when('a next worker "{instance}" begins there, born later')
+def step_next_begins(context, instance):
+    _begin_next(context.hosting_world, BORN + 1, instance)
+
+
+def _begin_next(world, born, instance):
+    world.listed_born = born
+    world.loop.run_until_complete(world.listen())
+    for number in range(HEARTBEATS):
+        world.begin_incarnation(born, instance=instance, sequence=number)
+        world.loop.run_until_complete(asyncio.sleep(POLL_SECONDS))
+
+
+@then("the worker born then is the worker of this VM")
+def step_born_then(context):
+    world = context.hosting_world
+    assert world.hosting.info.born == BORN - 5000, world.hosting.info
+
+
+@when("the worker runs a task and a heartbeat of an earlier worker arrives")
+def step_late_heartbeat(context):
+    world = context.hosting_world
+    world.until(lambda: world.hosting.running)
+    step_earlier_arrives(context)
+
+
+@when("a heartbeat of an earlier worker arrives")
+def step_earlier_arrives(context):
+    context.hosting_world.begin_incarnation(BORN - 5000, instance="i-0")
+
+
 @when("{seconds:d} s pass without another heartbeat")
 def step_time_passes(context, seconds):
     context.hosting_world.now += seconds
--- a/wagtailcleat/cluster/worker_succession.py
+++ b/wagtailcleat/cluster/worker_succession.py
@@ -161,7 +161,9 @@
         if identity == (present.born, present.instance):
             return Sender.PRESENT
         # One that has never answered may not be of this VM, whatever its birth time.
-        is_earlier = worker.born < present.born and present.lists_answered > 0
+        # After the present one's end, the clock that dates the next may have gone back.
+        may_be_next = not present.lists_answered or has_ended(present)
+        is_earlier = worker.born < present.born and not may_be_next
         return Sender.EARLIER if is_earlier else Sender.NEXT
 
     def _update(self, present: WorkerIncarnation, heartbeat: Heartbeat) -> None:
