Advice is asked also for tasks that wait for no silent agent

Found by review; by the scheduler's test.

Cause: a question is asked only for jobs all of whose tasks may start. What a new leader has heard of may start before, but needs a ticket.

Evidence: both examples of the new scenario fail without the change (no question while one agent is silent). Ruled out: placement, which starts the task as soon as there is a ticket.

Change: a question is asked if a task of the step may start, by the condition that placement uses.

Why it works: the question itself starts nothing; a step none of whose tasks may start is still not asked for (second scenario, which also passes without).

--- a/features/scheduling/heard_runs.feature
+++ b/features/scheduling/heard_runs.feature
@@ -14,6 +14,26 @@
       | lapses   | 0    |
       | succeeds | 1    |
 
+  Scenario Outline: A run of an advised queue that was heard ends while another agent is silent
+    # Guards against the same where a ticket is needed, which nobody asks for meanwhile.
+    Given 3 VMs of 32 cores
+    And job "a" of an advised queue, of 1 task and then of 1 task, of which the first runs
+    When a new leader restores the jobs and gets the reports of all agents but an idle one
+    And the run of job "a" <ends>
+    Then advice is asked for step <step> of job "a", and its task starts once it is granted
+
+    Examples:
+      | ends     | step |
+      | lapses   | 0    |
+      | succeeds | 1    |
+
+  Scenario: No run of a job of an advised queue was heard while another agent is silent
+    # Guards against questions, and tickets that end, for steps that may not start yet.
+    Given 3 VMs of 32 cores
+    And job "a" of an advised queue, of 1 task and then of 1 task, of which the first runs
+    When a new leader gets a list of before its claim, and the run fails
+    Then no advice is asked for
+
   Scenario: A run that was heard fails while another agent is silent
     # Guards against more failed runs than a job's attempts: the silent agent may hold
     # the end of an earlier run.
--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -2,10 +2,12 @@
 
 from behave import given, then, when
 
-from features.steps.scheduling_steps import record_of, restored
+from features.steps.scheduling_steps import next_question, record_of, restored
 from features.steps.scheduling_world import HORIZON, make_job, plain
 from wagtailcleat.scheduling.models import RunEnd
 
+TICKET_SECONDS = 5.0
+
 END_BY_WORD = {
     "fails": RunEnd.FAILED,
     "lapses": RunEnd.LAPSED,
@@ -23,10 +25,20 @@
     _run(context, make_job(name, plain(2, cores=4, gang=True)))
 
 
+@given(
+    'job "{name}" of an advised queue, of 1 task and then of 1 task, of which the first'
+    " runs"
+)
+def step_advised(context, name):
+    _run(context, make_job(name, plain(1), plain(1, after=(0,)), advised=True))
+
+
 def _run(context, job):
     world = context.world
     world.submit(job)
     world.round()
+    if job.advised:
+        _grant(world)
     world.round()
     assert world.running_nodes(job.id)
     workers = world.worker_by_node.values()
@@ -69,6 +81,30 @@
     _end(context, END_BY_WORD[ends])
 
 
+def _grant(world):
+    """Let the advice service grant what is asked; return the step."""
+    question = next_question(world)
+    assert question is not None, "no advice is asked for"
+    ticket_by_worker = {worker.id: "ticket" for worker in question.workers}
+    until = world.now + TICKET_SECONDS
+    world.scheduler.advice.take(question, ticket_by_worker, until=until)
+    return question.step
+
+
+@then(
+    'advice is asked for step {step:d} of job "{name}", and its task starts once it is'
+    " granted"
+)
+def step_advice(context, step, name):
+    assert _grant(context.world) == (0, step)
+    step_started(context, step, name)
+
+
+@then("no advice is asked for")
+def step_no_advice(context):
+    assert next_question(context.world) is None
+
+
 @when("a new leader gets a list of before its claim, and the run fails")
 def step_old_list(context):
     restored(context)
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -657,7 +657,8 @@
     _submit(context, name, plain(count), advised=True)
 
 
-def _question(world):
+def next_question(world):
+    """Return the next question to the advice service, or None."""
     scheduler = world.scheduler
     return scheduler.advice.question(
         scheduler.job_table,
@@ -672,7 +673,7 @@
     world = context.world
     world.round()
     assert not world.starts, "a start without a ticket"
-    question = _question(world)
+    question = next_question(world)
     assert {incarnation.id for incarnation in question.workers} == {"i-vm-1", "i-vm-2"}
     until = world.now + seconds
     world.scheduler.advice.take(question, {"i-vm-2": "leave"}, until=until)
@@ -685,7 +686,7 @@
 
 @then("only the second VM is asked about again")
 def step_asked_again(context):
-    context.question = _question(context.world)
+    context.question = next_question(context.world)
     assert [incarnation.id for incarnation in context.question.workers] == ["i-vm-2"]
 
 
@@ -700,7 +701,7 @@
 @then('job "{name}" runs on the second VM')
 def step_runs_second(context, name):
     assert context.world.running_nodes(name) == ["vm-2"]
-    assert _question(context.world) is None
+    assert next_question(context.world) is None
 
 
 @given("its agent refuses every start")
--- a/wagtailcleat/scheduling/advice.py
+++ b/wagtailcleat/scheduling/advice.py
@@ -84,9 +84,10 @@
         waiting = [
             (rank(entry, step, wall_now), entry, step)
             for entry in job_table.open_by_id.values()
-            if entry.job.advised and entry.may_start_tasks
+            if entry.job.advised
             for step, count in entry.waiting_by_step.items()
             if count and job_table.is_ready(entry, step)
+            if any(map(entry.may_start, entry.tasks_by_step[step]))
         ]
         waiting.sort(key=lambda row: row[0])
         usable = [vm for vm in vms if vm.is_usable]
