--- a/features/steps/heard_runs_steps.py
+++ b/features/steps/heard_runs_steps.py
@@ -2,10 +2,12 @@
 
 from behave import given, then, when
 
-from features.steps.scheduling_steps import record_of, restored
+from features.steps.scheduling_steps import next_question, record_of, restored
 from features.steps.scheduling_world import HORIZON, make_job, plain
 from wagtailcleat.scheduling.models import RunEnd
 
+TICKET_SECONDS = 5.0
+
 END_BY_WORD = {
     "fails": RunEnd.FAILED,
     "lapses": RunEnd.LAPSED,
@@ -23,10 +25,20 @@
     _run(context, make_job(name, plain(2, cores=4, gang=True)))
 
 
+@given(
+    'job "{name}" of an advised queue, of 1 task and then of 1 task, of which the first'
+    " runs"
+)
+def step_advised(context, name):
+    _run(context, make_job(name, plain(1), plain(1, after=(0,)), advised=True))
+
+
 def _run(context, job):
     world = context.world
     world.submit(job)
     world.round()
+    if job.advised:
+        _grant(world)
     world.round()
     assert world.running_nodes(job.id)
     workers = world.worker_by_node.values()
@@ -69,6 +81,30 @@
     _end(context, END_BY_WORD[ends])
 
 
+def _grant(world):
+    """Let the advice service grant what is asked; return the step."""
+    question = next_question(world)
+    assert question is not None, "no advice is asked for"
+    ticket_by_worker = {worker.id: "ticket" for worker in question.workers}
+    until = world.now + TICKET_SECONDS
+    world.scheduler.advice.take(question, ticket_by_worker, until=until)
+    return question.step
+
+
+@then(
+    'advice is asked for step {step:d} of job "{name}", and its task starts once it is'
+    " granted"
+)
+def step_advice(context, step, name):
+    assert _grant(context.world) == (0, step)
+    step_started(context, step, name)
+
+
+@then("no advice is asked for")
+def step_no_advice(context):
+    assert next_question(context.world) is None
+
+
 @when("a new leader gets a list of before its claim, and the run fails")
 def step_old_list(context):
     restored(context)
@@ -225,3 +261,71 @@
     ]
     tasks = [key.task for _, key in running]
     assert len(set(tasks)) == len(tasks), running
+
+
+@given('job "{name}" of 2 tasks, and then of 1 task, of which the first run')
+def step_two_then_one(context, name):
+    _run(context, make_job(name, plain(2, cores=20), plain(1, after=(0,))))
+    assert len(set(context.world.running_nodes(name))) == 2
+
+
+@given("one agent is out of touch, its run succeeds, and a later run is started")
+def step_one_given_up(context):
+    world = context.world
+    workers = world.worker_by_node.values()
+    world.now += HORIZON + 0.1
+    others = [worker for worker in workers if worker is not context.host]
+    context.other = next(worker for worker in others if worker.running)
+    for worker in others:
+        world.report(worker)
+    _decide(context)
+    for key in list(context.host.running):
+        context.host.end(key, RunEnd.SUCCEEDED)
+    context.later = next(w for w in others if w.running and w is not context.other)
+    context.stored = _stored(context)
+
+
+def _stored(context):
+    return [
+        (entry.job, record_of(entry))
+        for entry in context.world.scheduler.job_table.entry_by_id.values()
+    ]
+
+
+def _lead(context, epoch):
+    """Let a new leader restore what was stored before the success."""
+    world = context.world
+    world.lead(epoch)
+    world.scheduler.unreported_agents = set(world.worker_by_node)
+    for worker in world.worker_by_node.values():
+        worker.orders_taken = 0
+    for job, record in context.stored:
+        world.scheduler.job_table.add(
+            job, now=world.now, wall_now=world.wall_now, record=record
+        ).may_start_tasks = False
+
+
+@when(
+    "a new leader hears of the success and of the other task, which succeeds, but not"
+    " of the later run"
+)
+def step_success_without_later(context):
+    _lead(context, 2)
+    workers = context.world.worker_by_node.values()
+    context.heard = [worker for worker in workers if worker is not context.later]
+    _hear(context)
+    for key in list(context.other.running):
+        context.other.end(key, RunEnd.SUCCEEDED)
+    _hear(context)
+
+
+@when("a third leader hears of the later run, but not of the next step")
+def step_third_leader(context):
+    _lead(context, 3)
+    workers = context.world.worker_by_node.values()
+    context.silent = next(
+        (w for w in workers if any(key.task.step == 1 for key in w.running)),
+        next(w for w in workers if not w.running and not w.ended),
+    )
+    context.heard = [worker for worker in workers if worker is not context.silent]
+    _hear(context)
