Settings with an address that can't be used end the program with 78

What operators saw: a port of 99999 in `front` was taken modulo 65536, so that the entry served another port; a host name in `front` or `control` ended the program with 1, as a fault of its own would.

Cause: the pattern of an address takes five digits and any host; only seeds and the process's own host were looked at further.

Ruled out: names in `store` and `advice`, which the HTTP clients look up outside of the event loop; they are still allowed, with a port in range.

Change: the addresses at which a process listens need a numeric host, and all need a port from 1 to 65535, by the functions that check addresses of peers and heartbeats. A reload with such a value keeps the settings in force, as before.

--- a/wagtailcleat/cluster/settings.py
+++ b/wagtailcleat/cluster/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from wagtailcleat.addresses import address_problem, host_port_problem
 from wagtailcleat.checked import convert, read_json
 from wagtailcleat.configuration.models import Name
 from wagtailcleat.errors import SettingsError
@@ -120,7 +121,7 @@
         raise SettingsError(["$: not an object"])
     known = {field.encode_name for field in msgspec.structs.fields(kind)}
     settings = convert({key: raw[key] for key in raw if key in known}, kind)
-    problems = _host_problems(settings)
+    problems = _host_problems(settings) + _address_problems(settings)
     if problems:
         raise SettingsError(problems)
     return settings
@@ -136,6 +137,30 @@
     return problems
 
 
+def _address_problems(settings: CommonSettings) -> list[str]:
+    """Return the addresses that can't be called, or can't be listened at."""
+    own: dict[str, str] = {}
+    called = {"store": settings.store}
+    if isinstance(settings, EntrySettings):
+        own = {"front": settings.front, "ready": settings.ready}
+        if settings.advice is not None:
+            called["advice"] = settings.advice
+    elif isinstance(settings, AgentSettings):
+        own = {"control": settings.control}
+    problem_by_field = {
+        **{field: host_port_problem(address) for field, address in called.items()},
+        **{
+            field: address_problem(*split_address(address))
+            for field, address in own.items()
+        },
+    }
+    return [
+        f"$.{field}: {problem}"
+        for field, problem in problem_by_field.items()
+        if problem
+    ]
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of an address."""
     host, _, port = address.rpartition(":")
