Keep the ends of runs of a job that can't be decoded, for a version that can

What callers saw: a job that this version can't decode is held back, what runs of it is stopped, and the ends were acknowledged without a trace. A later version that decodes the job started tasks again that had succeeded, and counted failures anew.

Change: ends of a held-back job are stored under progress/ID/ends before they are acknowledged (HeldEnds has a version and a committed version, as a JobEntry has, so the rule for the acknowledgement is the same one). The leader that can decode the job reads them with the list of the records, at no further call, and records them as if a worker had listed them. If that value can't be decoded, the job is held back.

Why it works: each write is conditional on the leader key and on the revision of the ends' key, so that no earlier leader's write comes late, and an unanswered one is merged. Taking the same ends in again changes nothing, so they are not removed before the job is. A write that fails halves the next one, so one job does not delay the others.

Ruled out: to hold the acknowledgement back, which is a cursor for all jobs of the worker; to store what the ends mean (JobRecord), which depends on steps that can't be read; to write into the record, which may be the unreadable part.

Not covered: ends of a job whose stored ends are unreadable are acknowledged as before. Starts in doubt of a held-back job do not delay the acknowledgement of its ends, as before.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -35,6 +35,52 @@
     Then the tasks of the 3 jobs run
     And the run of the unreadable job is ordered to stop
 
+  Scenario Outline: Runs of <what> that can't be decoded have ended
+    # Guards against a task that runs again although its success, or its failures, were acknowledged.
+    Given a store with 3 jobs, and <what> that can't be decoded
+    When a leader begins, and a worker lists that runs of that job <how>
+    Then these ends are acknowledged
+    When the job is stored again so that it can be decoded, and the next leader begins
+    Then no task of that job runs, and it has <state>
+
+    Examples:
+      | what                      | how          | state     |
+      | a job                     | succeeded    | succeeded |
+      | a job                     | failed twice | failed    |
+      | the record of another job | succeeded    | succeeded |
+
+  Scenario: Two leaders learn of ends of a job that can't be decoded
+    # Guards against ends that the next leader overwrites, or stores in place of the earlier ones.
+    Given a store with 3 jobs, and a job that can't be decoded
+    When a leader begins, and a worker lists that runs of that job failed
+    And the next leader begins, and a worker lists that runs of that job failed
+    Then these ends are acknowledged
+    When the job is stored again so that it can be decoded, and the next leader begins
+    Then no task of that job runs, and it has failed
+
+  Scenario: Ends of a job that can't be decoded are not stored yet
+    # Guards against an end that is acknowledged, and lost with its leader.
+    Given a store with 3 jobs, and a job that can't be decoded
+    When the store answers no write
+    And a leader begins, and a worker lists that runs of that job succeeded
+    Then these ends are not acknowledged
+    When the store answers writes again
+    Then these ends are acknowledged
+
+  Scenario: The stored ends of a job that can't be decoded are unreadable themselves
+    # Guards against a task that runs again because the note of its success is passed over.
+    Given a store with 3 jobs, and the stored ends of another job that can't be decoded
+    When a leader begins, and its agents report
+    Then the tasks of the 3 jobs run
+    And the store still holds the unreadable value
+
+  Scenario: More ends of a job that can't be decoded than one value of the store holds
+    # Guards against a worker whose ends are never acknowledged because one value is too large.
+    Given a store with 3 jobs, and a job that can't be decoded
+    And a store that takes values of 300 bytes
+    When a leader begins, and a worker lists 20 long checkpoints of that job
+    Then these ends are acknowledged
+
   Scenario: The state of a job whose record can't be decoded
     # Guards against an internal error, or a wrong state, in place of "not known".
     Given an entry that reaches no leader, and a store with such a record
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -23,8 +23,10 @@
 )
 from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import (
+    Ended,
     JobRecord,
     JobState,
+    RunEnd,
     RunKey,
     Start,
     TaskKey,
@@ -40,8 +42,16 @@
 KEY_BY_NAME = {
     "a job": JOB_PREFIX + OTHER,
     "the record of another job": record_key(OTHER),
+    "the stored ends of another job": record_key(OTHER) + "/ends",
     "an agent": AGENT_PREFIX + "vm-1",
 }
+ENDED_RUNS = {
+    "succeeded": (RunEnd.SUCCEEDED, 1),
+    "failed": (RunEnd.FAILED, 1),
+    "failed twice": (RunEnd.FAILED, 2),
+}
+ATTEMPTS = 2
+CHECKPOINT_BYTES = 100
 
 
 def _capture(context):
@@ -61,7 +71,7 @@
     context.add_cleanup(world.close)
     # The unreadable value is listed before the others.
     context.key = KEY_BY_NAME[what]
-    if "record" in what:
+    if "of another job" in what:
         world.store_job(make_job(OTHER, plain(1)))
     world.store.put(context.key, UNREADABLE)
     for number in range(count):
@@ -82,6 +92,15 @@
         world.wait_rounds()
 
 
+def _lead_next(context):
+    world = context.leader_world
+    world.work.cancel()
+    world.pause()
+    for worker in world.workers:
+        worker.orders_taken = 0
+    _lead(context, epoch=world.leader.lease.epoch + 1)
+
+
 @when("a leader begins, and its agents report")
 def step_lead(context):
     _lead(context)
@@ -91,10 +110,10 @@
 @when("the job is stored again so that it can be decoded, and the next leader begins")
 def step_next_version(context):
     world = context.leader_world
-    world.store_job(make_job(OTHER, plain(1)))
-    world.work.cancel()
-    world.pause()
-    _lead(context, epoch=3)
+    world.store_job(make_job(OTHER, plain(1), attempts=ATTEMPTS))
+    if context.key == record_key(OTHER):
+        world.store.put(context.key, encode(JobRecord(JobState.RUNNING)))
+    _lead_next(context)
     _report_all(context)
 
 
@@ -132,6 +151,74 @@
     assert found.value == UNREADABLE
 
 
+def _list_ends(context, ends):
+    worker = context.worker = context.leader_world.workers[0]
+    for how, checkpoint in ends:
+        worker.ends += 1
+        run = RunKey(TaskKey(OTHER, 0, 0, 0), worker.ends)
+        worker.ended.append(Ended(worker.ends, run, how, checkpoint))
+    _report_all(context)
+
+
+@when("a leader begins, and a worker lists that runs of that job {how}")
+def step_lists_ends(context, how):
+    kind, count = ENDED_RUNS[how]
+    _lead(context)
+    _list_ends(context, [(kind, "")] * count)
+
+
+@when("the next leader begins, and a worker lists that runs of that job {how}")
+def step_lists_more_ends(context, how):
+    kind, count = ENDED_RUNS[how]
+    _lead_next(context)
+    _list_ends(context, [(kind, "")] * count)
+
+
+@when("a leader begins, and a worker lists {count:d} long checkpoints of that job")
+def step_lists_checkpoints(context, count):
+    _lead(context)
+    _list_ends(context, [(RunEnd.STOPPED, "c" * CHECKPOINT_BYTES)] * count)
+
+
+@given("a store that takes values of {limit:d} bytes")
+def step_small_values(context, limit):
+    world = context.leader_world
+    world.max_value_bytes = world.store.max_write_bytes = limit
+    world.store.limits_single_writes = True
+
+
+@when("the store answers no write")
+def step_silent_store(context):
+    context.leader_world.store.is_silent = True
+
+
+@when("the store answers writes again")
+def step_answers_writes(context):
+    world = context.leader_world
+    world.store.is_silent = False
+    ends_at = world.loop.time() + WAIT_SECONDS
+    while context.worker.ended and world.loop.time() < ends_at:
+        world.rounds()
+
+
+@then("these ends are acknowledged")
+def step_acknowledged(context):
+    assert not context.worker.ended, context.worker.ended
+
+
+@then("these ends are not acknowledged")
+def step_not_acknowledged(context):
+    assert context.worker.ended
+
+
+@then("no task of that job runs, and it has {state}")
+def step_has_ended(context, state):
+    world = context.leader_world
+    assert not world.runs(OTHER), world.runs(OTHER)
+    entry = world.leader.scheduler.job_table.entry_by_id[OTHER]
+    assert entry.durable_state is JobState(state), entry.durable_state
+
+
 @then("the run of the unreadable job is ordered to stop")
 def step_stopped(context):
     assert context.run not in context.worker.running
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -8,11 +8,13 @@
 from itertools import count
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.held_ends import decode_held_ends
 from wagtailcleat.cluster.keys import (
     CANCELLED,
     JOB_PREFIX,
     RECORD_PREFIX,
     cancel_key,
+    held_ends_key,
     job_key,
     record_key,
 )
@@ -22,6 +24,7 @@
 from wagtailcleat.ids import JobId
 from wagtailcleat.logs import part_logger
 from wagtailcleat.platform.keyvalue import KeyValueStore
+from wagtailcleat.scheduling.held_ends import HeldEnds
 from wagtailcleat.scheduling.job_bounds import record_problem
 from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import Job, JobRecord
@@ -98,6 +101,7 @@
                     found.value,
                     found.mod_revision,
                     found_by_key.get(record_key(job)),
+                    found_by_key.get(held_ends_key(job)),
                     is_cancelled=cancel_key(job) in keys,
                 )
         for found in jobs.found:
@@ -109,6 +113,7 @@
         data: bytes,
         revision: int,
         record: Found | None = None,
+        held_ends: Found | None = None,
         *,
         is_cancelled: bool = False,
     ) -> JobEntry | None:
@@ -118,6 +123,7 @@
 
         Parameters: `data` is the stored job; `revision` is the store revision that
         wrote it, 0 if not known; `record` is its stored progress, if there is any;
+        `held_ends` are the ends that were stored while it could not be decoded;
         `is_cancelled` says that its cancellation is stored, and will be applied next.
         """
         entry_by_id = self._scheduler.job_table.entry_by_id
@@ -126,13 +132,20 @@
             del entry_by_id[job]
             entry = None
         if entry is None:
+            held = self._scheduler.job_table.held_ends_by_id.get(
+                job
+            ) or _read_held_ends(job, held_ends)
+            if isinstance(held, Unreadable):
+                # Without them, tasks that have succeeded would run again.
+                self._hold_back(job, held.why, None)
+                return None
             decoded = _decode_job(job, data, revision)
             if isinstance(decoded, Unreadable):
-                self._hold_back(job, decoded.why)
+                self._hold_back(job, decoded.why, held)
                 return None
             progress = _decode_record(record, decoded) if record else None
             if isinstance(progress, Unreadable):
-                self._hold_back(job, progress.why)
+                self._hold_back(job, progress.why, held)
                 return None
             entry = self._scheduler.job_table.add(
                 decoded,
@@ -142,6 +155,10 @@
                 store_revision=record.mod_revision if record else 0,
                 is_cancelled=is_cancelled,
             )
+            if not is_cancelled:
+                self._scheduler.job_table.restore_ends(
+                    held, now=self._clock(), wall_now=self._wall_clock()
+                )
             # An earlier leader may have started it at an agent that has not reported.
             entry.may_start_tasks = not self._scheduler.unreported_agents
         self.why_by_unreadable.pop(job, None)
@@ -150,7 +167,9 @@
             entry.may_start_tasks = True
         return entry
 
-    def _hold_back(self, job: JobId, why: str) -> None:
+    def _hold_back(self, job: JobId, why: str, held: HeldEnds | None) -> None:
+        if held is not None:
+            self._scheduler.job_table.held_ends_by_id.setdefault(job, held)
         if self.why_by_unreadable.get(job) != why:
             self.why_by_unreadable[job] = why
             log.error("Stored job is unreadable", extra={"job": job, "why": why})
@@ -239,6 +258,18 @@
     return decoded
 
 
+def _read_held_ends(job: JobId, found: Found | None) -> HeldEnds | Unreadable:
+    held = HeldEnds(job)
+    if found is not None:
+        stored = decode_held_ends(found)
+        if isinstance(stored, Unreadable):
+            return stored
+        held.merge(stored)
+        held.committed = held.version
+        held.store_revision = found.mod_revision
+    return held
+
+
 def _decode_record(found: Found, job: Job) -> JobRecord | Unreadable:
     record = decode_stored(found, JobRecord)
     if not isinstance(record, Unreadable) and (why := record_problem(record, job)):
--- a/wagtailcleat/cluster/keys.py
+++ b/wagtailcleat/cluster/keys.py
@@ -27,6 +27,7 @@
 RECORD_PREFIX = ROOT + "progress/"
 """Progress of jobs; written by the leader only."""
 CANCELLED = "/cancelled"
+HELD_ENDS = "/ends"
 MAX_EPOCH = 2**33
 """The numbers of runs contain the epoch, and JSON holds them exactly up to this one."""
 KIND_BY_PREFIX = {
@@ -96,6 +97,16 @@
     return RECORD_PREFIX + job
 
 
+def held_ends_key(job: JobId) -> str:
+    """Return the key of ends that were stored while a job could not be decoded."""
+    return RECORD_PREFIX + job + HELD_ENDS
+
+
+def keys_of_job(job: JobId) -> list[str]:
+    """Return all keys that a job may have."""
+    return [job_key(job), cancel_key(job), record_key(job), held_ends_key(job)]
+
+
 def entry_key(node: NodeId) -> str:
     """Return the key under which an entry is registered."""
     return ENTRY_PREFIX + node
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -5,18 +5,19 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
 from wagtailcleat.clock import Clock
+from wagtailcleat.cluster.held_ends import HeldEndsWriter
 from wagtailcleat.cluster.keys import (
     LEADER_KEY,
     ProcessInfo,
     agent_key,
-    cancel_key,
     encode,
     job_key,
+    keys_of_job,
     record_key,
 )
 from wagtailcleat.cluster.leader_lease import LeaderLease, is_later_claim
@@ -52,11 +53,8 @@
 A write that exceeds the time limit of a call is repeated whole, and may never be
 answered.
 """
-JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 4
-"""Each job has up to three keys, and a compare of its record.
-
-One more compare is for the leader key.
-"""
+JOBS_PER_DELETE = (MAX_TXN_ENTRIES - 1) // 5
+"""Each job has up to four keys and a compare; one more is for the leader key."""
 AGENTS_PER_WRITE = (MAX_TXN_ENTRIES - 1) // 2
 """Each agent takes a compare and a put or delete; one compare is for the leader key."""
 EXPIRY_MARGIN_SECONDS = 30.0
@@ -106,6 +104,7 @@
         self._on_progress = on_progress
         self._committed = asyncio.Condition()
         self._max_value_bytes = max_value_bytes
+        self._held = HeldEndsWriter(scheduler.job_table, lease, store, max_value_bytes)
         self._failures_by_job: dict[JobId, int] = {}
         """Failed writes of each job's record, less those that all records share."""
 
@@ -147,6 +146,9 @@
                     self.dirty.set()
                     await asyncio.sleep(RETRY_PAUSE_SECONDS)
                     break
+            if not await self._held.write(self._on_progress):
+                self.dirty.set()
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
             await self._delete_expired()
 
     def _changed(self) -> list[JobEntry]:
@@ -375,7 +377,7 @@
         # A delete that was not answered may be carried out later, when another job has
         # been accepted under the same id.
         compares = [self._leader_unchanged()] + [_record_unchanged(e) for e in batch]
-        deletes = _keys(entry.job.id for entry in batch)
+        deletes = [key for entry in batch for key in keys_of_job(entry.job.id)]
         outcome = await self._store.write(Txn(compares, deletes=deletes))
         if isinstance(outcome, Conflict) and not self._lost_leadership(outcome):
             # An earlier delete that was not answered may have taken effect.
@@ -394,7 +396,3 @@
 def _record_unchanged(entry: JobEntry) -> Compare:
     revision = entry.store_revision
     return Compare(record_key(entry.job.id), revision, absent=revision == 0)
-
-
-def _keys(jobs: Iterable[JobId]) -> list[str]:
-    return [key(job) for job in jobs for key in (job_key, cancel_key, record_key)]
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -8,6 +8,7 @@
 
 from wagtailcleat.ids import JobId, NodeId
 from wagtailcleat.scheduling.events import JobEnd
+from wagtailcleat.scheduling.held_ends import HeldEnds
 from wagtailcleat.scheduling.job_entry import (
     JobEntry,
     StepKey,
@@ -43,6 +44,8 @@
         self.entry_by_id: dict[JobId, JobEntry] = {}
         self.open_by_id: dict[JobId, JobEntry] = {}
         """The jobs that have not ended; a placement round examines only these."""
+        self.held_ends_by_id: dict[JobId, HeldEnds] = {}
+        """Ends of the jobs that are held back because they can't be decoded."""
         self.count_by_end: Counter[str] = Counter()
         """Jobs that this leader has ended, by state."""
         self._ends: list[JobEnd] = []
@@ -193,11 +196,14 @@
         how: RunEnd,
         checkpoint: str,
         *,
-        node: NodeId,
+        node: NodeId | None,
         now: float,
         wall_now: float,
     ) -> JobEntry | None:
-        """Record how a run ended on `node`; return the job's entry if it is known."""
+        """Record how a run ended on `node`; return the job's entry if it is known.
+
+        Parameters: `node` is None if it is not known.
+        """
         self.mark_begun(run.task.job)
         self.begin_occurrence_of(run, now=now)
         task = self.find_task(run.task)
@@ -219,6 +225,16 @@
             self.requeue(task, now)
         return entry
 
+    def restore_ends(self, held: HeldEnds, *, now: float, wall_now: float) -> None:
+        """Record ends that were stored while their job could not be decoded.
+
+        Ends that the job's record contains already change nothing.
+        """
+        for key, end in held.end_by_run.items():
+            self.record_end(
+                key, end.how, end.checkpoint, node=None, now=now, wall_now=wall_now
+            )
+
     def update_checkpoint(self, task: Task, run: int, checkpoint: str) -> bool:
         """Set a task's checkpoint to that of a run; return whether it is new.
 
@@ -265,11 +281,12 @@
                     task.ready_at = now
 
     def _record_failure(
-        self, task: Task, run: int, node: NodeId, wall_now: float
+        self, task: Task, run: int, node: NodeId | None, wall_now: float
     ) -> None:
         # Stored records do not contain nodes: a new leader learns only here on which
         # node a run failed, even if the failure itself is stored.
-        task.failed_on.add(node)
+        if node is not None:
+            task.failed_on.add(node)
         if run in task.failed_runs:
             return
         task.failed_runs.add(run)
--- a/wagtailcleat/scheduling/models.py
+++ b/wagtailcleat/scheduling/models.py
@@ -123,6 +123,10 @@
     """The other members of the gang did not start in time."""
 
 
+FINISHING_ENDS = (RunEnd.SUCCEEDED, RunEnd.FAILED)
+"""Ends after which a task may be finished; after any other it starts again."""
+
+
 class TaskRecord(msgspec.Struct, array_like=True):
     """Durable progress of a task that has run and has not succeeded."""
 
--- a/wagtailcleat/scheduling/outgoing.py
+++ b/wagtailcleat/scheduling/outgoing.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from wagtailcleat.scheduling.held_ends import HeldEnds
 from wagtailcleat.scheduling.job_entry import JobEntry
 from wagtailcleat.scheduling.models import Pace, RunEnd, RunKey, Start
 from wagtailcleat.scheduling.token_bucket import TokenBucket
@@ -27,10 +28,10 @@
     """Sequence number in the worker's incarnation."""
     run: RunKey
     how: RunEnd
-    entry: JobEntry | None
+    entry: JobEntry | HeldEnds | None
     """None if the job is not known any more."""
     version: int
-    """The job's version that must be stored."""
+    """The version of `entry` that must be stored."""
 
 
 @dataclass(eq=False)
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -7,6 +7,7 @@
 from wagtailcleat.scheduling.delay_scheduling import rack_slowdown
 from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.events import Event
+from wagtailcleat.scheduling.held_ends import HeldEnds
 from wagtailcleat.scheduling.hosted_runs import HostedRuns
 from wagtailcleat.scheduling.job_entry import TaskState
 from wagtailcleat.scheduling.job_table import JobTable
@@ -114,11 +115,19 @@
                 self._runs.stop_others(task, ended.key, now)
             if was_open and entry is not None and entry.state.final:
                 self._runs.stop_tasks(entry.tasks(), now)
-            version = entry.version if entry else 0
+            stored = entry or self._hold(ended)
+            version = stored.version if stored else 0
             tracker.unsettled.append(
-                ReceivedEnd(ended.number, ended.key, ended.how, entry, version)
+                ReceivedEnd(ended.number, ended.key, ended.how, stored, version)
             )
 
+    def _hold(self, ended: Ended) -> HeldEnds | None:
+        """Keep an end whose job can't be decoded; return None if it is not known."""
+        held = self._job_table.held_ends_by_id.get(ended.key.task.job)
+        if held is not None:
+            held.add(ended)
+        return held
+
     def _learn_run_time(
         self, vm: Vm, hosted: HostedRun, ended: Ended, now: float
     ) -> None:
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -20,8 +20,8 @@
 from wagtailcleat.scheduling.job_table import JobTable
 from wagtailcleat.scheduling.long_waits import LongWaits
 from wagtailcleat.scheduling.models import (
+    FINISHING_ENDS,
     Pace,
-    RunEnd,
     RunKey,
     Start,
 )
@@ -37,9 +37,6 @@
 from wagtailcleat.scheduling.vms import HostedRun, Vm, is_same_worker
 from wagtailcleat.wire.scheduling import Orders, Report
 
-FINISHING_ENDS = (RunEnd.SUCCEEDED, RunEnd.FAILED)
-"""Ends after which a task may be finished; after any other it starts again."""
-
 
 class Scheduler:
     """Scheduling state and decisions of one leader.
@@ -356,7 +353,7 @@
         if end.how not in FINISHING_ENDS or not self.job_table.is_finished(end.run):
             return True
         entry = end.entry
-        is_waiting = entry is not None and not entry.may_start_tasks
+        is_waiting = isinstance(entry, JobEntry) and not entry.may_start_tasks
         if self.unreported_agents and is_waiting:
             ended = self.job_table.tasks_ending_with(end.run.task)
             if not all(map(self.job_table.is_accounted_for, ended)):
