Bound the work for an occurrence that a worker lists

What callers saw: nothing yet, by review: one listed run of occurrence 100,000 of a schedule stops the leader's loop for seconds, for all occurrences before it get tasks, and each later round ranks them.

Cause: a reported run begins its occurrence and all earlier ones, so that its end finds a task whatever the wall clock says. Nothing bounds the number. Besides, a record with an occurrence over 100 beyond those that are done is out of range for the next leader, which would hold the job back (by reading).

Change: a reported run begins occurrences only within what a record may name, 100 or twice those that are open together, beyond those that are done. A run further ahead is stopped, and its end is held: stored as the ends of a job that can't be decoded are, then acknowledged, and taken in by the leader that begins the occurrence. That waits while a run further ahead is hosted, so the task has one run at a time. A held success or failure is acknowledged when no other run of its task is hosted and each agent was heard or given up, as any other.

Ruled out: to pass over what is not due by the wall clock: clocks of leaders differ, and of a schedule far overdue all is due. To drop what is beyond the bound: a leader that could not store for seconds may have been that far ahead.

Two mutations: without the wait for runs ahead, and without holding the ends, the new scenarios on a turn that comes fail (1 and 2); on the code before they pass, slowly, for it began everything.

Price: after a change of leader, a run of an occurrence more than that far beyond what is stored as done is stopped and goes on from its checkpoint, where it was adopted.

--- a/features/scheduling/overdue.feature
+++ b/features/scheduling/overdue.feature
@@ -23,6 +23,45 @@
     When 3 rounds pass in which each run succeeds
     Then at no time more than 2 occurrences of job "s" had tasks
 
+  Scenario Outline: A worker lists <what> of an occurrence far ahead
+    # Guards against a leader that stands still because of one number in a worker's list.
+    Given 2 VMs of 32 cores
+    And job "s" with 100000 overdue occurrences of 1 task
+    When a worker lists <what> of its occurrence <occurrence>
+    And 3 rounds pass in which each run succeeds
+    Then at no time more than 100 occurrences of job "s" had tasks
+    And that worker has no ends left to acknowledge
+
+    Examples:
+      | what                | occurrence |
+      | a run               | 90000      |
+      | the success         | 90000      |
+      | a run               | 4611686018 |
+      | the success         | 4611686018 |
+
+  Scenario Outline: A worker lists <what> of a later occurrence, and its turn comes
+    # Guards against an occurrence that runs again, or twice at a time, because it was listed before its turn.
+    Given 2 VMs of 32 cores
+    And job "s" with 500 overdue occurrences of 1 task
+    When a worker lists <what> of its occurrence 350
+    And 15 rounds pass in which each run succeeds
+    Then the occurrences of job "s" have succeeded, each once
+    And that worker has no ends left to acknowledge
+
+    Examples:
+      | what                     |
+      | the success              |
+      | a run that does not stop |
+
+  Scenario: The next leader learns of a success that was listed before its turn
+    # Guards against the end of a later occurrence that is acknowledged, and lost with its leader.
+    Given 2 VMs of 32 cores
+    And job "s" with 500 overdue occurrences of 1 task
+    When a worker lists the success of its occurrence 350
+    And 2 rounds pass in which each run succeeds
+    And a new leader restores job "s" with what is stored of it, and 15 such rounds pass
+    Then the occurrences of job "s" have succeeded, each once
+
   Scenario: The next leader goes on where the one before ended
     # Guards against a record that grows with each occurrence until the store refuses it, and against occurrences run twice.
     Given 1 VM of 32 cores
--- a/features/steps/overdue_steps.py
+++ b/features/steps/overdue_steps.py
@@ -1,15 +1,29 @@
 """Steps on schedules with many overdue occurrences."""
 
+from collections import Counter
+from functools import partial
+from itertools import count
+
 import msgspec
 from behave import given, then, when
 
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.resources import Resources
+from wagtailcleat.scheduling.held_ends import HeldEnds
 from wagtailcleat.scheduling.job_records import record_of
-from wagtailcleat.scheduling.models import JobRecord, RunEnd, Step
+from wagtailcleat.scheduling.models import (
+    JobRecord,
+    RunEnd,
+    RunKey,
+    Start,
+    Step,
+    TaskKey,
+)
 
 INTERVAL_SECONDS = 60.0
 EPOCHS_BETWEEN = 1
+LATE_TRIES = 9
+"""Rounds for which a run goes on, longer than until its occurrence is begun."""
 
 
 def _schedule(world, name, count, tasks):
@@ -62,6 +76,62 @@
         context.most_open = max(context.most_open, _open_occurrences(world, "s"))
 
 
+@when("a worker lists {what} of its occurrence {occurrence:d}")
+def step_lists_ahead(context, what, occurrence):
+    world = context.world
+    worker = context.ahead_worker = next(iter(world.worker_by_node.values()))
+    run = context.ahead = RunKey(TaskKey("s", occurrence, 0, 0), 1)
+    worker.running[run] = Start(run, "")
+    if "success" in what:
+        worker.end(run, RunEnd.SUCCEEDED)
+    if "not stop" in what:
+        worker.end = partial(_end_late, run, worker.end, count(1))
+
+
+def _end_late(late, end, tries, run, how, checkpoint=""):
+    """Let a worker end its runs, and one of them only after some tries."""
+    if run != late or (how is RunEnd.SUCCEEDED and next(tries) > LATE_TRIES):
+        end(run, how, checkpoint)
+
+
+@then("that worker has no ends left to acknowledge")
+def step_no_ends_left(context):
+    _rounds(context, 2, commit=True)
+    context.world.round()
+    numbers = [ended.key for ended in context.ahead_worker.ended]
+    assert context.ahead not in numbers, numbers
+
+
+@then('the occurrences of job "{name}" have succeeded, each once')
+def step_each_once(context, name):
+    entry = context.world.scheduler.job_table.entry_by_id[name]
+    assert entry.occurrences_done > context.ahead.task.occurrence
+    started = Counter(key.task for _, key in context.world.starts)
+    assert max(started.values()) == 1, started.most_common(3)
+    assert context.ahead.task not in started
+
+
+@when(
+    'a new leader restores job "{name}" with what is stored of it,'
+    " and {count:d} such rounds pass"
+)
+def step_next_leader_with_ends(context, name, count):
+    world = context.world
+    table = world.scheduler.job_table
+    entry, stored = table.entry_by_id[name], table.held_ends_by_id.get(name)
+    world.lead(world.scheduler.epoch + EPOCHS_BETWEEN)
+    for worker in world.worker_by_node.values():
+        worker.orders_taken = 0
+    now, wall_now = world.now, world.wall_now
+    table = world.scheduler.job_table
+    table.add(entry.job, now=now, wall_now=wall_now, record=record_of(entry))
+    if stored is not None:
+        held = table.held_ends_by_id[name] = HeldEnds(name)
+        held.merge(stored.end_by_run.values())
+        table.restore_ends(held, now=now, wall_now=wall_now)
+    _rounds(context, count, commit=True)
+
+
 @when("{count:d} rounds pass in which each run succeeds")
 def step_rounds_succeed(context, count):
     context.first_starts = len(context.world.starts)
--- a/features/steps/scheduling_world.py
+++ b/features/steps/scheduling_world.py
@@ -260,6 +260,8 @@
         """Mark all progress as stored."""
         for entry in self.scheduler.job_table.entry_by_id.values():
             self.scheduler.committed(entry, entry.version)
+        for held in self.scheduler.job_table.held_ends_by_id.values():
+            held.committed = held.version
 
     def running_nodes(self, job: str) -> list[str]:
         """Return the nodes of a job's runs in progress, one for each run."""
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -155,7 +155,8 @@
                 store_revision=record.mod_revision if record else 0,
                 is_cancelled=is_cancelled,
             )
-            if not is_cancelled:
+            if held.end_by_run and not is_cancelled:
+                self._scheduler.job_table.held_ends_by_id[job] = held
                 self._scheduler.job_table.restore_ends(
                     held, now=self._clock(), wall_now=self._wall_clock()
                 )
--- a/wagtailcleat/scheduling/held_ends.py
+++ b/wagtailcleat/scheduling/held_ends.py
@@ -1,6 +1,7 @@
-"""Ends of runs of a job that this version can't decode.
+"""Ends of runs that this leader can't take in yet.
 
-They are stored before they are acknowledged, for a version that can decode the job.
+Their job can't be decoded by this version, or their occurrence has not begun. They are
+stored before they are acknowledged, and taken in later, possibly by another leader.
 """
 
 from collections.abc import Iterable
@@ -26,7 +27,7 @@
 
 
 class HeldEnd(msgspec.Struct, array_like=True, frozen=True):
-    """The stored end of a run of a held-back job."""
+    """A held end of a run, as it is stored."""
 
     occurrence: int
     step: int
@@ -43,13 +44,15 @@
 
 @dataclass(eq=False)
 class HeldEnds:
-    """The ends of a held-back job; the versions are as in `JobEntry`."""
+    """The held ends of a job; the versions are as in `JobEntry`."""
 
     job: JobId
     version: int = 0
     committed: int = 0
     store_revision: int = 0
     """Store revision of their key; 0: there is none."""
+    occurrences_restored: int = 0
+    """Ends of this number of first occurrences were taken in by this leader."""
     end_by_run: dict[RunKey, HeldEnd] = field(default_factory=dict)
 
     def add(self, ended: Ended) -> None:
@@ -65,6 +68,18 @@
         for end in stored:
             self._merge(end)
 
+    def take_begun(self, begun: int) -> list[tuple[RunKey, HeldEnd]]:
+        """Return the ends of occurrences that have begun since the last call.
+
+        Parameters: `begun` is the number of first occurrences that have begun.
+        """
+        first, self.occurrences_restored = self.occurrences_restored, begun
+        return [
+            (key, end)
+            for key, end in self.end_by_run.items()
+            if first <= end.occurrence < begun
+        ]
+
     def _merge(self, end: HeldEnd) -> None:
         key = end.run_key(self.job)
         known = self.end_by_run.get(key)
--- a/wagtailcleat/scheduling/hosted_runs.py
+++ b/wagtailcleat/scheduling/hosted_runs.py
@@ -55,6 +55,9 @@
         """Remove a run from a VM, free its resources and return it, or return None."""
         hosted = vm.drop_run(key)
         if hosted is not None:
+            entry = self._job_table.entry_by_id.get(key.task.job)
+            if entry is not None:
+                entry.runs_ahead.discard(key)
             runs = self._runs_by_task[key.task]
             runs.remove(key)
             if not runs:
@@ -98,6 +101,8 @@
         self._job_table.begin_occurrence_of(key, now=now)
         task = self._job_table.find_task(key.task)
         if task is None:
+            if self._job_table.is_ahead(key):
+                entry.runs_ahead.add(key)
             self.stop(vm, hosted, now, "not wanted any more")
             return hosted
         stale = task.run > key.run and task.state is TaskState.PLACED
--- a/wagtailcleat/scheduling/job_entry.py
+++ b/wagtailcleat/scheduling/job_entry.py
@@ -132,6 +132,8 @@
     """A cache that `ranking` fills; an entry is dropped when a task succeeds."""
     expected_seconds: list[float] = field(init=False)
     """What a task of each step is expected to take; at first as it was estimated."""
+    runs_ahead: set[RunKey] = field(default_factory=set)
+    """Hosted runs of occurrences that have not begun; these wait until they ended."""
     run_samples_by_step: dict[int, dict[RunKey, float]] = field(default_factory=dict)
     """Run times of each step's tasks by run, as `run_times` measures them."""
     counted_steps: set[int] = field(default_factory=set)
@@ -207,6 +209,18 @@
     return max(1, min(MAX_OPEN_OCCURRENCES, MAX_OPEN_TASKS // max(1, tasks)))
 
 
+def begin_limit(entry: JobEntry) -> int:
+    """Return the number of first occurrences that may begin by now.
+
+    An earlier leader may have known of occurrences that are done and not stored, so
+    it may be ahead by as many as it had open. A record has none beyond these, and the
+    work for one that is reported is bounded.
+    """
+    most = min(MAX_OPEN_OCCURRENCES, 2 * max_open_occurrences(entry.job))
+    ahead = (run.task.occurrence for run in entry.runs_ahead)
+    return min([entry.occurrences_done + most, *ahead])
+
+
 def overdue_occurrences(entry: JobEntry, wall_now: float) -> int:
     """Return the number of occurrences that are due and have not begun."""
     job = entry.job
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -14,6 +14,7 @@
     StepKey,
     Task,
     TaskState,
+    begin_limit,
     begin_through,
     drop_done_occurrences,
     max_open_occurrences,
@@ -45,7 +46,7 @@
         self.open_by_id: dict[JobId, JobEntry] = {}
         """The jobs that have not ended; a placement round examines only these."""
         self.held_ends_by_id: dict[JobId, HeldEnds] = {}
-        """Ends of the jobs that are held back because they can't be decoded."""
+        """Ends of jobs that can't be decoded, or of occurrences that have not begun."""
         self.count_by_end: Counter[str] = Counter()
         """Jobs that this leader has ended, by state."""
         self._ends: list[JobEnd] = []
@@ -95,7 +96,10 @@
 
         A limited number of occurrences has tasks at one time.
         """
-        limit = entry.occurrences_done + max_open_occurrences(entry.job)
+        limit = min(
+            entry.occurrences_done + max_open_occurrences(entry.job),
+            begin_limit(entry),
+        )
         last = entry.occurrences_begun + overdue_occurrences(entry, wall_now) - 1
         before = entry.occurrences_begun
         begin_through(entry, min(last, limit - 1), now)
@@ -106,12 +110,22 @@
 
         The wall clock of this VM may be behind that of the previous leader. Without the
         occurrence, the run's end would find no task, and the task would run again once
-        it is due by this clock.
+        it is due by this clock. One that is too far ahead does not begin: its runs
+        stop, and their ends are held until it begins, see `is_ahead`.
         """
         entry = self.entry_by_id.get(run.task.job)
-        if entry is not None and entry.open:
+        if entry is None or not entry.open:
+            return
+        if run.task.occurrence < begin_limit(entry):
             begin_through(entry, run.task.occurrence, now)
 
+    def is_ahead(self, run: RunKey) -> bool:
+        """Return whether a run is of an occurrence that has not begun yet."""
+        entry = self.entry_by_id.get(run.task.job)
+        if entry is None or not entry.open:
+            return False
+        return entry.occurrences_begun <= run.task.occurrence < entry.job.occurrences
+
     def find_task(self, key: TaskKey) -> Task | None:
         """Return a task of an occurrence that has begun and is not done, or None."""
         entry = self.entry_by_id.get(key.job)
@@ -226,14 +240,20 @@
         return entry
 
     def restore_ends(self, held: HeldEnds, *, now: float, wall_now: float) -> None:
-        """Record ends that were stored while their job could not be decoded.
+        """Record held ends of the occurrences that have begun, or are due.
 
         Ends that the job's record contains already change nothing.
         """
-        for key, end in held.end_by_run.items():
-            self.record_end(
-                key, end.how, end.checkpoint, node=None, now=now, wall_now=wall_now
-            )
+        entry = self.entry_by_id.get(held.job)
+        while entry is not None and entry.open:
+            if entry.may_start_tasks:
+                self.begin_due(entry, now=now, wall_now=wall_now)
+            if entry.occurrences_begun == held.occurrences_restored:
+                return
+            for key, end in held.take_begun(entry.occurrences_begun):
+                self.record_end(
+                    key, end.how, end.checkpoint, node=None, now=now, wall_now=wall_now
+                )
 
     def update_checkpoint(self, task: Task, run: int, checkpoint: str) -> bool:
         """Set a task's checkpoint to that of a run; return whether it is new.
--- a/wagtailcleat/scheduling/report_processing.py
+++ b/wagtailcleat/scheduling/report_processing.py
@@ -115,15 +115,21 @@
                 self._runs.stop_others(task, ended.key, now)
             if was_open and entry is not None and entry.state.final:
                 self._runs.stop_tasks(entry.tasks(), now)
-            stored = entry or self._hold(ended)
+            stored = self._hold(ended) or entry
             version = stored.version if stored else 0
             tracker.unsettled.append(
                 ReceivedEnd(ended.number, ended.key, ended.how, stored, version)
             )
 
     def _hold(self, ended: Ended) -> HeldEnds | None:
-        """Keep an end whose job can't be decoded; return None if it is not known."""
-        held = self._job_table.held_ends_by_id.get(ended.key.task.job)
+        """Keep an end that can't be taken in yet; return None if there is no need."""
+        job = ended.key.task.job
+        held_ends_by_id = self._job_table.held_ends_by_id
+        if self._job_table.is_ahead(ended.key):
+            held_ends_by_id.setdefault(job, HeldEnds(job))
+        elif job in self._job_table.entry_by_id:
+            return None
+        held = held_ends_by_id.get(job)
         if held is not None:
             held.add(ended)
         return held
--- a/wagtailcleat/scheduling/scheduler.py
+++ b/wagtailcleat/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from wagtailcleat.scheduling.delay_scheduling import DelayScheduling, rack_slowdown
 from wagtailcleat.scheduling.dispatch import Dispatch
 from wagtailcleat.scheduling.events import Event, LoggedEvent
+from wagtailcleat.scheduling.held_ends import HeldEnds
 from wagtailcleat.scheduling.hosted_runs import HostedRuns
 from wagtailcleat.scheduling.job_entry import JobEntry, Task, overdue_occurrences
 from wagtailcleat.scheduling.job_table import JobTable
@@ -282,6 +283,7 @@
         round may continue.
         """
         self._wall_now = wall_now
+        self._restore_held_ends(now, wall_now)
         self.run_times.refresh(self.job_table.open_by_id.values())
         vms = self.vm_by_node.values()
         self._placement.run(
@@ -290,6 +292,14 @@
         self.long_waits.search(vms, self.zones_out, now=now)
         return not self._placement.cut_short
 
+    def _restore_held_ends(self, now: float, wall_now: float) -> None:
+        for held in self.job_table.held_ends_by_id.values():
+            entry = self.job_table.open_by_id.get(held.job)
+            if entry is not None:
+                self.job_table.restore_ends(held, now=now, wall_now=wall_now)
+                if entry.state.final:
+                    self._runs.stop_tasks(entry.tasks(), now)
+
     def _start(self, vm: Vm, task: Task, run: int, now: float) -> None:
         self.job_table.mark_placed(task, run, vm.node)
         hosted = HostedRun(
@@ -350,10 +360,13 @@
         run of the task is settled, the end stays listed, so that a next leader learns
         of it with the starts that are in doubt.
         """
-        if end.how not in FINISHING_ENDS or not self.job_table.is_finished(end.run):
+        is_held = isinstance(end.entry, HeldEnds)
+        is_finished = is_held or self.job_table.is_finished(end.run)
+        if end.how not in FINISHING_ENDS or not is_finished:
             return True
-        entry = end.entry
-        is_waiting = isinstance(entry, JobEntry) and not entry.may_start_tasks
+        is_waiting = is_held or (
+            isinstance(end.entry, JobEntry) and not end.entry.may_start_tasks
+        )
         if self.unreported_agents and is_waiting:
             ended = self.job_table.tasks_ending_with(end.run.task)
             if not all(map(self.job_table.is_accounted_for, ended)):
