An agent that is told to stop reports once more what it knows

Callers saw the next step of a job, or a task whose start was in flight, wait until the agent of that VM was back, although another VM had room: 3.6 and 4.1 s in the soak, 5.6 to 7.2 s where the agent stays away.

Cause: Agent.stop cancelled its parts at once. What the worker had ended, refused or not yet answered by then nobody told the leader.

Evidence: with the agent paused over the end of a run and told to stop before it goes on, the next step started 6.6, 6.9 and 7.2 s later (3 of 3); with a start that the worker refuses 0.3 s later, the task 6.0, 5.6 and 5.9 s later (3 of 3). Ruled out: a VM without room (the other one was empty), a leader that waits for something else (the agent's expiry ends each wait).

Change: from the signal on no start is sent. The agent lists the runs once more without the worker's usual delay, waits for the outcome of each start that it has sent, and reports if there is anything that the leader has not answered; 1 s at most, and never later than 1 s before the end of the grace period. The report shows the worker as draining, so the leader does not give what has become free to an agent that ends. A worker that drains or leaves is handled as before.

Why it works, and why no run goes on twice: starts that wait or are ordered after the signal never reach the worker and are refused, those sent and not settled are listed as unsettled as ever; so no last report denies what may still run, whenever it is made (docs/design/platform.md).

Tests: features/platform/last_report. The two scenarios above failed before; the two on stops whose peers don't answer passed before too and guard the limit.

--- a/features/steps/late_calls_steps.py
+++ b/features/steps/late_calls_steps.py
@@ -328,6 +328,12 @@
     context.breaches = play_histories(range(first, last + 1), faults)
 
 
+@when("the random histories {first:d} to {last:d} with stops of agents are played")
+def step_histories_stops(context, first, last):
+    faults = Faults(restarts=False, breaks=False, stops=True)
+    context.breaches = play_histories(range(first, last + 1), faults)
+
+
 @then("no rule was broken in any of them")
 def step_histories_held(context):
     assert not context.breaches, "\n".join(context.breaches)
--- a/features/steps/late_histories.py
+++ b/features/steps/late_histories.py
@@ -3,8 +3,8 @@
     python -m features.steps.late_histories FIRST LAST [FLAGS]
 
 plays the seeds FIRST to LAST and prints the broken rules of each; the exit code is 1
-if there are any. `--restarts`, `--breaks`, `--kinds` and `--departures` add these,
-`--trace` prints all events of a history with a broken rule.
+if there are any. `--restarts`, `--breaks`, `--kinds`, `--departures` and `--stops` add
+these, `--trace` prints all events of a history with a broken rule.
 """
 
 import asyncio
@@ -49,6 +49,8 @@
     """Whether workers differ, jobs restrict where they run, and links are slow."""
     departures: bool = False
     """Whether workers leave as `departures` describes, and no other way."""
+    stops: bool = False
+    """Whether agents are told to stop, often just after a start."""
 
 
 class LateHistory:
@@ -72,6 +74,8 @@
             left_out.add("do_crash")
         if not faults.breaks:
             left_out |= {"do_break", "do_unhealthy"}
+        if not faults.stops:
+            left_out |= {"do_stop_agent", "do_stop_agent_more"}
         if not faults.kinds:
             left_out |= {"do_submit_restricted", "do_submit_restricted_more"}
             left_out |= {"do_replace", "do_replace_more"}
@@ -370,6 +374,27 @@
 
     do_restart_agent_more = do_restart_agent
 
+    def do_stop_agent(self) -> None:
+        """Tell an agent to stop, with starts in flight; it starts again later."""
+        random = self.random
+        for worker in self._workers():
+            worker.faults.late = dict.fromkeys(("start",), random.choice([0.0, 0.5]))
+            worker.faults.late_seconds = (0.1, 4.0)
+        self.world.submit(random.randint(1, 6), cores=2.0)
+        self.world.wait(random.uniform(0.0, 0.2))
+        agent = random.choice(self.world.agents)
+        if not agent.alive or agent.frozen:
+            return
+        agent.spawn(agent.stop())
+        seconds = 1.0 + random.uniform(0.05, 3.0)
+        self.world.loop.call_later(seconds, self._restart_stopped, agent)
+
+    do_stop_agent_more = do_stop_agent
+
+    def _restart_stopped(self, agent: FreezableProcess) -> None:
+        if agent in self._processes() and not agent.alive:
+            self.world.restart(agent)
+
     def _restart(self, process: FreezableProcess) -> None:
         if process in self._processes():
             self.world.restart(process)
@@ -430,7 +455,7 @@
 def main(arguments: list[str]) -> int:
     """Play histories, print the broken rules and return the exit code."""
     logging.getLogger().setLevel(logging.INFO)
-    flags = ("--restarts", "--breaks", "--kinds", "--departures")
+    flags = ("--restarts", "--breaks", "--kinds", "--departures", "--stops")
     faults = Faults(*(flag in arguments for flag in flags))
     exit_code = 0
     for seed in range(int(arguments[1]), int(arguments[2]) + 1):
--- a/features/steps/late_world.py
+++ b/features/steps/late_world.py
@@ -25,6 +25,8 @@
 from wagtailcleat.cluster.following import Following
 from wagtailcleat.cluster.hosting import Hosting
 from wagtailcleat.cluster.keys import cancel_key, encode, job_key
+from wagtailcleat.cluster.last_report import report_once_more, reported_worker
+from wagtailcleat.cluster.timing import LAST_REPORT_SECONDS
 from wagtailcleat.ids import JobId
 from wagtailcleat.platform.heartbeats import Heartbeat
 from wagtailcleat.resources import Resources
@@ -127,6 +129,14 @@
         self.spawn(self.following.run())
         self.spawn(self.hosting.run())
 
+    async def stop(self) -> None:
+        """Report once more as `agent_app` does, then end."""
+        self.world.trace(f"{self.node}: is told to stop")
+        await report_once_more(
+            self.hosting, self.following, seconds=LAST_REPORT_SECONDS
+        )
+        self.world.loop.call_soon(self.kill)
+
     def _make_client(
         self, address: str, instance: str, *, fence: int, call_seconds: float
     ) -> LateClient:
@@ -141,7 +151,7 @@
             ZONE,
             self.host,
             PORT,
-            hosting.info,
+            reported_worker(hosting),
             hosting.left,
             hosting.listed,
             hosting.running,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -55,6 +55,8 @@
     """Drain, send `leave`, and end once that is answered."""
     heartbeat_after_leave: bool = False
     """Send another heartbeat between that answer and the end."""
+    refuse_starts_after: float = 0.0
+    """Answer starts 503 after this many seconds, and don't carry them out; 0: not."""
     silent: bool = False
     """Send no heartbeat and no answer; running tasks continue."""
 
@@ -196,6 +198,19 @@
 class StartHandler(OrderHandler):
     """`POST /run-start`."""
 
+    async def prepare(self) -> None:
+        """Refuse the start after a while, as the switches say."""
+        await super().prepare()
+        seconds = self.switches.current.refuse_starts_after
+        if seconds:
+            task, run = (
+                json.loads(self.request.body)[name] for name in ("task", "run")
+            )
+            row = ("refusal", time.time(), self.state.instance, task, run, "")
+            self.state.record.add(*row)
+            await asyncio.sleep(seconds)
+            self.answer({"clockMs": self.state.clock_ms()}, 503)
+
     def execute(self, body: dict[str, Any]) -> tuple[dict[str, Any], int]:
         """Start a run; idempotent by its task and run number."""
         state = self.state
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -29,6 +29,7 @@
     "platform/takeover",
     "platform/late_calls",
     "platform/departures",
+    "platform/last_report",
     "platform/store_faults",
     "platform/adapter",
     "requests/leaving",
--- a/wagtailcleat/cluster/agent_app.py
+++ b/wagtailcleat/cluster/agent_app.py
@@ -10,12 +10,14 @@
 from wagtailcleat.clock import boot_time, wall_time
 from wagtailcleat.cluster.following import Following
 from wagtailcleat.cluster.hosting import Hosting
+from wagtailcleat.cluster.last_report import report_once_more, reported_worker
 from wagtailcleat.cluster.operator_watch import OperatorWatch
 from wagtailcleat.cluster.program import CommonParts, make_common_parts, serve_metrics
 from wagtailcleat.cluster.program import main as run
 from wagtailcleat.cluster.settings import AgentSettings, split_address
 from wagtailcleat.cluster.timing import (
     CLOCK_DRIFT_FACTOR,
+    LAST_REPORT_SECONDS,
     STOP_MARGIN_SECONDS,
     ZONES_WATCH_SECONDS,
 )
@@ -100,18 +102,23 @@
         return {"runs": len(self.hosting.running)}
 
     async def stop(self) -> None:
-        """Report the end of a worker that leaves, then end without stopping its runs.
+        """Report what the leader does not know, then end without stopping the runs.
 
         Runs continue until their leases expire; the next incarnation adopts them. After
         a leave there may be none, and the leader would wait for the leases. A worker
         that drains will leave soon.
         """
+        limit = self.settings.grace - STOP_MARGIN_SECONDS
         info = self.hosting.info
         is_draining = info is not None and info.state is WorkerState.DRAINING
         if is_draining or self.hosting.left:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self.settings.grace - STOP_MARGIN_SECONDS):
+                async with asyncio.timeout(limit):
                     await self._leave_reported.wait()
+        else:
+            await report_once_more(
+                self.hosting, self.following, seconds=min(limit, LAST_REPORT_SECONDS)
+            )
         await self.common.supervisor.stop()
         self.common.close()
 
@@ -124,7 +131,7 @@
             ZoneName(self.settings.zone),
             self.settings.peer_host,
             self.settings.peer_port,
-            hosting.info,
+            reported_worker(hosting),
             hosting.left,
             hosting.listed,
             hosting.running,
--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -110,6 +110,11 @@
         self._on_answer = on_answer
         self._on_orders = on_orders
         self._report_due = asyncio.Event()
+        self._changes = 0
+        """Number of changes to report."""
+        self._told = asyncio.Event()
+        """Set while the leader that is followed knows of all changes."""
+        self._told.set()
         self._announced = asyncio.Event()
         """Set when a leader announces itself."""
         self._searches = 0
@@ -129,8 +134,14 @@
 
     def report_soon(self) -> None:
         """Report soon, because something has changed."""
+        self._changes += 1
+        self._told.clear()
         self._report_due.set()
 
+    async def wait_until_told(self) -> None:
+        """Wait until a report with all changes was answered."""
+        await self._told.wait()
+
     async def leader_announced(self, message: AnyMessage) -> AnyMessage:
         """Follow a leader that announces itself."""
         assert isinstance(message, Leads)
@@ -177,7 +188,9 @@
         if isinstance(stream, Lost):
             return False
         sent_at = self._clock()
-        report = self._delta.shorten(self._full_report(sent_at))
+        changes = self._changes
+        full_report = self._full_report(sent_at)
+        report = self._delta.shorten(full_report)
         answer = await stream.call(report, timeout=REPORT_TIMEOUT_SECONDS)
         if isinstance(answer, Lost):
             self._delta.lost()
@@ -205,6 +218,8 @@
         self._searches_since_contact = 0
         self._delta.answered(report, seconds=self._clock() - sent_at)
         self._on_answer(report)
+        if changes == self._changes and len(report.ended) == len(full_report.ended):
+            self._told.set()
         return True
 
     def _full_report(self, now: float) -> Report:
@@ -231,7 +246,7 @@
         self._followed_at = self._clock()
         self._orders_taken = 0
         self.valid_until = 0.0
-        self._report_due.set()
+        self.report_soon()
         return True
 
     async def _is_latest_epoch(self, epoch: Epoch) -> bool:
--- a/wagtailcleat/cluster/hosting.py
+++ b/wagtailcleat/cluster/hosting.py
@@ -113,7 +113,7 @@
         self._succession = WorkerSuccession(
             begin=self._begin_incarnation,
             on_leave=self._stop_leaving,
-            on_doubt=self._list_at_once,
+            on_doubt=self.list_at_once,
             on_end=lambda _: self.orders.cancel(),
             on_change=on_change,
             is_local_address=is_local_address,
@@ -240,7 +240,7 @@
                 self._worker_known.clear()
                 continue
             started_at = self._clock()
-            was_doubtful = incarnation.is_doubtful
+            before = (incarnation.is_doubtful, self.orders.is_closed)
             listed = await self._list_unless_urgent(incarnation)
             if not listed and incarnation is self._incarnation:
                 self._end_after_lease(incarnation)
@@ -253,8 +253,9 @@
                     max(0.0, started_at + MIN_LIST_INTERVAL_SECONDS - self._clock())
                 )
                 continue
-            if incarnation.is_doubtful and not was_doubtful:
-                # The next incarnation may have begun; a list shows that at once.
+            if before != (incarnation.is_doubtful, self.orders.is_closed):
+                # The next incarnation may have begun; a list shows that at once. Or
+                # this agent ends, and has given up a list that waited.
                 continue
             may_be_late = self.orders.may_be_late(self._clock())
             await asyncio.sleep(retry_pause(incarnation, may_be_late=may_be_late))
@@ -262,7 +263,7 @@
     async def _list_unless_urgent(self, incarnation: WorkerIncarnation) -> bool:
         """List the runs; return whether the list was answered.
 
-        It is given up for a new one by `_list_at_once`.
+        It is given up for a new one by `list_at_once`.
         """
         self._listing = asyncio.create_task(self._list_runs(incarnation))
         try:
@@ -271,7 +272,8 @@
             self._listing.cancel()
         return not self._listing.cancelled() and self._listing.result()
 
-    def _list_at_once(self) -> None:
+    def list_at_once(self) -> None:
+        """Give up the list that is waited for, and ask for another one."""
         if self._listing is not None:
             self._listing.cancel()
 
--- a/wagtailcleat/cluster/run_orders.py
+++ b/wagtailcleat/cluster/run_orders.py
@@ -81,6 +81,8 @@
         self._renew_lease = renew_lease
         self._raise_fence = raise_fence
         self._on_change = on_change
+        self.is_closed = False
+        """Whether no start is sent to the worker any more."""
         self._listed = asyncio.Condition()
         self._unanswered_at = clock()
         """When a start last got no answer; at first, an earlier process's may have."""
@@ -92,8 +94,8 @@
 
     @property
     def has_doubts(self) -> bool:
-        """Whether a start got no answer, so that lists are needed soon."""
-        return bool(self._in_doubt)
+        """Whether lists are needed soon: a start got no answer, or this agent ends."""
+        return self.is_closed or bool(self._in_doubt)
 
     def may_be_late(self, now: float) -> bool:
         """Return whether a start that got no answer may still be carried out.
@@ -107,6 +109,27 @@
         """Number of orders that are being carried out."""
         return len(self._work)
 
+    def close(self) -> None:
+        """Send no start any more; those that wait and those that come are refused."""
+        self.is_closed = True
+
+    async def wait_until_settled(self) -> None:
+        """Wait for the worker's next list, and for the outcome of each start sent.
+
+        A start that the worker has answered is settled; it may not be listed yet.
+        """
+        incarnation = self._current()
+        if incarnation is None:
+            return
+        wanted = incarnation.lists_answered + 1
+        async with self._listed:
+            await self._listed.wait_for(
+                lambda: (
+                    incarnation.lists_answered >= wanted
+                    and self._started.issuperset(self.unsettled_by_run)
+                )
+            )
+
     async def notify_listed(self) -> None:
         """Let the orders in progress look at a new list of runs."""
         async with self._listed:
@@ -243,7 +266,8 @@
     ) -> bool:
         """Return whether a start with this lease may be sent now."""
         return (
-            self._clock() < until
+            not self.is_closed
+            and self._clock() < until
             and incarnation.is_confirmed
             and not incarnation.runs_lost
             and start.key not in self._revoked
--- a/wagtailcleat/cluster/timing.py
+++ b/wagtailcleat/cluster/timing.py
@@ -92,3 +92,8 @@
 """Time limit for the leader to store a cancellation before it answers the entry."""
 STOP_MARGIN_SECONDS = 1.0
 """How long before the end of the grace period a process that is told to stop ends."""
+LAST_REPORT_SECONDS = 1.0
+"""How long an agent that is told to stop tries to report once more, at most.
+
+With its restart, shorter than `RUN_LEASE_SECONDS`: nobody renews leases meanwhile.
+"""
