Count restarts of a leader's parts, and work as leader that fails

Cause: each leader runs its parts under a supervisor of its own, which the metric does not read, and `Leading failed` is no restart of a child. Ruled out: a child of the process's supervisor, for that would share `broken` with it and keep a subtree for each epoch.

Change: a supervisor can tell each restart; an entry counts those of its leader, under the name of the part, at its own supervisor, and a failure under "leading". The counts stay when the leader ends, so the metric only rises.

--- a/wagtailcleat/cluster/entry_app.py
+++ b/wagtailcleat/cluster/entry_app.py
@@ -199,8 +199,13 @@
             values=self.common.values,
         )
         self.leader = leader
+        count_restart = self.common.supervisor.count_restart
         try:
-            await leader.run()
+            await leader.run(count_restart)
+        except Exception:
+            # Leadership goes on after it, with another claim.
+            count_restart("leading")
+            raise
         finally:
             self.leader = None
 
--- a/wagtailcleat/cluster/leader.py
+++ b/wagtailcleat/cluster/leader.py
@@ -166,9 +166,9 @@
         """Whether orders may be given now."""
         return self.ready and self.lease.valid_for(self._now) > 0
 
-    async def run(self) -> None:
-        """Restore the stored jobs, then lead until cancelled."""
-        supervisor = Supervisor(f"epoch-{self.lease.epoch}")
+    async def run(self, on_restart: Callable[[str], None] | None = None) -> None:
+        """Restore the stored jobs, then lead until cancelled; see `Supervisor`."""
+        supervisor = Supervisor(f"epoch-{self.lease.epoch}", on_restart=on_restart)
         # Restoring takes long over a slow link; a larger entry may take over meanwhile.
         supervisor.spawn("entries", self._maintain_entries)
         try:
--- a/wagtailcleat/supervise.py
+++ b/wagtailcleat/supervise.py
@@ -27,9 +27,15 @@
     The whole tree shares `broken`, the future of the first `InvariantError`.
     """
 
-    def __init__(self, name: str) -> None:
-        """Start without children; `spawn`, `once` and `supervisor` add them."""
+    def __init__(
+        self, name: str, *, on_restart: Callable[[str], None] | None = None
+    ) -> None:
+        """Start without children; `spawn`, `once` and `supervisor` add them.
+
+        Parameters: `on_restart` is called with the name of each child restarted.
+        """
         self.name = name
+        self._on_restart = on_restart
         self.broken: asyncio.Future[InvariantError] = (
             asyncio.get_running_loop().create_future()
         )
@@ -75,6 +81,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def count_restart(self, name: str) -> None:
+        """Count a restart of a child, or of a task that another supervisor runs."""
+        self._restarts_by_child[name] = self._restarts_by_child.get(name, 0) + 1
+        if self._on_restart is not None:
+            self._on_restart(name)
+
     def restarts(self) -> int:
         """Return the number of restarts of all children in this subtree."""
         own = sum(self._restarts_by_child.values())
@@ -98,8 +110,7 @@
                 return
             if loop.time() - started > BACKOFF_RESET_SECONDS:
                 backoff = FIRST_BACKOFF_SECONDS
-            restarts = self._restarts_by_child.get(name, 0)
-            self._restarts_by_child[name] = restarts + 1
+            self.count_restart(name)
             await asyncio.sleep(backoff)
             backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
 
