A download that has arrived no longer counts as lost

What callers saw: Unavailable from reads, lists and watches of the cluster's store (KeyValueStore), and NoAnswer.LOST from HttpClient.download, when their process was stopped beyond the limit of a silence while the answer arrived.

Cause: the limit of a download is an asyncio.timeout of its own. epoll_wait that is interrupted by SIGSTOP returns no events after the limit, so the timer runs a turn of the loop before the socket is read.

Ruled out: standing still within the process, as the other scenarios do; the socket and the timer are then seen in one turn, and the scenario passed before the change.

Change: time_limit yields a function that lets the block go on, and download uses it. It also withdraws a limit that has passed but not yet taken effect.

Why it works: a chunk that has arrived is read one turn after the limit and delivered in the next; the limit takes effect after three.

--- a/features/platform/arrived_answers.feature
+++ b/features/platform/arrived_answers.feature
@@ -11,6 +11,21 @@
       | a call of the store      |
       | a request to an endpoint |
 
+  Scenario Outline: A download arrives while its process is stopped beyond the time limit
+    # Guards against reads of the cluster's store, such as the leader's keys, that count as lost.
+    When a download of <size> bytes arrives while its process is stopped
+    Then that download has <size> bytes
+
+    Examples:
+      | size    |
+      | 100     |
+      | 1000000 |
+
+  Scenario: A download stops halfway
+    # Guards against reads that wait beyond the limit of a silence.
+    When a download of 1000000 bytes breaks off after 1000 bytes
+    Then that download is lost after 0.3 s to 1.3 s
+
   Scenario: An answer of a peer arrives while the process stands still
     # Guards against answers of the leader or an agent that count as lost, and their calls as unknown.
     When a peer answers a call while the calling process stands still beyond its time limit
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -15,6 +15,7 @@
 from tornado.httputil import HTTPHeaders
 
 from wagtailcleat.curl import CurlClient, forbid_repetition
+from wagtailcleat.time_limits import time_limit
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Longer than any round trip in the deployments, shorter than any interval at which
@@ -120,14 +121,13 @@
         body = bytearray()
         is_waiting = True
         first_timeout = idle_timeout if first_timeout is None else first_timeout
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(first_timeout) as deadline:
+            async with time_limit(first_timeout) as go_on:
 
                 def on_chunk(chunk: bytes) -> None:
-                    if is_waiting and not deadline.expired():
+                    if is_waiting:
                         body.extend(chunk)
-                        deadline.reschedule(loop.time() + idle_timeout)
+                        go_on(idle_timeout)
 
                 request = HTTPRequest(
                     self._base + path,
--- a/wagtailcleat/time_limits.py
+++ b/wagtailcleat/time_limits.py
@@ -35,15 +35,30 @@
 
 
 @asynccontextmanager
-async def time_limit(seconds: float) -> AsyncGenerator[None]:
+async def time_limit(seconds: float) -> AsyncGenerator[Callable[[float], None]]:
     """Limit a block to `seconds`, as `asyncio.timeout` does.
 
+    The value is a function that lets the block go on for as many seconds from then; it
+    has no effect once the limit has passed.
+
     Errors: `TimeoutError` if the block has not ended by then.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(None) as scope:
-        cancel = call_at_limit(seconds, lambda: scope.reschedule(loop.time()))
+
+        def end() -> None:
+            scope.reschedule(loop.time())
+
+        cancel = call_at_limit(seconds, end)
+
+        def go_on(seconds: float) -> None:
+            nonlocal cancel
+            if not scope.expired():
+                cancel()
+                scope.reschedule(None)
+                cancel = call_at_limit(seconds, end)
+
         try:
-            yield
+            yield go_on
         finally:
             cancel()
