A list of runs that is read after its limit counts as lost

What callers would see: starts refused as late by the worker, and lapsed runs reported as going on, until the next list, after an agent stood still for seconds.

What a list says of running work, and the offset of the worker's clock, hold as of its answer.

Ruled out: the answers to starts, stops and leases, whose validity counts from before the call was sent.

"A list of runs is read 2 s after it was made" fails without the change (the list is taken) and passes with it; one read after 0.1 s is taken before and after. The limits in the feature are 1 s now instead of 0.3 s, so that a busy machine reaches the server within them; what is asked is the same.

--- a/features/platform/arrived_answers.feature
+++ b/features/platform/arrived_answers.feature
@@ -11,6 +11,16 @@
       | a call of the store      |
       | a request to an endpoint |
 
+  Scenario Outline: A list of runs is read <seconds> s after it was made
+    # Guards against runs that count as going on, and leases that are cut short, by an old list.
+    When a list of runs is answered, and its process stands still for <seconds> s
+    Then that list <outcome>
+
+    Examples:
+      | seconds | outcome        |
+      | 0.1     | is read        |
+      | 2       | counts as lost |
+
   Scenario Outline: A download arrives while its process is stopped beyond the time limit
     # Guards against reads of the cluster's store, such as the leader's keys, that count as lost.
     When a download of <size> bytes arrives while its process is stopped
@@ -24,7 +34,7 @@
   Scenario: A download stops halfway
     # Guards against reads that wait beyond the limit of a silence.
     When a download of 1000000 bytes breaks off after 1000 bytes
-    Then that download is lost after 0.3 s to 1.3 s
+    Then that download is lost after 1 s to 2 s
 
   Scenario: An answer of a peer arrives while the process stands still
     # Guards against answers of the leader or an agent that count as lost, and their calls as unknown.
@@ -33,13 +43,13 @@
 
   Scenario: A peer stays silent
     # Guards against calls that wait for a peer beyond their time limit.
-    When a peer leaves a call with a time limit of 0.3 s unanswered
-    Then that call is lost after 0.3 s to 1.3 s
+    When a peer leaves a call with a time limit of 1 s unanswered
+    Then that call is lost after 1 s to 2 s
 
   Scenario Outline: A server stays silent
     # Guards against calls, and their connections, that are held beyond the time limit.
-    When <call> is made of a silent server with a time limit of 0.3 s
-    Then that call has no answer after 0.3 s to 1.3 s
+    When <call> is made of a silent server with a time limit of 1 s
+    Then that call has no answer after 1 s to 2 s
     And its connection has ended by then
 
     Examples:
--- a/features/steps/arrived_answers_steps.py
+++ b/features/steps/arrived_answers_steps.py
@@ -10,14 +10,16 @@
 from wagtailcleat.agent.endpoint import Endpoint, EndpointAnswer
 from wagtailcleat.clock import boot_time
 from wagtailcleat.ids import Incarnation, RequestId, ServiceName
-from wagtailcleat.platform.http_client import HttpClient, Reply
+from wagtailcleat.platform.http_client import HttpClient, NoAnswer, Reply
+from wagtailcleat.platform.runs import RunList, RunWorker
 from wagtailcleat.platform.store import Absent, Store
 from wagtailcleat.wire.requests import ServiceRequest
 
 ADDRESS = "127.0.0.1"
-LIMIT_SECONDS = 0.3
+LIMIT_SECONDS = 1.0
 WAIT_SECONDS = 10.0
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+RUN_LIST = b'{"clockMs": 1, "running": [], "finished": []}'
 
 
 class _Server:
@@ -32,8 +34,8 @@
         self._connection = None
         threading.Thread(target=self._run, daemon=True).start()
 
-    def answer(self):
-        self._connection.sendall(ANSWER)
+    def answer(self, body=b"{}"):
+        self._connection.sendall(HEAD % len(body) + body)
 
     def _run(self):
         self._connection, _ = self._listening.accept()
@@ -103,6 +105,35 @@
     context.outcome = asyncio.run(run())
 
 
+@when("a list of runs is answered, and its process stands still for {seconds:g} s")
+def step_late_list(context, seconds):
+    async def run():
+        server = _Server(asyncio.get_running_loop())
+        worker = RunWorker(f"{ADDRESS}:{server.port}", "i-1", fence=1, call_seconds=1.0)
+        try:
+            listing = asyncio.ensure_future(
+                worker.list(acknowledged=0, until=None, wait_seconds=LIMIT_SECONDS)
+            )
+            await asyncio.wait_for(server.has_read.wait(), WAIT_SECONDS)
+            server.answer(RUN_LIST)
+            threading.Event().wait(seconds)
+            return await listing
+        finally:
+            worker.close()
+
+    context.outcome = asyncio.run(run())
+
+
+@then("that list counts as lost")
+def step_list_lost(context):
+    assert context.outcome is NoAnswer.LOST, context.outcome
+
+
+@then("that list is read")
+def step_list_read(context):
+    assert isinstance(context.outcome, RunList), context.outcome
+
+
 @then("that call returns the answer")
 def step_answered(context):
     assert _is_answer(context.outcome), context.outcome
--- a/features/steps/arrived_downloads_steps.py
+++ b/features/steps/arrived_downloads_steps.py
@@ -11,7 +11,7 @@
 from behave import then, when
 
 ADDRESS = "127.0.0.1"
-LIMIT_SECONDS = 0.3
+LIMIT_SECONDS = 1.0
 WAIT_SECONDS = 10.0
 SETTLE_SECONDS = 0.1
 """By then the process that sent a request waits for events; less than the limit."""
--- a/features/steps/arrived_peer_answers_steps.py
+++ b/features/steps/arrived_peer_answers_steps.py
@@ -15,7 +15,7 @@
 from wagtailcleat.wire.scheduling import WhoLeads
 
 ADDRESS = "127.0.0.1"
-LIMIT_SECONDS = 0.3
+LIMIT_SECONDS = 1.0
 WAIT_SECONDS = 10.0
 TIMING = StreamTiming(silence=WAIT_SECONDS)
 
--- a/wagtailcleat/platform/runs.py
+++ b/wagtailcleat/platform/runs.py
@@ -6,6 +6,7 @@
 later.
 """
 
+import asyncio
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -175,8 +176,11 @@
 
         Parameters: `acknowledged` is the number of the last ended run processed;
         `until` is the new end of the leases on the worker's clock, None renews none;
-        the worker waits up to `wait_seconds` for a run to end before it answers.
+        the worker waits up to `wait_seconds` for a run to end before it answers. A list
+        that is read after the call's limit counts as lost: it may no longer hold.
         """
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + wait_seconds + LIST_MARGIN_SECONDS
         body: dict[str, Any] = {"fence": self.fence, "ackCursor": acknowledged}
         if until is not None:
             body["deadlineMs"] = int(until * MILLISECONDS)
@@ -193,6 +197,8 @@
             return reply
         if reply.code == WRONG_INCARNATION:
             return OtherIncarnation()
+        if loop.time() > latest:
+            return NoAnswer.LOST
         try:
             return _parse_run_list(reply)
         except (BodyError, *ROW_ERRORS):
