The curl client leaves no timer behind when it is closed

What was seen: "'NoneType' object has no attribute 'socket_action'" on standard error after a client was closed with calls in flight (the new scenarios of arrived_answers; found by review, stock tornado does the same).

Cause: closing the handles ends their transfers, and libcurl then asks for a timer again, after tornado has removed the last one.

Change: the timer is removed once more after the close. The scenarios' server also no longer calls a loop that has ended.

--- a/features/steps/arrived_answers_steps.py
+++ b/features/steps/arrived_answers_steps.py
@@ -1,6 +1,7 @@
 """Steps on answers that arrive while the process that waits for them stands still."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -44,7 +45,9 @@
             self._loop.call_soon_threadsafe(self.has_read.set)
             while self._connection.recv(65536):
                 pass
-            self._loop.call_soon_threadsafe(self.has_ended.set)
+            # The loop may have ended after the call.
+            with contextlib.suppress(RuntimeError):
+                self._loop.call_soon_threadsafe(self.has_ended.set)
 
 
 def _worker_call(port):
--- a/wagtailcleat/curl.py
+++ b/wagtailcleat/curl.py
@@ -32,6 +32,9 @@
         for curl in self._curls:
             _cancel_limit(curl)
         super().close()
+        # Calls in flight have set a timer again as they ended.
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
 
     def _curl_setup_request(
         self,
