Forget a deleted job's held ends with the job

What callers saw: by test, an accepted schedule whose occurrence 120 never ran and counted as done: its id was that of an earlier, deleted schedule, of which a worker had listed a success of that occurrence before its turn.

Cause: `held_ends_by_id` kept the ends when `_delete_expired` removed the entry, or when `Jobs.add` replaced one whose delete was not answered. The next job of that id was restored from them, and they stayed in memory for as long as the leader led.

Ruled out: a stored key that is left over; `keys_of_job` has it, and the delete is one transaction.

Change: `JobTable.remove` forgets a job with its held ends, at both places. Ends that were not stored count as stored, so that no acknowledgement waits for them without end.

Why it works: after a delete nothing names the job, and a new one begins without ends.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -58,6 +58,19 @@
     When the job is stored again so that it can be decoded, and the next leader begins
     Then no task of that job runs, and it has failed
 
+  Scenario Outline: A job under an id whose earlier job had ends of later occurrences
+    # Guards against accepted work that is passed over because a deleted job's task had succeeded.
+    Given a store with a schedule
+    When a leader begins, and a worker lists the success of its occurrence 120
+    And the schedule is cancelled, its time is over, and it is deleted <how>
+    And a schedule is stored under the same id
+    Then its occurrences run until 130 are done, and also that one
+
+    Examples:
+      | how                           |
+      | and the store answers         |
+      | and the store does not answer |
+
   Scenario: Ends of a job that can't be decoded are not stored yet
     # Guards against an end that is acknowledged, and lost with its leader.
     Given a store with 3 jobs, and a job that can't be decoded
--- a/features/steps/leader_world.py
+++ b/features/steps/leader_world.py
@@ -181,6 +181,7 @@
         self.rounds_counted = 0
         """Number of rounds in which a leader was allowed to act."""
         self.now = 100.0
+        self.wall_now = 1_800_000_000.0
 
     def lead(self, epoch=2):
         """Start a leader."""
@@ -200,7 +201,7 @@
             peers=_Peers(),
             leadership=_Leadership(),
             clock=lambda: self.now,
-            wall_clock=lambda: 1_800_000_000.0,
+            wall_clock=lambda: self.wall_now,
             status_kept=1000.0,
             zones_out=self._zones_out,
             max_value_bytes=self.max_value_bytes,
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -12,7 +12,14 @@
 from features.steps.leader_world import LeaderWorld, PretendedStore
 from features.steps.scheduling_world import make_job, plain
 from wagtailcleat.cluster.job_states import NotAnswered
-from wagtailcleat.cluster.keys import AGENT_PREFIX, JOB_PREFIX, encode, record_key
+from wagtailcleat.cluster.keys import (
+    AGENT_PREFIX,
+    JOB_PREFIX,
+    cancel_key,
+    encode,
+    held_ends_key,
+    record_key,
+)
 from wagtailcleat.cluster.leadership import NO_LEADER
 from wagtailcleat.cluster.submissions import Submissions
 from wagtailcleat.resources import Resources
@@ -52,6 +59,7 @@
 }
 ATTEMPTS = 2
 CHECKPOINT_BYTES = 100
+EXPIRED_SECONDS = 5000.0
 
 
 def _capture(context):
@@ -180,6 +188,75 @@
     _list_ends(context, [(RunEnd.STOPPED, "c" * CHECKPOINT_BYTES)] * count)
 
 
+def _store_schedule(world):
+    job = make_job(OTHER, plain(1, cores=0.01), occurrences=200, interval=1.0)
+    world.store_job(job)
+
+
+@given("a store with a schedule")
+def step_schedule(context):
+    _capture(context)
+    world = context.leader_world = LeaderWorld()
+    context.add_cleanup(world.close)
+    _store_schedule(world)
+
+
+@when("a leader begins, and a worker lists the success of its occurrence {number:d}")
+def step_lists_later(context, number):
+    _lead(context)
+    worker = context.worker = context.leader_world.workers[0]
+    context.ahead = RunKey(TaskKey(OTHER, number, 0, 0), 1)
+    worker.ends += 1
+    worker.ended.append(Ended(worker.ends, context.ahead, RunEnd.SUCCEEDED, ""))
+    _report_all(context)
+    assert not worker.ended, worker.ended
+    assert held_ends_key(OTHER) in context.leader_world.store.found_by_key
+
+
+@when("the schedule is cancelled, its time is over, and it is deleted and {how}")
+def step_expired(context, how):
+    world = context.leader_world
+    store = world.store
+    store.delays_deletes = "not" in how
+    store.put(cancel_key(OTHER), b"")
+    _report_all(context)
+    world.wall_now += EXPIRED_SECONDS
+    _report_all(context)
+    if store.delays_deletes:
+        world.until(lambda: store.delayed_writes)
+        store.apply_delayed()
+    world.until(lambda: not [key for key in store.found_by_key if OTHER in key])
+    if not store.delays_deletes:
+        table = world.leader.scheduler.job_table
+        world.until(lambda: OTHER not in table.entry_by_id)
+
+
+@when("a schedule is stored under the same id")
+def step_stored_again(context):
+    for worker in context.leader_world.workers:
+        worker.running.clear()
+    _store_schedule(context.leader_world)
+    _report_all(context)
+
+
+@then("its occurrences run until {count:d} are done, and also that one")
+def step_all_run(context, count):
+    world = context.leader_world
+    started = set()
+    for _ in range(count):
+        for worker in world.workers:
+            for run in list(worker.running):
+                started.add(run.task)
+                worker.end(run, RunEnd.SUCCEEDED)
+        world.rounds(1)
+        entry = world.leader.scheduler.job_table.entry_by_id[OTHER]
+        if entry.occurrences_done >= count:
+            break
+    assert entry.occurrences_done >= count, entry.occurrences_done
+    missing = [n for n in range(count) if TaskKey(OTHER, n, 0, 0) not in started]
+    assert not missing, missing
+
+
 @given("a store that takes values of {limit:d} bytes")
 def step_small_values(context, limit):
     world = context.leader_world
--- a/wagtailcleat/cluster/jobs.py
+++ b/wagtailcleat/cluster/jobs.py
@@ -129,7 +129,7 @@
         entry_by_id = self._scheduler.job_table.entry_by_id
         entry = entry_by_id.get(job)
         if entry is not None and _is_replaced(entry, revision):
-            del entry_by_id[job]
+            self._scheduler.job_table.remove(job)
             entry = None
         if entry is None:
             held = self._scheduler.job_table.held_ends_by_id.get(
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -390,7 +390,7 @@
             return
         for entry in batch:
             if job_table.entry_by_id.get(entry.job.id) is entry:
-                del job_table.entry_by_id[entry.job.id]
+                job_table.remove(entry.job.id)
 
 
 def _record_unchanged(entry: JobEntry) -> Compare:
--- a/wagtailcleat/scheduling/job_table.py
+++ b/wagtailcleat/scheduling/job_table.py
@@ -91,6 +91,17 @@
         self.begin_due(entry, now=now, wall_now=wall_now)
         return entry
 
+    def remove(self, job: JobId) -> None:
+        """Forget a job that was deleted from the store, with its held ends.
+
+        Another job may have the same id later.
+        """
+        self.entry_by_id.pop(job, None)
+        held = self.held_ends_by_id.pop(job, None)
+        if held is not None:
+            # Nobody writes these any more: acknowledgements must not wait for it.
+            held.committed = held.version
+
     def begin_due(self, entry: JobEntry, *, now: float, wall_now: float) -> bool:
         """Create the tasks of occurrences that are due; return whether any was begun.
 
