A leader that can't store held ends notices that it was replaced

What callers saw: nothing, by review. A leader whose only write was one of held ends did not step down on the conflict with the next claim; it wrote about five times a second, at a price, until its renewal of the lease failed.

Cause: `HeldEndsWriter` took each conflict for one of its own keys and counted it as a failure of these jobs.

Evidence: features/platform/unreadable, "Another leader has claimed when ends of a job that can't be decoded are to be stored", failed before: it had not stepped down.

Ruled out: two leaders that both store; each write is conditional on the leader key.

Change: the writer asks `Records._lost_leadership` first, as the records do.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -80,6 +80,14 @@
     When the store answers writes again
     Then these ends are acknowledged
 
+  Scenario: Another leader has claimed when ends of a job that can't be decoded are to be stored
+    # Guards against a leader that writes again and again, at a price, what the store will never take.
+    Given a store with 3 jobs, and a job that can't be decoded
+    When a leader begins, and its agents report
+    And another entry has claimed, and a worker lists that a run of that job succeeded
+    Then the leader steps down after 1 such write
+    And these ends are not acknowledged
+
   Scenario: The stored ends of a job that can't be decoded are unreadable themselves
     # Guards against a task that runs again because the note of its success is passed over.
     Given a store with 3 jobs, and the stored ends of another job that can't be decoded
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -15,6 +15,7 @@
 from wagtailcleat.cluster.keys import (
     AGENT_PREFIX,
     JOB_PREFIX,
+    LEADER_KEY,
     cancel_key,
     encode,
     held_ends_key,
@@ -40,6 +41,7 @@
     TaskRecord,
 )
 from wagtailcleat.scheduling.run_times import RunTimes, StoredQueue, StoredRunTimes
+from wagtailcleat.wire.scheduling import Leads
 
 UNREADABLE = b"\xc1 of another version"
 OTHER = "bad-1"
@@ -264,6 +266,35 @@
     world.store.limits_single_writes = True
 
 
+@when("another entry has claimed, and a worker lists that a run of that job succeeded")
+def step_other_claims(context):
+    world = context.leader_world
+    claim = Leads(world.leader.lease.epoch + 1, "other", 1, "10.0.0.9", 1)
+    world.store.put(LEADER_KEY, encode(claim))
+    apply, context.held_writes = world.store.apply, []
+
+    def count_writes(txn):
+        if held_ends_key(OTHER) in txn.puts:
+            context.held_writes.append(txn)
+        return apply(txn)
+
+    world.store.apply = count_writes
+    worker = context.worker = world.workers[0]
+    worker.ends += 1
+    run = RunKey(TaskKey(OTHER, 0, 0, 0), 1)
+    worker.ended.append(Ended(worker.ends, run, RunEnd.SUCCEEDED, ""))
+    world.report(worker)
+
+
+@then("the leader steps down after {count:d} such write")
+def step_steps_down(context, count):
+    world = context.leader_world
+    world.until(lambda: len(context.held_writes) >= count)
+    world.pause()
+    assert len(context.held_writes) == count, len(context.held_writes)
+    assert world.leader.lease.stepped_down.is_set()
+
+
 @when("the store answers no write")
 def step_silent_store(context):
     context.leader_world.store.is_silent = True
--- a/wagtailcleat/cluster/held_ends.py
+++ b/wagtailcleat/cluster/held_ends.py
@@ -49,12 +49,18 @@
         lease: LeaderLease,
         store: KeyValueStore,
         max_value_bytes: int,
+        lost_leadership: Callable[[Conflict], bool],
     ) -> None:
-        """Create it; the store takes values of up to `max_value_bytes`."""
+        """Create it; the store takes values of up to `max_value_bytes`.
+
+        Parameters: `lost_leadership` returns whether a write failed because the leader
+        key has changed, and steps down then.
+        """
         self._job_table = job_table
         self._lease = lease
         self._store = store
         self._max_value_bytes = max_value_bytes
+        self._lost_leadership = lost_leadership
         self._failures_by_job: dict[JobId, int] = {}
         """Failed writes of each job's ends since the last one that succeeded."""
 
@@ -102,6 +108,8 @@
             puts[key] = value
             version_by_job[held.job] = held.version
         outcome = await self._store.write(Txn(compares, puts))
+        if isinstance(outcome, Conflict) and self._lost_leadership(outcome):
+            return False
         for held in batch[: len(puts)]:
             if isinstance(outcome, Written):
                 held.store_revision = outcome.store_revision
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -104,7 +104,9 @@
         self._on_progress = on_progress
         self._committed = asyncio.Condition()
         self._max_value_bytes = max_value_bytes
-        self._held = HeldEndsWriter(scheduler.job_table, lease, store, max_value_bytes)
+        self._held = HeldEndsWriter(
+            scheduler.job_table, lease, store, max_value_bytes, self._lost_leadership
+        )
         self._failures_by_job: dict[JobId, int] = {}
         """Failed writes of each job's record, less those that all records share."""
 
