Records that change all the time don't keep other writes from their turn

What callers saw: by test, a worker none of whose later ends were acknowledged for as long as other jobs were busy: one end of a held-back job waited to be stored.

Cause: `Records.run` writes records until none has changed. If one changes during each write, held ends, registrations of agents and deletes wait without end.

Ruled out: to write held ends after each write of records: one that fails would delay these.

Change: a pass writes the versions that there were at its beginning; later ones are of the next pass, after what else is to be written.

Why it works: these versions only become fewer, so a pass ends.

--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -80,6 +80,13 @@
     When the store answers writes again
     Then these ends are acknowledged
 
+  Scenario: Ends of a job that can't be decoded while records of other jobs change all the time
+    # Guards against a worker none of whose ends are acknowledged for as long as others are busy.
+    Given a store with 3 jobs, and a job that can't be decoded
+    And a leader whose store takes 0.02 s for a write, while a record changes each 0.01 s
+    When a worker lists that a run of that job succeeded
+    Then the ends are stored within 1 s
+
   Scenario: Another leader has claimed when ends of a job that can't be decoded are to be stored
     # Guards against a leader that writes again and again, at a price, what the store will never take.
     Given a store with 3 jobs, and a job that can't be decoded
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -286,6 +286,53 @@
     world.report(worker)
 
 
+async def _change_records(world, interval):
+    table = world.leader.scheduler.job_table
+    for number in itertools.count():
+        table.entry_by_id[f"job-{number % 3}"].mark_changed()
+        world.leader._records.dirty.set()
+        await asyncio.sleep(interval)
+
+
+@given(
+    "a leader whose store takes {write:g} s for a write, while a record changes each"
+    " {interval:g} s"
+)
+def step_busy_records(context, write, interval):
+    world = context.leader_world
+    _lead(context)
+    _report_all(context)
+    write_at_once = world.store.write
+
+    async def write_slowly(txn):
+        await asyncio.sleep(write)
+        return await write_at_once(txn)
+
+    world.store.write = write_slowly
+    work = world.loop.create_task(_change_records(world, interval))
+    context.add_cleanup(work.cancel)
+    world.rounds(1)
+
+
+@when("a worker lists that a run of that job succeeded")
+def step_lists_end(context):
+    world = context.leader_world
+    worker = world.workers[0]
+    worker.ends += 1
+    run = RunKey(TaskKey(OTHER, 0, 0, 0), 1)
+    worker.ended.append(Ended(worker.ends, run, RunEnd.SUCCEEDED, ""))
+    world.report(worker)
+
+
+@then("the ends are stored within {seconds:g} s")
+def step_stored_soon(context, seconds):
+    world = context.leader_world
+    ends_at = world.loop.time() + seconds
+    while held_ends_key(OTHER) not in world.store.found_by_key:
+        assert world.loop.time() < ends_at, "the ends are not stored"
+        world.pause()
+
+
 @then("the leader steps down after {count:d} such write")
 def step_steps_down(context, count):
     world = context.leader_world
--- a/wagtailcleat/cluster/records.py
+++ b/wagtailcleat/cluster/records.py
@@ -142,12 +142,16 @@
             await self._deregister_agents()
             open_jobs = self._scheduler.job_table.open_by_id.values()
             self._checkpoint_saver.mark_due(open_jobs, self._clock())
-            while changed := self._changed():
+            version_by_job = {e.job.id: e.version for e in self._changed()}
+            while changed := self._changed_before(version_by_job):
                 if not await self._write_records(self._next_batch(changed)):
                     # The next iteration registers and deregisters agents even so.
                     self.dirty.set()
                     await asyncio.sleep(RETRY_PAUSE_SECONDS)
                     break
+            if self._changed():
+                # What changes all the time must not keep the rest from its turn.
+                self.dirty.set()
             if not await self._held.write(self._on_progress):
                 self.dirty.set()
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
@@ -157,6 +161,14 @@
         entries = self._scheduler.job_table.entry_by_id.values()
         return [entry for entry in entries if entry.version > entry.committed]
 
+    def _changed_before(self, version_by_job: dict[JobId, int]) -> list[JobEntry]:
+        """Return the jobs of which these versions are not stored yet."""
+        return [
+            entry
+            for entry in self._changed()
+            if entry.committed < version_by_job.get(entry.job.id, 0)
+        ]
+
     def _next_batch(self, changed: list[JobEntry]) -> list[JobEntry]:
         """Return the jobs with the fewest failures; each failure halves their number.
 
