--- a/features/platform/unreadable.feature
+++ b/features/platform/unreadable.feature
@@ -58,6 +58,19 @@
     When the job is stored again so that it can be decoded, and the next leader begins
     Then no task of that job runs, and it has failed
 
+  Scenario Outline: A job under an id whose earlier job had ends of later occurrences
+    # Guards against accepted work that is passed over because a deleted job's task had succeeded.
+    Given a store with a schedule
+    When a leader begins, and a worker lists the success of its occurrence 120
+    And the schedule is cancelled, its time is over, and it is deleted <how>
+    And a schedule is stored under the same id
+    Then its occurrences run until 130 are done, and also that one
+
+    Examples:
+      | how                           |
+      | and the store answers         |
+      | and the store does not answer |
+
   Scenario: Ends of a job that can't be decoded are not stored yet
     # Guards against an end that is acknowledged, and lost with its leader.
     Given a store with 3 jobs, and a job that can't be decoded
@@ -67,6 +80,21 @@
     When the store answers writes again
     Then these ends are acknowledged
 
+  Scenario: Ends of a job that can't be decoded while records of other jobs change all the time
+    # Guards against a worker none of whose ends are acknowledged for as long as others are busy.
+    Given a store with 3 jobs, and a job that can't be decoded
+    And a leader whose store takes 0.02 s for a write, while a record changes each 0.01 s
+    When a worker lists that a run of that job succeeded
+    Then the ends are stored within 1 s
+
+  Scenario: Another leader has claimed when ends of a job that can't be decoded are to be stored
+    # Guards against a leader that writes again and again, at a price, what the store will never take.
+    Given a store with 3 jobs, and a job that can't be decoded
+    When a leader begins, and its agents report
+    And another entry has claimed, and a worker lists that a run of that job succeeded
+    Then the leader steps down after 1 such write
+    And these ends are not acknowledged
+
   Scenario: The stored ends of a job that can't be decoded are unreadable themselves
     # Guards against a task that runs again because the note of its success is passed over.
     Given a store with 3 jobs, and the stored ends of another job that can't be decoded
