Names: a time limit is extended, changes are reported

The function that time_limit yields is called extend, and Following waits until all changes are reported.

--- a/wagtailcleat/cluster/following.py
+++ b/wagtailcleat/cluster/following.py
@@ -112,9 +112,9 @@
         self._report_due = asyncio.Event()
         self._changes = 0
         """Number of changes to report."""
-        self._told = asyncio.Event()
-        """Set while the leader that is followed knows of all changes."""
-        self._told.set()
+        self._all_reported = asyncio.Event()
+        """Set while the leader that is followed has a report of all changes."""
+        self._all_reported.set()
         self._announced = asyncio.Event()
         """Set when a leader announces itself."""
         self._searches = 0
@@ -135,12 +135,12 @@
     def report_soon(self) -> None:
         """Report soon, because something has changed."""
         self._changes += 1
-        self._told.clear()
+        self._all_reported.clear()
         self._report_due.set()
 
-    async def wait_until_told(self) -> None:
+    async def wait_until_reported(self) -> None:
         """Wait until a report with all changes was answered."""
-        await self._told.wait()
+        await self._all_reported.wait()
 
     async def leader_announced(self, message: AnyMessage) -> AnyMessage:
         """Follow a leader that announces itself."""
@@ -219,7 +219,7 @@
         self._delta.answered(report, seconds=self._clock() - sent_at)
         self._on_answer(report)
         if changes == self._changes and len(report.ended) == len(full_report.ended):
-            self._told.set()
+            self._all_reported.set()
         return True
 
     def _full_report(self, now: float) -> Report:
--- a/wagtailcleat/cluster/last_report.py
+++ b/wagtailcleat/cluster/last_report.py
@@ -28,7 +28,7 @@
     try:
         async with asyncio.timeout(seconds):
             await hosting.orders.wait_until_settled()
-            await following.wait_until_told()
+            await following.wait_until_reported()
     except TimeoutError:
         unsettled = len(hosting.orders.unsettled_by_run)
         log.info("Ends without its last report", extra={"unsettled": unsettled})
--- a/wagtailcleat/platform/http_client.py
+++ b/wagtailcleat/platform/http_client.py
@@ -122,12 +122,12 @@
         is_waiting = True
         first_timeout = idle_timeout if first_timeout is None else first_timeout
         try:
-            async with time_limit(first_timeout) as go_on:
+            async with time_limit(first_timeout) as extend:
 
                 def on_chunk(chunk: bytes) -> None:
                     if is_waiting:
                         body.extend(chunk)
-                        go_on(idle_timeout)
+                        extend(idle_timeout)
 
                 request = HTTPRequest(
                     self._base + path,
--- a/wagtailcleat/time_limits.py
+++ b/wagtailcleat/time_limits.py
@@ -38,7 +38,7 @@
 async def time_limit(seconds: float) -> AsyncGenerator[Callable[[float], None]]:
     """Limit a block to `seconds`, as `asyncio.timeout` does.
 
-    The value is a function that lets the block go on for as many seconds from then; it
+    The value is a function that extends the limit to as many seconds from its call; it
     has no effect once the limit has passed.
 
     Errors: `TimeoutError` if the block has not ended by then.
@@ -51,7 +51,7 @@
 
         cancel = call_at_limit(seconds, end)
 
-        def go_on(seconds: float) -> None:
+        def extend(seconds: float) -> None:
             nonlocal cancel
             if not scope.expired():
                 cancel()
@@ -59,6 +59,6 @@
                 cancel = call_at_limit(seconds, end)
 
         try:
-            yield go_on
+            yield extend
         finally:
             cancel()
